--- /dev/null
+++ b/src/admission/entry_admission.ts
@@ -0,0 +1,35 @@
+/**
+ * Admission of requests where they enter the fleet, before any work is done.
+ */
+
+import { ok } from "neverthrow";
+import type { Result } from "neverthrow";
+import type { CompiledRequest } from "../configuration/mod.ts";
+import type { LoadSignal } from "../generated/types.ts";
+import type { Refusal } from "../outcome/mod.ts";
+
+/** What entry admission is told about a request. */
+export interface EntryRequest {
+  readonly request: CompiledRequest;
+  readonly member: string;
+}
+
+/** Decides which requests may start a chain of calls. */
+export abstract class EntryAdmission {
+  /** Admits or refuses a request that has not started. */
+  abstract check(entry: EntryRequest): Result<void, Refusal>;
+
+  /** Learns from the load signals of a reply. */
+  abstract observe(loads: readonly LoadSignal[]): void;
+}
+
+/** The baseline: everything may start. */
+export class OpenEntryAdmission extends EntryAdmission {
+  override check(_entry: EntryRequest): Result<void, Refusal> {
+    return ok(undefined);
+  }
+
+  override observe(_loads: readonly LoadSignal[]): void {
+    // Nothing is learnt, since nothing is refused.
+  }
+}
--- /dev/null
+++ b/src/admission/inbound_admission.ts
@@ -0,0 +1,45 @@
+/**
+ * Admission of calls to the backend server on this VM.
+ */
+
+import type { Result } from "neverthrow";
+import type { CallContext, LoadSignal } from "../generated/types.ts";
+import type { Refusal } from "../outcome/mod.ts";
+
+/** How an admitted call ended. */
+export interface PermitUse {
+  /** Time the backend server took, in milliseconds. */
+  readonly durationMs: number;
+  /** Whether the backend server gave a whole answer. */
+  readonly isAnswered: boolean;
+}
+
+/** The right to run one call on the backend server. */
+export interface Permit {
+  /** Gives the right back; called exactly once. */
+  release(use: PermitUse): void;
+}
+
+/** What admission is told about a call. */
+export interface InboundCall {
+  readonly context: CallContext;
+  /** Rank of the call's class; 0 is the most important. */
+  readonly classRank: number;
+  /** Ends the wait when the caller has gone. */
+  readonly signal: AbortSignal;
+}
+
+/** Decides which calls run on the backend server and when. */
+export abstract class InboundAdmission {
+  /** Waits for a permit; a refusal means that the call was not run. */
+  abstract enter(call: InboundCall): Promise<Result<Permit, Refusal>>;
+
+  /** State to carry on replies. */
+  abstract describeLoad(service: string): LoadSignal;
+
+  /** Takes the slots that the backend server announced. */
+  abstract setCapacity(slots: number, warmAtMs: number): void;
+
+  /** Calls running or waiting. */
+  abstract get pendingCalls(): number;
+}
--- /dev/null
+++ b/src/backend/create_backend_app.ts
@@ -0,0 +1,62 @@
+/**
+ * The HTTP interface for the backend server on this VM.
+ */
+
+import { Hono } from "hono";
+import type { Context } from "hono";
+import { err } from "neverthrow";
+import { createCallResponse, serveHttpCall } from "../caller/mod.ts";
+import { ANNOUNCEMENT_RENEW_MS, HEADERS } from "../constants/mod.ts";
+import { validateAnnouncement } from "../generated/validators.ts";
+import { createRefusal, REASONS } from "../outcome/mod.ts";
+import type { CallEnvironment } from "../request/mod.ts";
+
+/**
+ * Creates the application that the backend server reaches.
+ *
+ * @param environment - The daemon's parts
+ * @returns The application
+ *
+ * @example
+ * serve({ fetch: createBackendApp(environment).fetch, port: settings.backendPort });
+ */
+export function createBackendApp(environment: CallEnvironment): Hono {
+  const app = new Hono();
+  app.put("/backend/announcement", (context) => announce(environment, context));
+  app.delete("/backend/announcement", (context) => {
+    environment.backend.leave();
+    return context.json({ inProgress: environment.activeCalls.count });
+  });
+  app.all("/call/*", (context) => serveNestedCall(environment, context));
+  return app;
+}
+
+async function announce(
+  environment: CallEnvironment,
+  context: Context,
+): Promise<Response> {
+  const announcement: unknown = await context.req.json().catch(() => undefined);
+  if (!validateAnnouncement(announcement)) {
+    const finding = validateAnnouncement.errors?.[0];
+    const error = `announcement${finding?.instancePath ?? ""} ${
+      finding?.message ?? "is not JSON"
+    }`;
+    environment.log.warn({ error }, "announcement-invalid");
+    return context.json({ error }, 400);
+  }
+  environment.backend.announce(announcement);
+  return context.json({ renewMs: ANNOUNCEMENT_RENEW_MS });
+}
+
+async function serveNestedCall(
+  environment: CallEnvironment,
+  context: Context,
+): Promise<Response> {
+  const token = context.req.header(HEADERS.call) ?? "";
+  const parent = environment.activeCalls.find(token);
+  if (!parent) {
+    environment.log.warn({ token: token.slice(0, 32) }, "call-token-unknown");
+    return createCallResponse(err(createRefusal(REASONS.invalidRequest)), "");
+  }
+  return await serveHttpCall(environment, context, parent);
+}
--- /dev/null
+++ b/src/caller/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * The HTTP interface for callers.
+ */
+
+export { createCallerApp, serveHttpCall } from "./create_caller_app.ts";
+export { createCallResponse, OUTCOME_VALUES } from "./create_call_response.ts";
--- /dev/null
+++ b/src/caller/read_body.ts
@@ -0,0 +1,47 @@
+/**
+ * Reading of request bodies up to a limit.
+ */
+
+import { Buffer } from "node:buffer";
+import { err, ok } from "neverthrow";
+import type { Result } from "neverthrow";
+import { REASONS } from "../outcome/mod.ts";
+import type { Reason } from "../outcome/mod.ts";
+
+const EMPTY_BODY = new Uint8Array(0);
+
+/**
+ * Reads a whole body, or tells why it cannot be taken.
+ *
+ * @param request - The HTTP request
+ * @param maxBodyBytes - Largest body taken, in bytes
+ * @returns The body, or the reason of the refusal
+ *
+ * @example
+ * const body = await readBody(request, settings.maxBodyBytes);
+ */
+export async function readBody(
+  request: Request,
+  maxBodyBytes: number,
+): Promise<Result<Uint8Array, Reason>> {
+  if (Number(request.headers.get("content-length") ?? 0) > maxBodyBytes) {
+    return err(REASONS.bodyTooLarge);
+  }
+  if (request.method === "GET" || !request.body) {
+    return ok(EMPTY_BODY);
+  }
+  const parts: Uint8Array[] = [];
+  let lengthBytes = 0;
+  try {
+    for await (const part of request.body) {
+      lengthBytes += part.length;
+      if (lengthBytes > maxBodyBytes) {
+        return err(REASONS.bodyTooLarge);
+      }
+      parts.push(part);
+    }
+  } catch {
+    return err(REASONS.cancelled);
+  }
+  return ok(Buffer.concat(parts));
+}
--- /dev/null
+++ b/src/configuration/compile_configuration.ts
@@ -0,0 +1,85 @@
+/**
+ * Compilation of a configuration document.
+ */
+
+import type {
+  Configuration,
+  RequestConfiguration,
+} from "../generated/types.ts";
+import type {
+  CompiledConfiguration,
+  CompiledRequest,
+} from "./compiled_configuration.ts";
+
+/**
+ * Derives from a valid document the tables that decisions use.
+ *
+ * @param document - A valid configuration
+ * @param version - The version that the store gave it
+ * @returns The compiled configuration
+ *
+ * @example
+ * const compiled = compileConfiguration(document, 12);
+ */
+export function compileConfiguration(
+  document: Configuration,
+  version: number,
+): CompiledConfiguration {
+  const classRanks = new Map(
+    document.classes.map(({ name }, rank) => [name, rank]),
+  );
+  const callsByService = new Map(
+    document.services.map(({ name, calls }) => [name, calls]),
+  );
+  const requests = document.requests.map((request): CompiledRequest => ({
+    ...request,
+    classRank: classRanks.get(request.className) ?? classRanks.size,
+    path: listReachedServices(request, callsByService),
+  }));
+  return {
+    version,
+    document,
+    requestsByService: groupByService(requests),
+    requestsByName: new Map(requests.map((request) => [request.name, request])),
+    classRanks,
+    callsByService,
+    regionByFailureDomain: mapRegions(document),
+  };
+}
+
+function groupByService(
+  requests: readonly CompiledRequest[],
+): Map<string, CompiledRequest[]> {
+  const groups = new Map<string, CompiledRequest[]>();
+  for (const request of requests) {
+    groups.set(request.service, [
+      ...groups.get(request.service) ?? [],
+      request,
+    ]);
+  }
+  return groups;
+}
+
+function mapRegions(document: Configuration): Map<string, string> {
+  return new Map(
+    document.regions.flatMap(({ name, failureDomains }) =>
+      failureDomains.map((domain) => [domain, name] as const)
+    ),
+  );
+}
+
+function listReachedServices(
+  request: RequestConfiguration,
+  callsByService: ReadonlyMap<string, readonly string[]>,
+): string[] {
+  if (request.reaches.length > 0) {
+    return [...new Set([request.service, ...request.reaches])];
+  }
+  const reached = new Set([request.service]);
+  for (const service of reached) {
+    for (const called of callsByService.get(service) ?? []) {
+      reached.add(called);
+    }
+  }
+  return [...reached];
+}
--- /dev/null
+++ b/src/daemon/create_admin_app.ts
@@ -0,0 +1,117 @@
+/**
+ * The HTTP interface for operators.
+ */
+
+import { timingSafeEqual } from "node:crypto";
+import { createHash } from "node:crypto";
+import { Hono } from "hono";
+import type { Context } from "hono";
+import type { CallEnvironment } from "../request/mod.ts";
+
+/** What the interface needs beside the parts that serve requests. */
+export interface AdminOptions {
+  /** Whether the daemon can serve callers. */
+  readonly isReady: () => boolean;
+  /** Stops the daemon gracefully. */
+  readonly stop: () => Promise<void>;
+}
+
+/**
+ * Creates the application that operators reach.
+ *
+ * Health, readiness and metrics are open; everything else asks for the fleet
+ * token as a bearer token.
+ *
+ * @param environment - The daemon's parts
+ * @param options - Readiness and stop of the daemon
+ * @returns The application
+ *
+ * @example
+ * serve({ fetch: createAdminApp(environment, options).fetch, port: settings.adminPort });
+ */
+export function createAdminApp(
+  environment: CallEnvironment,
+  options: AdminOptions,
+): Hono {
+  const { backend, journal, metrics, settings } = environment;
+  const app = new Hono();
+  app.get("/health", (context) => context.json({ status: "alive" }));
+  app.get("/ready", (context) => {
+    const isReady = options.isReady();
+    return context.json({ ready: isReady }, isReady ? 200 : 503);
+  });
+  app.get("/metrics", async (context) => {
+    updateGauges(environment);
+    return context.text(await metrics.registry.metrics(), 200, {
+      "content-type": metrics.registry.contentType,
+    });
+  });
+  app.use("/v1/*", async (context, next) => {
+    if (!isAuthorized(context, settings.fleetToken)) {
+      return context.json({ error: "a bearer token is required" }, 401);
+    }
+    await next();
+  });
+  app.get(
+    "/v1/status",
+    (context) => context.json(describeStatus(environment, options.isReady())),
+  );
+  app.get("/v1/journal", (context) => {
+    const sinceMs = context.req.query("sinceMs");
+    const filter = {
+      kind: context.req.query("kind"),
+      requestId: context.req.query("requestId"),
+    };
+    return context.json(
+      journal.list({
+        ...filter,
+        sinceMs: sinceMs === undefined ? undefined : Number(sinceMs),
+      }),
+    );
+  });
+  app.post("/v1/drain", (context) => {
+    backend.leave();
+    return context.json({ state: backend.state });
+  });
+  app.post("/v1/undrain", (context) => {
+    backend.stay();
+    return context.json({ state: backend.state });
+  });
+  app.post("/v1/stop", (context) => {
+    void options.stop();
+    return context.json({ stopping: true });
+  });
+  return app;
+}
+
+function isAuthorized(context: Context, fleetToken: string): boolean {
+  const given = context.req.header("authorization") ?? "";
+  const digest = (text: string) => createHash("sha256").update(text).digest();
+  return timingSafeEqual(digest(given), digest(`Bearer ${fleetToken}`));
+}
+
+function updateGauges(
+  { configuration, inboundAdmission, metrics }: CallEnvironment,
+): void {
+  const load = inboundAdmission.describeLoad("");
+  metrics.inFlight.set(load.inFlight);
+  metrics.limit.set(load.limit);
+  metrics.configurationVersion.set(configuration.version);
+}
+
+function describeStatus(environment: CallEnvironment, isReady: boolean) {
+  const { activeCalls, backend, configuration, inboundAdmission, membership } =
+    environment;
+  return {
+    self: membership.self,
+    isReady,
+    configurationVersion: configuration.version,
+    backend: {
+      state: backend.state,
+      announcement: backend.announcement ?? null,
+    },
+    load: inboundAdmission.describeLoad(membership.self.service),
+    activeCalls: activeCalls.count,
+    members: membership.listAll(),
+  };
+}
--- /dev/null
+++ b/src/daemon/daemon.ts
@@ -0,0 +1,289 @@
+/**
+ * One daemon: its parts, its listeners, its start and its graceful stop.
+ */
+
+import { serve } from "@hono/node-server";
+import type { ServerType } from "@hono/node-server";
+import type { Hono } from "hono";
+import {
+  LimitedAdmission,
+  OpenEntryAdmission,
+  UnprotectedAdmission,
+} from "../admission/mod.ts";
+import {
+  BACKEND_STATES,
+  BackendClient,
+  BackendRegistry,
+} from "../backend/mod.ts";
+import { createBackendApp } from "../backend/create_backend_app.ts";
+import { createCallerApp } from "../caller/mod.ts";
+import {
+  ConfigurationHolder,
+  watchConfiguration,
+} from "../configuration/mod.ts";
+import type { DaemonSettings, MemberRecord } from "../generated/types.ts";
+import { KeyLedger } from "../idempotency/mod.ts";
+import { createIncarnation, GossipMembership } from "../membership/mod.ts";
+import { PeerServer } from "../peer/mod.ts";
+import { ActiveCalls, PeerClients, servePeerCall } from "../request/mod.ts";
+import type { CallEnvironment } from "../request/mod.ts";
+import { AllowanceRetryPolicy, EveryHopRetryPolicy } from "../retry/mod.ts";
+import { LocalFirstChooser, RandomChooser } from "../routing/mod.ts";
+import { HttpObjectStore } from "../store/mod.ts";
+import {
+  createLogger,
+  DaemonMetrics,
+  DecisionJournal,
+  DECISIONS,
+} from "../telemetry/mod.ts";
+import { RandomSource, SystemClock } from "../time/mod.ts";
+import { createAdminApp } from "./create_admin_app.ts";
+
+/** Interval at which the daemon tidies up, in milliseconds. */
+const HOUSEKEEPING_INTERVAL_MS = 500;
+
+/** Time for which a leaving daemon still accepts calls, so that peers learn of it, in milliseconds. */
+const LEAVE_NOTICE_MS = 1_000;
+
+/** Interval at which a stopping daemon checks for requests in progress, in milliseconds. */
+const DRAIN_POLL_MS = 20;
+
+/** A running daemon. */
+export class Daemon {
+  readonly environment: CallEnvironment;
+  readonly #store: HttpObjectStore;
+  readonly #membership: GossipMembership;
+  readonly #peerServer: PeerServer;
+  readonly #stopSignal = new AbortController();
+  #servers: ServerType[] = [];
+  #stopHousekeeping: () => void = () => undefined;
+  #stopped: Promise<void> | undefined;
+  #requestsInProgress = 0;
+
+  constructor(settings: DaemonSettings) {
+    const clock = new SystemClock();
+    const random = new RandomSource(settings.randomSeed);
+    const self = createOwnRecord(settings, clock.nowMs());
+    const { incarnation } = self;
+    const log = createLogger(settings.logLevel, {
+      program: "celeryhollowd",
+      incarnation,
+    });
+    const configuration = new ConfigurationHolder();
+    const identity = {
+      incarnation,
+      failureDomain: settings.failureDomain,
+      fleetToken: settings.fleetToken,
+    };
+    const linkOptions = {
+      identity,
+      clock,
+      maxBodyBytes: settings.maxBodyBytes,
+    };
+    const seeds = settings.seeds.split(",").filter((seed) => seed !== "");
+    const isProtected = settings.protection === "on";
+    const { fleetToken } = settings;
+    this.#store = new HttpObjectStore(settings.storeUrl);
+    const store = this.#store;
+    this.#membership = new GossipMembership({
+      self,
+      fleetToken,
+      seeds,
+      store,
+      clock,
+      random,
+      log,
+      configuration,
+    });
+    this.environment = {
+      settings,
+      clock,
+      log,
+      metrics: new DaemonMetrics(),
+      journal: new DecisionJournal(clock),
+      configuration,
+      membership: this.#membership,
+      peers: new PeerClients(linkOptions),
+      backend: new BackendRegistry(clock),
+      backendClient: new BackendClient(settings.address),
+      entryAdmission: new OpenEntryAdmission(),
+      inboundAdmission: isProtected
+        ? new LimitedAdmission()
+        : new UnprotectedAdmission(),
+      chooser: isProtected
+        ? new LocalFirstChooser(random, self)
+        : new RandomChooser(random),
+      retryPolicy: isProtected
+        ? new AllowanceRetryPolicy()
+        : new EveryHopRetryPolicy(),
+      keys: new KeyLedger({ incarnation, fleetToken, clock }),
+      activeCalls: new ActiveCalls(clock),
+    };
+    this.#peerServer = new PeerServer({
+      ...linkOptions,
+      handleCall: (call, body, signal) =>
+        this.#track(() =>
+          servePeerCall(this.environment, call, { body, signal })
+        ),
+      reportError: (error, remoteAddress) =>
+        log.warn(
+          { error: error.message, name: error.name, remoteAddress },
+          "peer-connection-error",
+        ),
+    });
+  }
+
+  /** Whether the daemon can serve callers. */
+  get isReady(): boolean {
+    return this.environment.configuration.version > 0 && !this.#stopped;
+  }
+
+  /** Starts the listeners and joins the fleet. */
+  async start(): Promise<void> {
+    const { environment } = this;
+    const { settings, clock, configuration, log } = environment;
+    await this.#peerServer.listen(settings.address, settings.peerPort);
+    await this.#listen(createCallerApp(environment), settings.callerPort);
+    await this.#listen(createBackendApp(environment), settings.backendPort);
+    const isReady = () => this.isReady;
+    await this.#listen(
+      createAdminApp(environment, { isReady, stop: () => this.stop() }),
+      settings.adminPort,
+    );
+    await this.#membership.start();
+    const signal = this.#stopSignal.signal;
+    void watchConfiguration({
+      store: this.#store,
+      holder: configuration,
+      clock,
+      log,
+      signal,
+    });
+    environment.backend.subscribe(() => this.#publishBackend());
+    configuration.subscribe(({ version }) =>
+      environment.journal.record(DECISIONS.configurationChange, { version })
+    );
+    this.#stopHousekeeping = clock.scheduleEvery(
+      HOUSEKEEPING_INTERVAL_MS,
+      () => this.#keepHouse(),
+    );
+    log.info(
+      { address: settings.address, callerPort: settings.callerPort },
+      "daemon-started",
+    );
+  }
+
+  /** Stops gracefully: takes no new work, finishes what is in progress, leaves the fleet. */
+  stop(): Promise<void> {
+    this.#stopped ??= this.#stop();
+    return this.#stopped;
+  }
+
+  async #stop(): Promise<void> {
+    const { backend, clock, journal, log, peers, settings } = this.environment;
+    journal.record(DECISIONS.leaving, {
+      requestsInProgress: this.#requestsInProgress,
+    });
+    log.info(
+      { requestsInProgress: this.#requestsInProgress },
+      "daemon-stopping",
+    );
+    this.#membership.updateSelf({ state: "leaving" });
+    backend.leave();
+    await clock.sleep(LEAVE_NOTICE_MS);
+    const deadlineMs = clock.monotonicMs() + settings.drainTimeoutMs;
+    while (this.#requestsInProgress > 0 && clock.monotonicMs() < deadlineMs) {
+      await clock.sleep(DRAIN_POLL_MS);
+    }
+    this.#stopHousekeeping();
+    this.#stopSignal.abort();
+    await this.#membership.stop();
+    this.#servers.forEach((server) => server.close());
+    this.#peerServer.close();
+    peers.close();
+    await this.#store.close();
+    log.info({}, "daemon-stopped");
+  }
+
+  #listen(app: Hono, port: number): Promise<void> {
+    const fetch = (request: Request) =>
+      this.#track(() => Promise.resolve(app.fetch(request)));
+    return new Promise((resolve, reject) => {
+      const server = serve({
+        fetch,
+        hostname: this.environment.settings.address,
+        port,
+      }, () => resolve());
+      server.once("error", reject);
+      this.#servers.push(server);
+    });
+  }
+
+  async #track<T>(run: () => Promise<T>): Promise<T> {
+    this.#requestsInProgress += 1;
+    try {
+      return await run();
+    } finally {
+      this.#requestsInProgress -= 1;
+    }
+  }
+
+  #publishBackend(): void {
+    const { backend, inboundAdmission } = this.environment;
+    const { announcement, state, warmAtMs } = backend;
+    const service = state === BACKEND_STATES.absent
+      ? ""
+      : announcement?.service ?? "";
+    const slots = announcement?.slots ?? 0;
+    const own = this.#membership.self;
+    const memberState = state === BACKEND_STATES.leaving || this.#stopped
+      ? "leaving"
+      : "alive";
+    inboundAdmission.setCapacity(slots, warmAtMs);
+    if (
+      own.service !== service || own.slots !== slots ||
+      own.warmAtMs !== warmAtMs || own.state !== memberState
+    ) {
+      this.#membership.updateSelf({
+        service,
+        slots,
+        warmAtMs,
+        state: memberState,
+      });
+    }
+  }
+
+  #keepHouse(): void {
+    const { membership, peers } = this.environment;
+    this.#publishBackend();
+    peers.retain(
+      new Set(
+        membership.listAll().filter(({ state }) => state !== "dead").map((
+          record,
+        ) => record.incarnation),
+      ),
+    );
+  }
+}
+
+function createOwnRecord(
+  settings: DaemonSettings,
+  startedAtMs: number,
+): MemberRecord {
+  const { address, peerPort, region, failureDomain } = settings;
+  return {
+    incarnation: createIncarnation({ address, peerPort, startedAtMs }),
+    address,
+    peerPort,
+    region,
+    failureDomain,
+    startedAtMs,
+    version: 1,
+    state: "alive",
+    service: "",
+    slots: 0,
+    inFlight: 0,
+    warmAtMs: 0,
+    successor: "",
+  };
+}
--- /dev/null
+++ b/src/daemon/main.ts
@@ -0,0 +1,15 @@
+/**
+ * Entry point of `celeryhollowd`.
+ */
+
+import process from "node:process";
+import { Cli } from "clipanion";
+import { DaemonCommand } from "./daemon_command.ts";
+
+const cli = new Cli({
+  binaryName: "celeryhollowd",
+  binaryLabel: "celeryhollow daemon",
+  binaryVersion: "0.1.0",
+});
+cli.register(DaemonCommand);
+process.exit(await cli.run(process.argv.slice(2)));
--- /dev/null
+++ b/src/measure/create_morning_fleet.ts
@@ -0,0 +1,63 @@
+/**
+ * The plan of a small fleet in two regions of two failure domains.
+ */
+
+import type { BackendBehavior } from "../testing/backend_server_stand_in.ts";
+import {
+  createTestConfiguration,
+  TEST_CHAINS,
+} from "../testing/create_test_configuration.ts";
+import type { FleetPlan, VmPlan } from "./fleet.ts";
+
+/** What differs between fleets of this shape. */
+export interface MorningFleetOptions {
+  readonly protection: "on" | "off";
+  /** Second byte of the addresses, so that fleets do not meet. */
+  readonly network: number;
+  readonly slots: number;
+  readonly behavior?: Partial<BackendBehavior>;
+}
+
+const DOMAINS = [
+  { region: "vlaanderen", failureDomain: "gent-a" },
+  { region: "vlaanderen", failureDomain: "gent-b" },
+  { region: "wallonie", failureDomain: "namur-a" },
+  { region: "wallonie", failureDomain: "namur-b" },
+] as const;
+
+const SERVICES = [
+  "round-planning",
+  "delivery-ledger",
+  "stock",
+  "price-sheets",
+] as const;
+
+/**
+ * Plans one instance of each service in each failure domain.
+ *
+ * @param options - Protection, network and sizes
+ * @returns The plan
+ *
+ * @example
+ * const fleet = new Fleet(createMorningFleet({ protection: "on", network: 20, slots: 8 }));
+ */
+export function createMorningFleet(options: MorningFleetOptions): FleetPlan {
+  const vms = DOMAINS.flatMap((domain, domainIndex) =>
+    SERVICES.map((service, serviceIndex): VmPlan => ({
+      ...domain,
+      service,
+      address: `127.${options.network}.${domainIndex}.${serviceIndex + 1}`,
+      slots: options.slots,
+      ...options.behavior === undefined ? {} : { behavior: options.behavior },
+    }))
+  );
+  return {
+    configuration: createTestConfiguration(),
+    chains: TEST_CHAINS,
+    vms,
+    storeAddress: `127.${options.network}.255.1`,
+    storePort: 7000,
+    protection: options.protection,
+    randomSeed: options.network,
+  };
+}
--- /dev/null
+++ b/src/measure/fleet.ts
@@ -0,0 +1,220 @@
+/**
+ * A fleet of real processes on loopback addresses: the object API stand-in,
+ * daemons, and backend server stand-ins.
+ */
+
+import { spawn } from "node:child_process";
+import type { ChildProcess } from "node:child_process";
+import { once } from "node:events";
+import { readFile } from "node:fs/promises";
+import { fileURLToPath } from "node:url";
+import { request } from "undici";
+import { CONFIGURATION_KEY } from "../configuration/mod.ts";
+import type { Configuration } from "../generated/types.ts";
+import { HttpObjectStore } from "../store/mod.ts";
+import { BackendServerStandIn } from "../testing/backend_server_stand_in.ts";
+import type { BackendBehavior } from "../testing/backend_server_stand_in.ts";
+import { ObjectApiStandIn } from "../testing/object_api_stand_in.ts";
+
+/** Secret of the fleets that experiments start. */
+export const FLEET_TOKEN = "experiment-token";
+
+/** Ports that every daemon of an experiment uses on its own address. */
+export const PORTS = {
+  caller: 7100,
+  backend: 7101,
+  peer: 7102,
+  admin: 7103,
+  backendServer: 7200,
+} as const;
+
+/** One VM of an experiment. */
+export interface VmPlan {
+  readonly address: string;
+  readonly region: string;
+  readonly failureDomain: string;
+  readonly service: string;
+  readonly slots: number;
+  readonly coldStartMs?: number;
+  readonly behavior?: Partial<BackendBehavior>;
+}
+
+/** What a fleet consists of. */
+export interface FleetPlan {
+  readonly configuration: Configuration;
+  readonly chains: Readonly<Record<string, readonly string[]>>;
+  readonly vms: readonly VmPlan[];
+  readonly storeAddress: string;
+  readonly storePort: number;
+  readonly protection: "on" | "off";
+  readonly randomSeed: number;
+}
+
+/** A VM that runs. */
+export interface RunningVm {
+  readonly plan: VmPlan;
+  readonly daemon: ChildProcess;
+  readonly backendServer: BackendServerStandIn;
+  readonly entryUrl: string;
+}
+
+const DAEMON_PROGRAM = fileURLToPath(
+  new URL("../daemon/main.js", import.meta.url),
+);
+const READY_POLL_MS = 50;
+const READY_TIMEOUT_MS = 20_000;
+
+/** A fleet of processes. */
+export class Fleet {
+  readonly plan: FleetPlan;
+  readonly store = new ObjectApiStandIn();
+  readonly vms: RunningVm[] = [];
+
+  constructor(plan: FleetPlan) {
+    this.plan = plan;
+  }
+
+  /** URLs of every daemon's caller port. */
+  get entryUrls(): string[] {
+    return this.vms.map(({ entryUrl }) => entryUrl);
+  }
+
+  /** Starts everything and waits until each daemon knows every instance. */
+  async start(): Promise<void> {
+    const { storeAddress, storePort, configuration } = this.plan;
+    await this.store.listen(storeAddress, storePort);
+    const client = new HttpObjectStore(this.storeUrl);
+    await client.write(CONFIGURATION_KEY, configuration, 0);
+    await client.close();
+    for (const vm of this.plan.vms) {
+      this.vms.push(this.#launch(vm));
+    }
+    await Promise.all(this.vms.map(async (vm) => {
+      await this.waitUntilReady(vm);
+      await vm.backendServer.start();
+    }));
+    await Promise.all(this.vms.map((vm) => this.#waitUntilComplete(vm)));
+  }
+
+  /** URL of the object API stand-in. */
+  get storeUrl(): string {
+    return `http://${this.plan.storeAddress}:${this.plan.storePort}`;
+  }
+
+  /** Waits until a daemon reports that it is ready. */
+  async waitUntilReady(vm: RunningVm): Promise<void> {
+    await waitFor(async () => {
+      const response = await request(
+        `http://${vm.plan.address}:${PORTS.admin}/ready`,
+      );
+      await response.body.dump();
+      return response.statusCode === 200;
+    });
+  }
+
+  /** Reads a daemon's status. */
+  async readStatus(
+    vm: RunningVm,
+  ): Promise<{ members: { service: string; state: string }[] }> {
+    const response = await request(
+      `http://${vm.plan.address}:${PORTS.admin}/v1/status`,
+      {
+        headers: { authorization: `Bearer ${FLEET_TOKEN}` },
+      },
+    );
+    return await response.body.json() as {
+      members: { service: string; state: string }[];
+    };
+  }
+
+  /** Memory of a daemon that is resident, in megabytes. */
+  async readResidentMb(vm: RunningVm): Promise<number> {
+    const status = await readFile(`/proc/${vm.daemon.pid}/status`, "utf8");
+    return Number(/VmRSS:\s+(\d+)/.exec(status)?.[1] ?? 0) / 1_024;
+  }
+
+  /** Starts another daemon process on the address of a VM. */
+  relaunch(vm: RunningVm): RunningVm {
+    const next = { ...vm, daemon: this.#launchDaemon(vm.plan) };
+    this.vms.splice(this.vms.indexOf(vm), 1, next);
+    return next;
+  }
+
+  /** Stops everything that was started. */
+  async stop(): Promise<void> {
+    await Promise.all(this.vms.map(async ({ daemon, backendServer }) => {
+      await backendServer.stop();
+      if (daemon.exitCode === null && daemon.signalCode === null) {
+        const exited = once(daemon, "exit");
+        daemon.kill("SIGKILL");
+        await exited;
+      }
+    }));
+    this.store.close();
+  }
+
+  #launch(plan: VmPlan): RunningVm {
+    const { address, service, slots, coldStartMs, behavior } = plan;
+    const backendServer = new BackendServerStandIn({
+      address,
+      port: PORTS.backendServer,
+      daemonPort: PORTS.backend,
+      service,
+      slots,
+      chains: this.plan.chains,
+      ...coldStartMs === undefined ? {} : { coldStartMs },
+      ...behavior === undefined ? {} : { behavior },
+    });
+    return {
+      plan,
+      daemon: this.#launchDaemon(plan),
+      backendServer,
+      entryUrl: `http://${address}:${PORTS.caller}`,
+    };
+  }
+
+  #launchDaemon(plan: VmPlan): ChildProcess {
+    const settings: Record<string, string> = {
+      "--address": plan.address,
+      "--region": plan.region,
+      "--failure-domain": plan.failureDomain,
+      "--fleet-token": FLEET_TOKEN,
+      "--store-url": this.storeUrl,
+      "--protection": this.plan.protection,
+      "--random-seed": String(this.plan.randomSeed + this.vms.length + 1),
+      "--log-level": "error",
+    };
+    return spawn("node", [DAEMON_PROGRAM, ...Object.entries(settings).flat()], {
+      stdio: ["ignore", "inherit", "inherit"],
+    });
+  }
+
+  async #waitUntilComplete(vm: RunningVm): Promise<void> {
+    const expected = this.plan.vms.length;
+    await waitFor(async () => {
+      const { members } = await this.readStatus(vm);
+      return members.filter(({ service, state }) =>
+        service !== "" && state === "alive"
+      ).length >= expected;
+    });
+  }
+}
+
+/**
+ * Waits until a condition holds; failures of the check count as not yet.
+ *
+ * @param check - The condition
+ * @returns When it holds
+ *
+ * @example
+ * await waitFor(async () => (await readVersion()) > 3);
+ */
+export async function waitFor(check: () => Promise<boolean>): Promise<void> {
+  const deadlineMs = performance.now() + READY_TIMEOUT_MS;
+  while (!(await check().catch(() => false))) {
+    if (performance.now() > deadlineMs) {
+      throw new Error("the fleet did not get ready in time");
+    }
+    await new Promise((resolve) => setTimeout(resolve, READY_POLL_MS));
+  }
+}
--- /dev/null
+++ b/src/measure/fleet_test.ts
@@ -0,0 +1,122 @@
+import * as assert from "uvu/assert";
+import { suite } from "uvu";
+import { TestCaller } from "../testing/test_caller.ts";
+import type { TestCall } from "../testing/test_caller.ts";
+import { createMorningFleet } from "./create_morning_fleet.ts";
+import { Fleet } from "./fleet.ts";
+
+interface Context {
+  fleet: Fleet;
+  caller: TestCaller;
+}
+
+const test = suite<Context>("whole path through separate processes");
+
+test.before(async (context) => {
+  context.caller = new TestCaller();
+  context.fleet = new Fleet(
+    createMorningFleet({ protection: "on", network: 21, slots: 8 }),
+  );
+  await context.fleet.start();
+});
+
+test.after(async ({ caller, fleet }) => {
+  await caller.close();
+  await fleet.stop();
+});
+
+function createCall({ fleet }: Context, changes: Partial<TestCall>): TestCall {
+  return {
+    entryUrl: fleet.entryUrls[0] ?? "",
+    service: "round-planning",
+    method: "GET",
+    path: "/rounds/7",
+    requestId: "request-1",
+    member: "member-1",
+    timeoutMs: 5_000,
+    ...changes,
+  };
+}
+
+test("a call passes four services and the whole answer comes back, whichever daemon it enters at", async (context) => {
+  for (const [index, entryUrl] of context.fleet.entryUrls.entries()) {
+    const requestId = `request-${index}`;
+    const { outcome, text } = await context.caller.send(
+      createCall(context, { entryUrl, requestId }),
+    );
+    assert.is(outcome, "answered");
+    assert.equal(listServices(JSON.parse(text)), [
+      "round-planning",
+      "delivery-ledger",
+      "stock",
+      "price-sheets",
+    ]);
+    assert.is(JSON.parse(text).requestId, requestId);
+  }
+});
+
+test("a non-repeatable call runs once though it is sent to every daemon", async (context) => {
+  const { fleet, caller } = context;
+  const [idempotencyKey = ""] = await caller.fetchKeys(
+    fleet.entryUrls[0] ?? "",
+    1,
+  );
+  const delivery: Partial<TestCall> = {
+    service: "delivery-ledger",
+    method: "POST",
+    path: "/deliveries/1",
+    requestId: "delivery-1",
+    idempotencyKey,
+  };
+  const outcomes = await Promise.all(
+    fleet.entryUrls.map((entryUrl) =>
+      caller.send(createCall(context, { ...delivery, entryUrl }))
+    ),
+  );
+  assert.equal([...new Set(outcomes.map(({ outcome }) => outcome))], [
+    "answered",
+  ]);
+  const runs = fleet.vms.flatMap(({ backendServer }) => backendServer.runs)
+    .filter(({ requestId, service }) =>
+      requestId === "delivery-1" && service === "delivery-ledger"
+    );
+  assert.is(runs.length, 1);
+});
+
+test("a non-repeatable call without a key is refused and given one", async (context) => {
+  const call = createCall(context, {
+    service: "delivery-ledger",
+    method: "POST",
+    path: "/deliveries/2",
+  });
+  const { outcome, status, reason, idempotencyKey } = await context.caller.send(
+    call,
+  );
+  assert.equal({ outcome, status, reason }, {
+    outcome: "refused-not-run",
+    status: 428,
+    reason: "key-required",
+  });
+  assert.ok(idempotencyKey.length > 0);
+});
+
+test("a request for an unknown service is refused and not run", async (context) => {
+  const { outcome, status, reason } = await context.caller.send(
+    createCall(context, { service: "no-such-service" }),
+  );
+  assert.equal({ outcome, status, reason }, {
+    outcome: "refused-not-run",
+    status: 404,
+    reason: "unknown-service",
+  });
+});
+
+function listServices(
+  answer: { service: string; nested: typeof answer | null },
+): string[] {
+  return answer.nested
+    ? [answer.service, ...listServices(answer.nested)]
+    : [answer.service];
+}
+
+test.run();
--- /dev/null
+++ b/src/outcome/create_uncertainty.ts
@@ -0,0 +1,36 @@
+/**
+ * Creation of unknown outcomes.
+ */
+
+import type { LoadSignal } from "../generated/types.ts";
+import type { Reason, Uncertainty } from "./outcome.ts";
+
+/** Optional parts of an unknown outcome. */
+export interface UncertaintyOptions {
+  /** Retry allowance left, in attempts. */
+  readonly unusedAllowance?: number;
+  /** Load signals to carry back. */
+  readonly loads?: readonly LoadSignal[];
+}
+
+/**
+ * Creates an unknown outcome: the attempt may have run.
+ *
+ * @param reason - What kept the outcome from being known
+ * @param options - Allowance left and load signals
+ * @returns The unknown outcome
+ *
+ * @example
+ * createUncertainty(REASONS.connectionLost);
+ */
+export function createUncertainty(
+  reason: Reason,
+  options: UncertaintyOptions = {},
+): Uncertainty {
+  return {
+    kind: "unknown",
+    reason,
+    unusedAllowance: options.unusedAllowance ?? 0,
+    loads: options.loads ?? [],
+  };
+}
--- /dev/null
+++ b/src/peer/convert_reply.ts
@@ -0,0 +1,99 @@
+/**
+ * Conversion between outcomes and reply messages.
+ */
+
+import { err, ok } from "neverthrow";
+import type { ReplyMessage } from "../generated/types.ts";
+import { createRefusal, createUncertainty } from "../outcome/mod.ts";
+import type { CallResult, Reason } from "../outcome/mod.ts";
+
+/** A reply message and the body that travels with it. */
+export interface ReplyWithBody {
+  readonly head: ReplyMessage;
+  readonly body: Uint8Array;
+}
+
+const EMPTY_BODY = new Uint8Array(0);
+
+/**
+ * Converts an outcome to the reply that carries it.
+ *
+ * @param callId - Call that the reply belongs to
+ * @param result - Outcome of the call
+ * @returns The reply and its body
+ *
+ * @example
+ * const { head, body } = convertResultToReply(call.callId, result);
+ */
+export function convertResultToReply(
+  callId: number,
+  result: CallResult,
+): ReplyWithBody {
+  if (result.isOk()) {
+    const { status, contentType, body, unusedAllowance, loads } = result.value;
+    const head = createReply(callId, {
+      outcome: "answered",
+      status,
+      contentType,
+      unusedAllowance,
+      loads: [...loads],
+    });
+    return { head: { ...head, bodyLengthBytes: body.length }, body };
+  }
+  const failure = result.error;
+  const retryAfterMs = failure.kind === "refused" ? failure.retryAfterMs : 0;
+  const head = createReply(callId, {
+    outcome: failure.kind,
+    reason: failure.reason,
+    retryAfterMs,
+    unusedAllowance: failure.unusedAllowance,
+    loads: [...failure.loads],
+  });
+  return { head, body: EMPTY_BODY };
+}
+
+/**
+ * Converts a reply to the outcome that it carries.
+ *
+ * @param reply - The reply
+ * @param body - Its whole body
+ * @returns The outcome
+ *
+ * @example
+ * resolve(convertReplyToResult(reply, body));
+ */
+export function convertReplyToResult(
+  reply: ReplyMessage,
+  body: Uint8Array,
+): CallResult {
+  const { status, contentType, unusedAllowance, loads, retryAfterMs } = reply;
+  const reason = reply.reason as Reason;
+  switch (reply.outcome) {
+    case "answered":
+      return ok({ status, contentType, body, unusedAllowance, loads });
+    case "refused":
+      return err(
+        createRefusal(reason, { retryAfterMs, unusedAllowance, loads }),
+      );
+    case "unknown":
+      return err(createUncertainty(reason, { unusedAllowance, loads }));
+  }
+}
+
+function createReply(
+  callId: number,
+  fields: Partial<ReplyMessage> & Pick<ReplyMessage, "outcome">,
+): ReplyMessage {
+  return {
+    kind: "reply",
+    callId,
+    reason: "",
+    retryAfterMs: 0,
+    status: 0,
+    contentType: "",
+    bodyLengthBytes: 0,
+    unusedAllowance: 0,
+    loads: [],
+    ...fields,
+  };
+}
--- /dev/null
+++ b/src/peer/mod.ts
@@ -0,0 +1,14 @@
+/**
+ * Connections between daemons: framed CBOR over TCP.
+ */
+
+export { PeerClient } from "./peer_client.ts";
+export type {
+  PeerAddress,
+  PeerCallOptions,
+  UnnumberedCall,
+} from "./peer_client.ts";
+export type { PeerIdentity, PeerLinkOptions } from "./peer_link.ts";
+export { PeerServer } from "./peer_server.ts";
+export type { CallHandler, PeerServerOptions } from "./peer_server.ts";
+export { isIdentityProven, proveIdentity } from "./prove_identity.ts";
--- /dev/null
+++ b/src/peer/peer_link.ts
@@ -0,0 +1,310 @@
+/**
+ * One framed TCP connection between two daemons.
+ *
+ * Each connection is served by one async task that reads frames, checks the
+ * hello, answers heartbeats and hands everything else to its owner.
+ */
+
+import type { Socket } from "node:net";
+import type { Buffer } from "node:buffer";
+import VError from "verror";
+import {
+  CHUNK_BYTES,
+  HEARTBEAT_INTERVAL_MS,
+  HEARTBEAT_TIMEOUT_MS,
+  PROTOCOL_VERSION,
+} from "../constants/mod.ts";
+import type {
+  CallMessage,
+  HelloMessage,
+  PeerMessage,
+  ReplyMessage,
+} from "../generated/types.ts";
+import type { Clock } from "../time/mod.ts";
+import { BodyAssembler } from "./body_assembler.ts";
+import { encodeFrame } from "./encode_frame.ts";
+import { FrameDecoder } from "./frame_decoder.ts";
+import { isIdentityProven, proveIdentity } from "./prove_identity.ts";
+
+/** What a daemon says about itself to its peers. */
+export interface PeerIdentity {
+  readonly incarnation: string;
+  readonly failureDomain: string;
+  readonly fleetToken: string;
+}
+
+/** Receiver of what a link reads. */
+export interface PeerLinkOwner {
+  /** The peer has proved who it is. */
+  onHello(hello: HelloMessage): void;
+  /** A whole call arrived. */
+  onCall(call: CallMessage, body: Uint8Array): void;
+  /** A whole reply arrived. */
+  onReply(reply: ReplyMessage, body: Uint8Array): void;
+  /** The peer no longer waits for a call. */
+  onCancel(callId: number): void;
+  /** The link ended, with the error that ended it, if any. */
+  onClose(error: VError | undefined): void;
+}
+
+/** Dependencies and limits of a link. */
+export interface PeerLinkOptions {
+  readonly identity: PeerIdentity;
+  readonly clock: Clock;
+  readonly maxBodyBytes: number;
+}
+
+type Headed = CallMessage | ReplyMessage;
+
+interface PartialBody {
+  readonly head: Headed;
+  readonly assembler: BodyAssembler;
+}
+
+const EMPTY_BODY = new Uint8Array(0);
+
+/** A connection to one peer. */
+export class PeerLink {
+  readonly #socket: Socket;
+  readonly #owner: PeerLinkOwner;
+  readonly #options: PeerLinkOptions;
+  readonly #partialBodies = new Map<string, PartialBody>();
+  #isGreeted = false;
+  #lastHeardMs: number;
+  #heartbeatSequence = 0;
+  #error: VError | undefined;
+  #isClosed = false;
+
+  constructor(socket: Socket, owner: PeerLinkOwner, options: PeerLinkOptions) {
+    this.#socket = socket;
+    this.#owner = owner;
+    this.#options = options;
+    this.#lastHeardMs = options.clock.monotonicMs();
+    socket.setNoDelay(true);
+    socket.on("error", () => undefined);
+  }
+
+  /** Whether the peer has proved who it is and the link is open. */
+  get isReady(): boolean {
+    return this.#isGreeted && !this.#isClosed;
+  }
+
+  /** Time since the peer was last heard, in milliseconds. */
+  get silenceMs(): number {
+    return this.#options.clock.monotonicMs() - this.#lastHeardMs;
+  }
+
+  /** Serves the connection until it ends. */
+  async run(): Promise<void> {
+    this.#sendHello();
+    const stopHeartbeats = this.#options.clock.scheduleEvery(
+      HEARTBEAT_INTERVAL_MS,
+      () => this.#beat(),
+    );
+    const decoder = new FrameDecoder();
+    try {
+      for await (const bytes of this.#socket) {
+        this.#lastHeardMs = this.#options.clock.monotonicMs();
+        if (!this.#takeBytes(decoder, bytes)) {
+          break;
+        }
+      }
+    } catch (cause) {
+      this.#error ??= new VError({
+        name: "ConnectionFailed",
+        cause: cause as Error,
+      }, "peer connection failed");
+    }
+    stopHeartbeats();
+    this.#isClosed = true;
+    this.#socket.destroy();
+    this.#owner.onClose(this.#error);
+  }
+
+  /** Ends the connection. */
+  close(error?: VError): void {
+    this.#error ??= error;
+    this.#socket.destroy();
+  }
+
+  /** Sends a call or a reply with its body; false when nothing could have been sent. */
+  sendWithBody(head: Headed, body: Uint8Array): boolean {
+    if (this.#isClosed || this.#socket.destroyed) {
+      return false;
+    }
+    if (body.length <= CHUNK_BYTES) {
+      this.send({ ...head, body });
+      return true;
+    }
+    this.send(head);
+    for (
+      let offsetBytes = 0;
+      offsetBytes < body.length;
+      offsetBytes += CHUNK_BYTES
+    ) {
+      const part = body.subarray(offsetBytes, offsetBytes + CHUNK_BYTES);
+      const isReply = head.kind === "reply";
+      this.send({
+        kind: "chunk",
+        callId: head.callId,
+        isReply,
+        offsetBytes,
+        body: part,
+      });
+    }
+    return true;
+  }
+
+  /** Sends one message. */
+  send(message: PeerMessage): void {
+    this.#socket.write(encodeFrame(message));
+  }
+
+  #sendHello(): void {
+    const { incarnation, failureDomain, fleetToken } = this.#options.identity;
+    const proof = proveIdentity(fleetToken, incarnation);
+    this.send({
+      kind: "hello",
+      protocolVersion: PROTOCOL_VERSION,
+      incarnation,
+      failureDomain,
+      proof,
+    });
+  }
+
+  #beat(): void {
+    if (this.silenceMs > HEARTBEAT_TIMEOUT_MS) {
+      this.close(
+        new VError(
+          { name: "ConnectionSilent" },
+          "nothing heard for %d ms",
+          Math.round(this.silenceMs),
+        ),
+      );
+      return;
+    }
+    this.#heartbeatSequence += 1;
+    this.send({
+      kind: "heartbeat",
+      isReply: false,
+      sequence: this.#heartbeatSequence,
+    });
+  }
+
+  #takeBytes(decoder: FrameDecoder, bytes: Buffer): boolean {
+    const messages = decoder.push(bytes);
+    if (messages.isErr()) {
+      this.#error = messages.error;
+      return false;
+    }
+    return messages.value.every((message) => this.#takeMessage(message));
+  }
+
+  #takeMessage(message: PeerMessage): boolean {
+    if (!this.#isGreeted) {
+      return this.#takeHello(message);
+    }
+    switch (message.kind) {
+      case "hello":
+        return this.#fail("MessageInvalid", "second hello");
+      case "heartbeat":
+        this.#takeHeartbeat(message.isReply, message.sequence);
+        return true;
+      case "cancel":
+        this.#owner.onCancel(message.callId);
+        return true;
+      case "call":
+      case "reply":
+        return this.#takeHead(message);
+      case "chunk":
+        return this.#takeChunk(message.callId, message.isReply, {
+          offsetBytes: message.offsetBytes,
+          part: message.body as Uint8Array,
+        });
+    }
+  }
+
+  #takeHello(message: PeerMessage): boolean {
+    if (message.kind !== "hello") {
+      return this.#fail("MessageInvalid", "first message is not hello");
+    }
+    if (message.protocolVersion !== PROTOCOL_VERSION) {
+      return this.#fail(
+        "ProtocolMismatch",
+        `peer speaks protocol ${message.protocolVersion}, not ${PROTOCOL_VERSION}`,
+      );
+    }
+    if (
+      !isIdentityProven(
+        this.#options.identity.fleetToken,
+        message.incarnation,
+        message.proof,
+      )
+    ) {
+      return this.#fail("PeerUnproven", "peer does not know the fleet token");
+    }
+    this.#isGreeted = true;
+    this.#owner.onHello(message);
+    return true;
+  }
+
+  #takeHeartbeat(isReply: boolean, sequence: number): void {
+    if (!isReply) {
+      this.send({ kind: "heartbeat", isReply: true, sequence });
+    }
+  }
+
+  #takeHead(head: Headed): boolean {
+    const { body, ...rest } = head;
+    if (head.bodyLengthBytes > this.#options.maxBodyBytes) {
+      return this.#fail(
+        "BodyTooLarge",
+        `body of ${head.bodyLengthBytes} bytes`,
+      );
+    }
+    const inline = body as Uint8Array | undefined;
+    if (inline && inline.length !== head.bodyLengthBytes) {
+      return this.#fail("MessageInvalid", "body length does not match");
+    }
+    if (inline || head.bodyLengthBytes === 0) {
+      this.#deliver(rest as Headed, inline ?? EMPTY_BODY);
+      return true;
+    }
+    const assembler = new BodyAssembler(head.bodyLengthBytes);
+    this.#partialBodies.set(`${head.kind}/${head.callId}`, {
+      head: rest as Headed,
+      assembler,
+    });
+    return true;
+  }
+
+  #takeChunk(
+    callId: number,
+    isReply: boolean,
+    chunk: { offsetBytes: number; part: Uint8Array },
+  ): boolean {
+    const id = `${isReply ? "reply" : "call"}/${callId}`;
+    const partial = this.#partialBodies.get(id);
+    if (!partial || !partial.assembler.add(chunk.offsetBytes, chunk.part)) {
+      return this.#fail("MessageInvalid", "chunk out of order");
+    }
+    if (partial.assembler.isWhole) {
+      this.#partialBodies.delete(id);
+      this.#deliver(partial.head, partial.assembler.concatenate());
+    }
+    return true;
+  }
+
+  #deliver(head: Headed, body: Uint8Array): void {
+    if (head.kind === "call") {
+      this.#owner.onCall(head, body);
+      return;
+    }
+    this.#owner.onReply(head, body);
+  }
+
+  #fail(name: string, message: string): false {
+    this.#error = new VError({ name }, "%s", message);
+    return false;
+  }
+}
--- /dev/null
+++ b/src/peer/peer_server.ts
@@ -0,0 +1,111 @@
+/**
+ * The serving side of connections from other daemons.
+ */
+
+import { createServer } from "node:net";
+import type { Server, Socket } from "node:net";
+import type VError from "verror";
+import type { CallMessage, HelloMessage } from "../generated/types.ts";
+import type { CallResult } from "../outcome/mod.ts";
+import { convertResultToReply } from "./convert_reply.ts";
+import { PeerLink } from "./peer_link.ts";
+import type { PeerLinkOptions, PeerLinkOwner } from "./peer_link.ts";
+
+/** Runs a call that a peer sent; the signal ends when the peer no longer waits. */
+export type CallHandler = (
+  call: CallMessage,
+  body: Uint8Array,
+  signal: AbortSignal,
+) => Promise<CallResult>;
+
+/** Dependencies of the serving side. */
+export interface PeerServerOptions extends PeerLinkOptions {
+  readonly handleCall: CallHandler;
+  /** Told once for each connection that ended in an error. */
+  readonly reportError: (error: VError, remoteAddress: string) => void;
+}
+
+/** One accepted connection with the calls that run for it. */
+class AcceptedLink implements PeerLinkOwner {
+  readonly link: PeerLink;
+  readonly #running = new Map<number, AbortController>();
+  readonly #options: PeerServerOptions;
+  readonly #remoteAddress: string;
+
+  constructor(socket: Socket, options: PeerServerOptions) {
+    this.#options = options;
+    this.#remoteAddress = socket.remoteAddress ?? "";
+    this.link = new PeerLink(socket, this, options);
+  }
+
+  onHello(_hello: HelloMessage): void {
+    // The link has checked the proof; nothing else depends on who calls.
+  }
+
+  onCall(call: CallMessage, body: Uint8Array): void {
+    void this.#serve(call, body);
+  }
+
+  onReply(): void {
+    // Replies travel from the accepting side only.
+  }
+
+  onCancel(callId: number): void {
+    this.#running.get(callId)?.abort();
+  }
+
+  onClose(error: VError | undefined): void {
+    for (const controller of this.#running.values()) {
+      controller.abort();
+    }
+    if (error) {
+      this.#options.reportError(error, this.#remoteAddress);
+    }
+  }
+
+  async #serve(call: CallMessage, body: Uint8Array): Promise<void> {
+    const controller = new AbortController();
+    this.#running.set(call.callId, controller);
+    const result = await this.#options.handleCall(
+      call,
+      body,
+      controller.signal,
+    );
+    this.#running.delete(call.callId);
+    const reply = convertResultToReply(call.callId, result);
+    this.link.sendWithBody(reply.head, reply.body);
+  }
+}
+
+/** Listens for other daemons. */
+export class PeerServer {
+  readonly #server: Server;
+  readonly #links = new Set<AcceptedLink>();
+
+  constructor(options: PeerServerOptions) {
+    this.#server = createServer((socket) => void this.#serve(socket, options));
+  }
+
+  /** Starts to listen. */
+  listen(address: string, peerPort: number): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(peerPort, address, resolve);
+    });
+  }
+
+  /** Stops listening and ends every connection. */
+  close(): void {
+    this.#server.close();
+    for (const accepted of this.#links) {
+      accepted.link.close();
+    }
+  }
+
+  async #serve(socket: Socket, options: PeerServerOptions): Promise<void> {
+    const accepted = new AcceptedLink(socket, options);
+    this.#links.add(accepted);
+    await accepted.link.run();
+    this.#links.delete(accepted);
+  }
+}
--- /dev/null
+++ b/src/request/active_calls.ts
@@ -0,0 +1,62 @@
+/**
+ * The calls that this VM's backend server is running.
+ *
+ * A backend server names its running call when it calls deeper services, so
+ * that deadline, class, allowance and cancellation are handed down.
+ */
+
+import type { CallContext } from "../generated/types.ts";
+import type { Clock } from "../time/mod.ts";
+
+/** A call that is running on the backend server. */
+export interface ActiveCall {
+  readonly token: string;
+  readonly context: CallContext;
+  /** When the deadline passes, in monotonic milliseconds. */
+  readonly deadlineAtMs: number;
+  readonly signal: AbortSignal;
+  /** Extra attempts that the call's subtree may still make. */
+  allowanceLeft: number;
+}
+
+/** Remembers running calls by their token. */
+export class ActiveCalls {
+  readonly #clock: Clock;
+  readonly #calls = new Map<string, ActiveCall>();
+  #nextToken = 1;
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  /** Calls that are running. */
+  get count(): number {
+    return this.#calls.size;
+  }
+
+  /** Adds a call that starts to run. */
+  begin(context: CallContext, signal: AbortSignal): ActiveCall {
+    const token = String(this.#nextToken);
+    this.#nextToken += 1;
+    const deadlineAtMs = this.#clock.monotonicMs() + context.remainingMs;
+    const call = {
+      token,
+      context,
+      deadlineAtMs,
+      signal,
+      allowanceLeft: context.retryAllowance,
+    };
+    this.#calls.set(token, call);
+    return call;
+  }
+
+  /** Removes a call that has ended. */
+  end(call: ActiveCall): void {
+    this.#calls.delete(call.token);
+  }
+
+  /** Finds a running call. */
+  find(token: string): ActiveCall | undefined {
+    return this.#calls.get(token);
+  }
+}
--- /dev/null
+++ b/src/request/call_environment.ts
@@ -0,0 +1,40 @@
+/**
+ * What the way of a request through one daemon depends on.
+ */
+
+import type { EntryAdmission, InboundAdmission } from "../admission/mod.ts";
+import type { BackendClient, BackendRegistry } from "../backend/mod.ts";
+import type { ConfigurationHolder } from "../configuration/mod.ts";
+import type { DaemonSettings } from "../generated/types.ts";
+import type { KeyLedger } from "../idempotency/mod.ts";
+import type { Membership } from "../membership/mod.ts";
+import type { RetryPolicy } from "../retry/mod.ts";
+import type { InstanceChooser } from "../routing/mod.ts";
+import type {
+  DaemonMetrics,
+  DecisionJournal,
+  Logger,
+} from "../telemetry/mod.ts";
+import type { Clock } from "../time/mod.ts";
+import type { ActiveCalls } from "./active_calls.ts";
+import type { PeerClients } from "./peer_clients.ts";
+
+/** The parts of a daemon that serve requests. */
+export interface CallEnvironment {
+  readonly settings: DaemonSettings;
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly metrics: DaemonMetrics;
+  readonly journal: DecisionJournal;
+  readonly configuration: ConfigurationHolder;
+  readonly membership: Membership;
+  readonly peers: PeerClients;
+  readonly backend: BackendRegistry;
+  readonly backendClient: BackendClient;
+  readonly entryAdmission: EntryAdmission;
+  readonly inboundAdmission: InboundAdmission;
+  readonly chooser: InstanceChooser;
+  readonly retryPolicy: RetryPolicy;
+  readonly keys: KeyLedger;
+  readonly activeCalls: ActiveCalls;
+}
--- /dev/null
+++ b/src/request/mod.ts
@@ -0,0 +1,11 @@
+/**
+ * The way of a request through a daemon.
+ */
+
+export { ActiveCalls } from "./active_calls.ts";
+export type { ActiveCall } from "./active_calls.ts";
+export type { CallEnvironment } from "./call_environment.ts";
+export { PeerClients } from "./peer_clients.ts";
+export { serveEntryCall } from "./serve_entry_call.ts";
+export type { EntryCall } from "./serve_entry_call.ts";
+export { servePeerCall } from "./serve_peer_call.ts";
--- /dev/null
+++ b/src/request/run_call.ts
@@ -0,0 +1,122 @@
+/**
+ * Runs a call on the backend server of this VM.
+ *
+ * Until the backend server is called, every way out is a refusal; from then on
+ * only the backend client tells what became of the call.
+ */
+
+import { err } from "neverthrow";
+import { BACKEND_STATES } from "../backend/mod.ts";
+import { createRefusal, REASONS } from "../outcome/mod.ts";
+import type { CallResult } from "../outcome/mod.ts";
+import type { CallEnvironment } from "./call_environment.ts";
+import type { OutboundCall } from "./outbound_call.ts";
+
+/**
+ * Admits a call to the backend server, runs it and reports the load on its outcome.
+ *
+ * @param environment - The daemon's parts
+ * @param call - The call
+ * @returns The outcome with this daemon's load signal
+ *
+ * @example
+ * const result = await runCall(environment, call);
+ */
+export async function runCall(
+  environment: CallEnvironment,
+  call: OutboundCall,
+): Promise<CallResult> {
+  const result = await admitAndRun(environment, call);
+  const load = environment.inboundAdmission.describeLoad(call.service);
+  return result
+    .map((answer) => ({ ...answer, loads: [load, ...answer.loads] }))
+    .mapErr((failure) => ({ ...failure, loads: [load, ...failure.loads] }));
+}
+
+async function admitAndRun(
+  environment: CallEnvironment,
+  call: OutboundCall,
+): Promise<CallResult> {
+  const { backend, clock, inboundAdmission, metrics } = environment;
+  const refused = refuseBeforeQueue(environment, call);
+  if (refused) {
+    return err(
+      createRefusal(refused, { unusedAllowance: call.context.retryAllowance }),
+    );
+  }
+  const queuedAtMs = clock.monotonicMs();
+  const permit = await inboundAdmission.enter(call);
+  metrics.queueDuration.observe(
+    { class: call.context.className },
+    (clock.monotonicMs() - queuedAtMs) / 1_000,
+  );
+  if (permit.isErr()) {
+    return err({
+      ...permit.error,
+      unusedAllowance: call.context.retryAllowance,
+    });
+  }
+  const startedAtMs = clock.monotonicMs();
+  const announcement = backend.announcement;
+  const result = announcement && startedAtMs < call.deadlineAtMs
+    ? await callBackend(environment, call)
+    : err(
+      createRefusal(REASONS.deadlineExpired, {
+        unusedAllowance: call.context.retryAllowance,
+      }),
+    );
+  permit.value.release({
+    durationMs: clock.monotonicMs() - startedAtMs,
+    isAnswered: result.isOk(),
+  });
+  return result;
+}
+
+function refuseBeforeQueue(environment: CallEnvironment, call: OutboundCall) {
+  const { backend, clock } = environment;
+  if (
+    backend.announcement?.service !== call.service ||
+    backend.state === BACKEND_STATES.absent
+  ) {
+    return REASONS.noBackendServer;
+  }
+  if (backend.state === BACKEND_STATES.leaving) {
+    return REASONS.leaving;
+  }
+  return clock.monotonicMs() >= call.deadlineAtMs
+    ? REASONS.deadlineExpired
+    : undefined;
+}
+
+async function callBackend(
+  environment: CallEnvironment,
+  call: OutboundCall,
+): Promise<CallResult> {
+  const { activeCalls, backend, backendClient, clock, settings } = environment;
+  const announcement = backend.announcement;
+  if (!announcement) {
+    return err(createRefusal(REASONS.noBackendServer));
+  }
+  const remainingMs = Math.max(1, call.deadlineAtMs - clock.monotonicMs());
+  const context = { ...call.context, remainingMs };
+  const controller = new AbortController();
+  const cancel = () => controller.abort();
+  call.signal.addEventListener("abort", cancel);
+  const cancelDeadline = clock.schedule(remainingMs, cancel);
+  const active = activeCalls.begin(context, controller.signal);
+  const result = await backendClient.call(announcement, {
+    ...call,
+    context,
+    callToken: active.token,
+  }, {
+    signal: controller.signal,
+    maxBodyBytes: settings.maxBodyBytes,
+  });
+  activeCalls.end(active);
+  cancelDeadline();
+  call.signal.removeEventListener("abort", cancel);
+  const unusedAllowance = active.allowanceLeft;
+  return result.map((answer) => ({ ...answer, unusedAllowance })).mapErr((
+    failure,
+  ) => ({ ...failure, unusedAllowance }));
+}
--- /dev/null
+++ b/src/request/serve_entry_call.ts
@@ -0,0 +1,255 @@
+/**
+ * The way of a call that a caller or this VM's backend server makes: it is
+ * matched to its request kind, checked against the state of the services it
+ * will reach, and dispatched.
+ */
+
+import { randomUUID } from "node:crypto";
+import { err, ok } from "neverthrow";
+import type { Result } from "neverthrow";
+import { findRequest } from "../configuration/mod.ts";
+import type {
+  CompiledConfiguration,
+  CompiledRequest,
+} from "../configuration/mod.ts";
+import { MAX_DEPTH } from "../constants/mod.ts";
+import { createRefusal, REASONS } from "../outcome/mod.ts";
+import type { CallResult, Refusal } from "../outcome/mod.ts";
+import { DECISIONS } from "../telemetry/mod.ts";
+import type { ActiveCall } from "./active_calls.ts";
+import type { CallEnvironment } from "./call_environment.ts";
+import { dispatchCall } from "./dispatch_call.ts";
+import { dispatchOnce } from "./dispatch_once.ts";
+import type { OutboundCall } from "./outbound_call.ts";
+
+/** A call as it came over HTTP. */
+export interface EntryCall {
+  readonly service: string;
+  readonly method: string;
+  readonly path: string;
+  readonly contentType: string;
+  readonly body: Uint8Array;
+  /** Empty when the caller gave none. */
+  readonly requestId: string;
+  readonly idempotencyKey: string;
+  readonly member: string;
+  readonly tenant: string;
+  /** Undefined when the caller gave none. */
+  readonly deadlineMs: number | undefined;
+  /** Whether the caller marked the call as not repeatable. */
+  readonly isMarkedNonRepeatable: boolean;
+  /** The running call that makes this one; undefined for callers outside. */
+  readonly parent: ActiveCall | undefined;
+  readonly signal: AbortSignal;
+}
+
+/**
+ * Serves a call from outside the fleet or from this VM's backend server.
+ *
+ * @param environment - The daemon's parts
+ * @param entry - The call
+ * @returns The outcome
+ *
+ * @example
+ * const result = await serveEntryCall(environment, entry);
+ */
+export async function serveEntryCall(
+  environment: CallEnvironment,
+  entry: EntryCall,
+): Promise<CallResult> {
+  const startedAtMs = environment.clock.monotonicMs();
+  const call = prepareCall(environment, entry);
+  const result: CallResult = call.isErr()
+    ? err(call.error)
+    : await sendCall(environment, entry, call.value);
+  const className = call.isOk() ? call.value.context.className : "none";
+  const tenant = call.isOk() ? call.value.context.tenant : "other";
+  const requestId = call.isOk()
+    ? call.value.context.requestId
+    : entry.requestId;
+  recordOutcome(environment, result, {
+    className,
+    tenant,
+    requestId,
+    startedAtMs,
+    service: entry.service,
+  });
+  return result;
+}
+
+async function sendCall(
+  environment: CallEnvironment,
+  entry: EntryCall,
+  call: OutboundCall,
+): Promise<CallResult> {
+  const parent = entry.parent;
+  if (parent) {
+    parent.allowanceLeft -= call.context.retryAllowance;
+  }
+  const isGuarded = !call.context.isRepeatable && !parent;
+  const result = isGuarded
+    ? await dispatchOnce(environment, call)
+    : await dispatchCall(environment, call);
+  if (parent) {
+    parent.allowanceLeft += result.isOk()
+      ? result.value.unusedAllowance
+      : result.error.unusedAllowance;
+  }
+  return result;
+}
+
+function prepareCall(
+  environment: CallEnvironment,
+  entry: EntryCall,
+): Result<OutboundCall, Refusal> {
+  const configuration = environment.configuration.current;
+  if (!configuration) {
+    return err(createRefusal(REASONS.notReady, { retryAfterMs: 1_000 }));
+  }
+  if (!configuration.callsByService.has(entry.service)) {
+    return err(createRefusal(REASONS.unknownService));
+  }
+  return entry.parent
+    ? prepareNestedCall(environment, entry, {
+      configuration,
+      parent: entry.parent,
+    })
+    : prepareFirstCall(environment, entry, configuration);
+}
+
+function prepareFirstCall(
+  environment: CallEnvironment,
+  entry: EntryCall,
+  configuration: CompiledConfiguration,
+): Result<OutboundCall, Refusal> {
+  const request = findRequest(configuration, entry);
+  if (!request) {
+    return err(createRefusal(REASONS.unknownRequest));
+  }
+  const isRepeatable = request.isRepeatable && !entry.isMarkedNonRepeatable;
+  if (!isRepeatable && entry.idempotencyKey === "") {
+    return err(createRefusal(REASONS.keyRequired));
+  }
+  const remainingMs = Math.min(
+    request.deadlineMs,
+    entry.deadlineMs ?? request.deadlineMs,
+  );
+  const admitted = environment.entryAdmission.check({
+    request,
+    member: entry.member,
+  });
+  if (admitted.isErr()) {
+    return err(admitted.error);
+  }
+  return ok({
+    ...pickTarget(entry),
+    context: {
+      requestId: entry.requestId === "" ? randomUUID() : entry.requestId,
+      requestName: request.name,
+      className: request.className,
+      member: entry.member,
+      tenant: configuration.document.tenants.includes(entry.tenant)
+        ? entry.tenant
+        : "other",
+      remainingMs,
+      retryAllowance: request.retryAllowance,
+      depth: 0,
+      isRepeatable,
+      isBulk: request.isBulk,
+    },
+    deadlineAtMs: environment.clock.monotonicMs() + remainingMs,
+    classRank: request.classRank,
+  });
+}
+
+interface NestedOptions {
+  readonly configuration: CompiledConfiguration;
+  readonly parent: ActiveCall;
+}
+
+function prepareNestedCall(
+  environment: CallEnvironment,
+  entry: EntryCall,
+  { configuration, parent }: NestedOptions,
+): Result<OutboundCall, Refusal> {
+  const { context } = parent;
+  if (context.depth + 1 >= MAX_DEPTH) {
+    return err(createRefusal(REASONS.tooDeep));
+  }
+  const leftMs = parent.deadlineAtMs - environment.clock.monotonicMs();
+  const remainingMs = Math.min(leftMs, entry.deadlineMs ?? leftMs);
+  const isRepeatable = isNestedRepeatable(
+    findRequest(configuration, entry),
+    entry,
+    context.isRepeatable,
+  );
+  return ok({
+    ...pickTarget(entry),
+    context: {
+      ...context,
+      remainingMs,
+      isRepeatable,
+      depth: context.depth + 1,
+      retryAllowance: parent.allowanceLeft,
+    },
+    deadlineAtMs: environment.clock.monotonicMs() + remainingMs,
+    classRank: configuration.classRanks.get(context.className) ??
+      configuration.classRanks.size,
+    signal: AbortSignal.any([entry.signal, parent.signal]),
+  });
+}
+
+function isNestedRepeatable(
+  request: CompiledRequest | undefined,
+  entry: EntryCall,
+  isParentRepeatable: boolean,
+): boolean {
+  if (entry.isMarkedNonRepeatable) {
+    return false;
+  }
+  return request ? request.isRepeatable : isParentRepeatable;
+}
+
+function pickTarget(entry: EntryCall) {
+  const { service, method, path, contentType, body, idempotencyKey, signal } =
+    entry;
+  return { service, method, path, contentType, body, idempotencyKey, signal };
+}
+
+interface OutcomeFacts {
+  readonly className: string;
+  readonly tenant: string;
+  readonly requestId: string;
+  readonly startedAtMs: number;
+  readonly service: string;
+}
+
+function recordOutcome(
+  environment: CallEnvironment,
+  result: CallResult,
+  facts: OutcomeFacts,
+): void {
+  const { clock, journal, log, metrics } = environment;
+  const { className, tenant, requestId, service } = facts;
+  const durationMs = clock.monotonicMs() - facts.startedAtMs;
+  const outcome = result.isOk() ? "answered" : result.error.kind;
+  metrics.callDuration.observe(
+    { class: className, tenant, outcome },
+    durationMs / 1_000,
+  );
+  if (result.isOk()) {
+    return;
+  }
+  const { reason } = result.error;
+  metrics.failures.inc({ class: className, outcome, reason });
+  const kind = outcome === "refused"
+    ? DECISIONS.refusal
+    : DECISIONS.unknownOutcome;
+  journal.record(kind, {
+    service,
+    reason,
+    class: className,
+    durationMs: Math.round(durationMs),
+  }, requestId);
+  log.debug({ requestId, service, reason, outcome }, "call-failed");
+}
--- /dev/null
+++ b/src/routing/random_chooser.ts
@@ -0,0 +1,37 @@
+/**
+ * The baseline: any instance, each as likely.
+ */
+
+import type { MemberRecord } from "../generated/types.ts";
+import type { RandomSource } from "../time/mod.ts";
+import { InstanceChooser } from "./instance_chooser.ts";
+import type { AttemptReport, ChoiceOptions } from "./instance_chooser.ts";
+
+/** Chooses at random. */
+export class RandomChooser extends InstanceChooser {
+  readonly #random: RandomSource;
+
+  constructor(random: RandomSource) {
+    super();
+    this.#random = random;
+  }
+
+  override choose(
+    candidates: readonly MemberRecord[],
+    options: ChoiceOptions,
+  ): MemberRecord | undefined {
+    return this.#random.choose(
+      candidates.filter(({ incarnation }) =>
+        !options.excluded.has(incarnation)
+      ),
+    );
+  }
+
+  override begin(_instance: MemberRecord): void {
+    // Nothing is counted.
+  }
+
+  override end(_instance: MemberRecord, _report: AttemptReport): void {
+    // Nothing is learnt.
+  }
+}
--- /dev/null
+++ b/src/telemetry/logger.ts
@@ -0,0 +1,73 @@
+/**
+ * Structured logs: one JSON object a line, with a stable event name.
+ */
+
+import process from "node:process";
+import { Roarr } from "roarr";
+import type { Logger as RoarrLogger } from "roarr";
+
+/** Writer of log lines. The second argument of each method names the event. */
+export interface Logger {
+  debug(context: LogContext, event: string): void;
+  info(context: LogContext, event: string): void;
+  warn(context: LogContext, event: string): void;
+  error(context: LogContext, event: string): void;
+}
+
+/** Fields of a log line. */
+export type LogContext = Readonly<Record<string, string | number | boolean>>;
+
+/** Levels, the least important first. */
+export const LOG_LEVELS = ["debug", "info", "warn", "error"] as const;
+
+/** One of {@link LOG_LEVELS}. */
+export type LogLevel = (typeof LOG_LEVELS)[number];
+
+declare global {
+  var ROARR: { write?: (message: string) => void } | undefined;
+}
+
+/**
+ * Creates a logger that writes JSON lines to standard output.
+ *
+ * @param minimumLevel - Least important level that is written
+ * @param context - Fields that every line carries
+ * @returns The logger
+ *
+ * @example
+ * const log = createLogger("info", { incarnation });
+ */
+export function createLogger(
+  minimumLevel: LogLevel,
+  context: LogContext,
+): Logger {
+  const roarr = Roarr.child({ ...context }) as RoarrLogger;
+  if (globalThis.ROARR) {
+    globalThis.ROARR.write = (message) => process.stdout.write(`${message}\n`);
+  }
+  const minimum = LOG_LEVELS.indexOf(minimumLevel);
+  function write(level: LogLevel, fields: LogContext, event: string): void {
+    if (LOG_LEVELS.indexOf(level) >= minimum) {
+      roarr[level]({ ...fields, event }, event);
+    }
+  }
+  return {
+    debug: (fields, event) => write("debug", fields, event),
+    info: (fields, event) => write("info", fields, event),
+    warn: (fields, event) => write("warn", fields, event),
+    error: (fields, event) => write("error", fields, event),
+  };
+}
+
+/**
+ * Creates a logger that drops every line.
+ *
+ * @returns The logger
+ *
+ * @example
+ * const log = createSilentLogger();
+ */
+export function createSilentLogger(): Logger {
+  const drop = () => undefined;
+  return { debug: drop, info: drop, warn: drop, error: drop };
+}
--- /dev/null
+++ b/src/telemetry/metrics.ts
@@ -0,0 +1,84 @@
+/**
+ * Metrics of one daemon, for Prometheus.
+ */
+
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+/** Upper bounds of the latency buckets, in seconds. */
+const LATENCY_BUCKETS_S = [
+  0.0005,
+  0.001,
+  0.0025,
+  0.005,
+  0.01,
+  0.025,
+  0.05,
+  0.1,
+  0.25,
+  0.5,
+  1,
+  2.5,
+  5,
+  10,
+  30,
+];
+
+/** The instruments that a daemon keeps. */
+export class DaemonMetrics {
+  readonly registry = new Registry();
+
+  /** Duration of calls at the entry, by class, tenant and outcome. */
+  readonly callDuration = new Histogram({
+    name: "celeryhollow_call_duration_seconds",
+    help: "Duration of calls at the entry",
+    labelNames: ["class", "tenant", "outcome"] as const,
+    buckets: LATENCY_BUCKETS_S,
+    registers: [this.registry],
+  });
+
+  /** Time that calls waited for a slot, by class. */
+  readonly queueDuration = new Histogram({
+    name: "celeryhollow_queue_duration_seconds",
+    help: "Time that calls waited for a slot of the backend server",
+    labelNames: ["class"] as const,
+    buckets: LATENCY_BUCKETS_S,
+    registers: [this.registry],
+  });
+
+  /** Refusals and unknown outcomes, by class and reason. */
+  readonly failures = new Counter({
+    name: "celeryhollow_call_failures_total",
+    help: "Calls refused or of unknown outcome",
+    labelNames: ["class", "outcome", "reason"] as const,
+    registers: [this.registry],
+  });
+
+  /** Attempts sent to instances, by service and whether they were retries. */
+  readonly attempts = new Counter({
+    name: "celeryhollow_attempts_total",
+    help: "Attempts sent to instances",
+    labelNames: ["service", "retry"] as const,
+    registers: [this.registry],
+  });
+
+  /** Calls running on the backend server. */
+  readonly inFlight = new Gauge({
+    name: "celeryhollow_in_flight",
+    help: "Calls running on the backend server",
+    registers: [this.registry],
+  });
+
+  /** Concurrency limit of the backend server. */
+  readonly limit = new Gauge({
+    name: "celeryhollow_limit",
+    help: "Concurrency limit in force for the backend server",
+    registers: [this.registry],
+  });
+
+  /** Configuration version in force. */
+  readonly configurationVersion = new Gauge({
+    name: "celeryhollow_configuration_version",
+    help: "Configuration version in force",
+    registers: [this.registry],
+  });
+}
--- /dev/null
+++ b/src/telemetry/mod.ts
@@ -0,0 +1,14 @@
+/**
+ * Logs, metrics and the journal of decisions.
+ */
+
+export { DecisionJournal, DECISIONS } from "./decision_journal.ts";
+export type {
+  DecisionFacts,
+  DecisionKind,
+  JournalEntry,
+  JournalFilter,
+} from "./decision_journal.ts";
+export { createLogger, createSilentLogger, LOG_LEVELS } from "./logger.ts";
+export type { LogContext, Logger, LogLevel } from "./logger.ts";
+export { DaemonMetrics } from "./metrics.ts";
--- /dev/null
+++ b/src/tools/generate_schema_code.ts
@@ -0,0 +1,178 @@
+/**
+ * Generates types and validators from the JSON Schemas in `schema/`.
+ *
+ * With `--check` nothing is written: the command fails when the committed code
+ * differs from what the schemas give.
+ */
+
+import { readdir, readFile, writeFile } from "node:fs/promises";
+import process from "node:process";
+import { Ajv } from "ajv";
+import standaloneCode from "ajv/dist/standalone/index.js";
+import { build } from "esbuild";
+import { compile } from "json-schema-to-typescript";
+import type { JSONSchema } from "json-schema-to-typescript";
+
+const SCHEMA_FOLDER = "schema";
+const OUTPUT_FOLDER = "src/generated";
+const GENERATED_BANNER =
+  "// Generated from schema/ by `npm run generate`. Do not edit.";
+const IPV4 = /^(\d{1,3}\.){3}\d{1,3}$/;
+
+interface NamedSchema {
+  readonly name: string;
+  readonly schema: JSONSchema & { title: string };
+}
+
+async function readSchemas(): Promise<NamedSchema[]> {
+  const files = (await readdir(SCHEMA_FOLDER)).filter((file) =>
+    file.endsWith(".json")
+  ).sort();
+  return await Promise.all(files.map(async (file) => ({
+    name: file.replace(".json", ""),
+    schema: JSON.parse(await readFile(`${SCHEMA_FOLDER}/${file}`, "utf8")),
+  })));
+}
+
+async function generateTypes(schemas: readonly NamedSchema[]): Promise<string> {
+  const definitions = Object.assign(
+    {},
+    ...schemas.map(({ schema }) => schema.$defs ?? {}),
+  );
+  for (const { schema } of schemas) {
+    const { $defs: _, ...own } = schema;
+    definitions[schema.title] = own;
+  }
+  const merged = JSON.parse(
+    JSON.stringify({ $id: "types", title: "AllSchemas", $defs: definitions }),
+    (key, value) =>
+      key === "$id" && value !== "types"
+        ? undefined
+        : rewriteReference(key, value, schemas),
+  );
+  return await compile(merged, "types", {
+    additionalProperties: false,
+    bannerComment: GENERATED_BANNER,
+    unreachableDefinitions: true,
+    ignoreMinAndMaxItems: true,
+  });
+}
+
+function rewriteReference(
+  key: string,
+  value: unknown,
+  schemas: readonly NamedSchema[],
+): unknown {
+  if (key !== "$ref" || typeof value !== "string" || value.startsWith("#")) {
+    return value;
+  }
+  const target = schemas.find(({ name }) => name === value);
+  return target ? `#/$defs/${target.schema.title}` : value;
+}
+
+async function generateValidatorCode(
+  schemas: readonly NamedSchema[],
+): Promise<string> {
+  const ajv = new Ajv({
+    allErrors: false,
+    discriminator: true,
+    code: { source: true, lines: true },
+    schemas: schemas.map(({ schema }) => schema),
+    formats: { ipv4: IPV4 },
+    keywords: ["tsType"],
+    allowUnionTypes: true,
+  });
+  const names = Object.fromEntries(
+    schemas.map(({ name, schema }) => [`validate${schema.title}`, name]),
+  );
+  const source = standaloneCode.default(ajv, names);
+  const bundled = await build({
+    stdin: { contents: source, resolveDir: "." },
+    bundle: true,
+    format: "cjs",
+    write: false,
+    platform: "neutral",
+    mainFields: ["main"],
+  });
+  return `${GENERATED_BANNER}\n${bundled.outputFiles[0]?.text ?? ""}`;
+}
+
+function generateValidatorModule(schemas: readonly NamedSchema[]): string {
+  const titles = schemas.map(({ schema }) => schema.title);
+  return [
+    GENERATED_BANNER,
+    `import type { ErrorObject } from "ajv";`,
+    `import code from "./validator_code.cjs";`,
+    `import type { ${titles.join(", ")} } from "./types.ts";`,
+    "",
+    "/** A generated validator; `errors` holds the findings of its last call. */",
+    "export interface Validator<T> {",
+    "  (value: unknown): value is T;",
+    "  errors?: ErrorObject[] | null;",
+    "}",
+    "",
+    "const validators = code as unknown as Record<string, Validator<unknown>>;",
+    ...titles.map((title) =>
+      `export const validate${title} = validators.validate${title} as Validator<${title}>;`
+    ),
+    "",
+  ].join("\n");
+}
+
+function generateSettingDefinitions(schemas: readonly NamedSchema[]): string {
+  const settings = schemas.find(({ name }) => name === "settings");
+  const definitions = Object.entries(settings?.schema.properties ?? {}).map((
+    [name, property],
+  ) => ({
+    name,
+    isInteger: property.type === "integer",
+    description: property.description ?? "",
+    default: property.default,
+    allowed: property.enum,
+  }));
+  return [
+    GENERATED_BANNER,
+    `import type { DaemonSettings } from "./types.ts";`,
+    "",
+    "/** One setting of the daemon. */",
+    "export interface SettingDefinition {",
+    "  readonly name: keyof DaemonSettings;",
+    "  readonly isInteger: boolean;",
+    "  readonly description: string;",
+    "  readonly default?: string | number;",
+    "  readonly allowed?: readonly string[];",
+    "}",
+    "",
+    `export const SETTING_DEFINITIONS: readonly SettingDefinition[] = ${
+      JSON.stringify(definitions, null, 2)
+    };`,
+    "",
+  ].join("\n");
+}
+
+async function main(): Promise<void> {
+  const schemas = await readSchemas();
+  const outputs = new Map([
+    ["types.ts", await generateTypes(schemas)],
+    ["validator_code.cjs", await generateValidatorCode(schemas)],
+    ["validators.ts", generateValidatorModule(schemas)],
+    ["setting_definitions.ts", generateSettingDefinitions(schemas)],
+  ]);
+  const isCheck = process.argv.includes("--check");
+  for (const [file, text] of outputs) {
+    const path = `${OUTPUT_FOLDER}/${file}`;
+    const committed = await readFile(path, "utf8").catch(() => "");
+    if (committed === text) {
+      continue;
+    }
+    if (isCheck) {
+      console.error(`${path} is not up to date: run npm run generate`);
+      process.exitCode = 1;
+      continue;
+    }
+    await writeFile(path, text);
+    console.log(`wrote ${path}`);
+  }
+}
+
+await main();
--- /dev/null
+++ b/src/tools/run_tests.ts
@@ -0,0 +1,126 @@
+/**
+ * Runs every test file in a process of its own and adds up what they report.
+ *
+ * A failing test that KNOWN-RED.txt lists is printed and not counted as failed;
+ * a listed test that passes is an error, so that the list stays true.
+ */
+
+import { spawn } from "node:child_process";
+import { readdir, readFile } from "node:fs/promises";
+import process from "node:process";
+
+const BUILD_FOLDER = "build";
+const KNOWN_RED_FILE = "KNOWN-RED.txt";
+const PARALLEL_FILES = 4;
+const FILE_TIMEOUT_MS = 240_000;
+
+interface FileReport {
+  readonly file: string;
+  readonly passed: number;
+  readonly failedNames: readonly string[];
+  readonly output: string;
+}
+
+async function findTestFiles(filters: readonly string[]): Promise<string[]> {
+  const files = await readdir(BUILD_FOLDER, { recursive: true });
+  return files.filter((file) => file.endsWith("_test.js"))
+    .filter((file) =>
+      filters.length === 0 || filters.some((filter) => file.includes(filter))
+    )
+    .sort();
+}
+
+function runFile(file: string): Promise<FileReport> {
+  return new Promise((resolve) => {
+    const child = spawn("node", [`${BUILD_FOLDER}/${file}`], {
+      env: { ...process.env, NO_COLOR: "1", FORCE_COLOR: "0" },
+      timeout: FILE_TIMEOUT_MS,
+      killSignal: "SIGKILL",
+    });
+    let output = "";
+    child.stdout.on("data", (text) => output += text);
+    child.stderr.on("data", (text) => output += text);
+    child.on("close", (code) => resolve(readReport(file, output, code)));
+  });
+}
+
+function readReport(
+  file: string,
+  output: string,
+  code: number | null,
+): FileReport {
+  const passed = Number(/Passed:\s+(\d+)/.exec(output)?.[1] ?? 0);
+  const failedNames = [...output.matchAll(/FAIL\s+.*"(.*)"/g)].map((
+    [, name = ""],
+  ) => name);
+  const hasRun = /Total:\s+[1-9]/.test(output);
+  if (!hasRun || (code !== 0 && failedNames.length === 0)) {
+    return {
+      file,
+      passed,
+      failedNames: [...failedNames, `(the file ended with code ${code})`],
+      output,
+    };
+  }
+  return { file, passed, failedNames, output };
+}
+
+async function runAll(files: readonly string[]): Promise<FileReport[]> {
+  const waiting = [...files];
+  const reports: FileReport[] = [];
+  async function work(): Promise<void> {
+    for (
+      let file = waiting.shift();
+      file !== undefined;
+      file = waiting.shift()
+    ) {
+      const report = await runFile(file);
+      console.log(
+        `${
+          report.failedNames.length === 0 ? "ok    " : "FAILED"
+        } ${report.file} (${report.passed})`,
+      );
+      reports.push(report);
+    }
+  }
+  await Promise.all(Array.from({ length: PARALLEL_FILES }, work));
+  return reports;
+}
+
+async function readKnownRed(): Promise<Set<string>> {
+  const text = await readFile(KNOWN_RED_FILE, "utf8").catch(() => "");
+  return new Set(
+    [...text.matchAll(/^test: (.*)$/gm)].map(([, name = ""]) => name.trim()),
+  );
+}
+
+async function main(): Promise<void> {
+  const filters = process.argv.slice(2);
+  const knownRed = await readKnownRed();
+  const reports = await runAll(await findTestFiles(filters));
+  const failures = reports.flatMap(({ file, failedNames }) =>
+    failedNames.map((name) => `${file.replace(/\.js$/, ".ts")} > ${name}`)
+  );
+  const unexpected = failures.filter((failure) => !knownRed.has(failure));
+  const mended = filters.length > 0
+    ? []
+    : [...knownRed].filter((name) => !failures.includes(name));
+  for (const { failedNames, output, file } of reports) {
+    if (failedNames.length > 0) {
+      console.log(`\n--- ${file}\n${output}`);
+    }
+  }
+  failures.filter((failure) => knownRed.has(failure)).forEach((failure) =>
+    console.log(`known red: ${failure}`)
+  );
+  unexpected.forEach((failure) => console.log(`failed: ${failure}`));
+  mended.forEach((name) =>
+    console.log(`listed in ${KNOWN_RED_FILE} but passes: ${name}`)
+  );
+  const passed = reports.reduce((sum, report) => sum + report.passed, 0);
+  const failed = unexpected.length + mended.length;
+  console.log(`${passed} passed, ${failed} failed`);
+  process.exitCode = failed > 0 || passed === 0 ? 1 : 0;
+}
+
+await main();
