--- /dev/null
+++ b/src/measure/overload/measure_capacity.ts
@@ -0,0 +1,58 @@
+/**
+ * Capacity of backend servers, measured without any daemon in between.
+ */
+
+import { Agent } from "undici";
+import type { RunningVm } from "../fleet.ts";
+import { PORTS } from "../fleet.ts";
+
+const MS_PER_SECOND = 1_000;
+
+/** Path that no chain follows, so that only the called service works. */
+const PROBE_PATH = "/probe";
+
+/**
+ * Measures how many calls a second the backend servers complete with every
+ * slot in use.
+ *
+ * @param vms - The VMs of one service
+ * @param durationMs - Length of the measurement
+ * @returns Calls per second
+ *
+ * @example
+ * const callsPerSecond = await measureCapacity(stockVms, 1_500);
+ */
+export async function measureCapacity(
+  vms: readonly RunningVm[],
+  durationMs: number,
+): Promise<number> {
+  const agent = new Agent();
+  const endMs = performance.now() + durationMs;
+  const lanes = vms.flatMap(({ plan }) =>
+    Array.from(
+      { length: plan.slots },
+      () => measureSlot(agent, { address: plan.address, endMs }),
+    )
+  );
+  const rates = await Promise.all(lanes);
+  await agent.destroy();
+  return rates.reduce((sum, rate) => sum + rate, 0);
+}
+
+async function measureSlot(
+  agent: Agent,
+  { address, endMs }: { address: string; endMs: number },
+): Promise<number> {
+  const startMs = performance.now();
+  let calls = 0;
+  do {
+    const response = await agent.request({
+      origin: `http://${address}:${PORTS.backendServer}`,
+      path: PROBE_PATH,
+      method: "GET",
+    });
+    await response.body.dump();
+    calls += 1;
+  } while (performance.now() < endMs);
+  return calls * MS_PER_SECOND / (performance.now() - startMs);
+}
--- /dev/null
+++ b/src/measure/overload/rondevaart_shape.ts
@@ -0,0 +1,70 @@
+/**
+ * The morning round of Coöperatie Frisdrank Rondevaart.
+ */
+
+import { createOverloadShape } from "./overload_shape.ts";
+import type { OverloadShape } from "./overload_shape.ts";
+
+/**
+ * Creates the shape: rounds pass four services, the deepest of which has the
+ * fewest slots; delivery records matter most.
+ *
+ * @returns The shape
+ *
+ * @example
+ * const shape = createRondevaartShape();
+ */
+export function createRondevaartShape(): OverloadShape {
+  return createOverloadShape({
+    name: "rondevaart",
+    domains: [
+      { region: "vlaanderen", failureDomain: "gent-a" },
+      { region: "wallonie", failureDomain: "namur-a" },
+    ],
+    services: [
+      { name: "round-planning", slots: 14, serviceTimeMs: 8 },
+      { name: "delivery-ledger", slots: 16, serviceTimeMs: 8 },
+      { name: "price-sheets", slots: 16, serviceTimeMs: 8 },
+      { name: "stock", slots: 2, serviceTimeMs: 20 },
+    ],
+    classes: [
+      { name: "deliveries", reservedRatio: 0.1 },
+      { name: "rounds", reservedRatio: 0 },
+      { name: "sheets", reservedRatio: 0 },
+    ],
+    importantClasses: ["deliveries"],
+    deepest: "stock",
+    kinds: [
+      {
+        name: "record-delivery",
+        className: "deliveries",
+        weight: 0.1,
+        service: "delivery-ledger",
+        method: "POST",
+        pathPrefix: "/deliveries",
+        isRepeatable: false,
+        chain: ["delivery-ledger", "stock"],
+      },
+      {
+        name: "fetch-round",
+        className: "rounds",
+        weight: 0.8,
+        service: "round-planning",
+        method: "GET",
+        pathPrefix: "/rounds",
+        isRepeatable: true,
+        chain: ["round-planning", "delivery-ledger", "price-sheets", "stock"],
+      },
+      {
+        name: "load-sheet",
+        className: "sheets",
+        weight: 0.1,
+        service: "price-sheets",
+        method: "GET",
+        pathPrefix: "/sheets",
+        isRepeatable: true,
+        chain: ["price-sheets"],
+      },
+    ],
+  });
+}
--- /dev/null
+++ b/src/measure/overload/verrou_shape.ts
@@ -0,0 +1,81 @@
+/**
+ * The lockers of Verrou Boréal Consignes.
+ */
+
+import { createOverloadShape } from "./overload_shape.ts";
+import type { OverloadShape } from "./overload_shape.ts";
+
+/**
+ * Creates the shape: status pages pass four services, the deepest of which has
+ * the fewest slots; releases and code lookups matter most.
+ *
+ * @returns The shape
+ *
+ * @example
+ * const shape = createVerrouShape();
+ */
+export function createVerrouShape(): OverloadShape {
+  return createOverloadShape({
+    name: "verrou",
+    domains: [
+      { region: "mtl", failureDomain: "mtl-a" },
+      { region: "qc", failureDomain: "qc-a" },
+    ],
+    services: [
+      { name: "member-status", slots: 8, serviceTimeMs: 8 },
+      { name: "key-release", slots: 12, serviceTimeMs: 8 },
+      { name: "archive", slots: 12, serviceTimeMs: 8 },
+      { name: "courier-access", slots: 2, serviceTimeMs: 20 },
+    ],
+    classes: [
+      { name: "releases", reservedRatio: 0.1 },
+      { name: "lookups", reservedRatio: 0.1 },
+      { name: "status", reservedRatio: 0 },
+      { name: "downloads", reservedRatio: 0 },
+    ],
+    importantClasses: ["releases", "lookups"],
+    deepest: "courier-access",
+    kinds: [
+      {
+        name: "release-key",
+        className: "releases",
+        weight: 0.04,
+        service: "key-release",
+        method: "POST",
+        pathPrefix: "/releases",
+        isRepeatable: false,
+        chain: ["key-release", "courier-access"],
+      },
+      {
+        name: "look-up-code",
+        className: "lookups",
+        weight: 0.06,
+        service: "member-status",
+        method: "GET",
+        pathPrefix: "/codes",
+        isRepeatable: true,
+        chain: ["member-status", "key-release", "courier-access"],
+      },
+      {
+        name: "read-status",
+        className: "status",
+        weight: 0.8,
+        service: "member-status",
+        method: "GET",
+        pathPrefix: "/status",
+        isRepeatable: true,
+        chain: ["member-status", "key-release", "archive", "courier-access"],
+      },
+      {
+        name: "load-photo",
+        className: "downloads",
+        weight: 0.1,
+        service: "archive",
+        method: "GET",
+        pathPrefix: "/photos",
+        isRepeatable: true,
+        chain: ["archive"],
+      },
+    ],
+  });
+}
