--- /dev/null
+++ b/src/testing/link_stand_in_test.ts
@@ -0,0 +1,85 @@
+import { once } from "node:events";
+import { connect, createServer } from "node:net";
+import type { Server, Socket } from "node:net";
+import { suite } from "uvu";
+import * as assert from "uvu/assert";
+import { LinkStandIn } from "./link_stand_in.ts";
+
+interface Context {
+  server: Server;
+  link: LinkStandIn;
+}
+
+const ROUTE = {
+  listenAddress: "127.50.1.2",
+  listenPort: 7301,
+  targetAddress: "127.50.1.1",
+  targetPort: 7300,
+};
+
+const test = suite<Context>("link stand-in");
+
+test.before.each(async (context) => {
+  context.server = createServer((socket) => socket.pipe(socket));
+  context.server.listen(ROUTE.targetPort, ROUTE.targetAddress);
+  await once(context.server, "listening");
+  context.link = new LinkStandIn({ oneWayDelayMs: 2 });
+  await context.link.open(ROUTE);
+});
+
+test.after.each(({ server, link }) => {
+  link.close();
+  server.close();
+});
+
+async function dial(): Promise<Socket> {
+  const socket = connect({ host: ROUTE.listenAddress, port: ROUTE.listenPort });
+  socket.on("error", () => undefined);
+  await once(socket, "connect");
+  return socket;
+}
+
+async function echo(socket: Socket, text: string): Promise<string> {
+  socket.write(text);
+  const [bytes] = await once(socket, "data");
+  return String(bytes);
+}
+
+test("a flow carries bytes both ways and counts them", async ({ link }) => {
+  const socket = await dial();
+  assert.is(await echo(socket, "hello"), "hello");
+  assert.is(link.forward.carriedBytes, 5);
+  assert.is(link.backward.carriedBytes, 5);
+  socket.destroy();
+});
+
+test("silenced flows stay open without carrying anything while a new flow works", async ({ link }) => {
+  const silent = await dial();
+  await echo(silent, "before");
+  link.silenceFlows();
+  let received = "";
+  silent.on("data", (bytes) => received += String(bytes));
+  silent.write("into the void");
+  const fresh = await dial();
+  assert.is(await echo(fresh, "fresh"), "fresh");
+  assert.is(received, "");
+  assert.not(silent.destroyed);
+  silent.destroy();
+  fresh.destroy();
+});
+
+test("a cut ends flows and takes no new ones until the link is restored", async ({ link }) => {
+  const first = await dial();
+  await echo(first, "before");
+  const ended = once(first, "close");
+  link.cut();
+  await ended;
+  const refused = await dial();
+  await once(refused, "close");
+  link.restore();
+  const last = await dial();
+  assert.is(await echo(last, "after"), "after");
+  last.destroy();
+});
+
+test.run();
