Replace silent connections beside the old one without losing a reply

Cause: a silent connection was only closed after 1.5 s, which ended every call on it as unknown, and a daemon that had been paused blamed its peers. Change: an unanswered heartbeat opens a new connection at once for new calls; replies that still arrive on the old one count; repeatable calls that can be made elsewhere stop waiting; idle connections are asked every 10 s only; bodies are written chunk by chunk in turns behind a bound; non-repeatable calls are not cancelled because the connection of their caller was lost.

--- a/src/constants/mod.ts
+++ b/src/constants/mod.ts
@@ -11,11 +11,17 @@
 /** Bodies up to this size travel in one frame, in bytes. */
 export const CHUNK_BYTES = 65_536;
 
-/** Interval between heartbeats on a peer connection, in milliseconds. */
-export const HEARTBEAT_INTERVAL_MS = 500;
+/** Interval between heartbeats on a peer connection with calls in progress, in milliseconds. */
+export const HEARTBEAT_INTERVAL_MS = 250;
 
-/** Silence after which a peer connection is replaced, in milliseconds. */
-export const HEARTBEAT_TIMEOUT_MS = 1_500;
+/** Interval between heartbeats on an idle peer connection, in milliseconds. */
+export const IDLE_HEARTBEAT_INTERVAL_MS = 10_000;
+
+/** Time without an answer after which a peer connection is replaced, in milliseconds. */
+export const HEARTBEAT_SUSPECT_MS = 750;
+
+/** Time without an answer after which a replaced connection is given up, in milliseconds. */
+export const HEARTBEAT_TIMEOUT_MS = 5_000;
 
 /** Time allowed for opening a peer connection, in milliseconds. */
 export const CONNECT_TIMEOUT_MS = 1_000;
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -25,6 +25,7 @@
 import { KeyLedger } from "../idempotency/mod.ts";
 import { createIncarnation, GossipMembership } from "../membership/mod.ts";
 import { PeerServer } from "../peer/mod.ts";
+import type { DialPeer } from "../peer/mod.ts";
 import { ActiveCalls, PeerClients, servePeerCall } from "../request/mod.ts";
 import type { CallEnvironment } from "../request/mod.ts";
 import { AllowanceRetryPolicy, EveryHopRetryPolicy } from "../retry/mod.ts";
@@ -48,6 +49,12 @@
 /** Interval at which a stopping daemon checks for requests in progress, in milliseconds. */
 const DRAIN_POLL_MS = 20;
 
+/** Parts of a daemon that tests replace. */
+export interface DaemonParts {
+  /** Opens sockets to other daemons. */
+  readonly dial?: DialPeer;
+}
+
 /** A running daemon. */
 export class Daemon {
   readonly environment: CallEnvironment;
@@ -60,7 +67,7 @@
   #stopped: Promise<void> | undefined;
   #requestsInProgress = 0;
 
-  constructor(settings: DaemonSettings) {
+  constructor(settings: DaemonSettings, parts: DaemonParts = {}) {
     const clock = new SystemClock();
     const random = new RandomSource(settings.randomSeed);
     const self = createOwnRecord(settings, clock.nowMs());
@@ -79,7 +86,9 @@
       identity,
       clock,
       maxBodyBytes: settings.maxBodyBytes,
+      ...parts.dial === undefined ? {} : { dial: parts.dial },
     };
+    const journal = new DecisionJournal(clock);
     const seeds = settings.seeds.split(",").filter((seed) => seed !== "");
     const isProtected = settings.protection === "on";
     const { fleetToken } = settings;
@@ -100,10 +109,14 @@
       clock,
       log,
       metrics: new DaemonMetrics(),
-      journal: new DecisionJournal(clock),
+      journal,
       configuration,
       membership: this.#membership,
-      peers: new PeerClients(linkOptions),
+      peers: new PeerClients({
+        ...linkOptions,
+        reportReplacement: (replacement) =>
+          journal.record(DECISIONS.connectionReplaced, { ...replacement }),
+      }),
       backend: new BackendRegistry(clock),
       backendClient: new BackendClient(settings.address),
       entryAdmission: new OpenEntryAdmission(),
--- a/src/outcome/mod.ts
+++ b/src/outcome/mod.ts
@@ -15,3 +15,4 @@
   Refusal,
   Uncertainty,
 } from "./outcome.ts";
+export { selectAbortReason } from "./select_abort_reason.ts";
--- /dev/null
+++ b/src/outcome/select_abort_reason.ts
@@ -0,0 +1,21 @@
+/**
+ * Reason of an outcome that an aborted signal caused.
+ */
+
+import { REASONS } from "./outcome.ts";
+import type { Reason } from "./outcome.ts";
+
+/**
+ * Tells a deadline that passed from a caller that has gone.
+ *
+ * @param signal - An aborted signal
+ * @returns The reason to report
+ *
+ * @example
+ * createUncertainty(selectAbortReason(signal));
+ */
+export function selectAbortReason(signal: AbortSignal): Reason {
+  return signal.reason === REASONS.deadlineExpired
+    ? REASONS.deadlineExpired
+    : REASONS.cancelled;
+}
--- /dev/null
+++ b/src/peer/dialed_link.ts
@@ -0,0 +1,178 @@
+/**
+ * One connection that this daemon opened, with the calls that wait on it.
+ */
+
+import type { Socket } from "node:net";
+import { err } from "neverthrow";
+import type VError from "verror";
+import { CONNECT_TIMEOUT_MS } from "../constants/mod.ts";
+import type {
+  CallMessage,
+  HelloMessage,
+  ReplyMessage,
+} from "../generated/types.ts";
+import {
+  createRefusal,
+  createUncertainty,
+  REASONS,
+  selectAbortReason,
+} from "../outcome/mod.ts";
+import type { CallResult } from "../outcome/mod.ts";
+import { convertReplyToResult } from "./convert_reply.ts";
+import { PeerLink } from "./peer_link.ts";
+import type { PeerLinkOptions, PeerLinkOwner } from "./peer_link_owner.ts";
+
+/** A call message before the connection numbers it. */
+export type UnnumberedCall = Omit<CallMessage, "callId" | "body">;
+
+/** Options of a call. */
+export interface PeerCallOptions {
+  /** Ends the wait; the peer is told to cancel. */
+  readonly signal: AbortSignal;
+  /** Whether the wait ends at once when the connection falls silent, because the call can be made elsewhere. */
+  readonly failsWhenSilent?: boolean;
+}
+
+/** What a connection tells the client that opened it. */
+export interface DialedLinkListener {
+  onSilent(link: DialedLink, silenceMs: number): void;
+  /** No call waits any more. */
+  onIdle(link: DialedLink): void;
+  onClosed(link: DialedLink): void;
+}
+
+interface PendingCall {
+  readonly settle: (result: CallResult) => void;
+  readonly failsWhenSilent: boolean;
+}
+
+/** Calls on one connection, numbered from 1 and never numbered twice. */
+export class DialedLink implements PeerLinkOwner {
+  readonly link: PeerLink;
+  /** Whether the peer has proved who it is, once that is decided. */
+  readonly opened: Promise<boolean>;
+  readonly #listener: DialedLinkListener;
+  readonly #pending = new Map<number, PendingCall>();
+  #nextCallId = 1;
+  #settleOpened: (isOpen: boolean) => void = () => undefined;
+  remoteIncarnation = "";
+
+  constructor(
+    socket: Socket,
+    options: PeerLinkOptions,
+    listener: DialedLinkListener,
+  ) {
+    this.#listener = listener;
+    this.link = new PeerLink(socket, this, options);
+    this.opened = new Promise((resolve) => this.#settleOpened = resolve);
+    const cancelTimeout = options.clock.schedule(
+      CONNECT_TIMEOUT_MS,
+      () => this.#giveUpOpening(),
+    );
+    void this.opened.then(cancelTimeout);
+    void this.link.run();
+  }
+
+  /** Calls that wait for an outcome. */
+  get pendingCalls(): number {
+    return this.#pending.size;
+  }
+
+  /** Whether calls wait. */
+  get hasWork(): boolean {
+    return this.#pending.size > 0;
+  }
+
+  /** Whether the connection has been used up. */
+  get isSpent(): boolean {
+    return this.remoteIncarnation !== "" && !this.link.isReady;
+  }
+
+  onHello(hello: HelloMessage): void {
+    this.remoteIncarnation = hello.incarnation;
+    this.#settleOpened(true);
+  }
+
+  onReply(reply: ReplyMessage, body: Uint8Array): void {
+    this.#settle(reply.callId, convertReplyToResult(reply, body));
+  }
+
+  onCall(): void {
+    // Calls travel from the dialling side only.
+  }
+
+  onCancel(): void {
+    // Cancellations travel from the dialling side only.
+  }
+
+  onSilent(silenceMs: number): void {
+    this.#listener.onSilent(this, silenceMs);
+    for (const [callId, { failsWhenSilent }] of this.#pending) {
+      if (failsWhenSilent) {
+        this.#abandon(callId, createUncertainty(REASONS.connectionLost));
+      }
+    }
+  }
+
+  onClose(_error: VError | undefined): void {
+    this.#settleOpened(false);
+    for (const callId of this.#pending.keys()) {
+      this.#settle(callId, err(createUncertainty(REASONS.connectionLost)));
+    }
+    this.#listener.onClosed(this);
+  }
+
+  /** Sends a call and waits for its outcome. */
+  call(
+    call: UnnumberedCall,
+    body: Uint8Array,
+    options: PeerCallOptions,
+  ): Promise<CallResult> {
+    const { signal, failsWhenSilent = false } = options;
+    const callId = this.#nextCallId;
+    this.#nextCallId += 1;
+    if (!this.link.sendWithBody({ ...call, callId }, body)) {
+      const unusedAllowance = call.context.retryAllowance;
+      return Promise.resolve(
+        err(createRefusal(REASONS.connectFailed, { unusedAllowance })),
+      );
+    }
+    return new Promise((resolve) => {
+      const abort = () =>
+        this.#abandon(callId, createUncertainty(selectAbortReason(signal)));
+      const settle = (result: CallResult) => {
+        signal.removeEventListener("abort", abort);
+        resolve(result);
+      };
+      this.#pending.set(callId, { settle, failsWhenSilent });
+      signal.addEventListener("abort", abort);
+    });
+  }
+
+  #settle(callId: number, result: CallResult): void {
+    const pending = this.#pending.get(callId);
+    if (!pending) {
+      return;
+    }
+    this.#pending.delete(callId);
+    pending.settle(result);
+    if (this.#pending.size === 0) {
+      this.#listener.onIdle(this);
+    }
+  }
+
+  #abandon(
+    callId: number,
+    failure: ReturnType<typeof createUncertainty>,
+  ): void {
+    this.link.send({ kind: "cancel", callId });
+    this.#settle(callId, err(failure));
+  }
+
+  #giveUpOpening(): void {
+    if (!this.link.isReady) {
+      this.link.close();
+      this.#settleOpened(false);
+    }
+  }
+}
--- a/src/peer/mod.ts
+++ b/src/peer/mod.ts
@@ -3,12 +3,14 @@
  */
 
 export { PeerClient } from "./peer_client.ts";
+export type { PeerCallOptions, UnnumberedCall } from "./dialed_link.ts";
 export type {
+  DialPeer,
+  LinkReplacement,
   PeerAddress,
-  PeerCallOptions,
-  UnnumberedCall,
-} from "./peer_client.ts";
-export type { PeerIdentity, PeerLinkOptions } from "./peer_link.ts";
+  PeerIdentity,
+  PeerLinkOptions,
+} from "./peer_link_owner.ts";
 export { PeerServer } from "./peer_server.ts";
 export type { CallHandler, PeerServerOptions } from "./peer_server.ts";
 export { isIdentityProven, proveIdentity } from "./prove_identity.ts";
--- a/src/peer/peer_client.ts
+++ b/src/peer/peer_client.ts
@@ -1,146 +1,31 @@
 /**
- * The calling side of a connection to one daemon.
+ * The calling side of the connections to one daemon.
  *
- * The connection is opened when first needed. When it fails or falls silent, a
- * new one is opened for the next call. Calls are matched to replies by the
- * connection they were sent on and a number that is never used twice on it.
+ * A connection is opened when first needed. When it falls silent, a new one is
+ * opened beside it and takes the new calls at once; replies that still arrive
+ * on the old one count for the calls that wait on it. A reply is matched by the
+ * connection that the call was sent on and a number that is never used twice
+ * on it, so replies cannot cross.
  */
 
 import { connect } from "node:net";
 import type { Socket } from "node:net";
 import { err } from "neverthrow";
-import type VError from "verror";
-import { CONNECT_TIMEOUT_MS } from "../constants/mod.ts";
-import type {
-  CallMessage,
-  HelloMessage,
-  ReplyMessage,
-} from "../generated/types.ts";
-import { createRefusal, createUncertainty, REASONS } from "../outcome/mod.ts";
+import { createRefusal, REASONS } from "../outcome/mod.ts";
 import type { CallResult } from "../outcome/mod.ts";
-import { convertReplyToResult } from "./convert_reply.ts";
-import { PeerLink } from "./peer_link.ts";
-import type { PeerLinkOptions, PeerLinkOwner } from "./peer_link.ts";
-
-/** Where a peer listens. */
-export interface PeerAddress {
-  readonly address: string;
-  readonly peerPort: number;
-}
-
-/** A call message before the connection numbers it. */
-export type UnnumberedCall = Omit<CallMessage, "callId" | "body">;
-
-/** Options of a call. */
-export interface PeerCallOptions {
-  /** Ends the wait; the peer is told to cancel. */
-  readonly signal: AbortSignal;
-}
-
-type Settle = (result: CallResult) => void;
-
-/** One connection with the calls that wait on it. */
-class DialedLink implements PeerLinkOwner {
-  readonly link: PeerLink;
-  readonly opened: Promise<boolean>;
-  readonly #pending = new Map<number, Settle>();
-  #nextCallId = 1;
-  #settleOpened: (isOpen: boolean) => void = () => undefined;
-  remoteIncarnation = "";
-
-  constructor(socket: Socket, options: PeerLinkOptions) {
-    this.link = new PeerLink(socket, this, options);
-    this.opened = new Promise((resolve) => this.#settleOpened = resolve);
-    const cancelTimeout = options.clock.schedule(
-      CONNECT_TIMEOUT_MS,
-      () => this.#giveUpOpening(),
-    );
-    void this.opened.then(cancelTimeout);
-    void this.link.run();
-  }
-
-  get pendingCalls(): number {
-    return this.#pending.size;
-  }
-
-  onHello(hello: HelloMessage): void {
-    this.remoteIncarnation = hello.incarnation;
-    this.#settleOpened(true);
-  }
-
-  onReply(reply: ReplyMessage, body: Uint8Array): void {
-    const settle = this.#pending.get(reply.callId);
-    this.#pending.delete(reply.callId);
-    settle?.(convertReplyToResult(reply, body));
-  }
-
-  onCall(): void {
-    // Calls travel from the dialling side only.
-  }
-
-  onCancel(): void {
-    // Cancellations travel from the dialling side only.
-  }
-
-  onClose(_error: VError | undefined): void {
-    this.#settleOpened(false);
-    for (const settle of this.#pending.values()) {
-      settle(err(createUncertainty(REASONS.connectionLost)));
-    }
-    this.#pending.clear();
-  }
-
-  /** Sends a call and waits for its outcome. */
-  call(
-    call: UnnumberedCall,
-    body: Uint8Array,
-    options: PeerCallOptions,
-  ): Promise<CallResult> {
-    const callId = this.#nextCallId;
-    this.#nextCallId += 1;
-    return new Promise((resolve) => {
-      const abort = () => this.#abandon(callId);
-      const settle = (result: CallResult) => {
-        options.signal.removeEventListener("abort", abort);
-        resolve(result);
-      };
-      if (!this.link.sendWithBody({ ...call, callId }, body)) {
-        settle(
-          err(
-            createRefusal(REASONS.connectFailed, {
-              unusedAllowance: call.context.retryAllowance,
-            }),
-          ),
-        );
-        return;
-      }
-      this.#pending.set(callId, settle);
-      options.signal.addEventListener("abort", abort);
-    });
-  }
-
-  #abandon(callId: number): void {
-    const settle = this.#pending.get(callId);
-    if (!settle) {
-      return;
-    }
-    this.#pending.delete(callId);
-    this.link.send({ kind: "cancel", callId });
-    settle(err(createUncertainty(REASONS.cancelled)));
-  }
-
-  #giveUpOpening(): void {
-    if (!this.link.isReady) {
-      this.link.close();
-      this.#settleOpened(false);
-    }
-  }
-}
+import { DialedLink } from "./dialed_link.ts";
+import type {
+  DialedLinkListener,
+  PeerCallOptions,
+  UnnumberedCall,
+} from "./dialed_link.ts";
+import type { PeerAddress, PeerLinkOptions } from "./peer_link_owner.ts";
 
 /** Calls to one daemon. */
-export class PeerClient {
+export class PeerClient implements DialedLinkListener {
   readonly #address: PeerAddress;
   readonly #options: PeerLinkOptions;
+  readonly #replaced = new Set<DialedLink>();
   #current: DialedLink | undefined;
 
   constructor(address: PeerAddress, options: PeerLinkOptions) {
@@ -150,7 +35,10 @@
 
   /** Calls that wait for an outcome. */
   get pendingCalls(): number {
-    return this.#current?.pendingCalls ?? 0;
+    const links = this.#current
+      ? [this.#current, ...this.#replaced]
+      : [...this.#replaced];
+    return links.reduce((sum, { pendingCalls }) => sum + pendingCalls, 0);
   }
 
   /** Incarnation of the daemon at the other end; empty before the first connection. */
@@ -164,47 +52,57 @@
     body: Uint8Array,
     options: PeerCallOptions,
   ): Promise<CallResult> {
+    const unusedAllowance = call.context.retryAllowance;
     const dialed = this.#dial();
     if (!dialed.link.isReady && !(await dialed.opened)) {
       this.#forget(dialed);
-      return err(
-        createRefusal(REASONS.connectFailed, {
-          unusedAllowance: call.context.retryAllowance,
-        }),
-      );
+      return err(createRefusal(REASONS.connectFailed, { unusedAllowance }));
     }
     if (options.signal.aborted) {
-      return err(
-        createRefusal(REASONS.cancelled, {
-          unusedAllowance: call.context.retryAllowance,
-        }),
-      );
+      return err(createRefusal(REASONS.cancelled, { unusedAllowance }));
     }
     return await dialed.call(call, body, options);
   }
 
-  /** Ends the connection. */
+  /** Ends the connections. */
   close(): void {
     this.#current?.link.close();
     this.#current = undefined;
+    this.#replaced.forEach(({ link }) => link.close());
   }
 
-  #dial(): DialedLink {
-    if (this.#current && !this.#isSpent(this.#current)) {
-      return this.#current;
+  onSilent(dialed: DialedLink, silenceMs: number): void {
+    if (this.#current !== dialed) {
+      return;
     }
-    const socket = connect({
-      host: this.#address.address,
-      port: this.#address.peerPort,
+    this.#replaced.add(dialed);
+    this.#current = undefined;
+    this.#options.reportReplacement?.({
+      address: this.#address.address,
+      silenceMs,
+      pendingCalls: dialed.pendingCalls,
     });
-    const dialed = new DialedLink(socket, this.#options);
-    void dialed.opened.then((isOpen) => isOpen || this.#forget(dialed));
-    this.#current = dialed;
-    return dialed;
+    this.#dial();
   }
 
-  #isSpent(dialed: DialedLink): boolean {
-    return dialed.remoteIncarnation !== "" && !dialed.link.isReady;
+  onIdle(dialed: DialedLink): void {
+    if (this.#replaced.has(dialed)) {
+      dialed.link.close();
+    }
+  }
+
+  onClosed(dialed: DialedLink): void {
+    this.#replaced.delete(dialed);
+    this.#forget(dialed);
+  }
+
+  #dial(): DialedLink {
+    if (this.#current && !this.#current.isSpent) {
+      return this.#current;
+    }
+    const dial = this.#options.dial ?? connectTo;
+    this.#current = new DialedLink(dial(this.#address), this.#options, this);
+    return this.#current;
   }
 
   #forget(dialed: DialedLink): void {
@@ -213,3 +111,7 @@
     }
   }
 }
+
+function connectTo({ address, peerPort }: PeerAddress): Socket {
+  return connect({ host: address, port: peerPort });
+}
--- a/src/peer/peer_link.ts
+++ b/src/peer/peer_link.ts
@@ -9,51 +9,24 @@
 import type { Buffer } from "node:buffer";
 import VError from "verror";
 import {
-  CHUNK_BYTES,
   HEARTBEAT_INTERVAL_MS,
+  HEARTBEAT_SUSPECT_MS,
   HEARTBEAT_TIMEOUT_MS,
+  IDLE_HEARTBEAT_INTERVAL_MS,
   PROTOCOL_VERSION,
 } from "../constants/mod.ts";
 import type {
   CallMessage,
-  HelloMessage,
   PeerMessage,
   ReplyMessage,
 } from "../generated/types.ts";
-import type { Clock } from "../time/mod.ts";
 import { BodyAssembler } from "./body_assembler.ts";
-import { encodeFrame } from "./encode_frame.ts";
 import { FrameDecoder } from "./frame_decoder.ts";
+import { FrameWriter } from "./frame_writer.ts";
+import { SilenceDetector } from "./silence_detector.ts";
+import type { PeerLinkOptions, PeerLinkOwner } from "./peer_link_owner.ts";
 import { isIdentityProven, proveIdentity } from "./prove_identity.ts";
 
-/** What a daemon says about itself to its peers. */
-export interface PeerIdentity {
-  readonly incarnation: string;
-  readonly failureDomain: string;
-  readonly fleetToken: string;
-}
-
-/** Receiver of what a link reads. */
-export interface PeerLinkOwner {
-  /** The peer has proved who it is. */
-  onHello(hello: HelloMessage): void;
-  /** A whole call arrived. */
-  onCall(call: CallMessage, body: Uint8Array): void;
-  /** A whole reply arrived. */
-  onReply(reply: ReplyMessage, body: Uint8Array): void;
-  /** The peer no longer waits for a call. */
-  onCancel(callId: number): void;
-  /** The link ended, with the error that ended it, if any. */
-  onClose(error: VError | undefined): void;
-}
-
-/** Dependencies and limits of a link. */
-export interface PeerLinkOptions {
-  readonly identity: PeerIdentity;
-  readonly clock: Clock;
-  readonly maxBodyBytes: number;
-}
-
 type Headed = CallMessage | ReplyMessage;
 
 interface PartialBody {
@@ -69,8 +42,10 @@
   readonly #owner: PeerLinkOwner;
   readonly #options: PeerLinkOptions;
   readonly #partialBodies = new Map<string, PartialBody>();
+  readonly #silence: SilenceDetector;
+  readonly #writer: FrameWriter;
   #isGreeted = false;
-  #lastHeardMs: number;
+  #isReportedSilent = false;
   #heartbeatSequence = 0;
   #error: VError | undefined;
   #isClosed = false;
@@ -79,7 +54,8 @@
     this.#socket = socket;
     this.#owner = owner;
     this.#options = options;
-    this.#lastHeardMs = options.clock.monotonicMs();
+    this.#silence = new SilenceDetector(options.clock, HEARTBEAT_INTERVAL_MS);
+    this.#writer = new FrameWriter(socket);
     socket.setNoDelay(true);
     socket.on("error", () => undefined);
   }
@@ -89,11 +65,6 @@
     return this.#isGreeted && !this.#isClosed;
   }
 
-  /** Time since the peer was last heard, in milliseconds. */
-  get silenceMs(): number {
-    return this.#options.clock.monotonicMs() - this.#lastHeardMs;
-  }
-
   /** Serves the connection until it ends. */
   async run(): Promise<void> {
     this.#sendHello();
@@ -104,7 +75,7 @@
     const decoder = new FrameDecoder();
     try {
       for await (const bytes of this.#socket) {
-        this.#lastHeardMs = this.#options.clock.monotonicMs();
+        this.#silence.noteHeard();
         if (!this.#takeBytes(decoder, bytes)) {
           break;
         }
@@ -127,37 +98,21 @@
     this.#socket.destroy();
   }
 
-  /** Sends a call or a reply with its body; false when nothing could have been sent. */
+  /** Sends a call or a reply with its body; false when nothing was sent. */
   sendWithBody(head: Headed, body: Uint8Array): boolean {
-    if (this.#isClosed || this.#socket.destroyed) {
-      return false;
-    }
-    if (body.length <= CHUNK_BYTES) {
-      this.send({ ...head, body });
-      return true;
-    }
-    this.send(head);
-    for (
-      let offsetBytes = 0;
-      offsetBytes < body.length;
-      offsetBytes += CHUNK_BYTES
+    if (
+      this.#isClosed || this.#socket.destroyed ||
+      !this.#writer.hasRoom(body.length)
     ) {
-      const part = body.subarray(offsetBytes, offsetBytes + CHUNK_BYTES);
-      const isReply = head.kind === "reply";
-      this.send({
-        kind: "chunk",
-        callId: head.callId,
-        isReply,
-        offsetBytes,
-        body: part,
-      });
+      return false;
     }
+    this.#writer.sendWithBody(head, body);
     return true;
   }
 
   /** Sends one message. */
   send(message: PeerMessage): void {
-    this.#socket.write(encodeFrame(message));
+    this.#writer.send(message);
   }
 
   #sendHello(): void {
@@ -173,22 +128,31 @@
   }
 
   #beat(): void {
-    if (this.silenceMs > HEARTBEAT_TIMEOUT_MS) {
-      this.close(
-        new VError(
-          { name: "ConnectionSilent" },
-          "nothing heard for %d ms",
-          Math.round(this.silenceMs),
-        ),
-      );
+    this.#silence.tick();
+    const { silenceMs } = this.#silence;
+    if (silenceMs > HEARTBEAT_TIMEOUT_MS) {
+      this.close(createSilenceError(silenceMs));
       return;
     }
+    if (silenceMs >= HEARTBEAT_SUSPECT_MS && !this.#isReportedSilent) {
+      this.#isReportedSilent = true;
+      this.#owner.onSilent(silenceMs);
+    }
+    const isDue = this.#owner.hasWork ||
+      this.#silence.idleMs >= IDLE_HEARTBEAT_INTERVAL_MS;
+    if (isDue && !this.#silence.isAsked) {
+      this.#ask();
+    }
+  }
+
+  #ask(): void {
     this.#heartbeatSequence += 1;
     this.send({
       kind: "heartbeat",
       isReply: false,
       sequence: this.#heartbeatSequence,
     });
+    this.#silence.noteAsked();
   }
 
   #takeBytes(decoder: FrameDecoder, bytes: Buffer): boolean {
@@ -308,3 +272,11 @@
     return false;
   }
 }
+
+function createSilenceError(silenceMs: number): VError {
+  return new VError(
+    { name: "ConnectionSilent" },
+    "heartbeat unanswered for %d ms",
+    Math.round(silenceMs),
+  );
+}
--- a/src/peer/peer_server.ts
+++ b/src/peer/peer_server.ts
@@ -4,12 +4,12 @@
 
 import { createServer } from "node:net";
 import type { Server, Socket } from "node:net";
-import type VError from "verror";
+import VError from "verror";
 import type { CallMessage, HelloMessage } from "../generated/types.ts";
 import type { CallResult } from "../outcome/mod.ts";
 import { convertResultToReply } from "./convert_reply.ts";
 import { PeerLink } from "./peer_link.ts";
-import type { PeerLinkOptions, PeerLinkOwner } from "./peer_link.ts";
+import type { PeerLinkOptions, PeerLinkOwner } from "./peer_link_owner.ts";
 
 /** Runs a call that a peer sent; the signal ends when the peer no longer waits. */
 export type CallHandler = (
@@ -25,10 +25,15 @@
   readonly reportError: (error: VError, remoteAddress: string) => void;
 }
 
+interface RunningCall {
+  readonly controller: AbortController;
+  readonly isRepeatable: boolean;
+}
+
 /** One accepted connection with the calls that run for it. */
 class AcceptedLink implements PeerLinkOwner {
   readonly link: PeerLink;
-  readonly #running = new Map<number, AbortController>();
+  readonly #running = new Map<number, RunningCall>();
   readonly #options: PeerServerOptions;
   readonly #remoteAddress: string;
 
@@ -38,6 +43,10 @@
     this.link = new PeerLink(socket, this, options);
   }
 
+  get hasWork(): boolean {
+    return this.#running.size > 0;
+  }
+
   onHello(_hello: HelloMessage): void {
     // The link has checked the proof; nothing else depends on who calls.
   }
@@ -51,12 +60,18 @@
   }
 
   onCancel(callId: number): void {
-    this.#running.get(callId)?.abort();
+    this.#running.get(callId)?.controller.abort();
+  }
+
+  onSilent(): void {
+    // The dialling side opens a new connection; calls in progress go on.
   }
 
   onClose(error: VError | undefined): void {
-    for (const controller of this.#running.values()) {
-      controller.abort();
+    for (const { controller, isRepeatable } of this.#running.values()) {
+      if (isRepeatable) {
+        controller.abort();
+      }
     }
     if (error) {
       this.#options.reportError(error, this.#remoteAddress);
@@ -65,7 +80,8 @@
 
   async #serve(call: CallMessage, body: Uint8Array): Promise<void> {
     const controller = new AbortController();
-    this.#running.set(call.callId, controller);
+    const { isRepeatable } = call.context;
+    this.#running.set(call.callId, { controller, isRepeatable });
     const result = await this.#options.handleCall(
       call,
       body,
@@ -73,7 +89,11 @@
     );
     this.#running.delete(call.callId);
     const reply = convertResultToReply(call.callId, result);
-    this.link.sendWithBody(reply.head, reply.body);
+    if (!this.link.sendWithBody(reply.head, reply.body)) {
+      this.link.close(
+        new VError({ name: "PeerSlow" }, "peer does not read its replies"),
+      );
+    }
   }
 }
 
--- /dev/null
+++ b/src/peer/silent_connection_test.ts
@@ -0,0 +1,213 @@
+import { Buffer } from "node:buffer";
+import { connect } from "node:net";
+import { ok } from "neverthrow";
+import { suite } from "uvu";
+import * as assert from "uvu/assert";
+import { HEARTBEAT_INTERVAL_MS } from "../constants/mod.ts";
+import type { CallMessage } from "../generated/types.ts";
+import type { CallResult } from "../outcome/mod.ts";
+import { createPeerCall } from "../testing/create_peer_call.ts";
+import { LinkStandIn } from "../testing/link_stand_in.ts";
+import { ManualClock } from "../testing/manual_clock.ts";
+import { PeerClient } from "./peer_client.ts";
+import type { LinkReplacement } from "./peer_link_owner.ts";
+import { PeerServer } from "./peer_server.ts";
+
+interface HeldCall {
+  readonly call: CallMessage;
+  readonly signal: AbortSignal;
+  readonly answer: () => void;
+}
+
+interface Context {
+  clock: ManualClock;
+  link: LinkStandIn;
+  server: PeerServer;
+  client: PeerClient;
+  held: HeldCall[];
+  replacements: LinkReplacement[];
+}
+
+const SERVER_ADDRESS = "127.50.2.1";
+const LINK_ADDRESS = "127.50.2.2";
+const PEER_PORT = 7302;
+const SILENCE_MS = 1_250;
+const EMPTY_BODY = new Uint8Array(0);
+
+const test = suite<Context>("silent connections");
+
+test.before.each(async (context) => {
+  context.clock = new ManualClock();
+  context.held = [];
+  context.replacements = [];
+  context.link = new LinkStandIn();
+  const options = {
+    identity: {
+      incarnation: "one",
+      failureDomain: "gent-a",
+      fleetToken: "token",
+    },
+    clock: context.clock,
+    maxBodyBytes: 1_000_000,
+  };
+  context.server = new PeerServer({
+    ...options,
+    handleCall: (call, _body, signal) =>
+      new Promise((resolve) =>
+        context.held.push({
+          call,
+          signal,
+          answer: () => resolve(createAnswer(call.path)),
+        })
+      ),
+    reportError: () => undefined,
+  });
+  await context.server.listen(SERVER_ADDRESS, PEER_PORT);
+  await context.link.open({
+    listenAddress: LINK_ADDRESS,
+    listenPort: PEER_PORT,
+    targetAddress: SERVER_ADDRESS,
+    targetPort: PEER_PORT,
+  });
+  context.client = new PeerClient(
+    { address: SERVER_ADDRESS, peerPort: PEER_PORT },
+    {
+      ...options,
+      dial: ({ peerPort }) => connect({ host: LINK_ADDRESS, port: peerPort }),
+      reportReplacement: (each) => context.replacements.push(each),
+    },
+  );
+});
+
+test.after.each(({ client, server, link }) => {
+  client.close();
+  server.close();
+  link.close();
+});
+
+function createAnswer(path: string): CallResult {
+  return ok({
+    status: 200,
+    contentType: "text/plain",
+    body: Buffer.from(`answer to ${path}`),
+    unusedAllowance: 0,
+    loads: [],
+  });
+}
+
+/** Lets sockets carry what was written. */
+async function settle(isDone: () => boolean): Promise<void> {
+  while (!isDone()) {
+    await new Promise((resolve) => setTimeout(resolve, 1));
+  }
+}
+
+function send(
+  { client }: Context,
+  path: string,
+  options: { failsWhenSilent?: boolean; isRepeatable?: boolean } = {},
+): Promise<CallResult> {
+  const { isRepeatable = true, failsWhenSilent = false } = options;
+  return client.call(createPeerCall(path, { isRepeatable }), EMPTY_BODY, {
+    signal: new AbortController().signal,
+    failsWhenSilent,
+  });
+}
+
+function pass(clock: ManualClock, durationMs: number): void {
+  for (let passedMs = 0; passedMs < durationMs;) {
+    clock.advance(HEARTBEAT_INTERVAL_MS);
+    passedMs += HEARTBEAT_INTERVAL_MS;
+  }
+}
+
+function readText(result: CallResult): string {
+  return result.isOk()
+    ? Buffer.from(result.value.body).toString()
+    : `${result.error.kind}: ${result.error.reason}`;
+}
+
+test("new calls move to a new connection at once and a late reply on the old one still counts", async (context) => {
+  const { clock, held, link, replacements } = context;
+  const first = send(context, "/first", { isRepeatable: false });
+  await settle(() => held.length === 1);
+  link.silenceFlows();
+  pass(clock, SILENCE_MS);
+  assert.equal(replacements.map(({ pendingCalls }) => pendingCalls), [1]);
+  const second = send(context, "/second");
+  await settle(() => held.length === 2);
+  held[1]?.answer();
+  assert.is(readText(await second), "answer to /second");
+  held[0]?.answer();
+  link.resumeFlows();
+  assert.is(readText(await first), "answer to /first");
+});
+
+test("replies never cross though both connections number their calls from 1", async (context) => {
+  const { clock, held, link } = context;
+  const first = send(context, "/first", { isRepeatable: false });
+  await settle(() => held.length === 1);
+  link.silenceFlows();
+  pass(clock, SILENCE_MS);
+  const second = send(context, "/second");
+  await settle(() => held.length === 2);
+  assert.equal(held.map(({ call }) => call.callId), [1, 1]);
+  held[0]?.answer();
+  link.resumeFlows();
+  assert.is(readText(await first), "answer to /first");
+  held[1]?.answer();
+  assert.is(readText(await second), "answer to /second");
+});
+
+test("a call that can be made elsewhere stops waiting when its connection falls silent", async (context) => {
+  const { clock, held, link } = context;
+  const outcome = send(context, "/first", { failsWhenSilent: true });
+  await settle(() => held.length === 1);
+  link.silenceFlows();
+  pass(clock, SILENCE_MS);
+  assert.is(readText(await outcome), "unknown: connection-lost");
+});
+
+test("a silent connection that never speaks again ends its calls as unknown", async (context) => {
+  const { clock, held, link } = context;
+  const outcome = send(context, "/first", { isRepeatable: false });
+  await settle(() => held.length === 1);
+  link.silenceFlows();
+  pass(clock, 6_000);
+  assert.is(readText(await outcome), "unknown: connection-lost");
+});
+
+test("an idle connection that is asked nothing is not replaced", async (context) => {
+  const { clock, held, replacements } = context;
+  const first = send(context, "/first");
+  await settle(() => held.length === 1);
+  held[0]?.answer();
+  await first;
+  pass(clock, 5_000);
+  assert.is(replacements.length, 0);
+});
+
+test("a lost dialler cancels its repeatable calls and lets the others finish", async (context) => {
+  const { held, link } = context;
+  const outcomes = [
+    send(context, "/repeatable"),
+    send(context, "/once", { isRepeatable: false }),
+  ];
+  await settle(() => held.length === 2);
+  link.cut();
+  await settle(() => held.some(({ signal }) => signal.aborted));
+  assert.equal(
+    held.map(({ call, signal }) => [call.path, signal.aborted]),
+    [["/repeatable", true], ["/once", false]],
+  );
+  await Promise.all(outcomes);
+});
+
+test("a connection that cannot be opened refuses, since nothing was sent", async (context) => {
+  context.link.cut();
+  const result = await send(context, "/first");
+  assert.is(readText(result), "refused: connect-failed");
+  assert.is(result._unsafeUnwrapErr().unusedAllowance, 3);
+});
+
+test.run();
