Add hooks to the membership for configuration versions of peers

The configuration part needs to learn of newer versions from peers, and to know which daemons speak for their failure domain. Membership gains onPeerConfigurationVersion, isDelegate and lookUp with defaults, so that other implementations stay valid. Tests pass as before.

--- a/src/membership/gossip_membership.ts
+++ b/src/membership/gossip_membership.ts
@@ -214,6 +214,17 @@
     for (const record of message.records) {
       this.#merge(record);
     }
+    const peer = this.#members.get(message.sender)?.record;
+    if (peer) {
+      const { incarnation, address, peerPort } = peer;
+      const version = message.configurationVersion;
+      this.notifyConfigurationVersion({
+        version,
+        incarnation,
+        address,
+        peerPort,
+      });
+    }
   }
 
   #decode(bytes: Buffer): GossipMessage | undefined {
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -9,8 +9,23 @@
   Pick<MemberRecord, "state" | "service" | "slots" | "warmAtMs" | "successor">
 >;
 
+/** A peer's word about the configuration that it has in force. */
+export interface PeerConfigurationNotice {
+  readonly version: number;
+  readonly incarnation: string;
+  readonly address: string;
+  readonly peerPort: number;
+}
+
+/** Told of configuration versions that peers have in force. */
+export type PeerConfigurationListener = (
+  notice: PeerConfigurationNotice,
+) => void;
+
 /** Knowledge of the fleet. */
 export abstract class Membership {
+  readonly #configurationListeners = new Set<PeerConfigurationListener>();
+
   /** The daemon's own record. */
   abstract get self(): MemberRecord;
 
@@ -26,6 +41,29 @@
   /** Changes the own record and spreads it. */
   abstract updateSelf(change: OwnRecordChange): void;
 
+  /** Whether this daemon is one of the few of its failure domain that speak for it. */
+  get isDelegate(): boolean {
+    return true;
+  }
+
+  /** The record of one incarnation; peers are asked where it is not known here. */
+  lookUp(incarnation: string): Promise<MemberRecord | undefined> {
+    return Promise.resolve(this.find(incarnation));
+  }
+
+  /** Calls `listener` for the configuration version of each message from a peer, until the result is called. */
+  onPeerConfigurationVersion(listener: PeerConfigurationListener): () => void {
+    this.#configurationListeners.add(listener);
+    return () => this.#configurationListeners.delete(listener);
+  }
+
+  /** Tells the listeners what a peer has in force. */
+  protected notifyConfigurationVersion(notice: PeerConfigurationNotice): void {
+    for (const listener of this.#configurationListeners) {
+      listener(notice);
+    }
+  }
+
   /** Joins the fleet. */
   abstract start(): Promise<void>;
 
