--- a/src/measure/experiments/latency.ts
+++ b/src/measure/experiments/latency.ts
@@ -7,6 +7,7 @@
 import type { Histogram } from "hdr-histogram-js";
 import { Agent } from "undici";
 import { HEADERS } from "../../constants/mod.ts";
+import { claimNetwork } from "../../testing/claim_network.ts";
 import { createMorningFleet } from "../create_morning_fleet.ts";
 import type { Experiment, ExperimentResult } from "../experiment.ts";
 import { Fleet, PORTS } from "../fleet.ts";
@@ -26,7 +27,7 @@
 async function run(): Promise<ExperimentResult> {
   const fleet = new Fleet(createMorningFleet({
     protection: "on",
-    network: 31,
+    network: await claimNetwork(),
     slots: 64,
     behavior: { serviceTimeMs: 2 },
   }));
--- a/src/measure/fleet_test.ts
+++ b/src/measure/fleet_test.ts
@@ -1,5 +1,6 @@
 import * as assert from "uvu/assert";
 import { suite } from "uvu";
+import { claimNetwork } from "../testing/claim_network.ts";
 import { TestCaller } from "../testing/test_caller.ts";
 import type { TestCall } from "../testing/test_caller.ts";
 import { createMorningFleet } from "./create_morning_fleet.ts";
