--- a/src/measure/fleet_test.ts
+++ b/src/measure/fleet_test.ts
@@ -16,7 +16,11 @@
 test.before(async (context) => {
   context.caller = new TestCaller();
   context.fleet = new Fleet(
-    createMorningFleet({ protection: "on", network: 21, slots: 8 }),
+    createMorningFleet({
+      protection: "on",
+      network: await claimNetwork(),
+      slots: 8,
+    }),
   );
   await context.fleet.start();
 });
