--- /dev/null
+++ b/src/measure/demo/checking_caller.ts
@@ -0,0 +1,105 @@
+/**
+ * A caller that remembers what it was told, so that it can be compared with
+ * what the backend servers ran.
+ */
+
+import { TestCaller } from "../../testing/test_caller.ts";
+import type { TestCall, TestOutcome } from "../../testing/test_caller.ts";
+import type { RecordedRun } from "../../testing/backend_server_stand_in.ts";
+
+/** Promises that must hold whatever happens. */
+export const MUST_HOLDS = {
+  rightAnswer: "an answer belongs to its request and is whole",
+  atMostOnce: "a non-repeatable request runs at most once",
+  honestRefusal: "a request whose every attempt was refused did not run",
+} as const;
+
+/** A promise and how often it was broken. */
+export interface MustHoldFinding {
+  readonly promise: string;
+  readonly checked: number;
+  readonly broken: number;
+}
+
+interface RequestHistory {
+  readonly service: string;
+  readonly isRepeatable: boolean;
+  readonly outcomes: Set<TestOutcome["outcome"]>;
+}
+
+/** Sends calls and keeps their histories. */
+export class CheckingCaller extends TestCaller {
+  readonly #histories = new Map<string, RequestHistory>();
+  #answers = 0;
+  #wrongAnswers = 0;
+
+  override async send(call: TestCall): Promise<TestOutcome> {
+    const history = this.#findHistory(call);
+    const reply = await super.send(call);
+    history.outcomes.add(reply.outcome);
+    if (reply.outcome === "answered" && reply.status === 200) {
+      this.#answers += 1;
+      this.#wrongAnswers += isAnswerTo(call, reply.text) ? 0 : 1;
+    }
+    return reply;
+  }
+
+  /** Compares the histories with the runs of every backend server. */
+  check(runs: readonly RecordedRun[]): MustHoldFinding[] {
+    const firstRuns = this.#countFirstRuns(runs);
+    const histories = [...this.#histories];
+    const once = histories.filter(([, { isRepeatable }]) => !isRepeatable);
+    const refused = histories.filter(([, { outcomes }]) =>
+      outcomes.size === 1 && outcomes.has("refused-not-run")
+    );
+    return [
+      {
+        promise: MUST_HOLDS.rightAnswer,
+        checked: this.#answers,
+        broken: this.#wrongAnswers,
+      },
+      {
+        promise: MUST_HOLDS.atMostOnce,
+        checked: once.length,
+        broken: once.filter(([id]) => (firstRuns.get(id) ?? 0) > 1).length,
+      },
+      {
+        promise: MUST_HOLDS.honestRefusal,
+        checked: refused.length,
+        broken: refused.filter(([id]) => firstRuns.has(id)).length,
+      },
+    ];
+  }
+
+  #findHistory(call: TestCall): RequestHistory {
+    const known = this.#histories.get(call.requestId);
+    if (known) {
+      return known;
+    }
+    const { service, idempotencyKey = "" } = call;
+    const isRepeatable = idempotencyKey === "";
+    const history = { service, isRepeatable, outcomes: new Set<never>() };
+    this.#histories.set(call.requestId, history);
+    return history;
+  }
+
+  #countFirstRuns(runs: readonly RecordedRun[]): Map<string, number> {
+    const counts = new Map<string, number>();
+    for (const { requestId, service } of runs) {
+      if (this.#histories.get(requestId)?.service === service) {
+        counts.set(requestId, (counts.get(requestId) ?? 0) + 1);
+      }
+    }
+    return counts;
+  }
+}
+
+function isAnswerTo(call: TestCall, text: string): boolean {
+  try {
+    const answer = JSON.parse(text);
+    return answer.requestId === call.requestId &&
+      answer.service === call.service;
+  } catch {
+    return false;
+  }
+}
--- /dev/null
+++ b/src/measure/demo/run_morning.ts
@@ -0,0 +1,114 @@
+/**
+ * One run of the morning round: calm, surge, slow deep service, recovery.
+ */
+
+import { claimNetwork } from "../../testing/claim_network.ts";
+import { createMorningFleet } from "../create_morning_fleet.ts";
+import { Fleet } from "../fleet.ts";
+import { driveLoad } from "../load/mod.ts";
+import type { LoadKind, LoadPhase, LoadReport } from "../load/mod.ts";
+import { CheckingCaller } from "./checking_caller.ts";
+import type { MustHoldFinding } from "./checking_caller.ts";
+
+/** What one run found. */
+export interface MorningResult {
+  readonly report: LoadReport;
+  readonly findings: readonly MustHoldFinding[];
+}
+
+/** Phases of the morning; arrival rates are relative to the fleet's capacity. */
+export const MORNING_PHASES: readonly LoadPhase[] = [
+  { name: "calm", durationMs: 4_000, requestsPerSecond: 120 },
+  { name: "surge", durationMs: 6_000, requestsPerSecond: 600 },
+  { name: "slow deep service", durationMs: 4_000, requestsPerSecond: 120 },
+  { name: "recovery", durationMs: 5_000, requestsPerSecond: 120 },
+];
+
+/** Deadline of the callers, in milliseconds. */
+const CALLER_DEADLINE_MS = 2_000;
+
+const SLOTS = 6;
+const SERVICE_TIME_MS = 30;
+const SLOW_FACTOR = 8;
+const DEEPEST_SERVICE = "price-sheets";
+
+const KINDS: readonly LoadKind[] = [
+  {
+    name: "fetch-round",
+    className: "rounds",
+    weight: 0.9,
+    service: "round-planning",
+    method: "GET",
+    pathPrefix: "/rounds",
+    isRepeatable: true,
+  },
+  {
+    name: "record-delivery",
+    className: "deliveries",
+    weight: 0.1,
+    service: "delivery-ledger",
+    method: "POST",
+    pathPrefix: "/deliveries",
+    isRepeatable: false,
+  },
+];
+
+/**
+ * Runs the morning on a fleet of its own.
+ *
+ * @param protection - Whether overload decisions are made
+ * @param showProgress - Told when a phase begins
+ * @returns What callers saw, and whether the promises held
+ *
+ * @example
+ * const { report } = await runMorning("on", console.log);
+ */
+export async function runMorning(
+  protection: "on" | "off",
+  showProgress: (text: string) => void,
+): Promise<MorningResult> {
+  const network = await claimNetwork();
+  const behavior = { serviceTimeMs: SERVICE_TIME_MS };
+  const fleet = new Fleet(
+    createMorningFleet({ protection, network, slots: SLOTS, behavior }),
+  );
+  showProgress(
+    `protection ${protection}: starting ${fleet.plan.vms.length} VMs`,
+  );
+  await fleet.start();
+  const caller = new CheckingCaller();
+  const report = await driveLoad({
+    caller,
+    phases: MORNING_PHASES,
+    kinds: KINDS,
+    behavior: {
+      deadlineMs: CALLER_DEADLINE_MS,
+      attemptTimeoutMs: 1_000,
+      maxAttempts: 4,
+      backoffMs: 50,
+      honorsRetryAfter: false,
+    },
+    entryUrls: fleet.entryUrls,
+    memberCount: 200,
+    randomSeed: 1,
+    requestIdPrefix: `morning-${protection}`,
+    bucketMs: 250,
+    onPhase: (phase) => {
+      showProgress(`protection ${protection}: ${phase.name}`);
+      slowDeepService(fleet, phase.name === "slow deep service");
+    },
+  });
+  const runs = fleet.vms.flatMap(({ backendServer }) => backendServer.runs);
+  const findings = caller.check(runs);
+  await fleet.stop();
+  return { report, findings };
+}
+
+function slowDeepService(fleet: Fleet, isSlow: boolean): void {
+  for (const { plan, backendServer } of fleet.vms) {
+    if (plan.service === DEEPEST_SERVICE) {
+      const factor = isSlow ? SLOW_FACTOR : 1;
+      backendServer.behavior.serviceTimeMs = SERVICE_TIME_MS * factor;
+    }
+  }
+}
--- a/src/measure/load/drive_load.ts
+++ b/src/measure/load/drive_load.ts
@@ -23,7 +23,7 @@
  * const report = await driveLoad({ phases, kinds, behavior, entryUrls, ...rest });
  */
 export async function driveLoad(plan: LoadPlan): Promise<LoadReport> {
-  const caller = new TestCaller();
+  const caller = plan.caller ?? new TestCaller();
   const run: LoadRun = {
     plan,
     caller,
--- a/src/measure/load/load_plan.ts
+++ b/src/measure/load/load_plan.ts
@@ -2,6 +2,8 @@
  * What a run of open-loop load consists of.
  */
 
+import type { TestCaller } from "../../testing/test_caller.ts";
+
 /** A part of a run with one arrival rate. */
 export interface LoadPhase {
   readonly name: string;
@@ -50,6 +52,8 @@
   readonly requestIdPrefix: string;
   /** Length of the periods that are counted apart, in milliseconds. */
   readonly bucketMs: number;
+  /** Caller that sends the requests; a new one when left out. */
+  readonly caller?: TestCaller;
   /** Called when a phase begins. */
   readonly onPhase?: (phase: LoadPhase) => void | Promise<void>;
 }
--- /dev/null
+++ b/src/measure/run_demo.ts
@@ -0,0 +1,134 @@
+/**
+ * The demonstration: a morning round with and without protection, side by
+ * side, and whether the promises held. Exits with 1 where one was broken.
+ */
+
+import process from "node:process";
+import type { MustHoldFinding } from "./demo/checking_caller.ts";
+import { MORNING_PHASES, runMorning } from "./demo/run_morning.ts";
+import type { MorningResult } from "./demo/run_morning.ts";
+import type { TableRow } from "./experiment.ts";
+import { computeRecoveryMs, countRequests } from "./load/mod.ts";
+import type { LoadReport } from "./load/mod.ts";
+
+const CLASSES = ["deliveries", "rounds"] as const;
+const RECOVERED_RATIO = 0.95;
+const MICROSECONDS_PER_MS = 1_000;
+
+async function main(): Promise<number> {
+  const showProgress = (text: string) => console.log(`demo: ${text}`);
+  const on = await runMorning("on", showProgress);
+  const off = await runMorning("off", showProgress);
+  console.log("\nrequests answered whole and in time, by phase and class");
+  console.table(tabulateGoodput(on.report, off.report));
+  console.log("requests not answered, by reason of the last attempt");
+  console.table(tabulateReasons(on.report, off.report));
+  console.log("latency of answers and recovery after the slow deep service");
+  console.table(tabulateTimes(on.report, off.report));
+  console.log("what must always hold");
+  console.table([...labelFindings("on", on), ...labelFindings("off", off)]);
+  const broken = [...on.findings, ...off.findings].filter((finding) =>
+    finding.broken > 0
+  );
+  console.log(broken.length === 0 ? "every promise held" : "a promise broke");
+  return broken.length === 0 ? 0 : 1;
+}
+
+function tabulateGoodput(on: LoadReport, off: LoadReport): TableRow[] {
+  return MORNING_PHASES.flatMap(({ name, durationMs }) =>
+    CLASSES.map((className) => ({
+      phase: name,
+      class: className,
+      protected: describeGoodput(on, { name, durationMs, className }),
+      unprotected: describeGoodput(off, { name, durationMs, className }),
+    }))
+  );
+}
+
+interface GoodputPart {
+  readonly name: string;
+  readonly durationMs: number;
+  readonly className: string;
+}
+
+function describeGoodput(report: LoadReport, part: GoodputPart): string {
+  const fromMs = report.phaseStartsMs[part.name] ?? 0;
+  const untilMs = fromMs + part.durationMs;
+  const classNames = [part.className];
+  const { offered, answered } = countRequests(report, {
+    fromMs,
+    untilMs,
+    classNames,
+  });
+  const percent = offered === 0 ? 0 : 100 * answered / offered;
+  return `${answered} of ${offered} (${percent.toFixed(1)}%)`;
+}
+
+function tabulateReasons(on: LoadReport, off: LoadReport): TableRow[] {
+  const [protectedCounts, unprotectedCounts] = [on, off].map(countReasons);
+  const reasons = new Set([
+    ...protectedCounts?.keys() ?? [],
+    ...unprotectedCounts?.keys() ?? [],
+  ]);
+  return [...reasons].sort().map((reason) => ({
+    reason,
+    protected: protectedCounts?.get(reason) ?? 0,
+    unprotected: unprotectedCounts?.get(reason) ?? 0,
+  }));
+}
+
+function countReasons(report: LoadReport): Map<string, number> {
+  const totals = new Map<string, number>();
+  for (const { byClass } of report.buckets) {
+    for (const { reasons } of Object.values(byClass)) {
+      for (const [reason, count] of Object.entries(reasons)) {
+        totals.set(reason, (totals.get(reason) ?? 0) + count);
+      }
+    }
+  }
+  return totals;
+}
+
+function tabulateTimes(on: LoadReport, off: LoadReport): TableRow[] {
+  const latencies = CLASSES.flatMap((className) =>
+    [50, 99].map((percentile) => ({
+      measure: `${className} p${percentile} (ms)`,
+      protected: readLatencyMs(on, className, percentile),
+      unprotected: readLatencyMs(off, className, percentile),
+    }))
+  );
+  return [...latencies, {
+    measure: "recovery (ms)",
+    protected: readRecoveryMs(on),
+    unprotected: readRecoveryMs(off),
+  }];
+}
+
+function readLatencyMs(
+  report: LoadReport,
+  className: string,
+  percentile: number,
+): number {
+  const histogram = report.latencyByClass[className];
+  return (histogram?.getValueAtPercentile(percentile) ?? 0) /
+    MICROSECONDS_PER_MS;
+}
+
+function readRecoveryMs(report: LoadReport): number {
+  const triggerEndMs = report.phaseStartsMs["recovery"] ?? 0;
+  const durationMs = MORNING_PHASES.at(-1)?.durationMs ?? 0;
+  return computeRecoveryMs(report, {
+    triggerEndMs,
+    untilMs: triggerEndMs + durationMs,
+    answeredRatio: RECOVERED_RATIO,
+  });
+}
+
+function labelFindings(protection: string, { findings }: MorningResult) {
+  return findings.map((finding: MustHoldFinding) => ({
+    protection,
+    ...finding,
+  }));
+}
+
+process.exit(await main());
--- a/src/testing/backend_server_stand_in.ts
+++ b/src/testing/backend_server_stand_in.ts
@@ -90,6 +90,9 @@
   async start(): Promise<void> {
     const app = new Hono();
     app.all("*", (context) => this.#handle(context));
+    app.onError((error, context) =>
+      context.json({ error: error.message }, 500)
+    );
     const { address, port } = this.#options;
     await new Promise<void>((resolve) => {
       this.#server = serve(
