Prove what became of a non-repeatable run before it is tried elsewhere

Cause: a lost connection between the holder of a key and a runner, or between an entry and the holder, ended in an unknown outcome at once; another process at the holder's address refused the key as if nothing had run; keys died with a planned stop; the tokens of nested calls were reused by the next process.

Change: runners remember run keys until their start limit, join resends and bar what was asked about before it started; holders ask the same runner process until the deadline; entries ask the same holder process, or the one that took its keys over in a two-party hand-over; nested non-repeatable calls are joined for each run of their parent and refused below a repeatable one; admission of keyed calls is decided by the holder, which alone knows whether they ran.

--- a/src/backend/create_backend_app.ts
+++ b/src/backend/create_backend_app.ts
@@ -8,7 +8,7 @@
 import { createCallResponse, serveHttpCall } from "../caller/mod.ts";
 import { ANNOUNCEMENT_RENEW_MS, HEADERS } from "../constants/mod.ts";
 import { validateAnnouncement } from "../generated/validators.ts";
-import { createRefusal, REASONS } from "../outcome/mod.ts";
+import { createRefusal, createUncertainty, REASONS } from "../outcome/mod.ts";
 import type { CallEnvironment } from "../request/mod.ts";
 
 /**
@@ -56,7 +56,10 @@
   const parent = environment.activeCalls.find(token);
   if (!parent) {
     environment.log.warn({ token: token.slice(0, 32) }, "call-token-unknown");
-    return createCallResponse(err(createRefusal(REASONS.invalidRequest)), "");
+    const failure = token === ""
+      ? createRefusal(REASONS.invalidRequest)
+      : createUncertainty(REASONS.parentEnded);
+    return createCallResponse(err(failure), "");
   }
   return await serveHttpCall(environment, context, parent);
 }
--- a/src/caller/create_caller_app.ts
+++ b/src/caller/create_caller_app.ts
@@ -7,6 +7,7 @@
 import { err } from "neverthrow";
 import { HEADERS } from "../constants/mod.ts";
 import { createRefusal, REASONS } from "../outcome/mod.ts";
+import type { CallFailure } from "../outcome/mod.ts";
 import { serveEntryCall } from "../request/mod.ts";
 import type { ActiveCall, CallEnvironment } from "../request/mod.ts";
 import { createCallResponse } from "./create_call_response.ts";
@@ -18,6 +19,13 @@
 
 const CALL_PREFIX = "/call";
 
+/** Refusals after which the caller goes on with another key. */
+const FRESH_KEY_REASONS: ReadonlySet<string> = new Set([
+  REASONS.keyRequired,
+  REASONS.keyExpired,
+  REASONS.keyHolderGone,
+]);
+
 /**
  * Creates the application that callers reach.
  *
@@ -78,12 +86,16 @@
   }
   const result = await serveEntryCall(environment, { ...entry.value, parent });
   const response = createCallResponse(result, entry.value.requestId);
-  if (result.isErr() && result.error.reason === REASONS.keyRequired) {
+  if (result.isErr() && needsFreshKey(result.error)) {
     response.headers.set(HEADERS.idempotencyKey, environment.keys.issueKey());
   }
   return response;
 }
 
+function needsFreshKey({ kind, reason }: CallFailure): boolean {
+  return kind === "refused" && FRESH_KEY_REASONS.has(reason);
+}
+
 function issueKeys(environment: CallEnvironment, context: Context): Response {
   const count = Number(context.req.query("count") ?? 1);
   if (!Number.isInteger(count) || count < 1 || count > MAX_KEYS) {
--- a/src/caller/parse_entry_call.ts
+++ b/src/caller/parse_entry_call.ts
@@ -71,6 +71,7 @@
     body: http.body,
     requestId: requestId === "" ? randomUUID() : requestId,
     idempotencyKey: read(HEADERS.idempotencyKey),
+    attempt: readAttempt(read(HEADERS.attempt)),
     member: read(HEADERS.member),
     tenant: read(HEADERS.tenant).slice(0, 64),
     deadlineMs,
@@ -80,6 +81,10 @@
   });
 }
 
+function readAttempt(text: string): number {
+  return /^[1-9]\d{0,5}$/.test(text) ? Number(text) : 0;
+}
+
 function isValidDeadline(deadlineMs: number | undefined): boolean {
   return deadlineMs === undefined ||
     (deadlineMs > 0 && deadlineMs <= MAX_DEADLINE_MS);
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -22,10 +22,20 @@
   watchConfiguration,
 } from "../configuration/mod.ts";
 import type { DaemonSettings, MemberRecord } from "../generated/types.ts";
-import { KeyLedger } from "../idempotency/mod.ts";
+import {
+  KeyLedger,
+  KeyPlacement,
+  RunLedger,
+  SuccessorTable,
+} from "../idempotency/mod.ts";
 import { createIncarnation, GossipMembership } from "../membership/mod.ts";
 import { PeerServer } from "../peer/mod.ts";
-import { ActiveCalls, PeerClients, servePeerCall } from "../request/mod.ts";
+import {
+  ActiveCalls,
+  handOverKeys,
+  PeerClients,
+  servePeerCall,
+} from "../request/mod.ts";
 import type { CallEnvironment } from "../request/mod.ts";
 import { AllowanceRetryPolicy, EveryHopRetryPolicy } from "../retry/mod.ts";
 import { LocalFirstChooser, RandomChooser } from "../routing/mod.ts";
@@ -117,6 +127,9 @@
         ? new AllowanceRetryPolicy()
         : new EveryHopRetryPolicy(),
       keys: new KeyLedger({ incarnation, fleetToken, clock }),
+      keyPlacement: new KeyPlacement(),
+      successors: new SuccessorTable(clock),
+      runs: new RunLedger(clock),
       activeCalls: new ActiveCalls(clock),
     };
     this.#peerServer = new PeerServer({
@@ -190,11 +203,13 @@
     );
     this.#membership.updateSelf({ state: "leaving" });
     backend.leave();
+    const sendLateOutcomes = await handOverKeys(this.environment);
     await clock.sleep(LEAVE_NOTICE_MS);
     const deadlineMs = clock.monotonicMs() + settings.drainTimeoutMs;
     while (this.#requestsInProgress > 0 && clock.monotonicMs() < deadlineMs) {
       await clock.sleep(DRAIN_POLL_MS);
     }
+    await sendLateOutcomes();
     this.#stopHousekeeping();
     this.#stopSignal.abort();
     await this.#membership.stop();
@@ -254,8 +269,9 @@
   }
 
   #keepHouse(): void {
-    const { membership, peers } = this.environment;
+    const { membership, peers, successors } = this.environment;
     this.#publishBackend();
+    successors.learn(membership.listAll());
     peers.retain(
       new Set(
         membership.listAll().filter(({ state }) => state !== "dead").map((
--- a/src/idempotency/key_ledger.ts
+++ b/src/idempotency/key_ledger.ts
@@ -1,88 +1,247 @@
 /**
- * The requests that this daemon has dispatched under keys it issued.
+ * The requests dispatched under the keys that this daemon holds: those it
+ * issued and those it took over from daemons that stopped.
  */
 
 import { err } from "neverthrow";
-import { createRefusal, REASONS } from "../outcome/mod.ts";
+import { createRefusal, createUncertainty, REASONS } from "../outcome/mod.ts";
 import type { CallResult } from "../outcome/mod.ts";
 import type { Clock } from "../time/mod.ts";
+import type { GuardedDispatch } from "./guarded_dispatch.ts";
 import { encodeIdempotencyKey } from "./idempotency_key.ts";
 import type { IdempotencyKey } from "./idempotency_key.ts";
+import { OutcomeMemory } from "./outcome_memory.ts";
+import type {
+  OutcomeMemoryOptions,
+  OutcomeToRemember,
+  RememberedOutcome,
+} from "./outcome_memory.ts";
+import { SteadyTime } from "./steady_time.ts";
 
 /** Time for which a key may be used, in milliseconds. */
 export const KEY_LIFETIME_MS = 600_000;
 
+/** Wait suggested when no more keys can be remembered, in milliseconds. */
+const FULL_RETRY_AFTER_MS = 1_000;
+
+/** Wait for the outcome of a dispatch that a former holder had in progress, in milliseconds. */
+const HANDED_RUN_WAIT_MS = 60_000;
+
+const DEFAULT_BOUNDS: OutcomeMemoryOptions = {
+  maxEntries: 40_000,
+  maxAnswerBytes: 8_388_608,
+};
+
 /** Dependencies of the ledger. */
 export interface KeyLedgerOptions {
   readonly incarnation: string;
   readonly fleetToken: string;
   readonly clock: Clock;
+  readonly bounds?: OutcomeMemoryOptions;
 }
 
-interface LedgerEntry {
-  readonly issuedAtMs: number;
-  readonly result: Promise<CallResult>;
+/** One use of a key. */
+export interface KeyUse {
+  /** Attempt number that the caller stated; 0 if none. */
+  readonly attempt: number;
+  /** Dispatches the request. */
+  readonly dispatch: (guard: GuardedDispatch) => Promise<CallResult>;
+  /** Asks again what became of a dispatch whose outcome is unknown; undefined when nothing can be asked. */
+  readonly settle: (guard: GuardedDispatch) => Promise<CallResult> | undefined;
 }
 
-/** Issues keys and runs the request of each at most once. */
+/** A key that has been used, with what is known of its outcome. */
+export interface UsedKey {
+  readonly holder: string;
+  readonly sequence: number;
+  readonly expiresAtMs: number;
+  readonly outcome: RememberedOutcome;
+}
+
+/** Issues keys and dispatches the request of each at most once. */
 export class KeyLedger {
   readonly #options: KeyLedgerOptions;
-  readonly #entries = new Map<number, LedgerEntry>();
+  readonly #time: SteadyTime;
+  readonly #outcomes: OutcomeMemory;
+  /** For each holder, what to add to the own time to get the time that stamps its keys. */
+  readonly #offsetsMs = new Map<string, number>();
+  /** Settles the outcomes that a former holder will still send. */
+  readonly #awaited = new Map<string, (result: CallResult) => void>();
   #nextSequence = 1;
+  #nextRunNumber = 1;
 
   constructor(options: KeyLedgerOptions) {
     this.#options = options;
+    this.#time = new SteadyTime(options.clock);
+    this.#outcomes = new OutcomeMemory(options.bounds ?? DEFAULT_BOUNDS);
+    this.#offsetsMs.set(options.incarnation, 0);
+  }
+
+  /** Daemon processes whose keys are held here, with the time on the clock of each. */
+  get holders(): { holder: string; nowMs: number }[] {
+    return [...this.#offsetsMs].map(([holder, offsetMs]) => ({
+      holder,
+      nowMs: this.#time.nowMs() + offsetMs,
+    }));
+  }
+
+  /** Number of used keys that are remembered. */
+  get size(): number {
+    return this.#outcomes.size;
+  }
+
+  /** Whether keys of this daemon process are held here. */
+  holds(holder: string): boolean {
+    return this.#offsetsMs.has(holder);
   }
 
   /** Issues a key that names this daemon. */
   issueKey(): string {
-    const { incarnation, fleetToken, clock } = this.#options;
+    const { incarnation, fleetToken } = this.#options;
     const key = {
       holder: incarnation,
-      issuedAtMs: clock.nowMs(),
+      issuedAtMs: Math.floor(this.#time.nowMs()),
       sequence: this.#nextSequence,
     };
     this.#nextSequence += 1;
     return encodeIdempotencyKey(key, fleetToken);
   }
 
-  /** Runs the request of a key that this daemon issued, or joins the run that there was. */
-  runOnce(
-    key: IdempotencyKey,
-    run: () => Promise<CallResult>,
-  ): Promise<CallResult> {
-    this.#forgetExpired();
-    if (this.#isExpired(key.issuedAtMs)) {
-      return Promise.resolve(err(createRefusal(REASONS.keyExpired)));
-    }
-    const known = this.#entries.get(key.sequence);
+  /** Gives a number that no other attempt of this daemon has. */
+  takeRunNumber(): number {
+    const runNumber = this.#nextRunNumber;
+    this.#nextRunNumber += 1;
+    return runNumber;
+  }
+
+  /** Dispatches the request of a key that is held here, or joins the dispatch that there was. */
+  runOnce(key: IdempotencyKey, use: KeyUse): Promise<CallResult> {
+    this.#outcomes.forgetExpired(this.#time.nowMs());
+    const name = nameKey(key.holder, key.sequence);
+    const known = this.#outcomes.find(name);
     if (known) {
-      return known.result;
+      return this.#join(name, known, use);
     }
-    const result = run();
-    this.#entries.set(key.sequence, { issuedAtMs: key.issuedAtMs, result });
-    void result.then((settled) =>
-      this.#allowAfterRefusal(key.sequence, settled)
-    );
-    return result;
+    const expiresAtMs = this.#expiresAtMs(key.holder, key.issuedAtMs);
+    if (expiresAtMs < this.#time.nowMs()) {
+      return Promise.resolve(err(describeExpiry(use.attempt)));
+    }
+    if (!this.#outcomes.hasRoom()) {
+      const retryAfterMs = FULL_RETRY_AFTER_MS;
+      return Promise.resolve(
+        err(createRefusal(REASONS.keyLedgerFull, { retryAfterMs })),
+      );
+    }
+    const guard: GuardedDispatch = { openRun: undefined };
+    const result = Promise.resolve().then(() => use.dispatch(guard));
+    return this.#remember(name, { expiresAtMs, result, guard });
   }
 
-  #allowAfterRefusal(sequence: number, result: CallResult): void {
-    if (result.isErr() && result.error.kind === "refused") {
-      this.#entries.delete(sequence);
+  /** Lists the used keys that are remembered. */
+  listUsed(): UsedKey[] {
+    return this.#outcomes.list().map(([name, outcome]) => {
+      const end = name.lastIndexOf("#");
+      return {
+        holder: name.slice(0, end),
+        sequence: Number(name.slice(end + 1)),
+        expiresAtMs: outcome.expiresAtMs,
+        outcome,
+      };
+    });
+  }
+
+  /** Whether so many used keys can be taken over. */
+  hasRoomFor(count: number): boolean {
+    this.#outcomes.forgetExpired(this.#time.nowMs());
+    return this.#outcomes.hasRoom(count);
+  }
+
+  /** Holds the keys of another daemon process from now on; `nowMs` is the time on its clock. */
+  adoptHolder(holder: string, nowMs: number): void {
+    if (!this.#offsetsMs.has(holder)) {
+      this.#offsetsMs.set(holder, nowMs - this.#time.nowMs());
+    }
+  }
+
+  /** Remembers a key that its former holder has used; the outcome may come later. */
+  adoptOutcome(key: IdempotencyKey, settled: CallResult | undefined): void {
+    const name = nameKey(key.holder, key.sequence);
+    const settle = this.#awaited.get(name);
+    if (settled && settle) {
+      settle(settled);
+      return;
+    }
+    if (this.#outcomes.find(name)) {
+      return;
     }
+    const expiresAtMs = this.#expiresAtMs(key.holder, key.issuedAtMs);
+    const result = settled ? Promise.resolve(settled) : this.#await(name);
+    void this.#remember(name, { expiresAtMs, result });
+  }
+
+  /** Time at which a key was issued, on its holder's clock. */
+  issuedAtMs({ holder, expiresAtMs }: UsedKey): number {
+    const offsetMs = this.#offsetsMs.get(holder) ?? 0;
+    return Math.max(0, expiresAtMs - KEY_LIFETIME_MS + offsetMs);
+  }
+
+  #await(name: string): Promise<CallResult> {
+    return new Promise((resolve) => {
+      const settle = (result: CallResult) => {
+        this.#awaited.delete(name);
+        resolve(result);
+      };
+      this.#awaited.set(name, settle);
+      this.#options.clock.schedule(
+        HANDED_RUN_WAIT_MS,
+        () => settle(err(createUncertainty(REASONS.keyHolderGone))),
+      );
+    });
+  }
+
+  async #join(
+    name: string,
+    known: RememberedOutcome,
+    use: KeyUse,
+  ): Promise<CallResult> {
+    const isUnknown = known.settled?.isErr() &&
+      known.settled.error.kind === "unknown";
+    const { expiresAtMs, guard } = known;
+    const settling = isUnknown ? use.settle(guard) : undefined;
+    return await (settling
+      ? this.#remember(name, { expiresAtMs, result: settling, guard })
+      : known.result);
   }
 
-  #isExpired(issuedAtMs: number): boolean {
-    return this.#options.clock.nowMs() - issuedAtMs > KEY_LIFETIME_MS;
+  #remember(
+    name: string,
+    outcome: OutcomeToRemember,
+  ): Promise<CallResult> {
+    this.#outcomes.remember(name, outcome);
+    void outcome.result.then((settled) =>
+      this.#releaseAfterRefusal(name, settled)
+    );
+    return outcome.result;
   }
 
-  #forgetExpired(): void {
-    for (const [sequence, entry] of this.#entries) {
-      if (!this.#isExpired(entry.issuedAtMs)) {
-        return;
-      }
-      this.#entries.delete(sequence);
+  #releaseAfterRefusal(name: string, settled: CallResult): void {
+    const isCurrent = this.#outcomes.find(name)?.settled === settled;
+    if (isCurrent && settled.isErr() && settled.error.kind === "refused") {
+      this.#outcomes.remove(name);
     }
   }
+
+  #expiresAtMs(holder: string, issuedAtMs: number): number {
+    return issuedAtMs - (this.#offsetsMs.get(holder) ?? 0) + KEY_LIFETIME_MS;
+  }
+}
+
+function nameKey(holder: string, sequence: number): string {
+  return `${holder}#${sequence}`;
+}
+
+function describeExpiry(attempt: number) {
+  return attempt === 1
+    ? createRefusal(REASONS.keyExpired)
+    : createUncertainty(REASONS.keyExpired);
 }
--- /dev/null
+++ b/src/idempotency/run_ledger.ts
@@ -0,0 +1,119 @@
+/**
+ * The runs of non-repeatable calls on this VM's backend server.
+ *
+ * Each attempt of a holder at this daemon has a run key of its own. A run key
+ * starts at most one run; a resend joins it. Asking about a run key that was
+ * not started bars it, so that a message still on its way is refused. After
+ * its start limit, a run key is refused and may be forgotten; both are decided
+ * by the same steady clock, so nothing depends on the clocks of other VMs.
+ */
+
+import { err } from "neverthrow";
+import { createRefusal, createUncertainty, REASONS } from "../outcome/mod.ts";
+import type { CallResult } from "../outcome/mod.ts";
+import type { Clock } from "../time/mod.ts";
+import { OutcomeMemory } from "./outcome_memory.ts";
+import type { OutcomeMemoryOptions } from "./outcome_memory.ts";
+import { SteadyTime } from "./steady_time.ts";
+
+/** Difference allowed between the clocks of two VMs, in milliseconds. */
+export const ALLOWED_CLOCK_SKEW_MS = 30_000;
+
+const DEFAULT_BOUNDS: OutcomeMemoryOptions = {
+  maxEntries: 20_000,
+  maxAnswerBytes: 4_194_304,
+};
+
+/** Names one attempt of a non-repeatable call at one runner. */
+export interface RunAttempt {
+  readonly runKey: string;
+  /** Time since the epoch after which the run must not start. */
+  readonly startBeforeMs: number;
+}
+
+/** Starts each run key at most once and remembers what became of it. */
+export class RunLedger {
+  readonly #time: SteadyTime;
+  readonly #outcomes: OutcomeMemory;
+
+  constructor(clock: Clock, bounds: OutcomeMemoryOptions = DEFAULT_BOUNDS) {
+    this.#time = new SteadyTime(clock);
+    this.#outcomes = new OutcomeMemory(bounds);
+  }
+
+  /** Number of run keys remembered. */
+  get size(): number {
+    return this.#outcomes.size;
+  }
+
+  /** Starts the run of an attempt, or joins it when it was started before. */
+  runOnce(
+    { runKey, startBeforeMs }: RunAttempt,
+    start: () => Promise<CallResult>,
+  ): Promise<CallResult> {
+    this.#outcomes.forgetExpired(this.#time.nowMs());
+    const known = this.#outcomes.find(runKey);
+    if (known) {
+      return known.result;
+    }
+    if (this.#time.nowMs() > startBeforeMs) {
+      return Promise.resolve(err(createRefusal(REASONS.deadlineExpired)));
+    }
+    if (!this.#hasRoom()) {
+      return Promise.resolve(err(createRefusal(REASONS.keyLedgerFull)));
+    }
+    return this.startRecorded({ runKey, startBeforeMs }, start);
+  }
+
+  /** Tells what became of an attempt; bars it when it was not started. */
+  resolve({ runKey, startBeforeMs }: RunAttempt): Promise<CallResult> {
+    this.#outcomes.forgetExpired(this.#time.nowMs());
+    const known = this.#outcomes.find(runKey);
+    if (known) {
+      return known.result;
+    }
+    if (this.#time.nowMs() > startBeforeMs || !this.#hasRoom()) {
+      return Promise.resolve(err(createUncertainty(REASONS.runForgotten)));
+    }
+    const barred: CallResult = err(createRefusal(REASONS.notStarted));
+    this.#outcomes.remember(runKey, {
+      expiresAtMs: startBeforeMs,
+      result: Promise.resolve(barred),
+    });
+    return Promise.resolve(barred);
+  }
+
+  /** Makes room, if needed, by forgetting refused attempts; barred ones stay. */
+  #hasRoom(): boolean {
+    if (this.#outcomes.hasRoom()) {
+      return true;
+    }
+    for (const [runKey, { settled }] of this.#outcomes.list()) {
+      const failure = settled?.isErr() ? settled.error : undefined;
+      if (
+        failure?.kind === "refused" && failure.reason !== REASONS.notStarted
+      ) {
+        this.#outcomes.remove(runKey);
+      }
+    }
+    return this.#outcomes.hasRoom();
+  }
+
+  /** Remembers the attempt, then starts it. */
+  protected startRecorded(
+    attempt: RunAttempt,
+    start: () => Promise<CallResult>,
+  ): Promise<CallResult> {
+    const result = Promise.resolve().then(start);
+    this.remember(attempt, result);
+    return result;
+  }
+
+  /** Remembers an attempt with its outcome to come. */
+  protected remember(
+    { runKey, startBeforeMs }: RunAttempt,
+    result: Promise<CallResult>,
+  ): void {
+    this.#outcomes.remember(runKey, { expiresAtMs: startBeforeMs, result });
+  }
+}
--- /dev/null
+++ b/src/idempotency/successor_table.ts
@@ -0,0 +1,53 @@
+/**
+ * Successors of daemons that handed their keys over.
+ */
+
+import type { MemberRecord } from "../generated/types.ts";
+import type { Clock } from "../time/mod.ts";
+import { KEY_LIFETIME_MS } from "./key_ledger.ts";
+
+/** Longest chain of successors that is followed. */
+const MAX_CHAIN = 16;
+
+interface Succession {
+  readonly successor: string;
+  readonly learntAtMs: number;
+}
+
+/** Remembers successors for as long as the keys handed over may be used. */
+export class SuccessorTable {
+  readonly #clock: Clock;
+  readonly #successions = new Map<string, Succession>();
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  /** Learns from member records and forgets what no key needs any more. */
+  learn(records: readonly MemberRecord[]): void {
+    const nowMs = this.#clock.monotonicMs();
+    for (const { incarnation, successor } of records) {
+      if (successor !== "" && !this.#successions.has(incarnation)) {
+        this.#successions.set(incarnation, { successor, learntAtMs: nowMs });
+      }
+    }
+    for (const [incarnation, { learntAtMs }] of this.#successions) {
+      if (nowMs - learntAtMs > KEY_LIFETIME_MS) {
+        this.#successions.delete(incarnation);
+      }
+    }
+  }
+
+  /** The daemon process that holds the keys of `holder`, as far as is known. */
+  findHolder(holder: string): string {
+    let current = holder;
+    for (let steps = 0; steps < MAX_CHAIN; steps += 1) {
+      const next = this.#successions.get(current)?.successor;
+      if (next === undefined) {
+        return current;
+      }
+      current = next;
+    }
+    return current;
+  }
+}
--- a/src/outcome/outcome.ts
+++ b/src/outcome/outcome.ts
@@ -30,6 +30,13 @@
   keyInvalid: "key-invalid",
   keyExpired: "key-expired",
   keyHolderGone: "key-holder-gone",
+  keyLedgerFull: "key-ledger-full",
+  answerDropped: "answer-dropped",
+  notStarted: "not-started",
+  runForgotten: "run-forgotten",
+  parentRepeatable: "parent-repeatable",
+  parentEnded: "parent-ended",
+  answerTruncated: "answer-truncated",
   linkBudget: "link-budget",
   notReady: "not-ready",
 } as const;
--- a/src/peer/mod.ts
+++ b/src/peer/mod.ts
@@ -4,6 +4,7 @@
 
 export { PeerClient } from "./peer_client.ts";
 export type {
+  CallTrace,
   PeerAddress,
   PeerCallOptions,
   UnnumberedCall,
--- a/src/peer/peer_client.ts
+++ b/src/peer/peer_client.ts
@@ -26,24 +26,42 @@
 export interface PeerAddress {
   readonly address: string;
   readonly peerPort: number;
+  /** Incarnation that is meant; another one at the address is not called. */
+  readonly incarnation?: string;
 }
 
 /** A call message before the connection numbers it. */
 export type UnnumberedCall = Omit<CallMessage, "callId" | "body">;
 
+/** What became of the messages of one call. */
+export interface CallTrace {
+  /** Whether the call was handed to the connection. */
+  isSent: boolean;
+  /** Whether the peer's own reply gave the outcome. */
+  isReplied: boolean;
+}
+
 /** Options of a call. */
 export interface PeerCallOptions {
   /** Ends the wait; the peer is told to cancel. */
   readonly signal: AbortSignal;
+  /** Told what became of the call's messages. */
+  readonly trace?: CallTrace;
 }
 
 type Settle = (result: CallResult) => void;
 
+/** A call that waits for its outcome. */
+interface PendingCall {
+  readonly settle: Settle;
+  readonly trace: CallTrace | undefined;
+}
+
 /** One connection with the calls that wait on it. */
 class DialedLink implements PeerLinkOwner {
   readonly link: PeerLink;
   readonly opened: Promise<boolean>;
-  readonly #pending = new Map<number, Settle>();
+  readonly #pending = new Map<number, PendingCall>();
   #nextCallId = 1;
   #settleOpened: (isOpen: boolean) => void = () => undefined;
   remoteIncarnation = "";
@@ -69,9 +87,12 @@
   }
 
   onReply(reply: ReplyMessage, body: Uint8Array): void {
-    const settle = this.#pending.get(reply.callId);
+    const pending = this.#pending.get(reply.callId);
     this.#pending.delete(reply.callId);
-    settle?.(convertReplyToResult(reply, body));
+    if (pending?.trace) {
+      pending.trace.isReplied = true;
+    }
+    pending?.settle(convertReplyToResult(reply, body));
   }
 
   onCall(): void {
@@ -84,7 +105,7 @@
 
   onClose(_error: VError | undefined): void {
     this.#settleOpened(false);
-    for (const settle of this.#pending.values()) {
+    for (const { settle } of this.#pending.values()) {
       settle(err(createUncertainty(REASONS.connectionLost)));
     }
     this.#pending.clear();
@@ -114,19 +135,22 @@
         );
         return;
       }
-      this.#pending.set(callId, settle);
+      if (options.trace) {
+        options.trace.isSent = true;
+      }
+      this.#pending.set(callId, { settle, trace: options.trace });
       options.signal.addEventListener("abort", abort);
     });
   }
 
   #abandon(callId: number): void {
-    const settle = this.#pending.get(callId);
-    if (!settle) {
+    const pending = this.#pending.get(callId);
+    if (!pending) {
       return;
     }
     this.#pending.delete(callId);
     this.link.send({ kind: "cancel", callId });
-    settle(err(createUncertainty(REASONS.cancelled)));
+    pending.settle(err(createUncertainty(REASONS.cancelled)));
   }
 
   #giveUpOpening(): void {
@@ -173,6 +197,13 @@
         }),
       );
     }
+    if (!this.#isMeant(dialed)) {
+      return err(
+        createRefusal(REASONS.connectFailed, {
+          unusedAllowance: call.context.retryAllowance,
+        }),
+      );
+    }
     if (options.signal.aborted) {
       return err(
         createRefusal(REASONS.cancelled, {
@@ -203,6 +234,12 @@
     return dialed;
   }
 
+  #isMeant(dialed: DialedLink): boolean {
+    const { incarnation } = this.#address;
+    return incarnation === undefined ||
+      dialed.remoteIncarnation === incarnation;
+  }
+
   #isSpent(dialed: DialedLink): boolean {
     return dialed.remoteIncarnation !== "" && !dialed.link.isReady;
   }
--- a/src/request/active_calls.ts
+++ b/src/request/active_calls.ts
@@ -5,7 +5,9 @@
  * that deadline, class, allowance and cancellation are handed down.
  */
 
+import { randomBytes } from "node:crypto";
 import type { CallContext } from "../generated/types.ts";
+import type { CallResult } from "../outcome/mod.ts";
 import type { Clock } from "../time/mod.ts";
 
 /** A call that is running on the backend server. */
@@ -17,12 +19,18 @@
   readonly signal: AbortSignal;
   /** Extra attempts that the call's subtree may still make. */
   allowanceLeft: number;
+  /** Non-repeatable calls that the running call has made, by their derived keys. */
+  readonly children: Map<string, Promise<CallResult>>;
 }
 
+/** Random bytes that set the tokens of one process apart from those of others. */
+const TOKEN_RANDOM_BYTES = 9;
+
 /** Remembers running calls by their token. */
 export class ActiveCalls {
   readonly #clock: Clock;
   readonly #calls = new Map<string, ActiveCall>();
+  readonly #prefix = randomBytes(TOKEN_RANDOM_BYTES).toString("base64url");
   #nextToken = 1;
 
   constructor(clock: Clock) {
@@ -36,7 +44,7 @@
 
   /** Adds a call that starts to run. */
   begin(context: CallContext, signal: AbortSignal): ActiveCall {
-    const token = String(this.#nextToken);
+    const token = `${this.#prefix}.${this.#nextToken}`;
     this.#nextToken += 1;
     const deadlineAtMs = this.#clock.monotonicMs() + context.remainingMs;
     const call = {
@@ -45,6 +53,7 @@
       deadlineAtMs,
       signal,
       allowanceLeft: context.retryAllowance,
+      children: new Map(),
     };
     this.#calls.set(token, call);
     return call;
--- a/src/request/call_environment.ts
+++ b/src/request/call_environment.ts
@@ -6,7 +6,12 @@
 import type { BackendClient, BackendRegistry } from "../backend/mod.ts";
 import type { ConfigurationHolder } from "../configuration/mod.ts";
 import type { DaemonSettings } from "../generated/types.ts";
-import type { KeyLedger } from "../idempotency/mod.ts";
+import type {
+  KeyLedger,
+  KeyPlacement,
+  RunLedger,
+  SuccessorTable,
+} from "../idempotency/mod.ts";
 import type { Membership } from "../membership/mod.ts";
 import type { RetryPolicy } from "../retry/mod.ts";
 import type { InstanceChooser } from "../routing/mod.ts";
@@ -36,5 +41,8 @@
   readonly chooser: InstanceChooser;
   readonly retryPolicy: RetryPolicy;
   readonly keys: KeyLedger;
+  readonly keyPlacement: KeyPlacement;
+  readonly successors: SuccessorTable;
+  readonly runs: RunLedger;
   readonly activeCalls: ActiveCalls;
 }
--- /dev/null
+++ b/src/request/call_until_deadline.ts
@@ -0,0 +1,56 @@
+/**
+ * Calls to peers that end at a deadline.
+ */
+
+import type { CallTrace, PeerClient, UnnumberedCall } from "../peer/mod.ts";
+import type { CallResult } from "../outcome/mod.ts";
+import type { Clock } from "../time/mod.ts";
+
+/** Message, body and limits of a call to a peer. */
+export interface DeadlineCall {
+  readonly message: UnnumberedCall;
+  readonly body: Uint8Array;
+  /** When the wait ends, in monotonic milliseconds. */
+  readonly deadlineAtMs: number;
+  readonly signal: AbortSignal;
+}
+
+/** The outcome of a call to a peer and what became of its messages. */
+export interface TracedResult {
+  readonly result: CallResult;
+  readonly trace: CallTrace;
+}
+
+/**
+ * Calls a peer and gives up at the deadline or when the signal ends.
+ *
+ * @param client - Connection to the peer
+ * @param clock - Clock of the deadline
+ * @param call - Message, body and limits
+ * @returns The outcome, and whether the call was sent and replied to
+ *
+ * @example
+ * const { result, trace } = await callUntilDeadline(peers.get(holder), clock, call);
+ */
+export async function callUntilDeadline(
+  client: PeerClient,
+  clock: Clock,
+  call: DeadlineCall,
+): Promise<TracedResult> {
+  const trace: CallTrace = { isSent: false, isReplied: false };
+  const controller = new AbortController();
+  const cancel = () => controller.abort();
+  const remainingMs = Math.max(0, call.deadlineAtMs - clock.monotonicMs());
+  const cancelDeadline = clock.schedule(remainingMs, cancel);
+  call.signal.addEventListener("abort", cancel);
+  if (call.signal.aborted) {
+    cancel();
+  }
+  const result = await client.call(call.message, call.body, {
+    signal: controller.signal,
+    trace,
+  });
+  cancelDeadline();
+  call.signal.removeEventListener("abort", cancel);
+  return { result, trace };
+}
--- /dev/null
+++ b/src/request/create_call_message.ts
@@ -0,0 +1,31 @@
+/**
+ * Creation of the message that carries a call to another daemon.
+ */
+
+import type { CallMessage } from "../generated/types.ts";
+import type { UnnumberedCall } from "../peer/mod.ts";
+import type { OutboundCall } from "./outbound_call.ts";
+
+/**
+ * Creates the message of a call.
+ *
+ * @param call - The call
+ * @param purpose - What the receiver is asked to do with it
+ * @returns The message without its body
+ *
+ * @example
+ * await peers.get(holder).call(createCallMessage(call, "dispatch"), call.body, options);
+ */
+export function createCallMessage(
+  call: OutboundCall,
+  purpose: CallMessage["purpose"],
+): UnnumberedCall {
+  const { context, idempotencyKey, service, method, path, contentType } = call;
+  const bodyLengthBytes = call.body.length;
+  return {
+    kind: "call",
+    purpose,
+    ...{ context, idempotencyKey, service, method, path, contentType },
+    bodyLengthBytes,
+  };
+}
--- a/src/request/dispatch_call.ts
+++ b/src/request/dispatch_call.ts
@@ -12,6 +12,7 @@
 import type { CallEnvironment } from "./call_environment.ts";
 import type { OutboundCall } from "./outbound_call.ts";
 import { runCall } from "./run_call.ts";
+import { sendOnce } from "./send_once.ts";
 
 /** Wait suggested when no instance is known, in milliseconds. */
 const NO_INSTANCE_RETRY_AFTER_MS = 1_000;
@@ -154,6 +155,12 @@
   instance: MemberRecord,
 ): Promise<CallResult> {
   const { membership, peers, clock } = environment;
+  if (call.guard) {
+    return await sendOnce(environment, call, {
+      runner: instance,
+      guard: call.guard,
+    });
+  }
   if (instance.incarnation === membership.self.incarnation) {
     return await runCall(environment, call);
   }
--- a/src/request/dispatch_once.ts
+++ b/src/request/dispatch_once.ts
@@ -1,23 +1,25 @@
 /**
- * Dispatch of a non-repeatable call by the one daemon that its key names.
+ * Dispatch of a non-repeatable call by the one daemon that holds its key.
  */
 
 import { err } from "neverthrow";
-import { decodeIdempotencyKey } from "../idempotency/mod.ts";
-import type { IdempotencyKey } from "../idempotency/mod.ts";
+import { decodeIdempotencyKey, PLACEMENTS } from "../idempotency/mod.ts";
+import type { GuardedDispatch, IdempotencyKey } from "../idempotency/mod.ts";
 import { createRefusal, createUncertainty, REASONS } from "../outcome/mod.ts";
 import type { CallResult } from "../outcome/mod.ts";
 import type { CallEnvironment } from "./call_environment.ts";
 import { dispatchCall } from "./dispatch_call.ts";
+import { forwardToHolder } from "./forward_to_holder.ts";
 import type { OutboundCall } from "./outbound_call.ts";
+import { settleRun } from "./send_once.ts";
 
 /**
- * Dispatches a call under its key: here if this daemon issued it, otherwise
- * through the daemon that did.
+ * Dispatches a call under its key: here if the key is held here, otherwise
+ * through the daemon that holds it.
  *
  * @param environment - The daemon's parts
  * @param call - A call with an idempotency key
- * @returns The outcome
+ * @returns The outcome; a refusal says that no attempt under the key has run
  *
  * @example
  * const result = await dispatchOnce(environment, call);
@@ -26,54 +28,58 @@
   environment: CallEnvironment,
   call: OutboundCall,
 ): Promise<CallResult> {
-  const key = decodeIdempotencyKey(
-    call.idempotencyKey,
-    environment.settings.fleetToken,
-  );
+  const { keyPlacement, keys, settings } = environment;
+  const key = decodeIdempotencyKey(call.idempotencyKey, settings.fleetToken);
   if (key.isErr()) {
     return err(createRefusal(key.error));
   }
-  if (key.value.holder === environment.membership.self.incarnation) {
-    return await environment.keys.runOnce(
-      key.value,
-      () => dispatchCall(environment, call),
-    );
+  const { holder } = key.value;
+  if (!keys.holds(holder)) {
+    return await forwardToHolder(environment, call, holder);
   }
-  return await forwardToHolder(environment, call, key.value);
+  while (keyPlacement.state === PLACEMENTS.handingOver) {
+    await keyPlacement.decided;
+  }
+  if (keyPlacement.state === PLACEMENTS.here) {
+    return await dispatchHere(environment, call, key.value);
+  }
+  return keyPlacement.state === PLACEMENTS.handedOver
+    ? await forwardToHolder(environment, call, keyPlacement.successor)
+    : err(createUncertainty(REASONS.keyHolderGone));
 }
 
-async function forwardToHolder(
+function dispatchHere(
   environment: CallEnvironment,
   call: OutboundCall,
   key: IdempotencyKey,
 ): Promise<CallResult> {
-  const holder = environment.membership.find(key.holder);
-  if (!holder || holder.state === "dead") {
-    return err(createUncertainty(REASONS.keyHolderGone));
-  }
-  const {
-    context,
-    idempotencyKey,
-    service,
-    method,
-    path,
-    contentType,
-    body,
-    signal,
-  } = call;
-  const bodyLengthBytes = body.length;
-  const message = {
-    context,
-    idempotencyKey,
-    service,
-    method,
-    path,
-    contentType,
-    bodyLengthBytes,
-  };
-  return await environment.peers.get(holder).call(
-    { kind: "call", purpose: "dispatch", ...message },
-    body,
-    { signal },
-  );
+  const { keys } = environment;
+  const held = { ...call, signal: new AbortController().signal };
+  return keys.runOnce(key, {
+    attempt: call.attempt,
+    dispatch: (guard) => admitAndDispatch(environment, { ...held, guard }),
+    settle: (guard) => settleAgain(environment, { ...held, guard }),
+  });
+}
+
+/** Refuses what the fleet is too loaded for, since nothing under the key has run; then dispatches. */
+async function admitAndDispatch(
+  environment: CallEnvironment,
+  call: OutboundCall,
+): Promise<CallResult> {
+  const { configuration, entryAdmission } = environment;
+  const { requestName, member } = call.context;
+  const request = configuration.current?.requestsByName.get(requestName);
+  const admitted = request && entryAdmission.check({ request, member });
+  return admitted?.isErr()
+    ? err(admitted.error)
+    : await dispatchCall(environment, call);
+}
+
+function settleAgain(
+  environment: CallEnvironment,
+  call: OutboundCall & { readonly guard: GuardedDispatch },
+): Promise<CallResult> | undefined {
+  const { openRun } = call.guard;
+  return openRun && settleRun(environment, call, openRun);
 }
--- /dev/null
+++ b/src/request/forward_to_holder.ts
@@ -0,0 +1,86 @@
+/**
+ * Forwarding of a non-repeatable call to the daemon that holds its key.
+ */
+
+import { err } from "neverthrow";
+import type { MemberRecord } from "../generated/types.ts";
+import { createRefusal, createUncertainty, REASONS } from "../outcome/mod.ts";
+import type { CallResult } from "../outcome/mod.ts";
+import type { CallEnvironment } from "./call_environment.ts";
+import { callUntilDeadline } from "./call_until_deadline.ts";
+import { createCallMessage } from "./create_call_message.ts";
+import type { OutboundCall } from "./outbound_call.ts";
+
+/** Pause before the holder is tried again, in milliseconds. */
+const FORWARD_INTERVAL_MS = 50;
+
+/**
+ * Sends a call to the holder of its key until the holder tells the outcome.
+ *
+ * The holder joins duplicates, so the call is sent again after a lost
+ * connection, to the same daemon process or to the one that took its keys over.
+ *
+ * @param environment - The daemon's parts
+ * @param call - A call with an idempotency key
+ * @param holder - Incarnation that the key names
+ * @returns The outcome; without the holder's word it is unknown, unless the
+ *   caller states a first attempt and nothing was sent
+ *
+ * @example
+ * const result = await forwardToHolder(environment, call, key.holder);
+ */
+export async function forwardToHolder(
+  environment: CallEnvironment,
+  call: OutboundCall,
+  holder: string,
+): Promise<CallResult> {
+  const { clock, peers } = environment;
+  const attempt = call.attempt;
+  let isSent = false;
+  while (clock.monotonicMs() < call.deadlineAtMs && !call.signal.aborted) {
+    const target = findHolder(environment, holder);
+    if (!target) {
+      break;
+    }
+    const { deadlineAtMs, signal } = call;
+    const remainingMs = deadlineAtMs - clock.monotonicMs();
+    const context = { ...call.context, remainingMs };
+    const message = {
+      ...createCallMessage({ ...call, context }, "dispatch"),
+      attempt,
+    };
+    const { result, trace } = await callUntilDeadline(
+      peers.get(target),
+      clock,
+      { message, body: call.body, deadlineAtMs, signal },
+    );
+    if (trace.isReplied) {
+      return result;
+    }
+    isSent ||= trace.isSent;
+    if (!isSent && attempt === 1) {
+      break;
+    }
+    await clock.sleep(FORWARD_INTERVAL_MS);
+  }
+  return describeMissingHolder(call, isSent);
+}
+
+function findHolder(
+  { membership, successors }: CallEnvironment,
+  holder: string,
+): MemberRecord | undefined {
+  successors.learn(membership.listAll());
+  const record = membership.find(successors.findHolder(holder));
+  return record?.state === "dead" ? undefined : record;
+}
+
+function describeMissingHolder(
+  call: OutboundCall,
+  isSent: boolean,
+): CallResult {
+  const unusedAllowance = call.context.retryAllowance;
+  return !isSent && call.attempt === 1
+    ? err(createRefusal(REASONS.keyHolderGone, { unusedAllowance }))
+    : err(createUncertainty(REASONS.keyHolderGone));
+}
--- a/src/request/outbound_call.ts
+++ b/src/request/outbound_call.ts
@@ -3,6 +3,7 @@
  */
 
 import type { CallContext } from "../generated/types.ts";
+import type { GuardedDispatch } from "../idempotency/mod.ts";
 
 /** A call that this daemon routes. */
 export interface OutboundCall {
@@ -17,6 +18,10 @@
   readonly body: Uint8Array;
   /** Key of a non-repeatable call; empty for others. */
   readonly idempotencyKey: string;
+  /** Attempt number that the caller stated; 0 if none. */
+  readonly attempt: number;
+  /** Present on non-repeatable calls while they are dispatched. */
+  readonly guard?: GuardedDispatch;
   /** Ends when the caller no longer waits. */
   readonly signal: AbortSignal;
 }
--- /dev/null
+++ b/src/request/send_once.ts
@@ -0,0 +1,149 @@
+/**
+ * Sending of a non-repeatable call to one runner.
+ *
+ * The message that starts the run is sent once. When the connection is lost
+ * before the reply, the same runner process is asked what became of the run;
+ * the question bars a run that has not started. Only its own word is a proof:
+ * another process at the address is not asked, and while the runner cannot be
+ * reached the outcome is unknown.
+ */
+
+import { err } from "neverthrow";
+import { ALLOWED_CLOCK_SKEW_MS } from "../idempotency/mod.ts";
+import type { GuardedDispatch, OpenRun } from "../idempotency/mod.ts";
+import { createUncertainty, REASONS } from "../outcome/mod.ts";
+import type { CallResult } from "../outcome/mod.ts";
+import type { MemberRecord } from "../generated/types.ts";
+import type { CallEnvironment } from "./call_environment.ts";
+import { callUntilDeadline } from "./call_until_deadline.ts";
+import { createCallMessage } from "./create_call_message.ts";
+import type { OutboundCall } from "./outbound_call.ts";
+import { runCall } from "./run_call.ts";
+
+/** Pause between two questions to a runner, in milliseconds. */
+const RESOLVE_INTERVAL_MS = 50;
+
+const EMPTY_BODY = new Uint8Array(0);
+
+/** Where an attempt goes and the dispatch that it belongs to. */
+export interface GuardedAttempt {
+  readonly runner: MemberRecord;
+  readonly guard: GuardedDispatch;
+}
+
+/**
+ * Sends a non-repeatable call to a runner and finds out what became of it.
+ *
+ * @param environment - The daemon's parts
+ * @param call - The call
+ * @param attempt - The runner, and the progress of the dispatch
+ * @returns The outcome; a refusal proves that the runner did not and will not run it
+ *
+ * @example
+ * const result = await sendOnce(environment, call, { runner, guard });
+ */
+export async function sendOnce(
+  environment: CallEnvironment,
+  call: OutboundCall,
+  { runner, guard }: GuardedAttempt,
+): Promise<CallResult> {
+  const run = createOpenRun(environment, call, runner);
+  const isLocal =
+    runner.incarnation === environment.membership.self.incarnation;
+  const result = isLocal
+    ? await environment.runs.runOnce(run, () => runCall(environment, call))
+    : await startAtPeer(environment, call, { run, guard });
+  const unusedAllowance = call.context.retryAllowance;
+  return result.mapErr((failure) =>
+    failure.kind === "refused" ? { ...failure, unusedAllowance } : failure
+  );
+}
+
+/**
+ * Asks a runner what became of a run until it tells or the call's deadline passes.
+ *
+ * @param environment - The daemon's parts
+ * @param call - The call, with the time until which to ask
+ * @param run - The run
+ * @returns The outcome that the runner gave, or an unknown outcome
+ *
+ * @example
+ * const result = await settleRun(environment, call, guard.openRun);
+ */
+export async function settleRun(
+  environment: CallEnvironment,
+  call: OutboundCall,
+  run: OpenRun,
+): Promise<CallResult> {
+  const { clock, membership, peers } = environment;
+  const { runKey, startBeforeMs } = run;
+  const message = { ...createCallMessage(call, "resolve"), bodyLengthBytes: 0 };
+  while (clock.monotonicMs() < call.deadlineAtMs) {
+    const { result, trace } = await callUntilDeadline(
+      peers.get(run.runner),
+      clock,
+      {
+        message: { ...message, runKey, startBeforeMs },
+        body: EMPTY_BODY,
+        deadlineAtMs: call.deadlineAtMs,
+        signal: call.signal,
+      },
+    );
+    if (trace.isReplied) {
+      return result;
+    }
+    if (membership.find(run.runner.incarnation)?.state === "dead") {
+      break;
+    }
+    await clock.sleep(RESOLVE_INTERVAL_MS);
+  }
+  return err(createUncertainty(REASONS.connectionLost));
+}
+
+interface StartOptions {
+  readonly run: OpenRun;
+  readonly guard: GuardedDispatch;
+}
+
+async function startAtPeer(
+  environment: CallEnvironment,
+  call: OutboundCall,
+  { run, guard }: StartOptions,
+): Promise<CallResult> {
+  const { clock, peers } = environment;
+  const { runKey, startBeforeMs } = run;
+  const { result, trace } = await callUntilDeadline(
+    peers.get(run.runner),
+    clock,
+    {
+      message: { ...createCallMessage(call, "run"), runKey, startBeforeMs },
+      body: call.body,
+      deadlineAtMs: call.deadlineAtMs,
+      signal: call.signal,
+    },
+  );
+  if (trace.isReplied || !trace.isSent) {
+    return result;
+  }
+  guard.openRun = run;
+  const settled = await settleRun(environment, call, run);
+  if (settled.isOk() || settled.error.kind === "refused") {
+    guard.openRun = undefined;
+  }
+  return settled;
+}
+
+function createOpenRun(
+  environment: CallEnvironment,
+  call: OutboundCall,
+  runner: MemberRecord,
+): OpenRun {
+  const { clock, keys, membership } = environment;
+  const remainingMs = Math.max(0, call.deadlineAtMs - clock.monotonicMs());
+  const holder = membership.self.incarnation;
+  return {
+    runKey: `${call.idempotencyKey}#${holder}#${keys.takeRunNumber()}`,
+    startBeforeMs: clock.nowMs() + remainingMs + ALLOWED_CLOCK_SKEW_MS,
+    runner,
+  };
+}
--- a/src/request/serve_entry_call.ts
+++ b/src/request/serve_entry_call.ts
@@ -19,6 +19,7 @@
 import type { ActiveCall } from "./active_calls.ts";
 import type { CallEnvironment } from "./call_environment.ts";
 import { dispatchCall } from "./dispatch_call.ts";
+import { dispatchChildOnce } from "./dispatch_child_once.ts";
 import { dispatchOnce } from "./dispatch_once.ts";
 import type { OutboundCall } from "./outbound_call.ts";
 
@@ -32,6 +33,8 @@
   /** Empty when the caller gave none. */
   readonly requestId: string;
   readonly idempotencyKey: string;
+  /** Attempt number that the caller stated; 0 if none. */
+  readonly attempt: number;
   readonly member: string;
   readonly tenant: string;
   /** Undefined when the caller gave none. */
@@ -86,10 +89,7 @@
   if (parent) {
     parent.allowanceLeft -= call.context.retryAllowance;
   }
-  const isGuarded = !call.context.isRepeatable && !parent;
-  const result = isGuarded
-    ? await dispatchOnce(environment, call)
-    : await dispatchCall(environment, call);
+  const result = await dispatch(environment, call, parent);
   if (parent) {
     parent.allowanceLeft += result.isOk()
       ? result.value.unusedAllowance
@@ -98,6 +98,19 @@
   return result;
 }
 
+async function dispatch(
+  environment: CallEnvironment,
+  call: OutboundCall,
+  parent: ActiveCall | undefined,
+): Promise<CallResult> {
+  if (call.context.isRepeatable) {
+    return await dispatchCall(environment, call);
+  }
+  return parent
+    ? await dispatchChildOnce(environment, call, parent)
+    : await dispatchOnce(environment, call);
+}
+
 function prepareCall(
   environment: CallEnvironment,
   entry: EntryCall,
@@ -134,10 +147,9 @@
     request.deadlineMs,
     entry.deadlineMs ?? request.deadlineMs,
   );
-  const admitted = environment.entryAdmission.check({
-    request,
-    member: entry.member,
-  });
+  const admitted = isRepeatable
+    ? environment.entryAdmission.check({ request, member: entry.member })
+    : ok(undefined); // The holder of the key decides; only it knows what has run.
   if (admitted.isErr()) {
     return err(admitted.error);
   }
@@ -211,9 +223,12 @@
 }
 
 function pickTarget(entry: EntryCall) {
-  const { service, method, path, contentType, body, idempotencyKey, signal } =
-    entry;
-  return { service, method, path, contentType, body, idempotencyKey, signal };
+  const { service, method, path, contentType, body, signal } = entry;
+  const { idempotencyKey, attempt } = entry;
+  return {
+    ...{ service, method, path, contentType, body, signal },
+    ...{ idempotencyKey, attempt },
+  };
 }
 
 interface OutcomeFacts {
--- a/src/request/serve_peer_call.ts
+++ b/src/request/serve_peer_call.ts
@@ -1,16 +1,19 @@
 /**
- * Calls that other daemons send: to run here, or to dispatch under a key of ours.
+ * Calls that other daemons send: to run here, to tell what became of a run, to
+ * dispatch under a key held here, or to take keys over.
  */
 
 import { err } from "neverthrow";
 import type { CallMessage } from "../generated/types.ts";
 import { decodeIdempotencyKey } from "../idempotency/mod.ts";
-import { createRefusal, REASONS } from "../outcome/mod.ts";
+import type { RunAttempt } from "../idempotency/mod.ts";
+import { createUncertainty, REASONS } from "../outcome/mod.ts";
 import type { CallResult } from "../outcome/mod.ts";
 import type { CallEnvironment } from "./call_environment.ts";
-import { dispatchCall } from "./dispatch_call.ts";
+import { dispatchOnce } from "./dispatch_once.ts";
 import type { OutboundCall } from "./outbound_call.ts";
 import { runCall } from "./run_call.ts";
+import { takeOverKeys } from "./take_over_keys.ts";
 
 /**
  * Serves a call from another daemon.
@@ -28,22 +31,56 @@
   message: CallMessage,
   options: { body: Uint8Array; signal: AbortSignal },
 ): Promise<CallResult> {
-  const { clock, configuration, keys, membership, settings } = environment;
+  const { clock, configuration } = environment;
   const { context, idempotencyKey, service, method, path, contentType } =
     message;
   const classRanks = configuration.current?.classRanks;
   const call: OutboundCall = {
     ...{ context, idempotencyKey, service, method, path, contentType },
     ...options,
+    attempt: message.attempt ?? 0,
     deadlineAtMs: clock.monotonicMs() + context.remainingMs,
     classRank: classRanks?.get(context.className) ?? classRanks?.size ?? 0,
   };
-  if (message.purpose === "run") {
-    return await runCall(environment, call);
+  switch (message.purpose) {
+    case "run":
+      return message.runKey === undefined
+        ? await runCall(environment, call)
+        : await runOnce(environment, call, toRunAttempt(message));
+    case "resolve":
+      return await environment.runs.resolve(toRunAttempt(message));
+    case "dispatch":
+      return await dispatchHeld(environment, call);
+    case "takeover":
+      return takeOverKeys(environment, options.body);
   }
-  const key = decodeIdempotencyKey(idempotencyKey, settings.fleetToken);
-  if (key.isErr() || key.value.holder !== membership.self.incarnation) {
-    return err(createRefusal(REASONS.keyInvalid));
-  }
-  return await keys.runOnce(key.value, () => dispatchCall(environment, call));
+}
+
+/** Runs an attempt apart from the connection it came on, since its sender may ask again on another. */
+function runOnce(
+  environment: CallEnvironment,
+  call: OutboundCall,
+  attempt: RunAttempt,
+): Promise<CallResult> {
+  const { signal } = new AbortController();
+  return environment.runs.runOnce(
+    attempt,
+    () => runCall(environment, { ...call, signal }),
+  );
+}
+
+/** Dispatches under a key that is or was held here; nothing is known of other keys. */
+async function dispatchHeld(
+  environment: CallEnvironment,
+  call: OutboundCall,
+): Promise<CallResult> {
+  const { keys, settings } = environment;
+  const key = decodeIdempotencyKey(call.idempotencyKey, settings.fleetToken);
+  return key.isOk() && keys.holds(key.value.holder)
+    ? await dispatchOnce(environment, call)
+    : err(createUncertainty(REASONS.keyHolderGone));
+}
+
+function toRunAttempt({ runKey, startBeforeMs }: CallMessage): RunAttempt {
+  return { runKey: runKey ?? "", startBeforeMs: startBeforeMs ?? 0 };
 }
--- a/src/retry/retry_policy.ts
+++ b/src/retry/retry_policy.ts
@@ -55,6 +55,8 @@
   REASONS.noBackendServer,
   REASONS.backendFailed,
   REASONS.leaving,
+  REASONS.notStarted,
+  REASONS.keyLedgerFull,
 ]);
 
 /** Retries within the allowance that the request carries from end to end. */
--- a/src/telemetry/decision_journal.ts
+++ b/src/telemetry/decision_journal.ts
@@ -17,6 +17,7 @@
   retryDenied: "retry-denied",
   connectionReplaced: "connection-replaced",
   keyTakeover: "key-takeover",
+  keyHandOver: "key-hand-over",
   configurationChange: "configuration-change",
   membershipChange: "membership-change",
   leaving: "leaving",
