Take only a delimited answer for whole and let replies leave at a planned stop

Change: an answer without a length or chunks is unknown (answer-truncated); peer connections are flushed before they end; the broken name is refused.

--- a/src/backend/backend_client.ts
+++ b/src/backend/backend_client.ts
@@ -4,6 +4,7 @@
 
 import { err, ok } from "neverthrow";
 import { Pool } from "undici";
+import type { Dispatcher } from "undici";
 import { HEADERS } from "../constants/mod.ts";
 import type { Announcement, CallContext } from "../generated/types.ts";
 import { createRefusal, createUncertainty, REASONS } from "../outcome/mod.ts";
@@ -68,6 +69,9 @@
         bodyTimeout: Math.max(1, call.context.remainingMs),
       });
       const body = new Uint8Array(await response.body.arrayBuffer());
+      if (!hasDelimitedBody(response)) {
+        return err(createUncertainty(REASONS.answerTruncated));
+      }
       if (body.length > options.maxBodyBytes) {
         return err(createUncertainty(REASONS.bodyTooLarge));
       }
@@ -124,6 +128,15 @@
   return headers;
 }
 
+/** Whether the end of the body can be told from a connection that ended early. */
+function hasDelimitedBody(
+  { statusCode, headers }: Dispatcher.ResponseData,
+): boolean {
+  return statusCode === 204 || statusCode === 304 ||
+    headers["content-length"] !== undefined ||
+    headers["transfer-encoding"] !== undefined;
+}
+
 function classifyError(cause: Error & { code?: string }, signal: AbortSignal) {
   if (NOT_SENT_CODES.has(cause.code ?? "")) {
     return createRefusal(REASONS.noBackendServer);
--- /dev/null
+++ b/src/backend/backend_client_test.ts
@@ -0,0 +1,133 @@
+import { once } from "node:events";
+import { createServer } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
+import * as assert from "uvu/assert";
+import { test } from "uvu";
+import type { Announcement } from "../generated/types.ts";
+import type { CallResult } from "../outcome/mod.ts";
+import { BackendClient } from "./backend_client.ts";
+import type { BackendCall } from "./backend_client.ts";
+
+const ADDRESS = "127.60.1.1";
+
+function createCall(): BackendCall {
+  return {
+    method: "POST",
+    path: "/deliveries/1",
+    contentType: "",
+    body: new Uint8Array(0),
+    context: {
+      requestId: "request-1",
+      requestName: "record-delivery",
+      className: "deliveries",
+      member: "member-1",
+      tenant: "other",
+      remainingMs: 5_000,
+      retryAllowance: 0,
+      depth: 0,
+      isRepeatable: false,
+      isBulk: false,
+    },
+    idempotencyKey: "key-1",
+    callToken: "token-1",
+  };
+}
+
+function createAnnouncement(port: number): Announcement {
+  return {
+    service: "delivery-ledger",
+    port,
+    slots: 4,
+    connections: 4,
+    reportsLoad: true,
+    coldStartMs: 0,
+    inFlight: 0,
+  };
+}
+
+/** Calls a server that answers each connection with `respond` after the request's first bytes. */
+async function callServer(
+  respond: (socket: Socket) => void,
+  signal = new AbortController().signal,
+): Promise<CallResult> {
+  const server = createServer((socket) => {
+    socket.on("error", () => undefined);
+    socket.once("data", () => respond(socket));
+  });
+  server.listen(0, ADDRESS);
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  const client = new BackendClient(ADDRESS);
+  const result = await client.call(createAnnouncement(port), createCall(), {
+    signal,
+    maxBodyBytes: 1_024,
+  });
+  server.close();
+  void client.close();
+  return result;
+}
+
+function readFailure(result: CallResult): string {
+  const { kind, reason } = result._unsafeUnwrapErr();
+  return `${kind} ${reason}`;
+}
+
+test("an answer whose length is known and complete is whole", async () => {
+  const result = await callServer((socket) =>
+    socket.end("HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ndone")
+  );
+  assert.is(new TextDecoder().decode(result._unsafeUnwrap().body), "done");
+});
+
+test("an answer cut off within its announced length is unknown", async () => {
+  const result = await callServer((socket) =>
+    socket.end("HTTP/1.1 200 OK\r\ncontent-length: 40\r\n\r\ndone")
+  );
+  assert.is(readFailure(result), "unknown backend-failed");
+});
+
+test("an answer whose end is only the end of the connection is not taken for whole", async () => {
+  const result = await callServer((socket) =>
+    socket.end("HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nperhaps mor")
+  );
+  assert.is(readFailure(result), "unknown answer-truncated");
+});
+
+test("a chunked answer without its last chunk is unknown", async () => {
+  const result = await callServer((socket) =>
+    socket.end(
+      "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\ndone\r\n",
+    )
+  );
+  assert.is(readFailure(result), "unknown backend-failed");
+});
+
+test("a connection reset after the request was sent is unknown", async () => {
+  const result = await callServer((socket) => socket.resetAndDestroy());
+  assert.is(readFailure(result), "unknown backend-failed");
+});
+
+test("a call cancelled while it runs is unknown", async () => {
+  const controller = new AbortController();
+  const result = await callServer(
+    () => controller.abort(),
+    controller.signal,
+  );
+  assert.is(readFailure(result), "unknown cancelled");
+});
+
+test("a call cancelled before it was sent is refused", async () => {
+  const result = await callServer(() => undefined, AbortSignal.abort());
+  assert.is(readFailure(result), "refused cancelled");
+});
+
+test("a backend server that does not listen has run nothing", async () => {
+  const client = new BackendClient(ADDRESS);
+  const result = await client.call(createAnnouncement(9), createCall(), {
+    signal: new AbortController().signal,
+    maxBodyBytes: 1_024,
+  });
+  assert.is(readFailure(result), "refused no-backend-server");
+});
+
+test.run();
--- a/src/caller/parse_entry_call.ts
+++ b/src/caller/parse_entry_call.ts
@@ -49,8 +49,9 @@
   const isLong = Object.values(HEADERS).some((name) =>
     read(name).length > MAX_HEADER_VALUE_BYTES
   );
-  const [, service = "", rest = ""] = /^\/([^/?]+)(.*)$/s.exec(http.target) ??
+  const [, encoded = "", rest = ""] = /^\/([^/?]+)(.*)$/s.exec(http.target) ??
     [];
+  const service = decodeSegment(encoded);
   const requestId = read(HEADERS.requestId);
   const deadlineMs = read(HEADERS.deadlineMs) === ""
     ? undefined
@@ -64,7 +65,7 @@
     return err(createRefusal(REASONS.invalidRequest));
   }
   return ok({
-    service: decodeURIComponent(service),
+    service,
     method: http.method,
     path: rest.startsWith("/") ? rest : `/${rest}`,
     contentType: read("content-type").slice(0, 256),
@@ -81,6 +82,15 @@
   });
 }
 
+/** The segment without percent-encoding; empty when the encoding is broken. */
+function decodeSegment(segment: string): string {
+  try {
+    return decodeURIComponent(segment);
+  } catch {
+    return "";
+  }
+}
+
 function readAttempt(text: string): number {
   return /^[1-9]\d{0,5}$/.test(text) ? Number(text) : 0;
 }
--- a/src/peer/peer_link.ts
+++ b/src/peer/peer_link.ts
@@ -61,6 +61,9 @@
   readonly assembler: BodyAssembler;
 }
 
+/** Longest wait for what was sent to leave at a planned stop, in milliseconds. */
+const FLUSH_TIMEOUT_MS = 1_000;
+
 const EMPTY_BODY = new Uint8Array(0);
 
 /** A connection to one peer. */
@@ -127,6 +130,12 @@
     this.#socket.destroy();
   }
 
+  /** Ends the connection once everything sent has left. */
+  finish(): void {
+    this.#socket.end();
+    this.#options.clock.schedule(FLUSH_TIMEOUT_MS, () => this.close());
+  }
+
   /** Sends a call or a reply with its body; false when nothing could have been sent. */
   sendWithBody(head: Headed, body: Uint8Array): boolean {
     if (this.#isClosed || this.#socket.destroyed) {
--- a/src/peer/peer_server.ts
+++ b/src/peer/peer_server.ts
@@ -94,11 +94,11 @@
     });
   }
 
-  /** Stops listening and ends every connection. */
+  /** Stops listening and ends every connection after the replies that were sent on it. */
   close(): void {
     this.#server.close();
     for (const accepted of this.#links) {
-      accepted.link.close();
+      accepted.link.finish();
     }
   }
 
