--- a/src/measure/fleet_test.ts
+++ b/src/measure/fleet_test.ts
@@ -1,5 +1,6 @@
 import * as assert from "uvu/assert";
 import { suite } from "uvu";
+import { claimNetwork } from "../testing/claim_network.ts";
 import { TestCaller } from "../testing/test_caller.ts";
 import type { TestCall } from "../testing/test_caller.ts";
 import { createMorningFleet } from "./create_morning_fleet.ts";
@@ -15,7 +16,11 @@
 test.before(async (context) => {
   context.caller = new TestCaller();
   context.fleet = new Fleet(
-    createMorningFleet({ protection: "on", network: 21, slots: 8 }),
+    createMorningFleet({
+      protection: "on",
+      network: await claimNetwork(),
+      slots: 8,
+    }),
   );
   await context.fleet.start();
 });
--- a/src/request/call_until_deadline.ts
+++ b/src/request/call_until_deadline.ts
@@ -3,6 +3,7 @@
  */
 
 import type { CallTrace, PeerClient, UnnumberedCall } from "../peer/mod.ts";
+import { REASONS } from "../outcome/mod.ts";
 import type { CallResult } from "../outcome/mod.ts";
 import type { Clock } from "../time/mod.ts";
 
@@ -40,14 +41,16 @@
   const trace: CallTrace = { isSent: false, isReplied: false };
   const controller = new AbortController();
   const cancel = () => controller.abort();
+  const expire = () => controller.abort(REASONS.deadlineExpired);
   const remainingMs = Math.max(0, call.deadlineAtMs - clock.monotonicMs());
-  const cancelDeadline = clock.schedule(remainingMs, cancel);
+  const cancelDeadline = clock.schedule(remainingMs, expire);
   call.signal.addEventListener("abort", cancel);
   if (call.signal.aborted) {
     cancel();
   }
   const result = await client.call(call.message, call.body, {
     signal: controller.signal,
+    failsWhenSilent: true, // Each of these calls may be sent or asked again.
     trace,
   });
   cancelDeadline();
