--- a/src/peer/dialed_link.ts
+++ b/src/peer/dialed_link.ts
@@ -25,12 +25,22 @@
 /** A call message before the connection numbers it. */
 export type UnnumberedCall = Omit<CallMessage, "callId" | "body">;
 
+/** What became of the messages of one call. */
+export interface CallTrace {
+  /** Whether the call was handed to the connection. */
+  isSent: boolean;
+  /** Whether the peer's own reply gave the outcome. */
+  isReplied: boolean;
+}
+
 /** Options of a call. */
 export interface PeerCallOptions {
   /** Ends the wait; the peer is told to cancel. */
   readonly signal: AbortSignal;
   /** Whether the wait ends at once when the connection falls silent, because the call can be made elsewhere. */
   readonly failsWhenSilent?: boolean;
+  /** Told what became of the call's messages. */
+  readonly trace?: CallTrace | undefined;
 }
 
 /** What a connection tells the client that opened it. */
@@ -44,6 +54,7 @@
 interface PendingCall {
   readonly settle: (result: CallResult) => void;
   readonly failsWhenSilent: boolean;
+  readonly trace: CallTrace | undefined;
 }
 
 /** Calls on one connection, numbered from 1 and never numbered twice. */
@@ -94,6 +105,10 @@
   }
 
   onReply(reply: ReplyMessage, body: Uint8Array): void {
+    const trace = this.#pending.get(reply.callId)?.trace;
+    if (trace) {
+      trace.isReplied = true;
+    }
     this.#settle(reply.callId, convertReplyToResult(reply, body));
   }
 
@@ -128,7 +143,7 @@
     body: Uint8Array,
     options: PeerCallOptions,
   ): Promise<CallResult> {
-    const { signal, failsWhenSilent = false } = options;
+    const { signal, failsWhenSilent = false, trace } = options;
     const callId = this.#nextCallId;
     this.#nextCallId += 1;
     if (!this.link.sendWithBody({ ...call, callId }, body)) {
@@ -137,6 +152,9 @@
         err(createRefusal(REASONS.connectFailed, { unusedAllowance })),
       );
     }
+    if (trace) {
+      trace.isSent = true;
+    }
     return new Promise((resolve) => {
       const abort = () =>
         this.#abandon(callId, createUncertainty(selectAbortReason(signal)));
@@ -144,7 +162,7 @@
         signal.removeEventListener("abort", abort);
         resolve(result);
       };
-      this.#pending.set(callId, { settle, failsWhenSilent });
+      this.#pending.set(callId, { settle, failsWhenSilent, trace });
       signal.addEventListener("abort", abort);
     });
   }
--- a/src/peer/mod.ts
+++ b/src/peer/mod.ts
@@ -3,7 +3,11 @@
  */
 
 export { PeerClient } from "./peer_client.ts";
-export type { PeerCallOptions, UnnumberedCall } from "./dialed_link.ts";
+export type {
+  CallTrace,
+  PeerCallOptions,
+  UnnumberedCall,
+} from "./dialed_link.ts";
 export type {
   DialPeer,
   LinkReplacement,
--- a/src/peer/peer_server.ts
+++ b/src/peer/peer_server.ts
@@ -114,12 +114,10 @@
     });
   }
 
-  /** Stops listening and ends every connection. */
-  close(): void {
+  /** Stops listening and ends every connection after the replies that were sent on it. */
+  async close(): Promise<void> {
     this.#server.close();
-    for (const accepted of this.#links) {
-      accepted.link.close();
-    }
+    await Promise.all([...this.#links].map(({ link }) => link.finish()));
   }
 
   async #serve(socket: Socket, options: PeerServerOptions): Promise<void> {
