Probe members, suspect before evicting, and let delegates speak for failure domains

The thin membership pushed random records to random members, counted silence of a record as death and kept one list for the fleet in the store, so it knew everything everywhere and evicted without bound. Now each failure domain probes itself (direct, indirect, suspicion, refutation), evictions are capped, three delegates exchange with other domains, other daemons hold only what they need, and each domain has its own short seed list in the store.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -23,7 +23,11 @@
 } from "../configuration/mod.ts";
 import type { DaemonSettings, MemberRecord } from "../generated/types.ts";
 import { KeyLedger } from "../idempotency/mod.ts";
-import { createIncarnation, GossipMembership } from "../membership/mod.ts";
+import {
+  createIncarnation,
+  GossipMembership,
+  UdpTransport,
+} from "../membership/mod.ts";
 import { PeerServer } from "../peer/mod.ts";
 import { ActiveCalls, PeerClients, servePeerCall } from "../request/mod.ts";
 import type { CallEnvironment } from "../request/mod.ts";
@@ -85,6 +89,7 @@
     const { fleetToken } = settings;
     this.#store = new HttpObjectStore(settings.storeUrl);
     const store = this.#store;
+    const journal = new DecisionJournal(clock);
     this.#membership = new GossipMembership({
       self,
       fleetToken,
@@ -94,13 +99,20 @@
       random,
       log,
       configuration,
+      journal,
+      transport: new UdpTransport({
+        address: settings.address,
+        port: settings.peerPort,
+        reportError: (error) =>
+          log.warn({ error: error.message }, "gossip-socket-error"),
+      }),
     });
     this.environment = {
       settings,
       clock,
       log,
       metrics: new DaemonMetrics(),
-      journal: new DecisionJournal(clock),
+      journal,
       configuration,
       membership: this.#membership,
       peers: new PeerClients(linkOptions),
--- a/src/membership/gossip_membership.ts
+++ b/src/membership/gossip_membership.ts
@@ -1,28 +1,53 @@
 /**
- * Membership by gossip over UDP, with first contacts from the store.
+ * Membership by gossip over datagrams. Inside a failure domain every daemon
+ * knows every other and probes them in turn; a few delegates speak with the
+ * other failure domains; each daemon holds of those only what it needs.
  */
 
-import { createSocket } from "node:dgram";
-import type { Socket } from "node:dgram";
-import { Buffer } from "node:buffer";
-import { Decoder, Encoder } from "cbor-x";
 import type { ConfigurationHolder } from "../configuration/mod.ts";
 import type { GossipMessage, MemberRecord } from "../generated/types.ts";
-import { validateGossipMessage } from "../generated/validators.ts";
-import { isIdentityProven, proveIdentity } from "../peer/mod.ts";
 import type { ObjectStore } from "../store/mod.ts";
-import type { Logger } from "../telemetry/mod.ts";
+import { DECISIONS } from "../telemetry/mod.ts";
+import type { DecisionJournal, Logger } from "../telemetry/mod.ts";
 import type { Clock, RandomSource } from "../time/mod.ts";
+import { AntiEntropy } from "./anti_entropy.ts";
+import { chooseDelegates } from "./choose_delegates.ts";
+import type { DatagramTransport } from "./datagram_transport.ts";
+import { DomainExchange } from "./domain_exchange.ts";
+import { CappedEvictionGuard } from "./eviction_guard.ts";
+import type { EvictionGuard } from "./eviction_guard.ts";
+import { FailureDetector, PROBE_INTERVAL_MS } from "./failure_detector.ts";
+import { nameTarget } from "./gossip_context.ts";
+import type { GossipContext } from "./gossip_context.ts";
+import { GossipLink } from "./gossip_link.ts";
+import type { GossipTraffic } from "./gossip_link.ts";
+import { InstanceView } from "./instance_view.ts";
+import { MemberTable, MERGE_OUTCOMES } from "./member_table.ts";
 import { Membership } from "./membership.ts";
 import type { OwnRecordChange } from "./membership.ts";
+import { RecordPuller } from "./record_puller.ts";
+import { Rejoiner } from "./rejoiner.ts";
+import { RemoteContacts } from "./remote_contacts.ts";
+import { RumorQueue } from "./rumor_queue.ts";
+import { RumorSpreader } from "./rumor_spreader.ts";
+import { SeedKeeper } from "./seed_keeper.ts";
+import { SeenRumors } from "./seen_rumors.ts";
+import { ServiceInterest } from "./service_interest.ts";
 
-const GOSSIP_INTERVAL_MS = 250;
-const GOSSIP_FANOUT = 3;
-const MAX_RECORDS = 16;
-const SILENCE_LIMIT_MS = 5_000;
-const DEAD_RETENTION_MS = 60_000;
-const MAX_SEEDS = 8;
-const SEED_WRITE_ATTEMPTS = 5;
+/** Interval at which news is sent and short deadlines are checked, in milliseconds. */
+const TICK_INTERVAL_MS = 100;
+
+/** Gap between two ticks from which the daemon counts as having been paused, in milliseconds. */
+const PAUSE_MS = 1_000;
+
+/** Wait for the answer of peers that are asked for an incarnation, in milliseconds. */
+const LOOK_UP_TIMEOUT_MS = 300;
+
+/** Interval at which an awaited record is looked for, in milliseconds. */
+const LOOK_UP_POLL_MS = 20;
+
+/** Datagrams in which the last state of a stopping daemon is told. */
+const FAREWELL_FANOUT = 6;
 
 /** Dependencies of the membership. */
 export interface GossipMembershipOptions {
@@ -34,219 +59,336 @@
   readonly random: RandomSource;
   readonly log: Logger;
   readonly configuration: ConfigurationHolder;
+  readonly transport: DatagramTransport;
+  readonly journal?: DecisionJournal | undefined;
+  /** Bound on evictions; by default a share of a failure domain and of a service. */
+  readonly guard?: EvictionGuard | undefined;
+  /** Time that a suspect has to refute. */
+  readonly suspicionTimeoutMs?: number | undefined;
 }
 
-interface KnownMember {
-  record: MemberRecord;
-  heardAtMs: number;
-}
-
-const encoder = new Encoder({ useRecords: false });
-const decoder = new Decoder({ useRecords: false });
-
-/** Spreads member records by pushing a few of them to a few members at a time. */
+/** Membership of one daemon. */
 export class GossipMembership extends Membership {
   readonly #options: GossipMembershipOptions;
-  readonly #members = new Map<string, KnownMember>();
-  #self: MemberRecord;
-  #contacts: string[];
-  #socket: Socket | undefined;
-  #stopGossip: () => void = () => undefined;
+  readonly #context: GossipContext;
+  readonly #table: MemberTable;
+  readonly #rumors = new RumorQueue();
+  readonly #seen = new SeenRumors();
+  readonly #contacts = new RemoteContacts();
+  readonly #link: GossipLink;
+  readonly #view: InstanceView;
+  readonly #interest: ServiceInterest;
+  readonly #detector: FailureDetector;
+  readonly #antiEntropy: AntiEntropy;
+  readonly #exchange: DomainExchange;
+  readonly #puller: RecordPuller;
+  readonly #seedKeeper: SeedKeeper;
+  readonly #spreader: RumorSpreader;
+  readonly #rejoiner: Rejoiner;
+  #isDelegate = false;
+  #isLearning = false;
+  #lastTickAtMs: number;
+  #nextProbeAtMs: number;
+  #stopTimers: () => void = () => undefined;
 
   constructor(options: GossipMembershipOptions) {
     super();
     this.#options = options;
-    this.#self = options.self;
-    this.#contacts = [...options.seeds];
+    const { clock, configuration, random, self } = options;
+    this.#table = new MemberTable({
+      self,
+      clock,
+      guard: options.guard ?? new CappedEvictionGuard(clock),
+      onChange: (record, previous) => this.#noteChange(record, previous),
+    });
+    this.#link = new GossipLink({
+      ...options,
+      ownAddress: nameTarget(self),
+      createHead: () => this.#createHead(),
+      handle: (message, source) => this.#handle(message, source),
+    });
+    this.#context = {
+      ...options,
+      table: this.#table,
+      link: this.#link,
+      rumors: this.#rumors,
+      journal: options.journal,
+      isDelegate: () => this.#isDelegate,
+    };
+    const context = this.#context;
+    this.#interest = new ServiceInterest(configuration, clock);
+    this.#view = new InstanceView(this.#table);
+    this.#detector = new FailureDetector(context, options.suspicionTimeoutMs);
+    this.#antiEntropy = new AntiEntropy(context);
+    this.#exchange = new DomainExchange(context, this.#contacts);
+    this.#puller = new RecordPuller(context, this.#interest);
+    this.#spreader = new RumorSpreader(context);
+    this.#rejoiner = new Rejoiner(context);
+    this.#seedKeeper = new SeedKeeper(context, {
+      ...options,
+      contacts: this.#contacts,
+      join: (address) => this.#rejoiner.join(address),
+    });
+    this.#lastTickAtMs = clock.monotonicMs();
+    this.#nextProbeAtMs = this.#lastTickAtMs +
+      random.nextRatio() * PROBE_INTERVAL_MS;
   }
 
   override get self(): MemberRecord {
-    return this.#self;
+    return this.#table.self;
+  }
+
+  override get isDelegate(): boolean {
+    return this.#isDelegate;
+  }
+
+  /** Bytes and datagrams since the start. */
+  get traffic(): Readonly<GossipTraffic> {
+    return this.#link.traffic;
   }
 
   override listInstances(service: string): readonly MemberRecord[] {
-    return this.listAll().filter((record) =>
-      record.service === service && record.state === "alive"
-    );
+    const instances = this.#view.list(service);
+    if (
+      instances.length === 0 && !this.#isDelegate &&
+      this.#interest.noteAsked(service)
+    ) {
+      this.#puller.restartNamed();
+    }
+    return instances;
   }
 
   override find(incarnation: string): MemberRecord | undefined {
-    return incarnation === this.#self.incarnation
-      ? this.#self
-      : this.#members.get(incarnation)?.record;
+    return this.#table.get(incarnation);
   }
 
   override listAll(): readonly MemberRecord[] {
-    return [
-      this.#self,
-      ...[...this.#members.values()].map(({ record }) => record),
-    ];
+    return this.#table.list();
+  }
+
+  override noteLeaving(incarnation: string): void {
+    const known = this.#table.get(incarnation);
+    if (known?.state === "alive" || known?.state === "suspect") {
+      this.#view.hide(known);
+    }
+  }
+
+  override async lookUp(
+    incarnation: string,
+  ): Promise<MemberRecord | undefined> {
+    const { clock } = this.#options;
+    const deadlineMs = clock.monotonicMs() + LOOK_UP_TIMEOUT_MS;
+    this.#seen.expect(incarnation);
+    if (!this.find(incarnation)) {
+      this.#listOwnDelegates().forEach((delegate) =>
+        this.#link.send(nameTarget(delegate), {
+          kind: "pull",
+          sequence: 0,
+          records: [],
+          incarnations: [incarnation],
+        })
+      );
+    }
+    while (!this.find(incarnation) && clock.monotonicMs() < deadlineMs) {
+      await clock.sleep(LOOK_UP_POLL_MS);
+    }
+    return this.find(incarnation);
   }
 
   override updateSelf(change: OwnRecordChange): void {
-    this.#self = { ...this.#self, ...change, version: this.#self.version + 1 };
-    this.#push(GOSSIP_FANOUT);
+    this.#table.changeSelf(change);
+    this.#spreader.spread();
+    this.#exchange.flush();
   }
 
   override async start(): Promise<void> {
-    const { address, peerPort } = this.#self;
-    const socket = createSocket("udp4");
-    this.#socket = socket;
-    socket.on("message", (bytes) => this.#receive(bytes));
-    socket.on(
-      "error",
-      (error) =>
-        this.#options.log.warn({ error: error.message }, "gossip-socket-error"),
-    );
-    await new Promise<void>((resolve) =>
-      socket.bind(peerPort, address, resolve)
-    );
-    void this.#readSeeds();
-    this.#stopGossip = this.#options.clock.scheduleEvery(
-      GOSSIP_INTERVAL_MS,
+    const { clock, configuration } = this.#options;
+    await this.#link.open();
+    this.#rumors.add(this.self);
+    const unsubscribe = configuration.subscribe(() => this.#puller.restart());
+    const stopTicks = clock.scheduleEvery(
+      TICK_INTERVAL_MS,
       () => this.#tick(),
     );
+    this.#stopTimers = () => {
+      stopTicks();
+      unsubscribe();
+    };
   }
 
   override async stop(): Promise<void> {
-    this.#stopGossip();
-    this.updateSelf({ state: "dead" });
-    await new Promise<void>((resolve) =>
-      this.#socket ? this.#socket.close(() => resolve()) : resolve()
-    );
+    this.#stopTimers();
+    this.#table.changeSelf({ state: "dead" });
+    this.#exchange.flush();
+    this.#spreader.spread(FAREWELL_FANOUT);
+    await this.#link.close();
   }
 
-  async #readSeeds(): Promise<void> {
-    const { store } = this.#options;
-    const key = "seeds/fleet";
-    const own = `${this.#self.address}:${this.#self.peerPort}`;
-    for (let attempt = 0; attempt < SEED_WRITE_ATTEMPTS; attempt += 1) {
-      const stored = await store.read(key);
-      if (stored.isErr()) {
-        await this.#options.clock.sleep(1_000);
-        continue;
-      }
-      const addresses = (stored.value?.value ?? []) as string[];
-      this.#contacts = [...new Set([...this.#contacts, ...addresses])];
-      if (addresses.includes(own) || addresses.length >= MAX_SEEDS) {
-        return;
-      }
-      const written = await store.write(
-        key,
-        [...addresses, own],
-        stored.value?.version ?? 0,
+  #tick(): void {
+    const nowMs = this.#options.clock.monotonicMs();
+    if (nowMs - this.#lastTickAtMs > PAUSE_MS) {
+      this.#detector.restart();
+      this.#exchange.restart();
+    }
+    this.#lastTickAtMs = nowMs;
+    this.#spreader.refill(TICK_INTERVAL_MS);
+    this.#spreader.spread();
+    this.#exchange.flush();
+    this.#puller.pullDue();
+    if (nowMs >= this.#nextProbeAtMs) {
+      this.#nextProbeAtMs = Math.max(
+        this.#nextProbeAtMs + PROBE_INTERVAL_MS,
+        nowMs,
       );
-      if (written.isOk()) {
-        return;
-      }
+      this.#tickSlowly();
     }
   }
 
-  #tick(): void {
-    this.updateLiveness();
-    this.#push(GOSSIP_FANOUT);
+  #tickSlowly(): void {
+    this.#updateDelegates();
+    this.#detector.evictSuspects();
+    this.#detector.probeNext();
+    this.#exchange.probeNext();
+    this.#seedKeeper.tick();
+    this.#rejoiner.tick();
+    this.#table.forgetDead();
   }
 
-  /** Marks members as dead that were not heard of for too long. */
-  updateLiveness(): void {
-    const nowMs = this.#options.clock.monotonicMs();
-    this.#self = { ...this.#self, version: this.#self.version + 1 };
-    for (const [incarnation, member] of this.#members) {
-      const silenceMs = nowMs - member.heardAtMs;
-      if (silenceMs > DEAD_RETENTION_MS) {
-        this.#members.delete(incarnation);
-      } else if (
-        silenceMs > SILENCE_LIMIT_MS && member.record.state !== "dead"
-      ) {
-        member.record = { ...member.record, state: "dead" };
-      }
-    }
+  #updateDelegates(): void {
+    const delegates = this.#listOwnDelegates();
+    this.#isDelegate = delegates.some(({ incarnation }) =>
+      incarnation === this.self.incarnation
+    );
+    this.#view.updateUnreachable(delegates);
   }
 
-  #push(fanout: number): void {
-    for (let count = 0; count < fanout; count += 1) {
-      const target = this.#chooseTarget();
-      if (target) {
-        this.#send(target);
-      }
-    }
+  #listOwnDelegates(): MemberRecord[] {
+    return chooseDelegates(this.#table.listDomain(this.self.failureDomain));
   }
 
-  #chooseTarget(): string | undefined {
-    const { random } = this.#options;
-    const alive = [...this.#members.values()].filter(({ record }) =>
-      record.state !== "dead"
-    );
-    const known = random.choose(alive)?.record;
-    const useContact = !known || random.nextRatio() < 0.2;
-    return useContact
-      ? random.choose(this.#contacts)
-      : `${known.address}:${known.peerPort}`;
-  }
-
-  #send(target: string): void {
-    const { fleetToken, random, configuration } = this.#options;
-    const others = [...this.#members.values()].map(({ record }) => record);
-    const records = [this.#self];
-    for (let count = 1; count < MAX_RECORDS && others.length > 0; count += 1) {
-      records.push(...others.splice(random.nextInteger(others.length), 1));
-    }
-    const message: GossipMessage = {
-      kind: "push",
-      sender: this.#self.incarnation,
-      proof: proveIdentity(fleetToken, this.#self.incarnation),
-      records,
-      configurationVersion: configuration.version,
+  #createHead() {
+    const { incarnation, failureDomain } = this.self;
+    return {
+      sender: incarnation,
+      failureDomain,
+      configurationVersion: this.#options.configuration.version,
+      digest: this.#table.digests.total(failureDomain),
     };
-    const [address, port] = target.split(":");
-    this.#socket?.send(encoder.encode(message), Number(port), address);
   }
 
-  #receive(bytes: Buffer): void {
-    const message = this.#decode(bytes);
-    if (
-      !message ||
-      !isIdentityProven(this.#options.fleetToken, message.sender, message.proof)
-    ) {
-      this.#options.log.warn({ lengthBytes: bytes.length }, "gossip-invalid");
-      return;
+  #handle(message: GossipMessage, source: string): void {
+    this.#noteSender(message, source);
+    this.#takeRecords(message, source);
+    switch (message.kind) {
+      case "join":
+        this.#rejoiner.handleJoin(message, source);
+        break;
+      case "ping":
+        this.#detector.handlePing(message, source);
+        this.#rejoiner.greetStranger(message, source);
+        break;
+      case "ack":
+        this.#detector.handleAck(message);
+        break;
+      case "ping-request":
+        this.#detector.handlePingRequest(message, source);
+        break;
+      case "digest":
+        this.#antiEntropy.handleDigest(message, source);
+        break;
+      case "pull":
+        this.#puller.handlePull(message, source);
+        break;
+      case "push":
+        this.#puller.handleAnswer(message);
+    }
+    if (message.kind === "ping" || message.kind === "ack") {
+      this.#antiEntropy.noteDigest(message, source);
     }
+  }
+
+  #noteSender(message: GossipMessage, source: string): void {
+    const separator = source.lastIndexOf(":");
+    this.notifyConfigurationVersion({
+      version: message.configurationVersion,
+      incarnation: message.sender,
+      address: source.slice(0, separator),
+      peerPort: Number(source.slice(separator + 1)),
+    });
+    if (message.failureDomain !== this.self.failureDomain) {
+      this.#contacts.add(message.failureDomain, source);
+      this.#exchange.noteHeard(message.failureDomain);
+    }
+  }
+
+  #takeRecords(message: GossipMessage, source: string): void {
+    const newer: MemberRecord[] = [];
+    this.#isLearning = message.kind === "push" && message.isReply === true;
     for (const record of message.records) {
-      this.#merge(record);
-    }
-    const peer = this.#members.get(message.sender)?.record;
-    if (peer) {
-      const { incarnation, address, peerPort } = peer;
-      const version = message.configurationVersion;
-      this.notifyConfigurationVersion({
-        version,
-        incarnation,
-        address,
-        peerPort,
+      const isStale = this.#takeRecord(record);
+      const known = this.#table.get(record.incarnation);
+      if (isStale && known) {
+        newer.push(known);
+      }
+    }
+    this.#isLearning = false;
+    const [first] = newer;
+    if (first) {
+      this.#link.send(source, {
+        kind: "push",
+        sequence: 0,
+        isReply: true,
+        records: [first],
       });
     }
   }
 
-  #decode(bytes: Buffer): GossipMessage | undefined {
-    try {
-      const message: unknown = decoder.decode(bytes);
-      return validateGossipMessage(message) ? message : undefined;
-    } catch {
-      return undefined;
+  /** Takes one record; tells whether the sender should hear of a newer one. */
+  #takeRecord(record: MemberRecord): boolean {
+    if (record.failureDomain !== this.self.failureDomain) {
+      this.#contacts.add(record.failureDomain, nameTarget(record));
+    }
+    if (this.#isKept(record)) {
+      return this.#table.merge(record) === MERGE_OUTCOMES.stale;
+    }
+    if (!this.#isLearning && this.#seen.isNews(record)) {
+      this.#rumors.add(record);
     }
+    return false;
   }
 
-  #merge(record: MemberRecord): void {
-    if (record.incarnation === this.#self.incarnation) {
-      return;
+  #isKept(record: MemberRecord): boolean {
+    return record.failureDomain === this.self.failureDomain ||
+      this.#isDelegate || this.#table.get(record.incarnation) !== undefined ||
+      this.#seen.isExpected(record.incarnation) ||
+      this.#interest.wants(record.service, this.self.service);
+  }
+
+  #noteChange(record: MemberRecord, previous: MemberRecord | undefined): void {
+    if (!this.#isLearning || previous) {
+      this.#rumors.add(record);
     }
-    const known = this.#members.get(record.incarnation);
-    if (known && known.record.version >= record.version) {
+    this.#view.noteChange(record, previous);
+    this.#detector.noteChange(record);
+    this.#exchange.noteChange(record);
+    if (record.incarnation === this.self.incarnation) {
+      if (previous?.service !== record.service) {
+        this.#puller.restart();
+      }
       return;
     }
-    this.#members.set(record.incarnation, {
-      record,
-      heardAtMs: this.#options.clock.monotonicMs(),
-    });
+    const isRemote = record.failureDomain !== this.self.failureDomain;
+    if (isRemote && record.state === "dead") {
+      this.#puller.replaceLost();
+    }
+    if (previous && previous.state !== record.state) {
+      this.#options.journal?.record(DECISIONS.membershipChange, {
+        incarnation: record.incarnation,
+        service: record.service,
+        from: previous.state,
+        to: record.state,
+        version: record.version,
+      });
+    }
   }
 }
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -46,6 +46,11 @@
     return true;
   }
 
+  /** Sends no new work to an instance that refused because it is leaving. */
+  noteLeaving(_incarnation: string): void {
+    // Without gossip the next record of the instance tells.
+  }
+
   /** The record of one incarnation; peers are asked where it is not known here. */
   lookUp(incarnation: string): Promise<MemberRecord | undefined> {
     return Promise.resolve(this.find(incarnation));
--- a/src/membership/mod.ts
+++ b/src/membership/mod.ts
@@ -5,9 +5,19 @@
 export { createIncarnation } from "./create_incarnation.ts";
 export { GossipMembership } from "./gossip_membership.ts";
 export type { GossipMembershipOptions } from "./gossip_membership.ts";
+export { DatagramTransport } from "./datagram_transport.ts";
+export type { DatagramHandler } from "./datagram_transport.ts";
+export {
+  CappedEvictionGuard,
+  EvictionGuard,
+  MAX_DOMAIN_EVICTION_RATIO,
+  MAX_SERVICE_EVICTION_RATIO,
+} from "./eviction_guard.ts";
+export type { EvictionSizes } from "./eviction_guard.ts";
 export { Membership } from "./membership.ts";
 export type {
   OwnRecordChange,
   PeerConfigurationListener,
   PeerConfigurationNotice,
 } from "./membership.ts";
+export { UdpTransport } from "./udp_transport.ts";
