--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -28,7 +28,11 @@
   RunLedger,
   SuccessorTable,
 } from "../idempotency/mod.ts";
-import { createIncarnation, GossipMembership } from "../membership/mod.ts";
+import {
+  createIncarnation,
+  GossipMembership,
+  UdpTransport,
+} from "../membership/mod.ts";
 import { PeerServer } from "../peer/mod.ts";
 import type { DialPeer } from "../peer/mod.ts";
 import {
@@ -104,6 +108,7 @@
     const { fleetToken } = settings;
     this.#store = new HttpObjectStore(settings.storeUrl);
     const store = this.#store;
+    const journal = new DecisionJournal(clock);
     this.#membership = new GossipMembership({
       self,
       fleetToken,
@@ -113,6 +118,13 @@
       random,
       log,
       configuration,
+      journal,
+      transport: new UdpTransport({
+        address: settings.address,
+        port: settings.peerPort,
+        reportError: (error) =>
+          log.warn({ error: error.message }, "gossip-socket-error"),
+      }),
     });
     this.environment = {
       settings,
