Spread configurations by few watchers and peers, and settle unsure writes

Cause: every daemon held a watch on the whole configuration, a restarted daemon served with whatever the store said first, and a writer whose answer was lost could not tell what became of its write.

Change: the head object carries the latest changes as merge patches and names a base object with a whole state; two watchers in each failure domain read it, the others fetch patches from peers that gossip a higher version; readiness waits for a version confirmed by the store and peers; the writer settles an unsure write by its change id and tells the loser of a race what was accepted.

--- a/src/configuration/compile_configuration.ts
+++ b/src/configuration/compile_configuration.ts
@@ -2,14 +2,12 @@
  * Compilation of a configuration document.
  */
 
-import type {
-  Configuration,
-  RequestConfiguration,
-} from "../generated/types.ts";
+import type { Configuration } from "../generated/types.ts";
 import type {
   CompiledConfiguration,
   CompiledRequest,
 } from "./compiled_configuration.ts";
+import { listReachedServices } from "./list_reached_services.ts";
 
 /**
  * Derives from a valid document the tables that decisions use.
@@ -67,19 +65,3 @@
     ),
   );
 }
-
-function listReachedServices(
-  request: RequestConfiguration,
-  callsByService: ReadonlyMap<string, readonly string[]>,
-): string[] {
-  if (request.reaches.length > 0) {
-    return [...new Set([request.service, ...request.reaches])];
-  }
-  const reached = new Set([request.service]);
-  for (const service of reached) {
-    for (const called of callsByService.get(service) ?? []) {
-      reached.add(called);
-    }
-  }
-  return [...reached];
-}
--- a/src/configuration/configuration_holder.ts
+++ b/src/configuration/configuration_holder.ts
@@ -3,12 +3,20 @@
  */
 
 import type { Configuration } from "../generated/types.ts";
+import { canonicalizeNamedLists } from "./canonicalize_named_lists.ts";
 import { compileConfiguration } from "./compile_configuration.ts";
 import type { CompiledConfiguration } from "./compiled_configuration.ts";
+import { digestConfiguration } from "./digest_configuration.ts";
+import type { DocumentPatch } from "./document_patch.ts";
+
+/** Patches kept for peers that are a few versions behind. */
+const MAX_KEPT_PATCHES = 64;
 
 /** Holds the configuration with the highest version seen; it never moves to a lower one. */
 export class ConfigurationHolder {
   #current: CompiledConfiguration | undefined;
+  #digest: string | undefined;
+  #patches: readonly DocumentPatch[] = [];
   readonly #listeners = new Set<
     (configuration: CompiledConfiguration) => void
   >();
@@ -23,18 +31,52 @@
     return this.#current?.version ?? 0;
   }
 
-  /** Puts a valid document in force if its version is higher; tells whether it did. */
-  offer(document: Configuration, version: number): boolean {
+  /** Digest of the configuration in force; empty before the first. */
+  get digest(): string {
+    if (this.#current && this.#digest === undefined) {
+      this.#digest = digestConfiguration(this.#current.document);
+    }
+    return this.#digest ?? "";
+  }
+
+  /**
+   * Puts a valid document in force if its version is higher; tells whether it did.
+   *
+   * `patches` lead from the version in force to `version`, one for each version
+   * between, where they are known; they are kept for peers.
+   */
+  offer(
+    document: Configuration,
+    version: number,
+    patches: readonly DocumentPatch[] = [],
+  ): boolean {
     if (version <= this.version) {
       return false;
     }
-    this.#current = compileConfiguration(document, version);
+    const isComplete = this.version > 0 &&
+      patches.length === version - this.version;
+    this.#patches = isComplete
+      ? [...this.#patches, ...patches].slice(-MAX_KEPT_PATCHES)
+      : [];
+    this.#digest = undefined;
+    this.#current = compileConfiguration(
+      canonicalizeNamedLists(document),
+      version,
+    );
     for (const listener of this.#listeners) {
       listener(this.#current);
     }
     return true;
   }
 
+  /** The patches that lead from a version to the one in force; undefined where they are not kept. */
+  listPatchesSince(version: number): readonly DocumentPatch[] | undefined {
+    const count = this.version - version;
+    return count >= 0 && count <= this.#patches.length
+      ? this.#patches.slice(this.#patches.length - count)
+      : undefined;
+  }
+
   /** Calls `listener` at each change until the result is called. */
   subscribe(
     listener: (configuration: CompiledConfiguration) => void,
--- /dev/null
+++ b/src/configuration/configuration_writer.ts
@@ -0,0 +1,210 @@
+/**
+ * Writing of configurations: conditional, settled by reading back, never silent.
+ */
+
+import { err, ok } from "neverthrow";
+import type { Result } from "neverthrow";
+import VError from "verror";
+import type {
+  ConfigurationChange,
+  ConfigurationHead,
+} from "../generated/types.ts";
+import { validateConfigurationHead } from "../generated/validators.ts";
+import { Backoff } from "../store/mod.ts";
+import type { ObjectStore, StoreFailure } from "../store/mod.ts";
+import type { Clock, RandomSource } from "../time/mod.ts";
+import { canonicalizeNamedLists } from "./canonicalize_named_lists.ts";
+import { ConfigurationHistory } from "./configuration_history.ts";
+import { CONFIGURATION_KEY } from "./configuration_objects.ts";
+import { ConfigurationReader } from "./configuration_reader.ts";
+import type { ConfigurationState } from "./configuration_state.ts";
+import { createFirstHead, createNextHead } from "./create_head.ts";
+import type { AcceptedState } from "./create_head.ts";
+import { ensureBase } from "./ensure_base.ts";
+import { validateConfigurationDocument } from "./validate_configuration_document.ts";
+
+/** A change that an operator proposes. */
+export interface ConfigurationProposal {
+  readonly state: ConfigurationState;
+  /** Drawn for this proposal alone. */
+  readonly changeId: string;
+  readonly author: string;
+  readonly note: string;
+}
+
+/** Dependencies of the writer. */
+export interface ConfigurationWriterOptions {
+  readonly store: ObjectStore;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  /** Time after which a write whose outcome cannot be learnt is given up, in milliseconds. */
+  readonly settleTimeoutMs: number;
+}
+
+/** Changes listed to an operator who lost a race. */
+const MAX_LISTED_CHANGES = 64;
+
+const RETRY_BACKOFF = { firstDelayMs: 100, maxDelayMs: 2_000 } as const;
+
+/** Writes configurations and learns what became of each write. */
+export class ConfigurationWriter {
+  readonly reader: ConfigurationReader;
+  readonly history: ConfigurationHistory;
+  readonly #options: ConfigurationWriterOptions;
+
+  constructor(options: ConfigurationWriterOptions) {
+    this.#options = options;
+    this.reader = new ConfigurationReader(options.store);
+    this.history = new ConfigurationHistory(this.reader);
+  }
+
+  /** Reads what is accepted now; undefined before the first configuration. */
+  async readAccepted(): Promise<Result<AcceptedState | undefined, VError>> {
+    const stored = await this.reader.readHead();
+    if (stored.isErr()) {
+      return err(stored.error);
+    }
+    if (!stored.value) {
+      return ok(undefined);
+    }
+    const { head, storeVersion } = stored.value;
+    const state = await this.reader.readState(head);
+    return state.map((value) => ({ head, storeVersion, state: value }));
+  }
+
+  /**
+   * Proposes a change of what the operator saw; gives the version that accepted it.
+   *
+   * Errors are `ConfigurationInvalid`, `ConfigurationConflict` (another change was
+   * accepted since; its info lists them), `StoreUnavailable` (nothing was written)
+   * and `ConfigurationUnsettled` (the write may have taken effect).
+   */
+  async submit(
+    proposal: ConfigurationProposal,
+    seen: AcceptedState | undefined,
+  ): Promise<Result<number, VError>> {
+    const checked = validateConfigurationDocument(proposal.state.configuration);
+    if (checked.isErr()) {
+      return err(checked.error);
+    }
+    const state = {
+      configuration: canonicalizeNamedLists(checked.value),
+      answers: proposal.state.answers &&
+        canonicalizeNamedLists(proposal.state.answers),
+    };
+    const prepared = { ...proposal, state, atMs: this.#options.clock.nowMs() };
+    if (!seen) {
+      return await this.#write(createFirstHead(prepared), undefined);
+    }
+    const base = await ensureBase(seen, {
+      store: this.#options.store,
+      reader: this.reader,
+    });
+    return base.isErr()
+      ? err(base.error)
+      : await this.#write(createNextHead(prepared, seen, base.value), seen);
+  }
+
+  async #write(
+    head: ConfigurationHead,
+    seen: AcceptedState | undefined,
+  ): Promise<Result<number, VError>> {
+    const { clock, random, settleTimeoutMs, store } = this.#options;
+    const expected = seen?.storeVersion ?? 0;
+    const deadlineMs = clock.monotonicMs() + settleTimeoutMs;
+    const backoff = new Backoff(random, RETRY_BACKOFF);
+    let mayHaveTakenEffect = false;
+    do {
+      const written = await store.write(CONFIGURATION_KEY, head, expected);
+      if (written.isOk()) {
+        return ok(head.version);
+      }
+      mayHaveTakenEffect ||= written.error.kind === "unsure";
+      const settled = await this.settle(head, written.error);
+      if (settled) {
+        return settled;
+      }
+      await clock.sleep(backoff.nextDelayMs());
+    } while (clock.monotonicMs() < deadlineMs);
+    return err(createGiveUpError(head, mayHaveTakenEffect));
+  }
+
+  /**
+   * Learns from the store what became of a write; undefined while that is open.
+   * A write that has not taken effect can be repeated as it is: its condition
+   * lets at most one of the copies through.
+   */
+  protected async settle(
+    head: ConfigurationHead,
+    failure: StoreFailure,
+  ): Promise<Result<number, VError> | undefined> {
+    const current = failure.kind === "conflict"
+      ? parseCurrent(failure)
+      : await this.#readCurrent();
+    if (!current || current.version < head.version) {
+      return undefined;
+    }
+    const since = await this.history.listChanges(current, {
+      aboveVersion: head.version - 1,
+      limit: MAX_LISTED_CHANGES,
+    });
+    if (since.isErr()) {
+      return undefined;
+    }
+    return judgeWrite(head, since.value);
+  }
+
+  async #readCurrent(): Promise<ConfigurationHead | undefined> {
+    const stored = await this.reader.readHead();
+    return stored.isOk() ? stored.value?.head : undefined;
+  }
+}
+
+function parseCurrent(failure: StoreFailure): ConfigurationHead | undefined {
+  const value = failure.current?.value;
+  return validateConfigurationHead(value) ? value : undefined;
+}
+
+function judgeWrite(
+  head: ConfigurationHead,
+  since: readonly ConfigurationChange[],
+): Result<number, VError> | undefined {
+  const own = head.changes.at(-1);
+  const atVersion = since.find(({ version }) => version === head.version);
+  if (!atVersion) {
+    return undefined;
+  }
+  return atVersion.changeId === own?.changeId
+    ? ok(head.version)
+    : err(createConflictError(since));
+}
+
+function createConflictError(
+  changes: readonly ConfigurationChange[],
+): VError {
+  const listed = changes.map(({ version, author, note }) =>
+    `version ${version} by ${author || "unknown"}${note ? ` (${note})` : ""}`
+  );
+  return new VError(
+    { name: "ConfigurationConflict", info: { changes } },
+    "others changed the configuration meanwhile: %s",
+    listed.join(", "),
+  );
+}
+
+function createGiveUpError(
+  head: ConfigurationHead,
+  mayHaveTakenEffect: boolean,
+): VError {
+  const changeId = head.changes.at(-1)?.changeId ?? "";
+  return mayHaveTakenEffect
+    ? new VError(
+      { name: "ConfigurationUnsettled", info: { changeId } },
+      "the write may have taken effect; look for change %s in the history",
+      changeId,
+    )
+    : new VError(
+      { name: "StoreUnavailable", info: { changeId } },
+      "the object API does not answer; nothing was written",
+    );
+}
--- /dev/null
+++ b/src/configuration/create_head.ts
@@ -0,0 +1,97 @@
+/**
+ * The head objects that accept a change.
+ */
+
+import { Buffer } from "node:buffer";
+import type {
+  ConfigurationChange,
+  ConfigurationHead,
+} from "../generated/types.ts";
+import { compressState } from "./compress_state.ts";
+import { MAX_HEAD_CHANGES, MAX_PATCH_BYTES } from "./configuration_objects.ts";
+import type {
+  ConfigurationState,
+  VersionedState,
+} from "./configuration_state.ts";
+import { digestConfiguration } from "./digest_configuration.ts";
+import { createDocumentPatch } from "./document_patch.ts";
+import type { BaseReference } from "./ensure_base.ts";
+
+/** What is accepted in the object API. */
+export interface AcceptedState {
+  readonly storeVersion: number;
+  readonly head: ConfigurationHead;
+  readonly state: VersionedState;
+}
+
+/** A change whose state is valid and in canonical order. */
+export interface PreparedChange {
+  readonly state: ConfigurationState;
+  readonly changeId: string;
+  readonly author: string;
+  readonly note: string;
+  readonly atMs: number;
+}
+
+/**
+ * Creates the head of the first configuration.
+ *
+ * @param change - The change
+ * @returns The head, which holds the whole state
+ *
+ * @example
+ * const head = createFirstHead(change);
+ */
+export function createFirstHead(change: PreparedChange): ConfigurationHead {
+  return {
+    version: 1,
+    baseNumber: 0,
+    baseVersion: 0,
+    inlineState: compressState(change.state),
+    changes: [describeChange(change, 1)],
+  };
+}
+
+/**
+ * Creates the head that follows an accepted one.
+ *
+ * @param change - The change
+ * @param accepted - What it changes
+ * @param base - The base that the new head refers to
+ * @returns The head
+ *
+ * @example
+ * const head = createNextHead(change, accepted, base);
+ */
+export function createNextHead(
+  change: PreparedChange,
+  accepted: AcceptedState,
+  base: BaseReference,
+): ConfigurationHead {
+  const version = accepted.head.version + 1;
+  const { configuration, answers } = accepted.state;
+  const patches = {
+    patch: createDocumentPatch(configuration, change.state.configuration),
+    answersPatch: createDocumentPatch(answers, change.state.answers),
+  };
+  const isSmall = Buffer.byteLength(JSON.stringify(patches)) <= MAX_PATCH_BYTES;
+  const described = describeChange(change, version);
+  const changes = [
+    ...accepted.head.changes,
+    isSmall ? { ...described, ...patches } : described,
+  ];
+  return {
+    version,
+    ...base,
+    inlineState: isSmall ? "" : compressState(change.state),
+    changes: changes.slice(-MAX_HEAD_CHANGES),
+  };
+}
+
+function describeChange(
+  { changeId, author, note, atMs, state }: PreparedChange,
+  version: number,
+): ConfigurationChange {
+  const digest = digestConfiguration(state.configuration);
+  return { version, changeId, author, atMs, note, digest };
+}
--- /dev/null
+++ b/src/configuration/describe_schema_findings.ts
@@ -0,0 +1,32 @@
+/**
+ * Findings of the generated validators, in words.
+ */
+
+import type { ErrorObject } from "ajv";
+
+/**
+ * Describes each finding of a validator.
+ *
+ * @param subject - Name of the document, put before the place
+ * @param errors - The validator's findings
+ * @returns One line for each finding
+ *
+ * @example
+ * describeSchemaFindings("answers", validateQuestionnaireAnswers.errors);
+ */
+export function describeSchemaFindings(
+  subject: string,
+  errors: readonly ErrorObject[] | null | undefined,
+): string[] {
+  const lines = (errors ?? []).map((error) =>
+    `${subject}${error.instancePath || "/"} ${error.message ?? "is invalid"}${
+      describeDetail(error)
+    }`
+  );
+  return [...new Set(lines)];
+}
+
+function describeDetail({ params }: ErrorObject): string {
+  const detail = params.additionalProperty ?? params.allowedValues;
+  return detail === undefined ? "" : `: ${[detail].flat().join(", ")}`;
+}
--- /dev/null
+++ b/src/configuration/document_patch.ts
@@ -0,0 +1,82 @@
+/**
+ * Differences between two documents, as JSON merge patches of the keyed form.
+ */
+
+import mergePatch from "json-merge-patch";
+import { keyDocument, listDocument } from "./keyed_document.ts";
+import type { KeyedDocument, NamedLists } from "./keyed_document.ts";
+
+/** A JSON merge patch of a keyed document. */
+export type DocumentPatch = Readonly<Record<string, unknown>>;
+
+/** Keys whose values are long maps; a patch touches a few entries of them. */
+const LONG_MAPS = ["services", "requests"] as const;
+
+const EMPTY_DOCUMENT: NamedLists = { services: [], requests: [] };
+
+/**
+ * Gives the patch that turns one document into another.
+ *
+ * @param before - The document that the patch applies to
+ * @param after - The document that the patch gives
+ * @returns The patch; empty where the two are equal
+ *
+ * @example
+ * createDocumentPatch(older, newer); // { requests: { "fetch-round": { deadlineMs: 800 } } }
+ */
+export function createDocumentPatch(
+  before: NamedLists | null,
+  after: NamedLists | null,
+): DocumentPatch {
+  const patch = mergePatch.generate(
+    keyDocument(before ?? EMPTY_DOCUMENT) as unknown,
+    keyDocument(after ?? EMPTY_DOCUMENT) as unknown,
+  );
+  return (patch ?? {}) as DocumentPatch;
+}
+
+/**
+ * Applies a patch; the result has yet to be validated.
+ *
+ * @param before - The document that the patch was made for
+ * @param patch - The patch
+ * @returns The changed document, with its lists in canonical order
+ *
+ * @example
+ * const next = applyDocumentPatch(older, patch);
+ */
+export function applyDocumentPatch(
+  before: NamedLists | null,
+  patch: DocumentPatch,
+): unknown {
+  const target = copyTouched(keyDocument(before ?? EMPTY_DOCUMENT), patch);
+  return listDocument(
+    mergePatch.apply(target as unknown, patch as unknown) as KeyedDocument,
+  );
+}
+
+/** The library changes its target, so whatever the patch touches is copied. */
+function copyTouched(
+  document: KeyedDocument,
+  patch: DocumentPatch,
+): KeyedDocument {
+  const copy: Record<string, unknown> = { ...document };
+  for (const name of LONG_MAPS) {
+    const entries = document[name];
+    const touched = Object.keys(patch[name] ?? {}).filter((key) =>
+      Object.hasOwn(entries, key)
+    );
+    copy[name] = {
+      ...entries,
+      ...Object.fromEntries(
+        touched.map((key) => [key, structuredClone(entries[key])]),
+      ),
+    };
+  }
+  for (const key of Object.keys(patch)) {
+    if (!LONG_MAPS.some((name) => name === key) && key in copy) {
+      copy[key] = structuredClone(copy[key]);
+    }
+  }
+  return copy as KeyedDocument;
+}
--- a/src/configuration/mod.ts
+++ b/src/configuration/mod.ts
@@ -1,18 +1,34 @@
 /**
- * The protected call graph: validation, compilation and spread.
+ * The protected call graph: validation, compilation, writing and spread.
  */
 
+export { canonicalizeNamedLists } from "./canonicalize_named_lists.ts";
 export type {
   CompiledConfiguration,
   CompiledRequest,
 } from "./compiled_configuration.ts";
 export { compileConfiguration } from "./compile_configuration.ts";
+export { ConfigurationHistory } from "./configuration_history.ts";
 export { ConfigurationHolder } from "./configuration_holder.ts";
+export { CONFIGURATION_KEY } from "./configuration_objects.ts";
+export { ConfigurationPeers } from "./configuration_peers.ts";
+export { ConfigurationReader } from "./configuration_reader.ts";
+export { ConfigurationSpread } from "./configuration_spread.ts";
+export type { ConfigurationSpreadOptions } from "./configuration_spread.ts";
+export type {
+  ConfigurationState,
+  VersionedState,
+} from "./configuration_state.ts";
+export { createConfigurationTransfer } from "./configuration_transfer.ts";
+export { ConfigurationWriter } from "./configuration_writer.ts";
+export type {
+  ConfigurationProposal,
+  ConfigurationWriterOptions,
+} from "./configuration_writer.ts";
+export type { AcceptedState } from "./create_head.ts";
+export { describeSchemaFindings } from "./describe_schema_findings.ts";
+export { applyDocumentPatch, createDocumentPatch } from "./document_patch.ts";
+export type { DocumentPatch } from "./document_patch.ts";
 export { findRequest } from "./find_request.ts";
 export type { CallTarget } from "./find_request.ts";
 export { validateConfigurationDocument } from "./validate_configuration_document.ts";
-export {
-  CONFIGURATION_KEY,
-  watchConfiguration,
-} from "./watch_configuration.ts";
-export type { WatchConfigurationOptions } from "./watch_configuration.ts";
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -19,7 +19,9 @@
 import { createCallerApp } from "../caller/mod.ts";
 import {
   ConfigurationHolder,
-  watchConfiguration,
+  ConfigurationReader,
+  ConfigurationSpread,
+  createConfigurationTransfer,
 } from "../configuration/mod.ts";
 import type { DaemonSettings, MemberRecord } from "../generated/types.ts";
 import { KeyLedger } from "../idempotency/mod.ts";
@@ -29,7 +31,7 @@
 import type { CallEnvironment } from "../request/mod.ts";
 import { AllowanceRetryPolicy, EveryHopRetryPolicy } from "../retry/mod.ts";
 import { LocalFirstChooser, RandomChooser } from "../routing/mod.ts";
-import { HttpObjectStore } from "../store/mod.ts";
+import { BudgetedObjectStore, HttpObjectStore } from "../store/mod.ts";
 import {
   createLogger,
   DaemonMetrics,
@@ -38,6 +40,7 @@
 } from "../telemetry/mod.ts";
 import { RandomSource, SystemClock } from "../time/mod.ts";
 import { createAdminApp } from "./create_admin_app.ts";
+import { DaemonConfigurationPeers } from "./daemon_configuration_peers.ts";
 
 /** Interval at which the daemon tidies up, in milliseconds. */
 const HOUSEKEEPING_INTERVAL_MS = 500;
@@ -48,11 +51,18 @@
 /** Interval at which a stopping daemon checks for requests in progress, in milliseconds. */
 const DRAIN_POLL_MS = 20;
 
+/** Calls to the object API that one daemon may make at once. */
+const STORE_BURST_CALLS = 10;
+
+/** Calls to the object API that one daemon may make in the long run. */
+const STORE_CALLS_PER_SECOND = 1;
+
 /** A running daemon. */
 export class Daemon {
   readonly environment: CallEnvironment;
   readonly #store: HttpObjectStore;
   readonly #membership: GossipMembership;
+  readonly #configurationSpread: ConfigurationSpread;
   readonly #peerServer: PeerServer;
   readonly #stopSignal = new AbortController();
   #servers: ServerType[] = [];
@@ -84,7 +94,12 @@
     const isProtected = settings.protection === "on";
     const { fleetToken } = settings;
     this.#store = new HttpObjectStore(settings.storeUrl);
-    const store = this.#store;
+    const store = new BudgetedObjectStore({
+      store: this.#store,
+      clock,
+      burstCalls: STORE_BURST_CALLS,
+      callsPerSecond: STORE_CALLS_PER_SECOND,
+    });
     this.#membership = new GossipMembership({
       self,
       fleetToken,
@@ -94,13 +109,25 @@
       random,
       log,
       configuration,
+      onPeerConfigurationVersion: (sender, version) =>
+        this.#configurationSpread.takePeerVersion(sender, version),
+    });
+    const journal = new DecisionJournal(clock);
+    this.#configurationSpread = new ConfigurationSpread({
+      reader: new ConfigurationReader(store),
+      holder: configuration,
+      peers: new DaemonConfigurationPeers(this.#membership, linkOptions),
+      clock,
+      random,
+      log,
+      journal,
     });
     this.environment = {
       settings,
       clock,
       log,
       metrics: new DaemonMetrics(),
-      journal: new DecisionJournal(clock),
+      journal,
       configuration,
       membership: this.#membership,
       peers: new PeerClients(linkOptions),
@@ -125,6 +152,8 @@
         this.#track(() =>
           servePeerCall(this.environment, call, { body, signal })
         ),
+      provideConfiguration: (knownVersion) =>
+        createConfigurationTransfer(configuration, knownVersion),
       reportError: (error, remoteAddress) =>
         log.warn(
           { error: error.message, name: error.name, remoteAddress },
@@ -135,13 +164,13 @@
 
   /** Whether the daemon can serve callers. */
   get isReady(): boolean {
-    return this.environment.configuration.version > 0 && !this.#stopped;
+    return this.#configurationSpread.isConfirmed && !this.#stopped;
   }
 
   /** Starts the listeners and joins the fleet. */
   async start(): Promise<void> {
     const { environment } = this;
-    const { settings, clock, configuration, log } = environment;
+    const { settings, clock, log } = environment;
     await this.#peerServer.listen(settings.address, settings.peerPort);
     await this.#listen(createCallerApp(environment), settings.callerPort);
     await this.#listen(createBackendApp(environment), settings.backendPort);
@@ -151,18 +180,8 @@
       settings.adminPort,
     );
     await this.#membership.start();
-    const signal = this.#stopSignal.signal;
-    void watchConfiguration({
-      store: this.#store,
-      holder: configuration,
-      clock,
-      log,
-      signal,
-    });
+    void this.#configurationSpread.run(this.#stopSignal.signal);
     environment.backend.subscribe(() => this.#publishBackend());
-    configuration.subscribe(({ version }) =>
-      environment.journal.record(DECISIONS.configurationChange, { version })
-    );
     this.#stopHousekeeping = clock.scheduleEvery(
       HOUSEKEEPING_INTERVAL_MS,
       () => this.#keepHouse(),
--- /dev/null
+++ b/src/daemon/daemon_configuration_peers.ts
@@ -0,0 +1,42 @@
+/**
+ * The other daemons as the spread of configurations reaches them.
+ */
+
+import type { Result } from "neverthrow";
+import type VError from "verror";
+import { ConfigurationPeers } from "../configuration/mod.ts";
+import type { MemberRecord } from "../generated/types.ts";
+import type { Membership } from "../membership/mod.ts";
+import { fetchConfiguration } from "../peer/mod.ts";
+import type { PeerLinkOptions } from "../peer/mod.ts";
+
+/** Reaches other daemons through membership and peer connections. */
+export class DaemonConfigurationPeers extends ConfigurationPeers {
+  readonly #membership: Membership;
+  readonly #linkOptions: PeerLinkOptions;
+
+  constructor(membership: Membership, linkOptions: PeerLinkOptions) {
+    super();
+    this.#membership = membership;
+    this.#linkOptions = linkOptions;
+  }
+
+  override get self(): MemberRecord {
+    return this.#membership.self;
+  }
+
+  override listLive(): readonly MemberRecord[] {
+    return this.#membership.listAll().filter(({ state }) => state !== "dead");
+  }
+
+  override announce(): void {
+    this.#membership.announce();
+  }
+
+  override fetch(
+    member: MemberRecord,
+    knownVersion: number,
+  ): Promise<Result<Uint8Array, VError>> {
+    return fetchConfiguration(member, knownVersion, this.#linkOptions);
+  }
+}
--- a/src/measure/fleet.ts
+++ b/src/measure/fleet.ts
@@ -9,11 +9,11 @@
 import { readFile } from "node:fs/promises";
 import { fileURLToPath } from "node:url";
 import { request } from "undici";
-import { CONFIGURATION_KEY } from "../configuration/mod.ts";
 import type { Configuration } from "../generated/types.ts";
 import { HttpObjectStore } from "../store/mod.ts";
 import { BackendServerStandIn } from "../testing/backend_server_stand_in.ts";
 import type { BackendBehavior } from "../testing/backend_server_stand_in.ts";
+import { writeConfiguration } from "../testing/write_configuration.ts";
 import { ObjectApiStandIn } from "../testing/object_api_stand_in.ts";
 
 /** Secret of the fleets that experiments start. */
@@ -84,7 +84,7 @@
     const { storeAddress, storePort, configuration } = this.plan;
     await this.store.listen(storeAddress, storePort);
     const client = new HttpObjectStore(this.storeUrl);
-    await client.write(CONFIGURATION_KEY, configuration, 0);
+    await writeConfiguration(client, configuration);
     await client.close();
     for (const vm of this.plan.vms) {
       this.vms.push(this.#launch(vm));
--- a/src/membership/gossip_membership.ts
+++ b/src/membership/gossip_membership.ts
@@ -34,6 +34,11 @@
   readonly random: RandomSource;
   readonly log: Logger;
   readonly configuration: ConfigurationHolder;
+  /** Told which configuration version a peer has. */
+  readonly onPeerConfigurationVersion: (
+    incarnation: string,
+    version: number,
+  ) => void;
 }
 
 interface KnownMember {
@@ -88,6 +93,10 @@
     this.#push(GOSSIP_FANOUT);
   }
 
+  override announce(): void {
+    this.#push(GOSSIP_FANOUT);
+  }
+
   override async start(): Promise<void> {
     const { address, peerPort } = this.#self;
     const socket = createSocket("udp4");
@@ -214,6 +223,10 @@
     for (const record of message.records) {
       this.#merge(record);
     }
+    this.#options.onPeerConfigurationVersion(
+      message.sender,
+      message.configurationVersion,
+    );
   }
 
   #decode(bytes: Buffer): GossipMessage | undefined {
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -26,6 +26,9 @@
   /** Changes the own record and spreads it. */
   abstract updateSelf(change: OwnRecordChange): void;
 
+  /** Tells a few members at once what gossip carries, the configuration version included. */
+  abstract announce(): void;
+
   /** Joins the fleet. */
   abstract start(): Promise<void>;
 
--- a/src/peer/mod.ts
+++ b/src/peer/mod.ts
@@ -12,3 +12,4 @@
 export { PeerServer } from "./peer_server.ts";
 export type { CallHandler, PeerServerOptions } from "./peer_server.ts";
 export { isIdentityProven, proveIdentity } from "./prove_identity.ts";
+export { fetchConfiguration } from "./fetch_configuration.ts";
--- a/src/peer/peer_link.ts
+++ b/src/peer/peer_link.ts
@@ -16,6 +16,8 @@
 } from "../constants/mod.ts";
 import type {
   CallMessage,
+  ConfigurationFetchMessage,
+  ConfigurationPartMessage,
   HelloMessage,
   PeerMessage,
   ReplyMessage,
@@ -43,6 +45,10 @@
   onReply(reply: ReplyMessage, body: Uint8Array): void;
   /** The peer no longer waits for a call. */
   onCancel(callId: number): void;
+  /** The peer asks for a newer configuration, or sends a part of one. */
+  onConfiguration?(
+    message: ConfigurationFetchMessage | ConfigurationPartMessage,
+  ): void;
   /** The link ended, with the error that ended it, if any. */
   onClose(error: VError | undefined): void;
 }
@@ -213,6 +219,10 @@
       case "cancel":
         this.#owner.onCancel(message.callId);
         return true;
+      case "configuration-fetch":
+      case "configuration-part":
+        this.#owner.onConfiguration?.(message);
+        return true;
       case "call":
       case "reply":
         return this.#takeHead(message);
--- a/src/peer/peer_server.ts
+++ b/src/peer/peer_server.ts
@@ -5,11 +5,17 @@
 import { createServer } from "node:net";
 import type { Server, Socket } from "node:net";
 import type VError from "verror";
-import type { CallMessage, HelloMessage } from "../generated/types.ts";
+import type {
+  CallMessage,
+  ConfigurationFetchMessage,
+  ConfigurationPartMessage,
+  HelloMessage,
+} from "../generated/types.ts";
 import type { CallResult } from "../outcome/mod.ts";
 import { convertResultToReply } from "./convert_reply.ts";
 import { PeerLink } from "./peer_link.ts";
 import type { PeerLinkOptions, PeerLinkOwner } from "./peer_link.ts";
+import { sendConfigurationParts } from "./send_configuration_parts.ts";
 
 /** Runs a call that a peer sent; the signal ends when the peer no longer waits. */
 export type CallHandler = (
@@ -21,6 +27,8 @@
 /** Dependencies of the serving side. */
 export interface PeerServerOptions extends PeerLinkOptions {
   readonly handleCall: CallHandler;
+  /** Gives the compressed transfer for a peer that has `knownVersion`. */
+  readonly provideConfiguration?: (knownVersion: number) => Uint8Array;
   /** Told once for each connection that ended in an error. */
   readonly reportError: (error: VError, remoteAddress: string) => void;
 }
@@ -54,6 +62,16 @@
     this.#running.get(callId)?.abort();
   }
 
+  onConfiguration(
+    message: ConfigurationFetchMessage | ConfigurationPartMessage,
+  ): void {
+    const provide = this.#options.provideConfiguration;
+    if (provide && message.kind === "configuration-fetch") {
+      const bytes = provide(message.knownVersion);
+      sendConfigurationParts(this.link, message.fetchId, bytes);
+    }
+  }
+
   onClose(error: VError | undefined): void {
     for (const controller of this.#running.values()) {
       controller.abort();
--- /dev/null
+++ b/src/store/budgeted_object_store.ts
@@ -0,0 +1,81 @@
+/**
+ * A bound on the calls that one process makes to the object API.
+ */
+
+import { err } from "neverthrow";
+import type { Result } from "neverthrow";
+import type { Clock } from "../time/mod.ts";
+import { ObjectStore } from "./object_store.ts";
+import type { StoredObject, StoreFailure } from "./object_store.ts";
+
+/** Dependencies and limits. */
+export interface BudgetedObjectStoreOptions {
+  readonly store: ObjectStore;
+  readonly clock: Clock;
+  /** Calls that may follow each other at once. */
+  readonly burstCalls: number;
+  /** Calls allowed in the long run. */
+  readonly callsPerSecond: number;
+}
+
+/** Makes calls while a token bucket allows them; others fail at once as unavailable. */
+export class BudgetedObjectStore extends ObjectStore {
+  readonly #options: BudgetedObjectStoreOptions;
+  #tokens: number;
+  #filledAtMs: number;
+
+  constructor(options: BudgetedObjectStoreOptions) {
+    super();
+    this.#options = options;
+    this.#tokens = options.burstCalls;
+    this.#filledAtMs = options.clock.monotonicMs();
+  }
+
+  override async read(
+    key: string,
+  ): Promise<Result<StoredObject | undefined, StoreFailure>> {
+    return this.#take()
+      ? await this.#options.store.read(key)
+      : err(createBudgetFailure());
+  }
+
+  override async write(
+    key: string,
+    value: unknown,
+    expectedVersion: number,
+  ): Promise<Result<number, StoreFailure>> {
+    return this.#take()
+      ? await this.#options.store.write(key, value, expectedVersion)
+      : err(createBudgetFailure());
+  }
+
+  override async watch(
+    key: string,
+    afterVersion: number,
+    timeoutMs: number,
+  ): Promise<Result<StoredObject | undefined, StoreFailure>> {
+    return this.#take()
+      ? await this.#options.store.watch(key, afterVersion, timeoutMs)
+      : err(createBudgetFailure());
+  }
+
+  #take(): boolean {
+    const { burstCalls, callsPerSecond, clock } = this.#options;
+    const nowMs = clock.monotonicMs();
+    const earned = (nowMs - this.#filledAtMs) / 1_000 * callsPerSecond;
+    this.#tokens = Math.min(burstCalls, this.#tokens + earned);
+    this.#filledAtMs = nowMs;
+    if (this.#tokens < 1) {
+      return false;
+    }
+    this.#tokens -= 1;
+    return true;
+  }
+}
+
+function createBudgetFailure(): StoreFailure {
+  return {
+    kind: "unavailable",
+    message: "the budget of store calls is spent",
+  };
+}
--- a/src/telemetry/decision_journal.ts
+++ b/src/telemetry/decision_journal.ts
@@ -18,6 +18,8 @@
   connectionReplaced: "connection-replaced",
   keyTakeover: "key-takeover",
   configurationChange: "configuration-change",
+  configurationRefused: "configuration-refused",
+  configurationWatch: "configuration-watch",
   membershipChange: "membership-change",
   leaving: "leaving",
   unknownOutcome: "unknown-outcome",
--- /dev/null
+++ b/src/testing/write_configuration.ts
@@ -0,0 +1,44 @@
+/**
+ * Acceptance of configurations by tests and experiments.
+ */
+
+import { ConfigurationWriter } from "../configuration/mod.ts";
+import type { Configuration } from "../generated/types.ts";
+import type { ObjectStore } from "../store/mod.ts";
+import { RandomSource, SystemClock } from "../time/mod.ts";
+
+/** Time after which an unsure write is given up, in milliseconds. */
+const SETTLE_TIMEOUT_MS = 10_000;
+
+let changeCount = 0;
+
+/**
+ * Writes a configuration over the accepted one; fails where that is refused.
+ *
+ * @param store - The object API
+ * @param configuration - A valid configuration
+ * @returns The version that accepted it
+ *
+ * @example
+ * const version = await writeConfiguration(store, createTestConfiguration());
+ */
+export async function writeConfiguration(
+  store: ObjectStore,
+  configuration: Configuration,
+): Promise<number> {
+  const writer = new ConfigurationWriter({
+    store,
+    clock: new SystemClock(),
+    random: new RandomSource(1),
+    settleTimeoutMs: SETTLE_TIMEOUT_MS,
+  });
+  changeCount += 1;
+  const proposal = {
+    state: { configuration, answers: null },
+    changeId: `change-${changeCount}`,
+    author: "test",
+    note: "",
+  };
+  const accepted = (await writer.readAccepted())._unsafeUnwrap();
+  return (await writer.submit(proposal, accepted))._unsafeUnwrap();
+}
--- a/src/tools/generate_schema_code.ts
+++ b/src/tools/generate_schema_code.ts
@@ -17,6 +17,11 @@
 const OUTPUT_FOLDER = "src/generated";
 const GENERATED_BANNER =
   "// Generated from schema/ by `npm run generate`. Do not edit.";
+/** Schemas of what operators write; their validators report every finding. */
+const OPERATOR_SCHEMAS: ReadonlySet<string> = new Set([
+  "answers",
+  "configuration",
+]);
 const IPV4 = /^(\d{1,3}\.){3}\d{1,3}$/;
 
 interface NamedSchema {
@@ -66,15 +71,20 @@
   if (key !== "$ref" || typeof value !== "string" || value.startsWith("#")) {
     return value;
   }
-  const target = schemas.find(({ name }) => name === value);
+  const [file, definition] = value.split("#");
+  if (definition !== undefined) {
+    return `#${definition}`;
+  }
+  const target = schemas.find(({ name }) => name === file);
   return target ? `#/$defs/${target.schema.title}` : value;
 }
 
 async function generateValidatorCode(
   schemas: readonly NamedSchema[],
+  allErrors: boolean,
 ): Promise<string> {
   const ajv = new Ajv({
-    allErrors: false,
+    allErrors,
     discriminator: true,
     code: { source: true, lines: true },
     schemas: schemas.map(({ schema }) => schema),
@@ -83,7 +93,9 @@
     allowUnionTypes: true,
   });
   const names = Object.fromEntries(
-    schemas.map(({ name, schema }) => [`validate${schema.title}`, name]),
+    schemas.filter(({ name }) => OPERATOR_SCHEMAS.has(name) === allErrors).map((
+      { name, schema },
+    ) => [`validate${schema.title}`, name]),
   );
   const source = standaloneCode.default(ajv, names);
   const bundled = await build({
@@ -102,7 +114,8 @@
   return [
     GENERATED_BANNER,
     `import type { ErrorObject } from "ajv";`,
-    `import code from "./validator_code.cjs";`,
+    `import messageCode from "./validator_code.cjs";`,
+    `import operatorCode from "./operator_validator_code.cjs";`,
     `import type { ${titles.join(", ")} } from "./types.ts";`,
     "",
     "/** A generated validator; `errors` holds the findings of its last call. */",
@@ -111,7 +124,7 @@
     "  errors?: ErrorObject[] | null;",
     "}",
     "",
-    "const validators = code as unknown as Record<string, Validator<unknown>>;",
+    "const validators = { ...messageCode, ...operatorCode } as unknown as Record<string, Validator<unknown>>;",
     ...titles.map((title) =>
       `export const validate${title} = validators.validate${title} as Validator<${title}>;`
     ),
@@ -154,7 +167,8 @@
   const schemas = await readSchemas();
   const outputs = new Map([
     ["types.ts", await generateTypes(schemas)],
-    ["validator_code.cjs", await generateValidatorCode(schemas)],
+    ["validator_code.cjs", await generateValidatorCode(schemas, false)],
+    ["operator_validator_code.cjs", await generateValidatorCode(schemas, true)],
     ["validators.ts", generateValidatorModule(schemas)],
     ["setting_definitions.ts", generateSettingDefinitions(schemas)],
   ]);
