--- a/src/peer/peer_link.ts
+++ b/src/peer/peer_link.ts
@@ -195,6 +195,10 @@
       case "cancel":
         this.#owner.onCancel(message.callId);
         return true;
+      case "configuration-fetch":
+      case "configuration-part":
+        this.#owner.onConfiguration?.(message);
+        return true;
       case "call":
       case "reply":
         return this.#takeHead(message);
--- a/src/telemetry/decision_journal.ts
+++ b/src/telemetry/decision_journal.ts
@@ -19,6 +19,8 @@
   keyTakeover: "key-takeover",
   keyHandOver: "key-hand-over",
   configurationChange: "configuration-change",
+  configurationRefused: "configuration-refused",
+  configurationWatch: "configuration-watch",
   membershipChange: "membership-change",
   leaving: "leaving",
   unknownOutcome: "unknown-outcome",
