Bound retries end to end and let only the hop next to a failure retry

Cause: an error answer of a deep service was retried at no hop or, once it had turned into a failure, at every hop; a failure's allowance could come back larger than it was lent; duplicates of a request in progress ran again. Change: RetryAllowance lends shares to nested calls and takes back no more than was lent; each hop keeps one attempt for a lost reply; a token bucket per edge follows retryRatio; isGivenUp travels with outcomes; error answers of repeatable calls are retried next to the failure and passed on whole; duplicates are joined; a deadline that passed is told apart from a caller that has gone.

--- a/src/backend/backend_client.ts
+++ b/src/backend/backend_client.ts
@@ -6,7 +6,12 @@
 import { Pool } from "undici";
 import { HEADERS } from "../constants/mod.ts";
 import type { Announcement, CallContext } from "../generated/types.ts";
-import { createRefusal, createUncertainty, REASONS } from "../outcome/mod.ts";
+import {
+  createRefusal,
+  createUncertainty,
+  REASONS,
+  selectAbortReason,
+} from "../outcome/mod.ts";
 import type { CallResult } from "../outcome/mod.ts";
 
 /** A call as the backend server receives it. */
@@ -129,6 +134,6 @@
     return createRefusal(REASONS.noBackendServer);
   }
   return createUncertainty(
-    signal.aborted ? REASONS.cancelled : REASONS.backendFailed,
+    signal.aborted ? selectAbortReason(signal) : REASONS.backendFailed,
   );
 }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -28,7 +28,13 @@
 import type { DialPeer } from "../peer/mod.ts";
 import { ActiveCalls, PeerClients, servePeerCall } from "../request/mod.ts";
 import type { CallEnvironment } from "../request/mod.ts";
-import { AllowanceRetryPolicy, EveryHopRetryPolicy } from "../retry/mod.ts";
+import {
+  AllowanceRetryPolicy,
+  CallJoiner,
+  EveryHopRetryPolicy,
+  MAX_JOINABLE_CALLS,
+  RetryBudget,
+} from "../retry/mod.ts";
 import { LocalFirstChooser, RandomChooser } from "../routing/mod.ts";
 import { HttpObjectStore } from "../store/mod.ts";
 import {
@@ -90,6 +96,8 @@
     };
     const journal = new DecisionJournal(clock);
     const seeds = settings.seeds.split(",").filter((seed) => seed !== "");
+    const readRetryRatio = () =>
+      configuration.current?.document.retryRatio ?? 0;
     const isProtected = settings.protection === "on";
     const { fleetToken } = settings;
     this.#store = new HttpObjectStore(settings.storeUrl);
@@ -127,8 +135,9 @@
         ? new LocalFirstChooser(random, self)
         : new RandomChooser(random),
       retryPolicy: isProtected
-        ? new AllowanceRetryPolicy()
+        ? new AllowanceRetryPolicy(new RetryBudget(clock, readRetryRatio))
         : new EveryHopRetryPolicy(),
+      joiner: new CallJoiner(isProtected ? MAX_JOINABLE_CALLS : 0),
       keys: new KeyLedger({ incarnation, fleetToken, clock }),
       activeCalls: new ActiveCalls(clock),
     };
--- a/src/outcome/create_refusal.ts
+++ b/src/outcome/create_refusal.ts
@@ -13,6 +13,8 @@
   readonly unusedAllowance?: number;
   /** Load signals to carry back. */
   readonly loads?: readonly LoadSignal[];
+  /** Whether a hop further down has already given up retrying. */
+  readonly isGivenUp?: boolean;
 }
 
 /**
@@ -35,5 +37,6 @@
     retryAfterMs: options.retryAfterMs ?? 0,
     unusedAllowance: options.unusedAllowance ?? 0,
     loads: options.loads ?? [],
+    isGivenUp: options.isGivenUp ?? false,
   };
 }
--- a/src/outcome/create_uncertainty.ts
+++ b/src/outcome/create_uncertainty.ts
@@ -11,6 +11,8 @@
   readonly unusedAllowance?: number;
   /** Load signals to carry back. */
   readonly loads?: readonly LoadSignal[];
+  /** Whether a hop further down has already given up retrying. */
+  readonly isGivenUp?: boolean;
 }
 
 /**
@@ -32,5 +34,6 @@
     reason,
     unusedAllowance: options.unusedAllowance ?? 0,
     loads: options.loads ?? [],
+    isGivenUp: options.isGivenUp ?? false,
   };
 }
--- a/src/outcome/outcome.ts
+++ b/src/outcome/outcome.ts
@@ -43,6 +43,8 @@
   readonly contentType: string;
   readonly body: Uint8Array;
   readonly unusedAllowance: number;
+  /** Whether a hop further down has already given up retrying. */
+  readonly isGivenUp?: boolean;
   readonly loads: readonly LoadSignal[];
 }
 
@@ -52,6 +54,8 @@
   readonly reason: Reason;
   readonly retryAfterMs: number;
   readonly unusedAllowance: number;
+  /** Whether a hop further down has already given up retrying. */
+  readonly isGivenUp?: boolean;
   readonly loads: readonly LoadSignal[];
 }
 
@@ -60,6 +64,8 @@
   readonly kind: "unknown";
   readonly reason: Reason;
   readonly unusedAllowance: number;
+  /** Whether a hop further down has already given up retrying. */
+  readonly isGivenUp?: boolean;
   readonly loads: readonly LoadSignal[];
 }
 
--- a/src/peer/convert_reply.ts
+++ b/src/peer/convert_reply.ts
@@ -31,11 +31,13 @@
 ): ReplyWithBody {
   if (result.isOk()) {
     const { status, contentType, body, unusedAllowance, loads } = result.value;
+    const { isGivenUp = false } = result.value;
     const head = createReply(callId, {
       outcome: "answered",
       status,
       contentType,
       unusedAllowance,
+      isGivenUp,
       loads: [...loads],
     });
     return { head: { ...head, bodyLengthBytes: body.length }, body };
@@ -47,6 +49,7 @@
     reason: failure.reason,
     retryAfterMs,
     unusedAllowance: failure.unusedAllowance,
+    isGivenUp: failure.isGivenUp ?? false,
     loads: [...failure.loads],
   });
   return { head, body: EMPTY_BODY };
@@ -67,16 +70,18 @@
   body: Uint8Array,
 ): CallResult {
   const { status, contentType, unusedAllowance, loads, retryAfterMs } = reply;
+  const { isGivenUp = false } = reply;
+  const shared = { unusedAllowance, loads, isGivenUp };
   const reason = reply.reason as Reason;
   switch (reply.outcome) {
     case "answered":
-      return ok({ status, contentType, body, unusedAllowance, loads });
+      return ok({ status, contentType, body, ...shared });
     case "refused":
       return err(
-        createRefusal(reason, { retryAfterMs, unusedAllowance, loads }),
+        createRefusal(reason, { retryAfterMs, ...shared }),
       );
     case "unknown":
-      return err(createUncertainty(reason, { unusedAllowance, loads }));
+      return err(createUncertainty(reason, shared));
   }
 }
 
--- a/src/request/active_calls.ts
+++ b/src/request/active_calls.ts
@@ -6,6 +6,7 @@
  */
 
 import type { CallContext } from "../generated/types.ts";
+import { RetryAllowance } from "../retry/mod.ts";
 import type { Clock } from "../time/mod.ts";
 
 /** A call that is running on the backend server. */
@@ -16,7 +17,11 @@
   readonly deadlineAtMs: number;
   readonly signal: AbortSignal;
   /** Extra attempts that the call's subtree may still make. */
-  allowanceLeft: number;
+  readonly allowance: RetryAllowance;
+  /** Services that the call has called. */
+  readonly calledServices: Set<string>;
+  /** Whether a nested call has failed for good. */
+  hasFailedBelow: boolean;
 }
 
 /** Remembers running calls by their token. */
@@ -44,7 +49,9 @@
       context,
       deadlineAtMs,
       signal,
-      allowanceLeft: context.retryAllowance,
+      allowance: new RetryAllowance(context.retryAllowance),
+      calledServices: new Set<string>(),
+      hasFailedBelow: false,
     };
     this.#calls.set(token, call);
     return call;
--- a/src/request/call_environment.ts
+++ b/src/request/call_environment.ts
@@ -8,7 +8,7 @@
 import type { DaemonSettings } from "../generated/types.ts";
 import type { KeyLedger } from "../idempotency/mod.ts";
 import type { Membership } from "../membership/mod.ts";
-import type { RetryPolicy } from "../retry/mod.ts";
+import type { CallJoiner, RetryPolicy } from "../retry/mod.ts";
 import type { InstanceChooser } from "../routing/mod.ts";
 import type {
   DaemonMetrics,
@@ -35,6 +35,7 @@
   readonly inboundAdmission: InboundAdmission;
   readonly chooser: InstanceChooser;
   readonly retryPolicy: RetryPolicy;
+  readonly joiner: CallJoiner;
   readonly keys: KeyLedger;
   readonly activeCalls: ActiveCalls;
 }
--- a/src/request/dispatch_call.ts
+++ b/src/request/dispatch_call.ts
@@ -5,10 +5,11 @@
 
 import { err } from "neverthrow";
 import type { MemberRecord } from "../generated/types.ts";
-import { createRefusal, createUncertainty, REASONS } from "../outcome/mod.ts";
+import { createRefusal, REASONS } from "../outcome/mod.ts";
 import type { CallResult } from "../outcome/mod.ts";
 import type { AttemptReport } from "../routing/mod.ts";
 import { DECISIONS } from "../telemetry/mod.ts";
+import { AttemptHistory } from "./attempt_history.ts";
 import type { CallEnvironment } from "./call_environment.ts";
 import type { OutboundCall } from "./outbound_call.ts";
 import { runCall } from "./run_call.ts";
@@ -33,61 +34,66 @@
   call: OutboundCall,
 ): Promise<CallResult> {
   const { clock, journal, retryPolicy } = environment;
+  const { requestId, isRepeatable } = call.context;
+  const { service } = call;
+  const history = new AttemptHistory();
   const excluded = new Set<string>();
   let allowance = call.context.retryAllowance;
-  let hasUnknownAttempt = false;
-  retryPolicy.recordCall(call.service);
   for (let attempts = 1;; attempts += 1) {
+    const handedDown = retryPolicy.handDown(allowance);
     const remainingMs = call.deadlineAtMs - clock.monotonicMs();
-    const attempt = {
-      ...call,
-      context: { ...call.context, retryAllowance: allowance, remainingMs },
-    };
-    const result = await tryOneInstance(environment, attempt, {
-      excluded,
-      attempts,
-    });
-    if (result.isOk()) {
-      return result;
+    const result = await tryOneInstance(
+      environment,
+      {
+        ...call,
+        context: { ...call.context, retryAllowance: handedDown, remainingMs },
+      },
+      { excluded, attempts, hasKept: handedDown < allowance },
+    );
+    allowance += readUnused(result, handedDown) - handedDown;
+    const failure = history.note(result);
+    if (!failure) {
+      retryPolicy.recordSuccess(service);
+      return result.map((answer) => ({
+        ...answer,
+        unusedAllowance: allowance,
+      }));
     }
-    const failure = result.error;
-    hasUnknownAttempt ||= failure.kind === "unknown";
-    allowance = Math.min(allowance, failure.unusedAllowance);
-    const isRepeatable = call.context.isRepeatable;
     const question = {
       failure,
-      service: call.service,
+      service,
       attempts,
+      overloadedAttempts: history.overloadedCount,
       allowance,
       isRepeatable,
-      remainingMs,
+      remainingMs: call.deadlineAtMs - clock.monotonicMs(),
     };
-    if (call.signal.aborted || !retryPolicy.mayRetry(question)) {
-      journal.record(DECISIONS.retryDenied, {
-        service: call.service,
-        reason: failure.reason,
-        attempts,
-        allowance,
-      }, call.context.requestId);
-      const { reason, loads } = failure;
-      const unusedAllowance = allowance;
-      return hasUnknownAttempt
-        ? err(createUncertainty(reason, { loads, unusedAllowance }))
-        : err({ ...failure, unusedAllowance });
+    if (call.signal.aborted || !retryPolicy.takeRetry(question)) {
+      const { reason } = failure;
+      const facts = { service, reason, attempts, allowance };
+      journal.record(DECISIONS.retryDenied, facts, requestId);
+      return history.settle(failure, allowance);
     }
     allowance -= retryPolicy.isCounted ? 1 : 0;
   }
 }
 
+function readUnused(result: CallResult, handedDown: number): number {
+  const { unusedAllowance } = result.isOk() ? result.value : result.error;
+  return Math.min(handedDown, unusedAllowance);
+}
+
 interface AttemptOptions {
   readonly excluded: Set<string>;
   readonly attempts: number;
+  /** Whether a retry would be left after a lost reply. */
+  readonly hasKept: boolean;
 }
 
 async function tryOneInstance(
   environment: CallEnvironment,
   call: OutboundCall,
-  { excluded, attempts }: AttemptOptions,
+  { excluded, attempts, hasKept }: AttemptOptions,
 ): Promise<CallResult> {
   const { chooser, clock, membership, metrics, entryAdmission } = environment;
   const unusedAllowance = call.context.retryAllowance;
@@ -112,7 +118,11 @@
   metrics.attempts.inc({ service: call.service, retry: String(attempts > 1) });
   const startedAtMs = clock.monotonicMs();
   chooser.begin(instance);
-  const result = await sendToInstance(environment, call, instance);
+  const failsWhenSilent = hasKept && call.context.isRepeatable;
+  const result = await sendToInstance(environment, call, {
+    instance,
+    failsWhenSilent,
+  });
   chooser.end(
     instance,
     reportAttempt(call, result, clock.monotonicMs() - startedAtMs),
@@ -148,18 +158,26 @@
   };
 }
 
+interface SendOptions {
+  readonly instance: MemberRecord;
+  readonly failsWhenSilent: boolean;
+}
+
 async function sendToInstance(
   environment: CallEnvironment,
   call: OutboundCall,
-  instance: MemberRecord,
+  { instance, failsWhenSilent }: SendOptions,
 ): Promise<CallResult> {
   const { membership, peers, clock } = environment;
   if (instance.incarnation === membership.self.incarnation) {
     return await runCall(environment, call);
   }
   const deadline = new AbortController();
-  const cancel = () => deadline.abort();
-  const cancelDeadline = clock.schedule(call.context.remainingMs, cancel);
+  const cancel = () => deadline.abort(REASONS.cancelled);
+  const cancelDeadline = clock.schedule(
+    call.context.remainingMs,
+    () => deadline.abort(REASONS.deadlineExpired),
+  );
   call.signal.addEventListener("abort", cancel);
   const { context, idempotencyKey, service, method, path, contentType, body } =
     call;
@@ -176,6 +194,7 @@
   const result = await peers.get(instance)
     .call({ kind: "call", purpose: "run", ...message }, body, {
       signal: deadline.signal,
+      failsWhenSilent,
     });
   cancelDeadline();
   call.signal.removeEventListener("abort", cancel);
--- a/src/request/run_call.ts
+++ b/src/request/run_call.ts
@@ -100,9 +100,12 @@
   const remainingMs = Math.max(1, call.deadlineAtMs - clock.monotonicMs());
   const context = { ...call.context, remainingMs };
   const controller = new AbortController();
-  const cancel = () => controller.abort();
+  const cancel = () => controller.abort(call.signal.reason);
   call.signal.addEventListener("abort", cancel);
-  const cancelDeadline = clock.schedule(remainingMs, cancel);
+  const cancelDeadline = clock.schedule(
+    remainingMs,
+    () => controller.abort(REASONS.deadlineExpired),
+  );
   const active = activeCalls.begin(context, controller.signal);
   const result = await backendClient.call(announcement, {
     ...call,
@@ -115,8 +118,14 @@
   activeCalls.end(active);
   cancelDeadline();
   call.signal.removeEventListener("abort", cancel);
-  const unusedAllowance = active.allowanceLeft;
-  return result.map((answer) => ({ ...answer, unusedAllowance })).mapErr((
+  if (result.isErr()) {
+    controller.abort(result.error.reason);
+  }
+  const settled = {
+    unusedAllowance: active.allowance.close(),
+    isGivenUp: active.hasFailedBelow,
+  };
+  return result.map((answer) => ({ ...answer, ...settled })).mapErr((
     failure,
-  ) => ({ ...failure, unusedAllowance }));
+  ) => ({ ...failure, ...settled }));
 }
--- a/src/request/serve_entry_call.ts
+++ b/src/request/serve_entry_call.ts
@@ -16,10 +16,13 @@
 import { createRefusal, REASONS } from "../outcome/mod.ts";
 import type { CallResult, Refusal } from "../outcome/mod.ts";
 import { DECISIONS } from "../telemetry/mod.ts";
+import { createJoinKey } from "../retry/mod.ts";
 import type { ActiveCall } from "./active_calls.ts";
 import type { CallEnvironment } from "./call_environment.ts";
 import { dispatchCall } from "./dispatch_call.ts";
 import { dispatchOnce } from "./dispatch_once.ts";
+import { isErrorAnswer } from "./is_error_answer.ts";
+import { lendAllowance } from "./lend_allowance.ts";
 import type { OutboundCall } from "./outbound_call.ts";
 
 /** A call as it came over HTTP. */
@@ -56,12 +59,32 @@
 export async function serveEntryCall(
   environment: CallEnvironment,
   entry: EntryCall,
+): Promise<CallResult> {
+  if (entry.parent) {
+    return await serveCall(environment, entry, "");
+  }
+  const key = createJoinKey(entry);
+  const joined = environment.joiner.join(key, entry.signal);
+  if (joined) {
+    environment.metrics.joinedCalls.inc();
+    return await joined;
+  }
+  return await serveCall(environment, entry, key);
+}
+
+async function serveCall(
+  environment: CallEnvironment,
+  entry: EntryCall,
+  joinKey: string,
 ): Promise<CallResult> {
   const startedAtMs = environment.clock.monotonicMs();
   const call = prepareCall(environment, entry);
   const result: CallResult = call.isErr()
     ? err(call.error)
-    : await sendCall(environment, entry, call.value);
+    : await sendCall(environment, call.value, { entry, joinKey });
+  if (entry.parent) {
+    entry.parent.hasFailedBelow ||= result.isErr() || isErrorAnswer(result);
+  }
   const className = call.isOk() ? call.value.context.className : "none";
   const tenant = call.isOk() ? call.value.context.tenant : "other";
   const requestId = call.isOk()
@@ -77,24 +100,39 @@
   return result;
 }
 
+interface SendCallOptions {
+  readonly entry: EntryCall;
+  readonly joinKey: string;
+}
+
 async function sendCall(
   environment: CallEnvironment,
-  entry: EntryCall,
   call: OutboundCall,
+  { entry, joinKey }: SendCallOptions,
 ): Promise<CallResult> {
-  const parent = entry.parent;
+  const { parent, signal } = entry;
   if (parent) {
-    parent.allowanceLeft -= call.context.retryAllowance;
+    return await sendNestedCall(environment, call, parent);
   }
-  const isGuarded = !call.context.isRepeatable && !parent;
-  const result = isGuarded
-    ? await dispatchOnce(environment, call)
-    : await dispatchCall(environment, call);
-  if (parent) {
-    parent.allowanceLeft += result.isOk()
-      ? result.value.unusedAllowance
-      : result.error.unusedAllowance;
+  if (!call.context.isRepeatable) {
+    return await dispatchOnce(environment, call);
   }
+  return await environment.joiner.start(
+    joinKey,
+    signal,
+    (joinedSignal) =>
+      dispatchCall(environment, { ...call, signal: joinedSignal }),
+  );
+}
+
+async function sendNestedCall(
+  environment: CallEnvironment,
+  call: OutboundCall,
+  parent: ActiveCall,
+): Promise<CallResult> {
+  const result = await dispatchCall(environment, call);
+  const { unusedAllowance } = result.isOk() ? result.value : result.error;
+  parent.allowance.takeBack(call.context.retryAllowance, unusedAllowance);
   return result;
 }
 
@@ -190,7 +228,10 @@
       remainingMs,
       isRepeatable,
       depth: context.depth + 1,
-      retryAllowance: parent.allowanceLeft,
+      retryAllowance: lendAllowance(environment, parent, {
+        configuration,
+        service: entry.service,
+      }),
     },
     deadlineAtMs: environment.clock.monotonicMs() + remainingMs,
     classRank: configuration.classRanks.get(context.className) ??
--- /dev/null
+++ b/src/retry/call_joiner.ts
@@ -0,0 +1,79 @@
+/**
+ * Joining of duplicate calls: a caller that sends a repeatable request again
+ * while the first one is in progress waits for the same outcome.
+ */
+
+import type { CallResult } from "../outcome/mod.ts";
+
+/** Calls of one daemon that can be joined at a time; more of them run unjoined. */
+export const MAX_JOINABLE_CALLS = 20_000;
+
+interface JoinableCall {
+  readonly result: Promise<CallResult>;
+  readonly controller: AbortController;
+  waiters: number;
+}
+
+/** Calls in progress by what makes them the same. */
+export class CallJoiner {
+  readonly #calls = new Map<string, JoinableCall>();
+  readonly #maxCalls: number;
+
+  constructor(maxCalls: number) {
+    this.#maxCalls = maxCalls;
+  }
+
+  /** Calls that can be joined. */
+  get size(): number {
+    return this.#calls.size;
+  }
+
+  /** Waits for a call in progress; undefined when there is none. */
+  join(key: string, signal: AbortSignal): Promise<CallResult> | undefined {
+    const call = this.#calls.get(key);
+    if (!call || call.controller.signal.aborted) {
+      return undefined;
+    }
+    this.#addWaiter(call, signal);
+    return call.result;
+  }
+
+  /** Starts a call that others may join; it is cancelled when all who wait have gone. */
+  start(
+    key: string,
+    signal: AbortSignal,
+    run: (signal: AbortSignal) => Promise<CallResult>,
+  ): Promise<CallResult> {
+    if (this.#calls.size >= this.#maxCalls) {
+      return run(signal);
+    }
+    const controller = new AbortController();
+    const result = run(controller.signal);
+    const call = { result, controller, waiters: 0 };
+    this.#calls.set(key, call);
+    this.#addWaiter(call, signal);
+    void result.finally(() => this.#remove(key, call));
+    return result;
+  }
+
+  #addWaiter(call: JoinableCall, signal: AbortSignal): void {
+    call.waiters += 1;
+    const leave = () => {
+      call.waiters -= 1;
+      if (call.waiters === 0) {
+        call.controller.abort();
+      }
+    };
+    if (signal.aborted) {
+      leave();
+      return;
+    }
+    signal.addEventListener("abort", leave, { once: true });
+  }
+
+  #remove(key: string, call: JoinableCall): void {
+    if (this.#calls.get(key) === call) {
+      this.#calls.delete(key);
+    }
+  }
+}
--- a/src/retry/mod.ts
+++ b/src/retry/mod.ts
@@ -2,6 +2,11 @@
  * Decisions about retries.
  */
 
+export { CallJoiner, MAX_JOINABLE_CALLS } from "./call_joiner.ts";
+export { createJoinKey } from "./create_join_key.ts";
+export type { JoinableParts } from "./create_join_key.ts";
+export { RetryAllowance } from "./retry_allowance.ts";
+export { RetryBudget } from "./retry_budget.ts";
 export {
   AllowanceRetryPolicy,
   EveryHopRetryPolicy,
--- a/src/retry/retry_policy.ts
+++ b/src/retry/retry_policy.ts
@@ -4,6 +4,7 @@
 
 import type { CallFailure } from "../outcome/mod.ts";
 import { REASONS } from "../outcome/mod.ts";
+import type { RetryBudget } from "./retry_budget.ts";
 
 /** What a decision about a further attempt is based on. */
 export interface RetryQuestion {
@@ -11,6 +12,8 @@
   readonly service: string;
   /** Attempts made so far for this call. */
   readonly attempts: number;
+  /** How many of them were refused because the instance was overloaded. */
+  readonly overloadedAttempts: number;
   /** Extra attempts that the call's subtree may still make. */
   readonly allowance: number;
   readonly isRepeatable: boolean;
@@ -19,11 +22,14 @@
 
 /** Decides whether a failed attempt is followed by another. */
 export abstract class RetryPolicy {
-  /** Whether another attempt may be made. */
-  abstract mayRetry(question: RetryQuestion): boolean;
+  /** Whether another attempt may be made; if so, its token has been spent. */
+  abstract takeRetry(question: RetryQuestion): boolean;
 
-  /** A first attempt of a call to the service begins. */
-  abstract recordCall(service: string): void;
+  /** A call of the service was answered without an error. */
+  abstract recordSuccess(service: string): void;
+
+  /** The part of an allowance that goes down with an attempt. */
+  abstract handDown(allowance: number): number;
 
   /** Whether an attempt spends from the call's allowance. */
   abstract readonly isCounted: boolean;
@@ -36,15 +42,19 @@
 export class EveryHopRetryPolicy extends RetryPolicy {
   override readonly isCounted = false;
 
-  override mayRetry(question: RetryQuestion): boolean {
+  override takeRetry(question: RetryQuestion): boolean {
     const isSafe = question.isRepeatable || question.failure.kind === "refused";
     return isSafe && question.attempts < BASELINE_ATTEMPTS &&
       question.remainingMs > 0;
   }
 
-  override recordCall(_service: string): void {
+  override recordSuccess(_service: string): void {
     // Nothing is counted.
   }
+
+  override handDown(allowance: number): number {
+    return allowance;
+  }
 }
 
 /** Reasons after which another instance may do better. */
@@ -57,17 +67,36 @@
   REASONS.leaving,
 ]);
 
+/** Overloaded instances after which the whole service counts as overloaded. */
+const MAX_OVERLOADED_ATTEMPTS = 2;
+
+/** Extra attempts that a hop keeps, so that it can retry after a lost reply. */
+const KEPT_ATTEMPTS = 1;
+
 /** Retries within the allowance that the request carries from end to end. */
 export class AllowanceRetryPolicy extends RetryPolicy {
   override readonly isCounted = true;
+  readonly #budget: RetryBudget;
 
-  override mayRetry(question: RetryQuestion): boolean {
-    const isSafe = question.isRepeatable || question.failure.kind === "refused";
-    return isSafe && question.allowance > 0 && question.remainingMs > 0 &&
-      RETRIABLE_REASONS.has(question.failure.reason);
+  constructor(budget: RetryBudget) {
+    super();
+    this.#budget = budget;
+  }
+
+  override takeRetry(question: RetryQuestion): boolean {
+    const { failure, allowance, remainingMs, overloadedAttempts } = question;
+    const isSafe = question.isRepeatable || failure.kind === "refused";
+    return isSafe && !failure.isGivenUp && allowance > 0 && remainingMs > 0 &&
+      overloadedAttempts < MAX_OVERLOADED_ATTEMPTS &&
+      RETRIABLE_REASONS.has(failure.reason) &&
+      this.#budget.spend(question.service);
+  }
+
+  override recordSuccess(service: string): void {
+    this.#budget.earn(service);
   }
 
-  override recordCall(_service: string): void {
-    // The allowance is carried by the call.
+  override handDown(allowance: number): number {
+    return allowance > KEPT_ATTEMPTS ? allowance - KEPT_ATTEMPTS : allowance;
   }
 }
--- /dev/null
+++ b/src/retry/retry_policy_test.ts
@@ -0,0 +1,115 @@
+import { suite } from "uvu";
+import * as assert from "uvu/assert";
+import { createRefusal, createUncertainty, REASONS } from "../outcome/mod.ts";
+import { ManualClock } from "../testing/manual_clock.ts";
+import { RetryBudget } from "./retry_budget.ts";
+import { AllowanceRetryPolicy, EveryHopRetryPolicy } from "./retry_policy.ts";
+import type { RetryQuestion } from "./retry_policy.ts";
+
+const test = suite("retry policy");
+
+function createQuestion(changes: Partial<RetryQuestion> = {}): RetryQuestion {
+  return {
+    failure: createUncertainty(REASONS.backendFailed),
+    service: "stock",
+    attempts: 1,
+    overloadedAttempts: 0,
+    allowance: 3,
+    isRepeatable: true,
+    remainingMs: 1_000,
+    ...changes,
+  };
+}
+
+function createPolicy(retryRatio = 0.1) {
+  const clock = new ManualClock();
+  const budget = new RetryBudget(clock, () => retryRatio);
+  return { clock, budget, policy: new AllowanceRetryPolicy(budget) };
+}
+
+test("a failure that a deeper hop has given up on is not retried", () => {
+  const { policy } = createPolicy();
+  const failure = createUncertainty(REASONS.backendFailed, { isGivenUp: true });
+  assert.not(policy.takeRetry(createQuestion({ failure })));
+  assert.ok(policy.takeRetry(createQuestion()));
+});
+
+test("an unknown outcome of a non-repeatable call is not retried, a refusal is", () => {
+  const { policy } = createPolicy();
+  const isRepeatable = false;
+  assert.not(policy.takeRetry(createQuestion({ isRepeatable })));
+  const failure = createRefusal(REASONS.connectFailed);
+  assert.ok(policy.takeRetry(createQuestion({ isRepeatable, failure })));
+});
+
+test("a service that is overloaded everywhere is not retried", () => {
+  const { policy } = createPolicy();
+  const everywhere = createRefusal(REASONS.overloadedService);
+  assert.not(policy.takeRetry(createQuestion({ failure: everywhere })));
+  const failure = createRefusal(REASONS.overloadedInstance);
+  assert.ok(
+    policy.takeRetry(createQuestion({ failure, overloadedAttempts: 1 })),
+  );
+  assert.not(
+    policy.takeRetry(createQuestion({ failure, overloadedAttempts: 2 })),
+  );
+});
+
+test("nothing is retried without allowance or time", () => {
+  const { policy } = createPolicy();
+  assert.not(policy.takeRetry(createQuestion({ allowance: 0 })));
+  assert.not(policy.takeRetry(createQuestion({ remainingMs: 0 })));
+});
+
+test("a service that always fails gets few retries, and successes earn more", () => {
+  const { policy, budget } = createPolicy(0.5);
+  const count = () => {
+    let retries = 0;
+    while (policy.takeRetry(createQuestion())) {
+      retries += 1;
+    }
+    return retries;
+  };
+  assert.is(count(), 2);
+  assert.is(count(), 0);
+  for (let call = 0; call < 6; call += 1) {
+    policy.recordSuccess("stock");
+  }
+  assert.is(count(), 3);
+  for (let call = 0; call < 1_000; call += 1) {
+    policy.recordSuccess("stock");
+  }
+  assert.is(budget.readTokens("stock"), 10);
+});
+
+test("tokens trickle in with time and belong to one edge", () => {
+  const { clock, policy } = createPolicy();
+  assert.ok(policy.takeRetry(createQuestion()));
+  assert.ok(policy.takeRetry(createQuestion()));
+  assert.not(policy.takeRetry(createQuestion()));
+  assert.ok(policy.takeRetry(createQuestion({ service: "price-sheets" })));
+  clock.advance(5_000);
+  assert.ok(policy.takeRetry(createQuestion()));
+  assert.not(policy.takeRetry(createQuestion()));
+});
+
+test("a retry ratio of zero switches retries off", () => {
+  const { policy } = createPolicy(0);
+  assert.not(policy.takeRetry(createQuestion()));
+});
+
+test("a hop keeps one attempt for a lost reply when it has more than one", () => {
+  const { policy } = createPolicy();
+  assert.equal([0, 1, 2, 3].map((left) => policy.handDown(left)), [0, 1, 1, 2]);
+});
+
+test("the baseline tries three times whatever a deeper hop has done", () => {
+  const policy = new EveryHopRetryPolicy();
+  const failure = createUncertainty(REASONS.backendFailed, { isGivenUp: true });
+  const answers = [1, 2, 3].map((attempts) =>
+    policy.takeRetry(createQuestion({ failure, attempts, allowance: 0 }))
+  );
+  assert.equal(answers, [true, true, false]);
+});
+
+test.run();
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -61,6 +61,13 @@
     registers: [this.registry],
   });
 
+  /** Duplicates that were joined to a call in progress. */
+  readonly joinedCalls = new Counter({
+    name: "celeryhollow_joined_calls_total",
+    help: "Duplicate calls joined to the call in progress",
+    registers: [this.registry],
+  });
+
   /** Calls running on the backend server. */
   readonly inFlight = new Gauge({
     name: "celeryhollow_in_flight",
--- a/src/testing/backend_server_stand_in.ts
+++ b/src/testing/backend_server_stand_in.ts
@@ -46,6 +46,8 @@
   readonly idempotencyKey: string;
   readonly service: string;
   readonly member: string;
+  /** Time left that the daemon announced, in milliseconds. */
+  readonly deadlineMs: number;
   readonly atMs: number;
   readonly isFinished: boolean;
 }
@@ -233,6 +235,7 @@
       idempotencyKey: context.req.header(HEADERS.idempotencyKey) ?? "",
       service: this.#options.service,
       member: context.req.header(HEADERS.member) ?? "",
+      deadlineMs: Number(context.req.header(HEADERS.deadlineMs) ?? 0),
       atMs: Date.now(),
       isFinished,
     };
