Prove membership under failures on an in-memory network

Cause: the thin membership had no failure tests. A light fleet now runs many memberships in one process on a manual clock and a network of datagrams with loss, cuts and pauses. 19 focused tests and a random-schedule history check (12 schedules, fixed seed) pass; suspicion off, versions ignored and the cap off are each caught. Found and mended on the way: a pull answered by a delegate that knew little yet was repeated only after 60 s; the wait now starts at 1 s and doubles. ManualClock keeps its timers in a heap, so that hundreds of members run fast.

--- /dev/null
+++ b/src/membership/gossip_membership_test.ts
@@ -0,0 +1,410 @@
+import * as assert from "uvu/assert";
+import { test } from "uvu";
+import { Encoder } from "cbor-x";
+import type { MemberRecord } from "../generated/types.ts";
+import { createLightPlan } from "../testing/create_light_plan.ts";
+import { LightFleet } from "../testing/light_fleet.ts";
+import type { LightFleetPlan, LightMember } from "../testing/light_fleet.ts";
+import { EvictionGuard } from "./eviction_guard.ts";
+import { GossipCodec } from "./gossip_codec.ts";
+
+const SETTLE_MS = 15_000;
+
+class UncappedGuard extends EvictionGuard {
+  override tryEvict(): boolean {
+    return true;
+  }
+}
+
+async function startFleet(
+  sizes: { domains?: number; membersPerDomain?: number; services?: number } =
+    {},
+  changes: Partial<LightFleetPlan> = {},
+): Promise<LightFleet> {
+  const fleet = new LightFleet({
+    ...createLightPlan({
+      seed: 7,
+      domains: 2,
+      membersPerDomain: 8,
+      services: 8,
+      entryServices: 1,
+      ...sizes,
+    }),
+    ...changes,
+  });
+  await fleet.startAll();
+  await fleet.run(SETTLE_MS);
+  return fleet;
+}
+
+function pick(fleet: LightFleet, index: number): LightMember {
+  const member = fleet.members[index];
+  assert.ok(member);
+  return member as LightMember;
+}
+
+function listOthers(fleet: LightFleet, member: LightMember): LightMember[] {
+  return fleet.members.filter((other) => other !== member);
+}
+
+/** States of a member in the views of others that know it. */
+function listStates(
+  others: readonly LightMember[],
+  { incarnation }: MemberRecord,
+): string[] {
+  return others.flatMap(({ membership }) =>
+    membership.find(incarnation)?.state ?? []
+  );
+}
+
+function cutDomain(fleet: LightFleet, failureDomain: string): void {
+  const inside = new Set(
+    fleet.listDomain(failureDomain).map(({ address }) => address),
+  );
+  fleet.network.faults.isCut = (source, target) =>
+    inside.has(source) !== inside.has(target);
+}
+
+function heal(fleet: LightFleet): void {
+  fleet.network.faults.isCut = () => false;
+}
+
+test("every member knows its failure domain and the services it calls, and little else", async () => {
+  const fleet = await startFleet({ domains: 4, services: 16 });
+  for (const { membership, record } of fleet.members) {
+    const all = membership.listAll();
+    const own = all.filter(({ failureDomain }) =>
+      failureDomain === record.failureDomain
+    );
+    assert.is(own.length, 8);
+    const service = Number(record.service.split("-")[1]);
+    for (const step of [1, 2, 3]) {
+      assert.is(
+        membership.listInstances(`service-${(service + step) % 16}`).length,
+        2,
+      );
+    }
+  }
+  const small = fleet.members.filter(({ membership }) =>
+    membership.listAll().length < fleet.members.length
+  );
+  assert.is(small.length, fleet.members.length - 4 * 3);
+});
+
+test("a crashed member is dead to all who know it, and stays findable for ten minutes", async () => {
+  const fleet = await startFleet();
+  const victim = pick(fleet, 3);
+  fleet.crash(victim);
+  await fleet.run(SETTLE_MS);
+  const others = listOthers(fleet, victim);
+  const states = listStates(others, victim.record);
+  assert.ok(states.length >= 7);
+  assert.equal([...new Set(states)], ["dead"]);
+  await fleet.run(560_000);
+  assert.is(
+    pick(fleet, 1).membership.find(victim.record.incarnation)?.state,
+    "dead",
+  );
+  await fleet.run(60_000);
+  assert.is(
+    pick(fleet, 1).membership.find(victim.record.incarnation),
+    undefined,
+  );
+});
+
+async function pauseBriefly(
+  changes: Partial<LightFleetPlan>,
+): Promise<boolean> {
+  const fleet = await startFleet({}, changes);
+  const paused = pick(fleet, 3);
+  const others = listOthers(fleet, paused);
+  let wasDead = false;
+  paused.clock.pause();
+  for (let step = 0; step < 100; step += 1) {
+    if (step === 30) {
+      paused.clock.resume();
+    }
+    await fleet.run(100);
+    wasDead ||= listStates(others, paused.record).includes("dead");
+  }
+  return wasDead;
+}
+
+test("a member that pauses for a moment refutes the suspicion", async () => {
+  assert.is(await pauseBriefly({}), false);
+});
+
+test("seeded defect: without suspicion a paused member is evicted", async () => {
+  const options = () => ({ suspicionTimeoutMs: 0 });
+  assert.is(await pauseBriefly({ options }), true);
+});
+
+async function pauseLong(
+  prepare: (fleet: LightFleet) => void,
+): Promise<string[]> {
+  const fleet = await startFleet();
+  prepare(fleet);
+  const paused = pick(fleet, 3);
+  const others = listOthers(fleet, paused);
+  paused.clock.pause();
+  await fleet.run(20_000);
+  assert.ok(listStates(others, paused.record).includes("dead"));
+  paused.clock.resume();
+  await fleet.run(30_000);
+  return [...new Set(listStates(others, paused.record))];
+}
+
+test("a member that was paused for long returns", async () => {
+  assert.equal(await pauseLong(() => undefined), ["alive"]);
+});
+
+test("seeded defect: with versions ignored a paused member never returns", async () => {
+  const states = await pauseLong((fleet) => {
+    const codec = new GossipCodec("light-fleet-token");
+    fleet.network.faults.transform = (bytes) => {
+      const message = codec.decode(bytes);
+      return message
+        ? codec.encode({
+          ...message,
+          records: message.records.map((record) => ({ ...record, version: 1 })),
+        })
+        : bytes;
+    };
+  });
+  assert.ok(states.includes("dead"));
+});
+
+test("a restart at the same address replaces the earlier incarnation at once", async () => {
+  const fleet = await startFleet();
+  const victim = pick(fleet, 3);
+  fleet.crash(victim);
+  const next = await fleet.restart(victim);
+  await fleet.run(3_000);
+  const others = listOthers(fleet, next);
+  assert.equal([...new Set(listStates(others, victim.record))], ["dead"]);
+  assert.equal([...new Set(listStates(others, next.record))], ["alive"]);
+});
+
+async function splitDomain(
+  changes: Partial<LightFleetPlan>,
+): Promise<{ worst: number; end: string[] }> {
+  const fleet = await startFleet({ domains: 1, membersPerDomain: 20 }, changes);
+  const half = new Set(
+    fleet.members.slice(0, 10).map(({ address }) => address),
+  );
+  fleet.network.faults.isCut = (source, target) =>
+    half.has(source) !== half.has(target);
+  await fleet.run(40_000);
+  const worst = Math.max(
+    ...fleet.members.map(({ membership }) =>
+      membership.listAll().filter(({ state }) => state === "dead").length
+    ),
+  );
+  heal(fleet);
+  await fleet.run(60_000);
+  const end = fleet.members.flatMap(({ record }) =>
+    listStates(fleet.members, record)
+  );
+  return { worst, end: [...new Set(end)] };
+}
+
+test("a split failure domain evicts no more than its share within a minute, and heals", async () => {
+  const { worst, end } = await splitDomain({});
+  assert.is(worst, 4);
+  assert.equal(end, ["alive"]);
+});
+
+test("seeded defect: without the cap a split evicts the whole other half", async () => {
+  const { worst } = await splitDomain({
+    options: () => ({ guard: new UncappedGuard() }),
+  });
+  assert.is(worst, 10);
+});
+
+test("a failure domain that goes dark is avoided, remembered, and back soon after", async () => {
+  const fleet = await startFleet();
+  const [outside] = fleet.listDomain("domain-0");
+  assert.ok(outside);
+  const { membership } = outside as LightMember;
+  const listRemote = () =>
+    membership.listInstances("service-1").filter(({ failureDomain }) =>
+      failureDomain === "domain-1"
+    );
+  // service-1 runs in domain-1 only, service-0 in domain-0 only.
+  assert.is(listRemote().length, 2);
+  cutDomain(fleet, "domain-1");
+  await fleet.run(20_000);
+  const unreachable = fleet.listDomain("domain-0").filter((member) =>
+    member.membership.self.unreachableDomains?.includes("domain-1")
+  );
+  assert.is(unreachable.length, 3);
+  assert.is(listRemote()[0]?.state, "alive");
+  await fleet.run(1_200_000);
+  heal(fleet);
+  await fleet.run(10_000);
+  const still = fleet.members.filter((member) =>
+    (member.membership.self.unreachableDomains ?? []).length > 0
+  );
+  assert.is(still.length, 0);
+  assert.is(listRemote().length, 2);
+});
+
+test("after everything restarted, domains whose store is down are found by the others", async () => {
+  const fleet = await startFleet({ domains: 3 }, {
+    isStoreDown: (failureDomain) => failureDomain === "domain-2",
+    options: () => ({ seeds: ["10.0.0.0:7102"] }),
+  });
+  fleet.members.forEach((member) => fleet.crash(member));
+  await fleet.run(30_000);
+  for (const member of [...fleet.members]) {
+    await fleet.restart(member);
+  }
+  await fleet.run(30_000);
+  for (const { membership, record } of fleet.members) {
+    const own = membership.listAll().filter(({ failureDomain, state }) =>
+      failureDomain === record.failureDomain && state === "alive"
+    );
+    assert.is(own.length, 8);
+  }
+});
+
+test("the loss of every delegate at once leaves the exchange between failure domains running", async () => {
+  const fleet = await startFleet();
+  const delegates = fleet.members.filter(({ membership }) =>
+    membership.isDelegate
+  );
+  assert.is(delegates.length, 6);
+  delegates.forEach((member) => fleet.crash(member));
+  await fleet.run(120_000);
+  const alive = fleet.members.filter((member) => !delegates.includes(member));
+  const next = alive.filter(({ membership }) => membership.isDelegate);
+  assert.is(next.length, 6);
+  const dead = delegates.flatMap(({ record }) => listStates(next, record));
+  assert.not(dead.includes("alive"));
+});
+
+test("a leaving instance is given no new work by anyone after a second", async () => {
+  const fleet = await startFleet({ domains: 4 });
+  const leaving = pick(fleet, 5);
+  leaving.membership.updateSelf({ state: "leaving" });
+  await fleet.run(1_000);
+  for (const { membership } of listOthers(fleet, leaving)) {
+    const instances = membership.listInstances(leaving.record.service);
+    assert.not(
+      instances.some(({ incarnation }) =>
+        incarnation === leaving.record.incarnation
+      ),
+    );
+  }
+});
+
+test("an instance that refused as leaving is left out at once, until it says otherwise", async () => {
+  const fleet = await startFleet();
+  const [asker, target] = [pick(fleet, 0), pick(fleet, 2)];
+  const isListed = () =>
+    asker.membership.listInstances(target.record.service)
+      .some(({ incarnation }) => incarnation === target.record.incarnation);
+  assert.ok(isListed());
+  asker.membership.noteLeaving(target.record.incarnation);
+  assert.not(isListed());
+  target.membership.updateSelf({ state: "alive" });
+  await fleet.run(2_000);
+  assert.ok(isListed());
+});
+
+test("a member outside the own view is found by asking", async () => {
+  const fleet = await startFleet({ domains: 4, services: 16 });
+  const asker = fleet.members.find(({ membership }) => !membership.isDelegate);
+  const hidden = fleet.members.find(({ record }) =>
+    !asker?.membership.find(record.incarnation)
+  );
+  assert.ok(asker && hidden);
+  const found = asker?.membership.lookUp(hidden?.record.incarnation ?? "");
+  await fleet.run(500);
+  assert.is((await found)?.address, hidden?.record.address);
+});
+
+test("the store sees few reads and fewer writes, which stop once the fleet is up", async () => {
+  const fleet = await startFleet({ domains: 2, membersPerDomain: 24 });
+  assert.ok(fleet.store.reads <= 4 * fleet.members.length);
+  assert.ok(fleet.store.writes <= fleet.members.length);
+  const { reads, writes } = fleet.store;
+  await fleet.run(120_000);
+  assert.ok(fleet.store.reads - reads <= 4);
+  assert.ok(fleet.store.writes - writes <= 2);
+});
+
+test("peers' configuration versions are passed on", async () => {
+  const fleet = await startFleet();
+  const versions = new Set<number>();
+  pick(fleet, 0).membership.onPeerConfigurationVersion(({ version }) =>
+    versions.add(version)
+  );
+  await fleet.run(3_000);
+  assert.equal([...versions], [1]);
+});
+
+test("hostile and corrupt datagrams are dropped with one log line", async () => {
+  const events: string[] = [];
+  const drop = () => undefined;
+  const fleet = await startFleet({}, {
+    options: () => ({
+      log: {
+        debug: drop,
+        info: drop,
+        warn: (_context, event) => events.push(event),
+        error: drop,
+      },
+    }),
+  });
+  const target = pick(fleet, 0);
+  const before = target.membership.listAll().length;
+  const stranger = new GossipCodec("another-token").encode({
+    kind: "push",
+    sender: "stranger",
+    failureDomain: "domain-0",
+    sentAtMs: 1,
+    recipient: target.address,
+    sequence: 0,
+    configurationVersion: 9,
+    digest: 0,
+    records: [{ ...target.record, incarnation: "stranger" }],
+  });
+  const garbage = new Encoder().encode({ kind: "push" });
+  const flood = [stranger, garbage, new Uint8Array(0), new Uint8Array(9_000)];
+  for (let round = 0; round < 50; round += 1) {
+    flood.forEach((bytes) =>
+      fleet.network.carry(bytes, "10.9.9.9:7102", target.address)
+    );
+  }
+  await fleet.run(1_000);
+  assert.is(target.membership.traffic.droppedDatagrams, 200);
+  assert.equal(events, ["gossip-dropped"]);
+  assert.is(target.membership.listAll().length, before);
+});
+
+test("a datagram that is repeated later or sent elsewhere is dropped", async () => {
+  const fleet = await startFleet();
+  const recorded: Uint8Array[] = [];
+  const [first, second] = [pick(fleet, 0), pick(fleet, 2)];
+  fleet.network.faults.transform = (bytes, source) => {
+    if (source === second.address && recorded.length < 1) {
+      recorded.push(bytes);
+    }
+    return bytes;
+  };
+  await fleet.run(30_000);
+  const bytes = recorded[0] ?? new Uint8Array(0);
+  const dropped = fleet.members.reduce(
+    (sum, { membership }) => sum + membership.traffic.droppedDatagrams,
+    0,
+  );
+  assert.is(dropped, 0);
+  fleet.members.forEach(({ address }) =>
+    fleet.network.carry(bytes, second.address, address)
+  );
+  await fleet.run(1_000);
+  assert.is(first.membership.traffic.droppedDatagrams, 1);
+});
+
+test.run();
--- /dev/null
+++ b/src/membership/membership_history_test.ts
@@ -0,0 +1,244 @@
+import * as assert from "uvu/assert";
+import { test } from "uvu";
+import fc from "fast-check";
+import { createLightPlan } from "../testing/create_light_plan.ts";
+import { LightFleet } from "../testing/light_fleet.ts";
+import type { LightFleetPlan, LightMember } from "../testing/light_fleet.ts";
+import {
+  CappedEvictionGuard,
+  EVICTION_WINDOW_MS,
+  EvictionGuard,
+  MAX_DOMAIN_EVICTION_RATIO,
+} from "./eviction_guard.ts";
+
+const DOMAINS = 3;
+const MEMBERS_PER_DOMAIN = 6;
+const MEMBERS = DOMAINS * MEMBERS_PER_DOMAIN;
+const SERVICES = 6;
+const SAMPLE_MS = 500;
+const HEAL_MS = 150_000;
+const RUNS = 12;
+const SEED = 20_261_203;
+const MIN_DOMAIN_EVICTIONS = 2;
+
+const FAULTS = [
+  "crash",
+  "pause",
+  "resume",
+  "restart",
+  "cut-domain",
+  "cut-member",
+  "heal",
+  "lose",
+] as const;
+
+interface Step {
+  readonly fault: (typeof FAULTS)[number];
+  readonly target: number;
+  readonly durationMs: number;
+}
+
+const schedules: fc.Arbitrary<Step[]> = fc.array(
+  fc.record({
+    fault: fc.constantFrom(...FAULTS),
+    target: fc.nat(MEMBERS - 1),
+    durationMs: fc.integer({ min: 500, max: 12_000 }),
+  }),
+  { minLength: 3, maxLength: 10 },
+);
+
+/** Times at which one observer evicted a member that had not said that it ends. */
+class EvictionHistory {
+  readonly #states = new Map<string, string>();
+  readonly #timesMs = new Map<string, number[]>();
+
+  /** Looks at what every member believes now; gives the first excess over the cap. */
+  sample(fleet: LightFleet): string | undefined {
+    const nowMs = fleet.clock.nowMs();
+    const current = new Set(
+      fleet.members.map(({ record }) => record.incarnation),
+    );
+    for (const observer of fleet.members) {
+      const { membership, record } = observer;
+      for (const known of membership.listAll()) {
+        const id = `${record.incarnation}>${known.incarnation}`;
+        const isEvicted = known.state === "dead" &&
+          ["alive", "suspect"].includes(this.#states.get(id) ?? "") &&
+          current.has(known.incarnation);
+        this.#states.set(id, known.state);
+        if (isEvicted) {
+          const excess = this.#note(
+            `${record.incarnation}>${known.failureDomain}`,
+            nowMs,
+          );
+          if (excess) {
+            return excess;
+          }
+        }
+      }
+    }
+    return undefined;
+  }
+
+  #note(key: string, nowMs: number): string | undefined {
+    const timesMs = (this.#timesMs.get(key) ?? []).filter((atMs) =>
+      nowMs - atMs < EVICTION_WINDOW_MS - SAMPLE_MS
+    );
+    timesMs.push(nowMs);
+    this.#timesMs.set(key, timesMs);
+    const limit = Math.max(
+      MIN_DOMAIN_EVICTIONS,
+      Math.floor(MEMBERS_PER_DOMAIN * MAX_DOMAIN_EVICTION_RATIO),
+    );
+    return timesMs.length > limit
+      ? `${key} evicted ${timesMs.length}`
+      : undefined;
+  }
+}
+
+/** Runs one schedule of faults, heals everything, and names the first violation. */
+async function findViolation(
+  steps: readonly Step[],
+  changes: Partial<LightFleetPlan> = {},
+): Promise<string | undefined> {
+  const plan = createLightPlan({
+    seed: 3,
+    domains: DOMAINS,
+    membersPerDomain: MEMBERS_PER_DOMAIN,
+    services: SERVICES,
+    entryServices: SERVICES,
+  });
+  const fleet = new LightFleet({ ...plan, ...changes });
+  await fleet.startAll();
+  await fleet.run(10_000);
+  const history = new EvictionHistory();
+  const crashed = new Set<LightMember>();
+  for (const step of steps) {
+    await applyFault(fleet, step, crashed);
+    for (let passedMs = 0; passedMs < step.durationMs; passedMs += SAMPLE_MS) {
+      await fleet.run(SAMPLE_MS);
+      const excess = history.sample(fleet);
+      if (excess) {
+        return excess;
+      }
+    }
+  }
+  fleet.network.faults.isCut = () => false;
+  fleet.network.faults.lossRatio = 0;
+  fleet.members.filter((member) => !crashed.has(member))
+    .forEach(({ clock }) => clock.isPaused && clock.resume());
+  await fleet.run(HEAL_MS);
+  return findWrongBelief(fleet, crashed);
+}
+
+async function applyFault(
+  fleet: LightFleet,
+  { fault, target }: Step,
+  crashed: Set<LightMember>,
+): Promise<void> {
+  const member = fleet.members[target];
+  if (!member) {
+    return;
+  }
+  const { faults } = fleet.network;
+  const inside = new Set(
+    (fault === "cut-member"
+      ? [member]
+      : fleet.listDomain(member.record.failureDomain)).map(({ address }) =>
+        address
+      ),
+  );
+  switch (fault) {
+    case "crash":
+      fleet.crash(member);
+      crashed.add(member);
+      break;
+    case "pause":
+      member.clock.pause();
+      break;
+    case "resume":
+      if (!crashed.has(member)) {
+        member.clock.resume();
+      }
+      break;
+    case "restart":
+      fleet.crash(member);
+      crashed.delete(member);
+      await fleet.restart(member);
+      break;
+    case "cut-domain":
+    case "cut-member":
+      faults.isCut = (source, destination) =>
+        inside.has(source) !== inside.has(destination);
+      break;
+    case "heal":
+      faults.isCut = () => false;
+      faults.lossRatio = 0;
+      break;
+    case "lose":
+      faults.lossRatio = 0.2;
+  }
+}
+
+/** A member that is up has to be alive to its failure domain; one that is down has not. */
+function findWrongBelief(
+  fleet: LightFleet,
+  crashed: ReadonlySet<LightMember>,
+): string | undefined {
+  const running = fleet.members.filter((member) => !crashed.has(member));
+  for (const { membership, record } of running) {
+    for (const other of fleet.listDomain(record.failureDomain)) {
+      const state = membership.find(other.record.incarnation)?.state;
+      if ((state === "alive") === crashed.has(other)) {
+        return `${record.incarnation} believes ${other.record.incarnation} ${state}`;
+      }
+    }
+    const missing = running.find((other) =>
+      other.record.service !== record.service &&
+      !membership.listInstances(other.record.service).some((
+        { incarnation },
+      ) => incarnation === other.record.incarnation)
+    );
+    if (missing) {
+      return `${record.incarnation} does not list ${missing.record.incarnation}`;
+    }
+  }
+  return undefined;
+}
+
+test("under random faults evictions keep to the cap, and after healing every belief is true", async () => {
+  await fc.assert(
+    fc.asyncProperty(schedules, async (steps) => {
+      assert.is(await findViolation(steps), undefined);
+    }),
+    { seed: SEED, numRuns: RUNS, endOnFailure: false },
+  );
+});
+
+class UncappedGuard extends EvictionGuard {
+  override tryEvict(): boolean {
+    return true;
+  }
+}
+
+const SPLIT: readonly Step[] = [
+  { fault: "pause", target: 0, durationMs: 500 },
+  { fault: "pause", target: 3, durationMs: 500 },
+  { fault: "pause", target: 6, durationMs: 12_000 },
+];
+
+test("seeded defect: the checker finds evictions beyond the cap", async () => {
+  const violation = await findViolation(SPLIT, {
+    options: () => ({ guard: new UncappedGuard() }),
+  });
+  assert.match(violation ?? "", "evicted 3");
+});
+
+test("the same schedule keeps to the cap with it in place", async () => {
+  const violation = await findViolation(SPLIT, {
+    options: (clock) => ({ guard: new CappedEvictionGuard(clock) }),
+  });
+  assert.is(violation, undefined);
+});
+
+test.run();
--- a/src/membership/record_puller.ts
+++ b/src/membership/record_puller.ts
@@ -33,17 +33,22 @@
 /** Services named by one pull. */
 const MAX_NAMED_SERVICES = 16;
 
+/** Wait after the first complete answer; it doubles up to the longest. */
+const FIRST_WAIT_MS = 1_000;
+
 interface Cursor {
   position: number;
   dueAtMs: number;
+  waitMs: number;
+  readonly longestWaitMs: number;
 }
 
 /** Pulls records from one delegate at a time. */
 export class RecordPuller {
   readonly #context: GossipContext;
   readonly #interest: ServiceInterest;
-  readonly #named: Cursor = { position: 0, dueAtMs: 0 };
-  readonly #general: Cursor = { position: 0, dueAtMs: 0 };
+  readonly #named = createCursor(REFRESH_INTERVAL_MS);
+  readonly #general = createCursor(IDLE_INTERVAL_MS);
   #delegate = "";
   #nextNamed = 0;
 
@@ -110,7 +115,7 @@
     if (message.records.length > 0) {
       cursor.dueAtMs = nowMs + BUSY_INTERVAL_MS;
     } else if (cursor === this.#general) {
-      cursor.dueAtMs = nowMs + this.#jitter(IDLE_INTERVAL_MS);
+      this.#rest(cursor);
     } else {
       this.#finishNamed(nowMs);
     }
@@ -182,8 +187,11 @@
     this.#nextNamed += MAX_NAMED_SERVICES;
     this.#named.position = 0;
     const isRoundOver = this.#nextNamed >= named.length;
-    this.#named.dueAtMs = nowMs +
-      (isRoundOver ? this.#jitter(REFRESH_INTERVAL_MS) : BUSY_INTERVAL_MS);
+    if (isRoundOver) {
+      this.#rest(this.#named);
+    } else {
+      this.#named.dueAtMs = nowMs + BUSY_INTERVAL_MS;
+    }
   }
 
   #nextServices(service: string): string[] {
@@ -219,8 +227,16 @@
     return delegates[hashText(table.self.incarnation) % delegates.length];
   }
 
+  /** Waits longer after each complete answer. */
+  #rest(cursor: Cursor): void {
+    cursor.dueAtMs = this.#context.clock.monotonicMs() +
+      this.#jitter(cursor.waitMs);
+    cursor.waitMs = Math.min(cursor.waitMs * 2, cursor.longestWaitMs);
+  }
+
   #reset(cursor: Cursor): void {
     cursor.position = 0;
+    cursor.waitMs = FIRST_WAIT_MS;
     cursor.dueAtMs = this.#context.clock.monotonicMs();
     this.#nextNamed = 0;
   }
@@ -229,3 +245,7 @@
     return durationMs * (0.75 + this.#context.random.nextRatio() / 2);
   }
 }
+
+function createCursor(longestWaitMs: number): Cursor {
+  return { position: 0, dueAtMs: 0, waitMs: FIRST_WAIT_MS, longestWaitMs };
+}
--- a/src/membership/seed_keeper.ts
+++ b/src/membership/seed_keeper.ts
@@ -137,7 +137,9 @@
   async #readRemoteList(): Promise<void> {
     const missing = this.#listMissingDomains();
     const failureDomain = missing[this.#nextRemoteDomain % missing.length];
-    if (failureDomain === undefined || !this.#isFirstDelegate()) {
+    const isNew = this.#isAlone() &&
+      this.#isolatedWaitMs === ISOLATED_RETRY_MS.first;
+    if (failureDomain === undefined || isNew || !this.#isFirstDelegate()) {
       return;
     }
     this.#nextRemoteDomain += 1;
--- a/src/testing/manual_clock.ts
+++ b/src/testing/manual_clock.ts
@@ -6,13 +6,17 @@
 
 interface Timer {
   readonly dueMs: number;
+  readonly order: number;
   readonly callback: () => void;
+  isCancelled: boolean;
 }
 
 /** Time stands still until `advance` is called. */
 export class ManualClock extends Clock {
   #nowMs = 1_800_000_000_000;
-  #timers: Timer[] = [];
+  #nextOrder = 0;
+  /** A binary heap; the timer that is due first comes first. */
+  readonly #timers: Timer[] = [];
 
   override nowMs(): number {
     return this.#nowMs;
@@ -23,10 +27,17 @@
   }
 
   override schedule(delayMs: number, callback: () => void): () => void {
-    const timer = { dueMs: this.#nowMs + delayMs, callback };
-    this.#timers.push(timer);
+    const dueMs = this.#nowMs + delayMs;
+    const timer = {
+      dueMs,
+      order: this.#nextOrder,
+      callback,
+      isCancelled: false,
+    };
+    this.#nextOrder += 1;
+    this.#insert(timer);
     return () => {
-      this.#timers = this.#timers.filter((other) => other !== timer);
+      timer.isCancelled = true;
     };
   }
 
@@ -45,12 +56,58 @@
   }
 
   #takeDue(endMs: number): Timer | undefined {
-    const due = this.#timers.filter(({ dueMs }) => dueMs <= endMs);
-    const next = due.reduce<Timer | undefined>(
-      (first, timer) => first && first.dueMs <= timer.dueMs ? first : timer,
-      undefined,
-    );
-    this.#timers = this.#timers.filter((timer) => timer !== next);
-    return next;
+    for (
+      let first = this.#timers[0];
+      first && first.dueMs <= endMs;
+      first = this.#timers[0]
+    ) {
+      this.#removeFirst();
+      if (!first.isCancelled) {
+        return first;
+      }
+    }
+    return undefined;
+  }
+
+  #insert(timer: Timer): void {
+    const timers = this.#timers;
+    let index = timers.length;
+    while (index > 0) {
+      const parentIndex = (index - 1) >> 1;
+      const parent = timers[parentIndex];
+      if (!parent || isBefore(parent, timer)) {
+        break;
+      }
+      timers[index] = parent;
+      index = parentIndex;
+    }
+    timers[index] = timer;
   }
+
+  #removeFirst(): void {
+    const timers = this.#timers;
+    const last = timers.pop();
+    if (!last || timers.length === 0) {
+      return;
+    }
+    let index = 0;
+    while (true) {
+      const left = timers[2 * index + 1];
+      const right = timers[2 * index + 2];
+      const isRightFirst = left && right && isBefore(right, left);
+      const child = isRightFirst ? right : left;
+      if (!child || isBefore(last, child)) {
+        break;
+      }
+      timers[index] = child;
+      index = 2 * index + (isRightFirst ? 2 : 1);
+    }
+    timers[index] = last;
+  }
+}
+
+function isBefore(one: Timer, other: Timer): boolean {
+  return one.dueMs === other.dueMs
+    ? one.order < other.order
+    : one.dueMs < other.dueMs;
 }
