--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -22,14 +22,25 @@
   watchConfiguration,
 } from "../configuration/mod.ts";
 import type { DaemonSettings, MemberRecord } from "../generated/types.ts";
-import { KeyLedger } from "../idempotency/mod.ts";
+import {
+  KeyLedger,
+  KeyPlacement,
+  RunLedger,
+  SuccessorTable,
+} from "../idempotency/mod.ts";
 import {
   createIncarnation,
   GossipMembership,
   UdpTransport,
 } from "../membership/mod.ts";
 import { PeerServer } from "../peer/mod.ts";
-import { ActiveCalls, PeerClients, servePeerCall } from "../request/mod.ts";
+import type { DialPeer } from "../peer/mod.ts";
+import {
+  ActiveCalls,
+  handOverKeys,
+  PeerClients,
+  servePeerCall,
+} from "../request/mod.ts";
 import type { CallEnvironment } from "../request/mod.ts";
 import { AllowanceRetryPolicy, EveryHopRetryPolicy } from "../retry/mod.ts";
 import { LocalFirstChooser, RandomChooser } from "../routing/mod.ts";
@@ -52,6 +63,12 @@
 /** Interval at which a stopping daemon checks for requests in progress, in milliseconds. */
 const DRAIN_POLL_MS = 20;
 
+/** Parts of a daemon that tests replace. */
+export interface DaemonParts {
+  /** Opens sockets to other daemons. */
+  readonly dial?: DialPeer;
+}
+
 /** A running daemon. */
 export class Daemon {
   readonly environment: CallEnvironment;
@@ -64,7 +81,7 @@
   #stopped: Promise<void> | undefined;
   #requestsInProgress = 0;
 
-  constructor(settings: DaemonSettings) {
+  constructor(settings: DaemonSettings, parts: DaemonParts = {}) {
     const clock = new SystemClock();
     const random = new RandomSource(settings.randomSeed);
     const self = createOwnRecord(settings, clock.nowMs());
@@ -83,7 +100,9 @@
       identity,
       clock,
       maxBodyBytes: settings.maxBodyBytes,
+      ...parts.dial === undefined ? {} : { dial: parts.dial },
     };
+    const journal = new DecisionJournal(clock);
     const seeds = settings.seeds.split(",").filter((seed) => seed !== "");
     const isProtected = settings.protection === "on";
     const { fleetToken } = settings;
@@ -115,7 +134,11 @@
       journal,
       configuration,
       membership: this.#membership,
-      peers: new PeerClients(linkOptions),
+      peers: new PeerClients({
+        ...linkOptions,
+        reportReplacement: (replacement) =>
+          journal.record(DECISIONS.connectionReplaced, { ...replacement }),
+      }),
       backend: new BackendRegistry(clock),
       backendClient: new BackendClient(settings.address),
       entryAdmission: new OpenEntryAdmission(),
@@ -129,6 +152,9 @@
         ? new AllowanceRetryPolicy()
         : new EveryHopRetryPolicy(),
       keys: new KeyLedger({ incarnation, fleetToken, clock }),
+      keyPlacement: new KeyPlacement(),
+      successors: new SuccessorTable(clock),
+      runs: new RunLedger(clock),
       activeCalls: new ActiveCalls(clock),
     };
     this.#peerServer = new PeerServer({
@@ -202,16 +228,18 @@
     );
     this.#membership.updateSelf({ state: "leaving" });
     backend.leave();
+    const sendLateOutcomes = await handOverKeys(this.environment);
     await clock.sleep(LEAVE_NOTICE_MS);
     const deadlineMs = clock.monotonicMs() + settings.drainTimeoutMs;
     while (this.#requestsInProgress > 0 && clock.monotonicMs() < deadlineMs) {
       await clock.sleep(DRAIN_POLL_MS);
     }
+    await sendLateOutcomes();
     this.#stopHousekeeping();
     this.#stopSignal.abort();
     await this.#membership.stop();
     this.#servers.forEach((server) => server.close());
-    this.#peerServer.close();
+    await this.#peerServer.close();
     peers.close();
     await this.#store.close();
     log.info({}, "daemon-stopped");
@@ -266,8 +294,9 @@
   }
 
   #keepHouse(): void {
-    const { membership, peers } = this.environment;
+    const { membership, peers, successors } = this.environment;
     this.#publishBackend();
+    successors.learn(membership.listAll());
     peers.retain(
       new Set(
         membership.listAll().filter(({ state }) => state !== "dead").map((
