--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -108,7 +108,6 @@
     const { fleetToken } = settings;
     this.#store = new HttpObjectStore(settings.storeUrl);
     const store = this.#store;
-    const journal = new DecisionJournal(clock);
     this.#membership = new GossipMembership({
       self,
       fleetToken,
