--- a/src/daemon/create_admin_app.ts
+++ b/src/daemon/create_admin_app.ts
@@ -70,7 +70,7 @@
     );
   });
   app.post("/v1/drain", (context) => {
-    backend.leave();
+    backend.drain();
     return context.json({ state: backend.state });
   });
   app.post("/v1/undrain", (context) => {
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -19,7 +19,9 @@
 import { createCallerApp } from "../caller/mod.ts";
 import {
   ConfigurationHolder,
-  watchConfiguration,
+  ConfigurationReader,
+  ConfigurationSpread,
+  createConfigurationTransfer,
 } from "../configuration/mod.ts";
 import type { DaemonSettings, MemberRecord } from "../generated/types.ts";
 import {
@@ -44,7 +46,7 @@
 import type { CallEnvironment } from "../request/mod.ts";
 import { AllowanceRetryPolicy, EveryHopRetryPolicy } from "../retry/mod.ts";
 import { LocalFirstChooser, RandomChooser } from "../routing/mod.ts";
-import { HttpObjectStore } from "../store/mod.ts";
+import { BudgetedObjectStore, HttpObjectStore } from "../store/mod.ts";
 import {
   createLogger,
   DaemonMetrics,
@@ -53,6 +55,7 @@
 } from "../telemetry/mod.ts";
 import { RandomSource, SystemClock } from "../time/mod.ts";
 import { createAdminApp } from "./create_admin_app.ts";
+import { DaemonConfigurationPeers } from "./daemon_configuration_peers.ts";
 
 /** Interval at which the daemon tidies up, in milliseconds. */
 const HOUSEKEEPING_INTERVAL_MS = 500;
@@ -63,17 +66,28 @@
 /** Interval at which a stopping daemon checks for requests in progress, in milliseconds. */
 const DRAIN_POLL_MS = 20;
 
+/** Quiet after which a stopping daemon closes its connections, and longest wait for it, in milliseconds. */
+const QUIET_MS = 250;
+const QUIET_TIMEOUT_MS = 2_000;
+
 /** Parts of a daemon that tests replace. */
 export interface DaemonParts {
   /** Opens sockets to other daemons. */
   readonly dial?: DialPeer;
 }
 
+/** Calls to the object API that one daemon may make at once. */
+const STORE_BURST_CALLS = 10;
+
+/** Calls to the object API that one daemon may make in the long run. */
+const STORE_CALLS_PER_SECOND = 1;
+
 /** A running daemon. */
 export class Daemon {
   readonly environment: CallEnvironment;
   readonly #store: HttpObjectStore;
   readonly #membership: GossipMembership;
+  readonly #configurationSpread: ConfigurationSpread;
   readonly #peerServer: PeerServer;
   readonly #stopSignal = new AbortController();
   #servers: ServerType[] = [];
@@ -107,7 +121,12 @@
     const isProtected = settings.protection === "on";
     const { fleetToken } = settings;
     this.#store = new HttpObjectStore(settings.storeUrl);
-    const store = this.#store;
+    const store = new BudgetedObjectStore({
+      store: this.#store,
+      clock,
+      burstCalls: STORE_BURST_CALLS,
+      callsPerSecond: STORE_CALLS_PER_SECOND,
+    });
     this.#membership = new GossipMembership({
       self,
       fleetToken,
@@ -125,6 +144,18 @@
           log.warn({ error: error.message }, "gossip-socket-error"),
       }),
     });
+    this.#membership.onPeerConfigurationVersion(({ incarnation, version }) =>
+      this.#configurationSpread.takePeerVersion(incarnation, version)
+    );
+    this.#configurationSpread = new ConfigurationSpread({
+      reader: new ConfigurationReader(store),
+      holder: configuration,
+      peers: new DaemonConfigurationPeers(this.#membership, linkOptions),
+      clock,
+      random,
+      log,
+      journal,
+    });
     this.environment = {
       settings,
       clock,
@@ -162,6 +193,8 @@
         this.#track(() =>
           servePeerCall(this.environment, call, { body, signal })
         ),
+      provideConfiguration: (knownVersion) =>
+        createConfigurationTransfer(configuration, knownVersion),
       reportError: (error, remoteAddress) =>
         log.warn(
           { error: error.message, name: error.name, remoteAddress },
@@ -172,13 +205,13 @@
 
   /** Whether the daemon can serve callers. */
   get isReady(): boolean {
-    return this.environment.configuration.version > 0 && !this.#stopped;
+    return this.#configurationSpread.isConfirmed && !this.#stopped;
   }
 
   /** Starts the listeners and joins the fleet. */
   async start(): Promise<void> {
     const { environment } = this;
-    const { settings, clock, configuration, log } = environment;
+    const { settings, clock, log } = environment;
     await this.#peerServer.listen(settings.address, settings.peerPort);
     await this.#listen(createCallerApp(environment), settings.callerPort);
     await this.#listen(createBackendApp(environment), settings.backendPort);
@@ -188,18 +221,8 @@
       settings.adminPort,
     );
     await this.#membership.start();
-    const signal = this.#stopSignal.signal;
-    void watchConfiguration({
-      store: this.#store,
-      holder: configuration,
-      clock,
-      log,
-      signal,
-    });
+    void this.#configurationSpread.run(this.#stopSignal.signal);
     environment.backend.subscribe(() => this.#publishBackend());
-    configuration.subscribe(({ version }) =>
-      environment.journal.record(DECISIONS.configurationChange, { version })
-    );
     this.#stopHousekeeping = clock.scheduleEvery(
       HOUSEKEEPING_INTERVAL_MS,
       () => this.#keepHouse(),
@@ -226,27 +249,43 @@
       "daemon-stopping",
     );
     this.#membership.updateSelf({ state: "leaving" });
-    backend.leave();
+    backend.drain();
     const sendLateOutcomes = await handOverKeys(this.environment);
     await clock.sleep(LEAVE_NOTICE_MS);
     const deadlineMs = clock.monotonicMs() + settings.drainTimeoutMs;
-    while (this.#requestsInProgress > 0 && clock.monotonicMs() < deadlineMs) {
-      await clock.sleep(DRAIN_POLL_MS);
-    }
+    await this.#waitForQuiet(0, deadlineMs);
     await sendLateOutcomes();
+    this.#servers.forEach((server) => server.close());
+    await this.#waitForQuiet(
+      QUIET_MS,
+      Math.min(deadlineMs, clock.monotonicMs() + QUIET_TIMEOUT_MS),
+    );
     this.#stopHousekeeping();
     this.#stopSignal.abort();
     await this.#membership.stop();
-    this.#servers.forEach((server) => server.close());
     await this.#peerServer.close();
     peers.close();
     await this.#store.close();
     log.info({}, "daemon-stopped");
   }
 
+  /** Waits until no request has been in progress for some time. */
+  async #waitForQuiet(quietMs: number, deadlineMs: number): Promise<void> {
+    const { clock } = this.environment;
+    let busyAtMs = clock.monotonicMs();
+    while (clock.monotonicMs() < deadlineMs) {
+      if (this.#requestsInProgress > 0) {
+        busyAtMs = clock.monotonicMs();
+      } else if (clock.monotonicMs() - busyAtMs >= quietMs) {
+        return;
+      }
+      await clock.sleep(DRAIN_POLL_MS);
+    }
+  }
+
   #listen(app: Hono, port: number): Promise<void> {
     const fetch = (request: Request) =>
-      this.#track(() => Promise.resolve(app.fetch(request)));
+      this.#track(async () => this.#endConnection(await app.fetch(request)));
     return new Promise((resolve, reject) => {
       const server = serve({
         fetch,
@@ -258,6 +297,14 @@
     });
   }
 
+  /** Lets a caller's connection end after this response while the daemon stops. */
+  #endConnection(response: Response): Response {
+    if (this.#stopped) {
+      response.headers.set("connection", "close");
+    }
+    return response;
+  }
+
   async #track<T>(run: () => Promise<T>): Promise<T> {
     this.#requestsInProgress += 1;
     try {
--- a/src/membership/gossip_membership.ts
+++ b/src/membership/gossip_membership.ts
@@ -201,6 +201,10 @@
     this.#exchange.flush();
   }
 
+  override announce(): void {
+    this.#spreader.announce();
+  }
+
   override async start(): Promise<void> {
     const { clock, configuration } = this.#options;
     await this.#link.open();
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -69,6 +69,9 @@
     }
   }
 
+  /** Tells a few members at once what gossip carries, the configuration version included. */
+  abstract announce(): void;
+
   /** Joins the fleet. */
   abstract start(): Promise<void>;
 
--- a/src/membership/rumor_spreader.ts
+++ b/src/membership/rumor_spreader.ts
@@ -51,4 +51,19 @@
       rumors.markPushed(records);
     }
   }
+
+  /** Tells a few members the configuration version, which every datagram carries. */
+  announce(): void {
+    const { link, random, table } = this.#context;
+    const others = table.listDomain(table.self.failureDomain).filter((
+      { incarnation },
+    ) => incarnation !== table.self.incarnation);
+    for (const target of chooseSeveral(random, others, FANOUT)) {
+      if (this.#budget < 1) {
+        return;
+      }
+      this.#budget -= 1;
+      link.send(nameTarget(target), { kind: "push", sequence: 0, records: [] });
+    }
+  }
 }
--- a/src/peer/mod.ts
+++ b/src/peer/mod.ts
@@ -18,3 +18,4 @@
 export { PeerServer } from "./peer_server.ts";
 export type { CallHandler, PeerServerOptions } from "./peer_server.ts";
 export { isIdentityProven, proveIdentity } from "./prove_identity.ts";
+export { fetchConfiguration } from "./fetch_configuration.ts";
--- a/src/request/dispatch_call.ts
+++ b/src/request/dispatch_call.ts
@@ -6,7 +6,7 @@
 import { err } from "neverthrow";
 import type { MemberRecord } from "../generated/types.ts";
 import { createRefusal, createUncertainty, REASONS } from "../outcome/mod.ts";
-import type { CallResult } from "../outcome/mod.ts";
+import type { CallFailure, CallResult } from "../outcome/mod.ts";
 import type { AttemptReport } from "../routing/mod.ts";
 import { DECISIONS } from "../telemetry/mod.ts";
 import type { CallEnvironment } from "./call_environment.ts";
@@ -14,6 +14,9 @@
 import { runCall } from "./run_call.ts";
 import { sendOnce } from "./send_once.ts";
 
+/** Refusals by leaving instances that a call is sent on after, free of its allowance. */
+const MAX_REDIRECTS = 8;
+
 /** Wait suggested when no instance is known, in milliseconds. */
 const NO_INSTANCE_RETRY_AFTER_MS = 1_000;
 
@@ -37,6 +40,7 @@
   const excluded = new Set<string>();
   let allowance = call.context.retryAllowance;
   let hasUnknownAttempt = false;
+  let redirects = 0;
   retryPolicy.recordCall(call.service);
   for (let attempts = 1;; attempts += 1) {
     const remainingMs = call.deadlineAtMs - clock.monotonicMs();
@@ -54,6 +58,10 @@
     const failure = result.error;
     hasUnknownAttempt ||= failure.kind === "unknown";
     allowance = Math.min(allowance, failure.unusedAllowance);
+    if (mayRedirect(failure) && redirects < MAX_REDIRECTS) {
+      redirects += 1;
+      continue;
+    }
     const isRepeatable = call.context.isRepeatable;
     const question = {
       failure,
@@ -80,6 +88,11 @@
   }
 }
 
+/** A leaving instance has run nothing, so that another may be asked as if it had been the first. */
+function mayRedirect({ kind, reason }: CallFailure): boolean {
+  return kind === "refused" && reason === REASONS.leaving;
+}
+
 interface AttemptOptions {
   readonly excluded: Set<string>;
   readonly attempts: number;
@@ -118,6 +131,9 @@
     instance,
     reportAttempt(call, result, clock.monotonicMs() - startedAtMs),
   );
+  if (result.isErr() && mayRedirect(result.error)) {
+    membership.noteLeaving(instance.incarnation);
+  }
   entryAdmission.observe(
     result.isOk() ? result.value.loads : result.error.loads,
   );
