--- /dev/null
+++ b/src/measure/membership/measure_record_bytes.ts
@@ -0,0 +1,60 @@
+/**
+ * Memory that one member record takes.
+ */
+
+import process from "node:process";
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
+import { CappedEvictionGuard } from "../../membership/mod.ts";
+import { MemberTable } from "../../membership/member_table.ts";
+import { createLightRecord } from "../../testing/light_fleet.ts";
+import { ManualClock } from "../../testing/manual_clock.ts";
+
+/** Memory at one number of records. */
+export interface RecordSample {
+  readonly records: number;
+  readonly heapBytes: number;
+}
+
+/**
+ * Measures the heap that tables of some sizes take.
+ *
+ * @param sizes - Numbers of records
+ * @returns Heap used by the table of each size
+ *
+ * @example
+ * const samples = measureRecordBytes([1_000, 2_000, 4_000]);
+ */
+export function measureRecordBytes(
+  sizes: readonly number[],
+): RecordSample[] {
+  setFlagsFromString("--expose-gc");
+  const collectGarbage = runInNewContext("gc") as () => void;
+  return sizes.map((records) => {
+    collectGarbage();
+    const before = process.memoryUsage().heapUsed;
+    const table = fillTable(records);
+    collectGarbage();
+    const heapBytes = process.memoryUsage().heapUsed - before;
+    return { records: table.size, heapBytes };
+  });
+}
+
+function fillTable(records: number): MemberTable {
+  const clock = new ManualClock();
+  const table = new MemberTable({
+    self: createLightRecord({ failureDomain: "domain-0" }),
+    clock,
+    guard: new CappedEvictionGuard(clock),
+    onChange: () => undefined,
+  });
+  for (let index = 1; index < records; index += 1) {
+    table.merge(JSON.parse(JSON.stringify(createLightRecord({
+      address: `10.${index >> 16}.${(index >> 8) & 255}.${index & 255}`,
+      startedAtMs: 1_800_000_000_000 + index,
+      failureDomain: `domain-${index % 16}`,
+      service: `service-${index % 700}`,
+    }))));
+  }
+  return table;
+}
--- a/src/membership/domain_exchange.ts
+++ b/src/membership/domain_exchange.ts
@@ -13,13 +13,13 @@
 import { divideIntoDatagrams } from "./take_within_bytes.ts";
 
 /** Failure domains probed by one delegate in each interval. */
-const DOMAINS_PER_INTERVAL = 4;
+const DOMAINS_PER_INTERVAL = 3;
 
 /** Silence after which a failure domain may count as unreachable, in milliseconds. */
 export const UNREACHABLE_AFTER_MS = 6_000;
 
 /** Probes without an answer after which a failure domain may count as unreachable. */
-const UNANSWERED_PROBES = 3;
+const UNANSWERED_PROBES = 2;
 
 /** Changes that wait to be passed on. */
 const MAX_OUTBOUND = 256;
--- a/src/membership/record_puller.ts
+++ b/src/membership/record_puller.ts
@@ -33,8 +33,9 @@
 /** Services named by one pull. */
 const MAX_NAMED_SERVICES = 16;
 
-/** Wait after the first complete answer; it doubles up to the longest. */
+/** Wait after the first complete answer, and its growth with each further one. */
 const FIRST_WAIT_MS = 1_000;
+const WAIT_GROWTH = 6;
 
 interface Cursor {
   position: number;
@@ -231,7 +232,7 @@
   #rest(cursor: Cursor): void {
     cursor.dueAtMs = this.#context.clock.monotonicMs() +
       this.#jitter(cursor.waitMs);
-    cursor.waitMs = Math.min(cursor.waitMs * 2, cursor.longestWaitMs);
+    cursor.waitMs = Math.min(cursor.waitMs * WAIT_GROWTH, cursor.longestWaitMs);
   }
 
   #reset(cursor: Cursor): void {
