--- /dev/null
+++ b/src/backend/backend_registry_test.ts
@@ -0,0 +1,61 @@
+import * as assert from "uvu/assert";
+import { test } from "uvu";
+import { ANNOUNCEMENT_TIMEOUT_MS } from "../constants/mod.ts";
+import type { Announcement } from "../generated/types.ts";
+import { ManualClock } from "../testing/manual_clock.ts";
+import { BackendRegistry } from "./backend_registry.ts";
+
+function createAnnouncement(changes: Partial<Announcement> = {}): Announcement {
+  return {
+    service: "stock",
+    port: 7200,
+    slots: 8,
+    connections: 48,
+    reportsLoad: true,
+    coldStartMs: 0,
+    inFlight: 0,
+    ...changes,
+  };
+}
+
+function createRegistry() {
+  const clock = new ManualClock();
+  const registry = new BackendRegistry(clock);
+  registry.announce(createAnnouncement());
+  return { clock, registry };
+}
+
+test("a late renewal does not bring back a backend server that is leaving", () => {
+  const { clock, registry } = createRegistry();
+  registry.leave();
+  clock.advance(1_000);
+  registry.announce(createAnnouncement());
+  assert.is(registry.state, "leaving");
+});
+
+test("the replacement of a backend server that has left is taken", () => {
+  const { clock, registry } = createRegistry();
+  registry.leave();
+  clock.advance(ANNOUNCEMENT_TIMEOUT_MS + 1);
+  registry.announce(createAnnouncement());
+  assert.is(registry.state, "serving");
+});
+
+test("a replacement on another port is taken at once", () => {
+  const { registry } = createRegistry();
+  registry.leave();
+  registry.announce(createAnnouncement({ port: 7201 }));
+  assert.is(registry.state, "serving");
+});
+
+test("a drain by an operator outlasts every announcement until it is taken back", () => {
+  const { clock, registry } = createRegistry();
+  registry.drain();
+  clock.advance(2 * ANNOUNCEMENT_TIMEOUT_MS);
+  registry.announce(createAnnouncement({ port: 7201 }));
+  assert.is(registry.state, "leaving");
+  registry.stay();
+  assert.is(registry.state, "serving");
+});
+
+test.run();
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -72,6 +72,10 @@
 /** Interval at which a stopping daemon checks for requests in progress, in milliseconds. */
 const DRAIN_POLL_MS = 20;
 
+/** Quiet after which a stopping daemon closes its connections, and longest wait for it, in milliseconds. */
+const QUIET_MS = 250;
+const QUIET_TIMEOUT_MS = 2_000;
+
 /** Parts of a daemon that tests replace. */
 export interface DaemonParts {
   /** Opens sockets to other daemons. */
@@ -254,27 +258,43 @@
       "daemon-stopping",
     );
     this.#membership.updateSelf({ state: "leaving" });
-    backend.leave();
+    backend.drain();
     const sendLateOutcomes = await handOverKeys(this.environment);
     await clock.sleep(LEAVE_NOTICE_MS);
     const deadlineMs = clock.monotonicMs() + settings.drainTimeoutMs;
-    while (this.#requestsInProgress > 0 && clock.monotonicMs() < deadlineMs) {
-      await clock.sleep(DRAIN_POLL_MS);
-    }
+    await this.#waitForQuiet(0, deadlineMs);
     await sendLateOutcomes();
+    this.#servers.forEach((server) => server.close());
+    await this.#waitForQuiet(
+      QUIET_MS,
+      Math.min(deadlineMs, clock.monotonicMs() + QUIET_TIMEOUT_MS),
+    );
     this.#stopHousekeeping();
     this.#stopSignal.abort();
     await this.#membership.stop();
-    this.#servers.forEach((server) => server.close());
     await this.#peerServer.close();
     peers.close();
     await this.#store.close();
     log.info({}, "daemon-stopped");
   }
 
+  /** Waits until no request has been in progress for some time. */
+  async #waitForQuiet(quietMs: number, deadlineMs: number): Promise<void> {
+    const { clock } = this.environment;
+    let busyAtMs = clock.monotonicMs();
+    while (clock.monotonicMs() < deadlineMs) {
+      if (this.#requestsInProgress > 0) {
+        busyAtMs = clock.monotonicMs();
+      } else if (clock.monotonicMs() - busyAtMs >= quietMs) {
+        return;
+      }
+      await clock.sleep(DRAIN_POLL_MS);
+    }
+  }
+
   #listen(app: Hono, port: number): Promise<void> {
     const fetch = (request: Request) =>
-      this.#track(() => Promise.resolve(app.fetch(request)));
+      this.#track(async () => this.#endConnection(await app.fetch(request)));
     return new Promise((resolve, reject) => {
       const server = serve({
         fetch,
@@ -286,6 +306,14 @@
     });
   }
 
+  /** Lets a caller's connection end after this response while the daemon stops. */
+  #endConnection(response: Response): Response {
+    if (this.#stopped) {
+      response.headers.set("connection", "close");
+    }
+    return response;
+  }
+
   async #track<T>(run: () => Promise<T>): Promise<T> {
     this.#requestsInProgress += 1;
     try {
--- a/src/request/dispatch_call.ts
+++ b/src/request/dispatch_call.ts
@@ -6,7 +6,7 @@
 import { err } from "neverthrow";
 import type { MemberRecord } from "../generated/types.ts";
 import { createRefusal, REASONS } from "../outcome/mod.ts";
-import type { CallResult } from "../outcome/mod.ts";
+import type { CallFailure, CallResult } from "../outcome/mod.ts";
 import type { AttemptReport } from "../routing/mod.ts";
 import { DECISIONS } from "../telemetry/mod.ts";
 import { AttemptHistory } from "./attempt_history.ts";
@@ -15,6 +15,9 @@
 import { runCall } from "./run_call.ts";
 import { sendOnce } from "./send_once.ts";
 
+/** Refusals by leaving instances that a call is sent on after, free of its allowance. */
+const MAX_REDIRECTS = 8;
+
 /** Wait suggested when no instance is known, in milliseconds. */
 const NO_INSTANCE_RETRY_AFTER_MS = 1_000;
 
@@ -40,6 +43,7 @@
   const history = new AttemptHistory();
   const excluded = new Set<string>();
   let allowance = call.context.retryAllowance;
+  let redirects = 0;
   for (let attempts = 1;; attempts += 1) {
     const handedDown = retryPolicy.handDown(allowance);
     const remainingMs = call.deadlineAtMs - clock.monotonicMs();
@@ -60,6 +64,10 @@
         unusedAllowance: allowance,
       }));
     }
+    if (mayRedirect(failure) && redirects < MAX_REDIRECTS) {
+      redirects += 1;
+      continue;
+    }
     const question = {
       failure,
       service,
@@ -84,6 +92,11 @@
   return Math.min(handedDown, unusedAllowance);
 }
 
+/** A leaving instance has run nothing, so that another may be asked as if it had been the first. */
+function mayRedirect({ kind, reason }: CallFailure): boolean {
+  return kind === "refused" && reason === REASONS.leaving;
+}
+
 interface AttemptOptions {
   readonly excluded: Set<string>;
   readonly attempts: number;
@@ -128,6 +141,9 @@
     instance,
     reportAttempt(call, result, clock.monotonicMs() - startedAtMs),
   );
+  if (result.isErr() && mayRedirect(result.error)) {
+    membership.noteLeaving(instance.incarnation);
+  }
   entryAdmission.observe(
     result.isOk() ? result.value.loads : result.error.loads,
   );
