--- /dev/null
+++ b/src/daemon/bad_input_test.ts
@@ -0,0 +1,188 @@
+import { connect } from "node:net";
+import { once } from "node:events";
+import { Buffer } from "node:buffer";
+import { request } from "undici";
+import * as assert from "uvu/assert";
+import { suite } from "uvu";
+import { encodeFrame } from "../peer/encode_frame.ts";
+import { proveIdentity } from "../peer/mod.ts";
+import { claimNetwork } from "../testing/claim_network.ts";
+import { SmallFleet } from "../testing/small_fleet.ts";
+import { TestCaller } from "../testing/test_caller.ts";
+
+interface Context {
+  fleet: SmallFleet;
+  caller: TestCaller;
+  address: string;
+}
+
+const MAX_BODY_BYTES = 1_048_576;
+const PEER_PORT = 7102;
+const BACKEND_PORT = 7101;
+
+const test = suite<Context>("bad input");
+
+test.before(async (context) => {
+  const network = await claimNetwork();
+  context.address = `127.${network}.1.1`;
+  context.caller = new TestCaller();
+  context.fleet = new SmallFleet({
+    vms: ["stock", "price-sheets"].map((service, index) => ({
+      service,
+      address: `127.${network}.1.${index + 1}`,
+    })),
+    storeAddress: `127.${network}.1.200`,
+  });
+  await context.fleet.start();
+});
+
+test.after(async ({ caller, fleet }) => {
+  await caller.close();
+  await fleet.stop();
+});
+
+test.after.each(async ({ caller, fleet }) => {
+  const { outcome } = await caller.send({
+    entryUrl: fleet.entryUrl(0),
+    service: "price-sheets",
+    method: "GET",
+    path: "/sheets/1",
+    requestId: "still-served",
+    member: "member-1",
+    timeoutMs: 5_000,
+  });
+  assert.is(outcome, "answered");
+});
+
+async function sendRaw(
+  { fleet }: Context,
+  options: { headers?: Record<string, string>; body?: Uint8Array },
+) {
+  const response = await request(
+    `${fleet.entryUrl(0)}/call/price-sheets/sheets/1`,
+    {
+      method: options.body ? "POST" : "GET",
+      headers: options.headers ?? {},
+      body: options.body ?? null,
+    },
+  );
+  const { outcome, reason } = await response.body.json() as {
+    outcome: string;
+    reason: string;
+  };
+  return { status: response.statusCode, outcome, reason };
+}
+
+test("a header over the limit is refused", async (context) => {
+  const headers = { "celeryhollow-member": "m".repeat(600) };
+  assert.equal(await sendRaw(context, { headers }), {
+    status: 400,
+    outcome: "refused-not-run",
+    reason: "invalid-request",
+  });
+});
+
+test("a malformed request id is refused", async (context) => {
+  const headers = { "celeryhollow-request-id": "no spaces" };
+  assert.is((await sendRaw(context, { headers })).reason, "invalid-request");
+});
+
+test("a deadline that is not a number is refused", async (context) => {
+  const headers = { "celeryhollow-deadline-ms": "soon" };
+  assert.is((await sendRaw(context, { headers })).reason, "invalid-request");
+});
+
+test("a body over the limit is refused", async (context) => {
+  const body = new Uint8Array(MAX_BODY_BYTES + 1);
+  assert.equal(await sendRaw(context, { body }), {
+    status: 413,
+    outcome: "refused-not-run",
+    reason: "body-too-large",
+  });
+});
+
+test("a malformed path is refused", async ({ fleet }) => {
+  const response = await request(`${fleet.entryUrl(0)}/call/%ff/x`);
+  await response.body.dump();
+  assert.is(response.statusCode, 400);
+  assert.is(response.headers["celeryhollow-outcome"], "refused-not-run");
+});
+
+test("a malformed announcement names its field and changes nothing", async ({ address, fleet }) => {
+  const response = await request(
+    `http://${address}:${BACKEND_PORT}/backend/announcement`,
+    {
+      method: "PUT",
+      headers: { "content-type": "application/json" },
+      body: JSON.stringify({ service: "stock", port: 0 }),
+    },
+  );
+  const { error } = await response.body.json() as { error: string };
+  assert.is(response.statusCode, 400);
+  assert.match(error, /slots|port/);
+  const { announcement } = fleet.daemons[0]?.environment.backend ?? {};
+  assert.is(announcement?.port, 7200);
+});
+
+async function sendNested(address: string, headers: Record<string, string>) {
+  const response = await request(
+    `http://${address}:${BACKEND_PORT}/call/price-sheets/sheets/1`,
+    { headers },
+  );
+  await response.body.dump();
+  const { "celeryhollow-outcome": outcome } = response.headers;
+  return { status: response.statusCode, outcome };
+}
+
+test("a nested call that names no call is refused", async ({ address }) => {
+  assert.equal(await sendNested(address, {}), {
+    status: 400,
+    outcome: "refused-not-run",
+  });
+});
+
+test("a nested call of a call that has ended may have been made before", async ({ address }) => {
+  assert.equal(await sendNested(address, { "celeryhollow-call": "ended" }), {
+    status: 504,
+    outcome: "unknown",
+  });
+});
+
+test("a corrupt frame ends its connection", async ({ address }) => {
+  assert.ok(await isClosedAfter(address, Buffer.from([0, 0, 0, 2, 0x1a, 1])));
+});
+
+test("a peer of another protocol version is turned away", async ({ address }) => {
+  const incarnation = "stranger";
+  const hello = encodeFrame({
+    kind: "hello",
+    protocolVersion: 99,
+    incarnation,
+    failureDomain: "gent-a",
+    proof: proveIdentity("test-token", incarnation),
+  });
+  assert.ok(await isClosedAfter(address, hello));
+});
+
+test("a peer that does not know the fleet token is turned away", async ({ address }) => {
+  const incarnation = "stranger";
+  const hello = encodeFrame({
+    kind: "hello",
+    protocolVersion: 1,
+    incarnation,
+    failureDomain: "gent-a",
+    proof: proveIdentity("another-token", incarnation),
+  });
+  assert.ok(await isClosedAfter(address, hello));
+});
+
+async function isClosedAfter(address: string, bytes: Buffer): Promise<boolean> {
+  const socket = connect({ host: address, port: PEER_PORT });
+  socket.on("error", () => undefined);
+  socket.resume();
+  socket.write(bytes);
+  await once(socket, "close");
+  return true;
+}
+
+test.run();
