Check histories of non-repeatable requests under random faults

Five daemons with the real way of a call and real peer connections run in one process; callers, backend servers and run messages are recorded. Schedules of silences, cuts, crashes, planned stops, false deaths and broken answers come from fast-check with a fixed seed. The checker finds double runs, false refusals, wrong answers and attempts beyond the allowance.

Found while writing it: the wait for a handed-over dispatch kept its timer after it was settled; mended.

--- /dev/null
+++ b/src/idempotency/history_test.ts
@@ -0,0 +1,171 @@
+import fc from "fast-check";
+import * as assert from "uvu/assert";
+import { test } from "uvu";
+import { createRefusal, REASONS } from "../outcome/mod.ts";
+import type { CallResult } from "../outcome/mod.ts";
+import { claimNetwork } from "../testing/claim_network.ts";
+import { checkHistory } from "../testing/guarded/check_history.ts";
+import type { Violation } from "../testing/guarded/check_history.ts";
+import { FAULTS } from "../testing/guarded/guarded_fleet.ts";
+import type { GuardedParts } from "../testing/guarded/guarded_node.ts";
+import { crossConnections } from "../testing/guarded/crossing_socket.ts";
+import { RecordingBackend } from "../testing/guarded/recording_backend.ts";
+import { runSchedule } from "../testing/guarded/run_schedule.ts";
+import type { Schedule } from "../testing/guarded/run_schedule.ts";
+import { KeyLedger } from "./key_ledger.ts";
+import { RunLedger } from "./run_ledger.ts";
+import type { RunAttempt } from "./run_ledger.ts";
+
+const SEED = 20_261;
+const RULES = { maxAttemptsPerInvocation: 5 };
+const network = await claimNetwork();
+let runs = 0;
+
+const node = fc.integer({ min: 0, max: 4 });
+const schedules: fc.Arbitrary<Schedule> = fc.record({
+  requests: fc.array(
+    fc.record({
+      atMs: fc.integer({ min: 0, max: 600 }),
+      holder: node,
+      entries: fc.array(node, { minLength: 1, maxLength: 3 }),
+      abandonMs: fc.constantFrom(0, 0, 10, 60),
+    }),
+    { minLength: 30, maxLength: 60 },
+  ),
+  faults: fc.array(
+    fc.record({
+      atMs: fc.integer({ min: 0, max: 600 }),
+      kind: fc.constantFrom(...Object.values(FAULTS)),
+      node,
+      forMs: fc.integer({ min: 20, max: 500 }),
+    }),
+    { minLength: 1, maxLength: 6 },
+  ),
+});
+
+async function check(
+  schedule: Schedule,
+  parts: Partial<GuardedParts> = {},
+): Promise<Violation[]> {
+  runs = runs % 250 + 1;
+  const events = await runSchedule(schedule, {
+    network: `127.${network}.${runs}`,
+    randomSeed: SEED,
+    parts,
+  });
+  return checkHistory(events, RULES);
+}
+
+test("no schedule of faults makes a request run twice, a refusal false or an answer wrong", async () => {
+  await fc.assert(
+    fc.asyncProperty(schedules, async (schedule) => {
+      assert.equal(await check(schedule), []);
+    }),
+    { seed: SEED, numRuns: 20 },
+  );
+});
+
+/** Requests in quick succession, each abandoned and sent again at another entry. */
+function createImpatientSchedule(faults: Schedule["faults"] = []): Schedule {
+  const requests = Array.from({ length: 60 }, (_, index) => ({
+    atMs: index * 10,
+    holder: index % 3,
+    entries: [(index + 1) % 3, (index + 2) % 3],
+    abandonMs: index % 2 === 0 ? 5 : 0,
+  }));
+  return { requests, faults };
+}
+
+const CUTS: Schedule["faults"] = Array.from({ length: 12 }, (_, index) => ({
+  atMs: 25 + index * 50,
+  kind: FAULTS.cut,
+  node: index % 3,
+  forMs: 15,
+}));
+
+const BREAKS: Schedule["faults"] = [0, 1, 2].map((node) => ({
+  atMs: 100,
+  kind: FAULTS.breakAnswers,
+  node,
+  forMs: 300,
+}));
+
+function listRules(violations: readonly Violation[]): string[] {
+  return [...new Set(violations.map(({ rule }) => rule))].sort();
+}
+
+/** A ledger that takes every key for its own. */
+class UncheckedKeyLedger extends KeyLedger {
+  override holds(): boolean {
+    return true;
+  }
+}
+
+/** A ledger that records a run only when it has ended. */
+class LateRunLedger extends RunLedger {
+  protected override startRecorded(
+    attempt: RunAttempt,
+    start: () => Promise<CallResult>,
+  ): Promise<CallResult> {
+    const result = start();
+    void result.then(() => this.remember(attempt, result));
+    return result;
+  }
+}
+
+/** A backend client that takes an answer that did not come for a run that did not start. */
+class RefusingBackend extends RecordingBackend {
+  override async call(
+    ...call: Parameters<RecordingBackend["call"]>
+  ): Promise<CallResult> {
+    const result = await super.call(...call);
+    return result.mapErr(() => createRefusal(REASONS.deadlineExpired));
+  }
+}
+
+test("the schedules of the seeded defects find nothing without a defect", async () => {
+  assert.equal(await check(createImpatientSchedule()), []);
+  assert.equal(await check(createImpatientSchedule(CUTS)), []);
+  assert.equal(await check(createImpatientSchedule(BREAKS)), []);
+});
+
+test("seeded defect: without the holder check a request runs twice", async () => {
+  const violations = await check(createImpatientSchedule(), {
+    createKeys: (options) => new UncheckedKeyLedger(options),
+  });
+  assert.ok(listRules(violations).includes("ran-twice"));
+});
+
+test("seeded defect: when runs are recorded after they end a request runs twice", async () => {
+  const violations = await check(createImpatientSchedule(CUTS), {
+    createRuns: (clock) => new LateRunLedger(clock),
+  });
+  assert.ok(listRules(violations).includes("ran-twice"));
+});
+
+test("seeded defect: a timeout told as not run is a false refusal", async () => {
+  const violations = await check(createImpatientSchedule(BREAKS), {
+    createBackend: (options) => new RefusingBackend(options),
+  });
+  assert.ok(listRules(violations).includes("false-refusal"));
+});
+
+test("seeded defect: replies matched without their connection reach the wrong caller", async () => {
+  const silence = { isOn: false };
+  const createRequests = (count: number, atMs: number) =>
+    Array.from({ length: count }, (_, index) => ({
+      ...{ atMs: atMs + index, holder: 3, entries: [3], abandonMs: 0 },
+    }));
+  setTimeout(() => silence.isOn = true, 500);
+  const violations = await check({
+    requests: [...createRequests(12, 100), ...createRequests(30, 600)],
+    faults: [],
+    deadlineMs: 2_000,
+  }, {
+    wrapDial: (dial, fromAddress) =>
+      fromAddress.endsWith(".204") ? crossConnections(dial, silence) : dial,
+  });
+  assert.ok(listRules(violations).includes("wrong-answer"));
+});
+
+test.run();
--- a/src/idempotency/key_ledger.ts
+++ b/src/idempotency/key_ledger.ts
@@ -187,15 +187,16 @@
 
   #await(name: string): Promise<CallResult> {
     return new Promise((resolve) => {
+      const cancelWait = this.#options.clock.schedule(
+        HANDED_RUN_WAIT_MS,
+        () => settle(err(createUncertainty(REASONS.keyHolderGone))),
+      );
       const settle = (result: CallResult) => {
+        cancelWait();
         this.#awaited.delete(name);
         resolve(result);
       };
       this.#awaited.set(name, settle);
-      this.#options.clock.schedule(
-        HANDED_RUN_WAIT_MS,
-        () => settle(err(createUncertainty(REASONS.keyHolderGone))),
-      );
     });
   }
 
--- /dev/null
+++ b/src/testing/guarded/guarded_fleet.ts
@@ -0,0 +1,183 @@
+/**
+ * Several guarded nodes with a link between each two, and the faults of both.
+ */
+
+import { connect } from "node:net";
+import type { Socket } from "node:net";
+import type { PeerAddress } from "../../peer/mod.ts";
+import { LinkStandIn } from "../link_stand_in.ts";
+import { GuardedNode } from "./guarded_node.ts";
+import type { GuardedParts } from "./guarded_node.ts";
+import { History } from "./history.ts";
+import type { Directory } from "./shared_membership.ts";
+
+const PEER_PORT = 7302;
+const FIRST_NODE_BYTE = 201;
+const DETECTION_MS = 60;
+
+/** Services of the nodes. */
+export const NODE_SERVICES = [
+  "delivery-ledger",
+  "delivery-ledger",
+  "delivery-ledger",
+  "stock",
+  "stock",
+] as const;
+
+/** Faults of a node and its links. */
+export const FAULTS = {
+  silence: "silence",
+  cut: "cut",
+  crash: "crash",
+  stop: "stop",
+  falseDeath: "false-death",
+  breakAnswers: "break-answers",
+} as const;
+
+/** One of {@link FAULTS}. */
+export type FaultKind = (typeof FAULTS)[keyof typeof FAULTS];
+
+/** What a fleet is made of. */
+export interface GuardedFleetOptions {
+  /** First three bytes of the addresses, such as `127.60.7`. */
+  readonly network: string;
+  readonly randomSeed: number;
+  readonly parts?: Partial<GuardedParts>;
+}
+
+/** Nodes in one process, with real connections between them. */
+export class GuardedFleet {
+  readonly history = new History();
+  readonly nodes: GuardedNode[] = [];
+  readonly #options: GuardedFleetOptions;
+  readonly #directory: Directory = new Map();
+  readonly #links = new Map<string, LinkStandIn>();
+  readonly #retired: GuardedNode[] = [];
+
+  constructor(options: GuardedFleetOptions) {
+    this.#options = options;
+  }
+
+  /** Starts the links and the nodes. */
+  async start(): Promise<void> {
+    const indexes = NODE_SERVICES.map((_service, index) => index);
+    for (const from of indexes) {
+      for (const to of indexes.filter((index) => index !== from)) {
+        await this.#openLink(from, to);
+      }
+      this.nodes.push(this.#createNode(from));
+      await this.nodes[from]?.start();
+    }
+  }
+
+  /** Brings a fault about, and takes it back after a while. */
+  async inject(kind: FaultKind, index: number, forMs: number): Promise<void> {
+    const node = this.nodes[index];
+    if (!node) {
+      return;
+    }
+    const links = this.#listLinks(index);
+    switch (kind) {
+      case "silence":
+        links.forEach((link) => link.silenceFlows());
+        await sleep(forMs);
+        return links.forEach((link) => link.resumeFlows());
+      case "cut":
+        links.forEach((link) => link.cut());
+        await sleep(forMs);
+        return links.forEach((link) => link.restore());
+      case "crash":
+        return await this.#crashAndReplace(index, forMs);
+      case "stop":
+        await node.stop();
+        await sleep(forMs);
+        return await this.#crashAndReplace(index, 0);
+      case "false-death":
+        this.#setState(node, "dead");
+        await sleep(forMs);
+        return node.backend.isDead ? undefined : this.#setState(node, "alive");
+      case "break-answers":
+        node.backend.isBreaking = true;
+        await sleep(forMs);
+        node.backend.isBreaking = false;
+    }
+  }
+
+  /** Ends everything. */
+  close(): void {
+    [...this.nodes, ...this.#retired].forEach((node) => node.crash());
+    this.#links.forEach((link) => link.close());
+  }
+
+  async #crashAndReplace(index: number, forMs: number): Promise<void> {
+    const node = this.nodes[index];
+    if (!node || node.backend.isDead) {
+      return;
+    }
+    node.crash();
+    this.#retired.push(node);
+    await sleep(DETECTION_MS);
+    this.#setState(node, "dead");
+    await sleep(forMs);
+    const next = this.#createNode(index);
+    await next.start();
+    this.nodes[index] = next;
+  }
+
+  #setState(node: GuardedNode, state: "alive" | "dead"): void {
+    node.environment.membership.updateSelf({ state });
+  }
+
+  #createNode(index: number): GuardedNode {
+    const { network, randomSeed, parts = {} } = this.#options;
+    return new GuardedNode({
+      address: `${network}.${FIRST_NODE_BYTE + index}`,
+      peerPort: PEER_PORT,
+      service: NODE_SERVICES[index] ?? "",
+      directory: this.#directory,
+      history: this.history,
+      randomSeed: randomSeed + index + 1,
+      dial: (target) => this.#dial(index, target),
+      parts,
+    });
+  }
+
+  #dial(from: number, { address, peerPort }: PeerAddress): Socket {
+    const to = Number(address.split(".")[3]) - FIRST_NODE_BYTE;
+    return connect({ host: this.#linkAddress(from, to), port: peerPort });
+  }
+
+  async #openLink(from: number, to: number): Promise<void> {
+    const link = new LinkStandIn();
+    this.#links.set(`${from}-${to}`, link);
+    await link.open({
+      listenAddress: this.#linkAddress(from, to),
+      listenPort: PEER_PORT,
+      targetAddress: `${this.#options.network}.${FIRST_NODE_BYTE + to}`,
+      targetPort: PEER_PORT,
+    });
+  }
+
+  #linkAddress(from: number, to: number): string {
+    return `${this.#options.network}.${from * 10 + to + 1}`;
+  }
+
+  #listLinks(index: number): LinkStandIn[] {
+    return [...this.#links].filter(([name]) =>
+      name.split("-").includes(String(index))
+    ).map(([, link]) => link);
+  }
+}
+
+/**
+ * Waits in real time.
+ *
+ * @param durationMs - How long
+ * @returns When the time has passed
+ *
+ * @example
+ * await sleep(50);
+ */
+export function sleep(durationMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, durationMs));
+}
--- /dev/null
+++ b/src/testing/guarded/guarded_node.ts
@@ -0,0 +1,269 @@
+/**
+ * A daemon without HTTP inside the test process: the real way of a call with
+ * real peer connections, a recording backend server and a decided membership.
+ */
+
+import { Socket } from "node:net";
+import {
+  OpenEntryAdmission,
+  UnprotectedAdmission,
+} from "../../admission/mod.ts";
+import { BackendRegistry } from "../../backend/mod.ts";
+import { ConfigurationHolder } from "../../configuration/mod.ts";
+import type { DaemonSettings, MemberRecord } from "../../generated/types.ts";
+import {
+  KeyLedger,
+  KeyPlacement,
+  RunLedger,
+  SuccessorTable,
+} from "../../idempotency/mod.ts";
+import type { KeyLedgerOptions } from "../../idempotency/mod.ts";
+import { createIncarnation } from "../../membership/mod.ts";
+import { PeerServer } from "../../peer/mod.ts";
+import type { DialPeer } from "../../peer/mod.ts";
+import {
+  ActiveCalls,
+  handOverKeys,
+  PeerClients,
+  serveEntryCall,
+  servePeerCall,
+} from "../../request/mod.ts";
+import type { CallEnvironment, EntryCall } from "../../request/mod.ts";
+import { AllowanceRetryPolicy } from "../../retry/mod.ts";
+import { RandomChooser } from "../../routing/mod.ts";
+import {
+  createSilentLogger,
+  DaemonMetrics,
+  DecisionJournal,
+} from "../../telemetry/mod.ts";
+import { RandomSource, SystemClock } from "../../time/mod.ts";
+import type { Clock } from "../../time/mod.ts";
+import { createTestConfiguration } from "../create_test_configuration.ts";
+import type { History } from "./history.ts";
+import { RecordingBackend } from "./recording_backend.ts";
+import type { RecordingBackendOptions } from "./recording_backend.ts";
+import { SharedMembership } from "./shared_membership.ts";
+import type { Directory } from "./shared_membership.ts";
+
+/** Secret of the daemons of a test. */
+export const GUARDED_TOKEN = "guarded-token";
+
+/** Parts that a test replaces by defective ones. */
+export interface GuardedParts {
+  readonly createKeys: (options: KeyLedgerOptions) => KeyLedger;
+  readonly createRuns: (clock: Clock) => RunLedger;
+  readonly createBackend: (
+    options: RecordingBackendOptions,
+  ) => RecordingBackend;
+  /** Changes the connections that a daemon at an address opens. */
+  readonly wrapDial: (dial: DialPeer, fromAddress: string) => DialPeer;
+}
+
+/** Where a node runs and what it shares with the others. */
+export interface GuardedNodeOptions {
+  readonly address: string;
+  readonly peerPort: number;
+  readonly service: string;
+  readonly directory: Directory;
+  readonly history: History;
+  readonly randomSeed: number;
+  readonly dial: DialPeer;
+  readonly parts: Partial<GuardedParts>;
+}
+
+/** A clock whose timers don't keep the test process alive. */
+class BackgroundClock extends SystemClock {
+  override schedule(delayMs: number, callback: () => void): () => void {
+    const timer = setTimeout(callback, delayMs).unref();
+    return () => clearTimeout(timer);
+  }
+}
+
+/** One daemon process of a test. */
+export class GuardedNode {
+  readonly environment: CallEnvironment;
+  readonly backend: RecordingBackend;
+  readonly crashed: Promise<"lost">;
+  readonly #options: GuardedNodeOptions;
+  readonly #server: PeerServer;
+  #markCrashed: (outcome: "lost") => void = () => undefined;
+
+  constructor(options: GuardedNodeOptions) {
+    this.#options = options;
+    this.crashed = new Promise((resolve) => this.#markCrashed = resolve);
+    const self = createRecord(options);
+    const clock = new BackgroundClock();
+    const random = new RandomSource(options.randomSeed);
+    const { service, history, parts } = options;
+    const backendOptions: RecordingBackendOptions = {
+      ...{ history, random, service },
+      callDeeper: (call) => this.#callDeeper(call.callToken, call.path),
+    };
+    this.backend = parts.createBackend?.(backendOptions) ??
+      new RecordingBackend(backendOptions);
+    const dial = parts.wrapDial?.(options.dial, options.address) ??
+      options.dial;
+    const { incarnation, failureDomain } = self;
+    const identity = { incarnation, failureDomain, fleetToken: GUARDED_TOKEN };
+    const linkOptions = {
+      ...{ identity, clock, maxBodyBytes: 1_000_000 },
+      dial: (address: Parameters<DialPeer>[0]) =>
+        this.backend.isDead ? new Socket().destroy() : dial(address),
+    };
+    this.environment = this.#createEnvironment(self, {
+      clock,
+      random,
+      peers: new PeerClients(linkOptions),
+    });
+    this.#server = new PeerServer({
+      ...linkOptions,
+      handleCall: (call, body, signal) => {
+        if (call.purpose === "run") {
+          const { requestId } = call.context;
+          history.add({ kind: "attempt", requestId });
+        }
+        return servePeerCall(this.environment, call, { body, signal });
+      },
+      reportError: () => undefined,
+    });
+  }
+
+  /** Incarnation of the daemon. */
+  get incarnation(): string {
+    return this.environment.membership.self.incarnation;
+  }
+
+  /** Starts to listen. */
+  async start(): Promise<void> {
+    const { address, peerPort } = this.#options;
+    await this.#server.listen(address, peerPort);
+  }
+
+  /** Serves a call as an entry; `lost` when the daemon fails meanwhile. */
+  serve(
+    entry: EntryCall,
+  ): Promise<"lost" | Awaited<ReturnType<typeof serveEntryCall>>> {
+    return Promise.race([
+      serveEntryCall(this.environment, entry),
+      this.crashed,
+    ]);
+  }
+
+  /** Ends the process at once: nothing more is sent, received or run. */
+  crash(): void {
+    this.backend.isDead = true;
+    this.environment.peers.close();
+    void this.#server.close();
+    this.#markCrashed("lost");
+  }
+
+  /** Stops as planned: keys are handed over before the process ends. */
+  async stop(): Promise<void> {
+    const { environment } = this;
+    environment.membership.updateSelf({ state: "leaving" });
+    environment.backend.leave();
+    const sendLateOutcomes = await handOverKeys(environment);
+    await sendLateOutcomes();
+  }
+
+  /** Makes a non-repeatable call below the running one. */
+  async #callDeeper(callToken: string, path: string): Promise<void> {
+    const parent = this.environment.activeCalls.find(callToken);
+    if (this.#options.service !== "delivery-ledger" || !parent) {
+      return;
+    }
+    await serveEntryCall(this.environment, {
+      ...createEntry(path),
+      service: "stock",
+      parent,
+    });
+  }
+
+  #createEnvironment(
+    self: MemberRecord,
+    { clock, random, peers }: {
+      clock: Clock;
+      random: RandomSource;
+      peers: PeerClients;
+    },
+  ): CallEnvironment {
+    const { directory, parts, service } = this.#options;
+    const configuration = new ConfigurationHolder();
+    configuration.offer(createTestConfiguration(), 1);
+    const registry = new BackendRegistry(clock);
+    registry.announce({
+      ...{ service, port: 1, slots: 16, connections: 16 },
+      ...{ reportsLoad: true, coldStartMs: 0, inFlight: 0 },
+    });
+    const inboundAdmission = new UnprotectedAdmission();
+    inboundAdmission.setCapacity(16, 0);
+    const { incarnation } = self;
+    const keyOptions = { incarnation, fleetToken: GUARDED_TOKEN, clock };
+    return {
+      settings: {
+        fleetToken: GUARDED_TOKEN,
+        maxBodyBytes: 1_000_000,
+      } as DaemonSettings,
+      ...{ clock, peers, configuration, inboundAdmission },
+      log: createSilentLogger(),
+      metrics: new DaemonMetrics(),
+      journal: new DecisionJournal(clock),
+      membership: new SharedMembership(directory, self),
+      backend: registry,
+      backendClient: this.backend,
+      entryAdmission: new OpenEntryAdmission(),
+      chooser: new RandomChooser(random),
+      retryPolicy: new AllowanceRetryPolicy(),
+      keys: parts.createKeys?.(keyOptions) ?? new KeyLedger(keyOptions),
+      keyPlacement: new KeyPlacement(),
+      successors: new SuccessorTable(clock),
+      runs: parts.createRuns?.(clock) ?? new RunLedger(clock),
+      activeCalls: new ActiveCalls(clock),
+    };
+  }
+}
+
+/**
+ * Creates a non-repeatable call as it enters a daemon.
+ *
+ * @param path - Path of the call
+ * @returns The call without request id and key
+ *
+ * @example
+ * const entry = { ...createEntry("/deliveries/1"), requestId, idempotencyKey };
+ */
+export function createEntry(path: string): EntryCall {
+  return {
+    service: "delivery-ledger",
+    method: "POST",
+    path,
+    contentType: "",
+    body: new Uint8Array(0),
+    requestId: "",
+    idempotencyKey: "",
+    attempt: 0,
+    member: "member-1",
+    tenant: "members",
+    deadlineMs: undefined,
+    isMarkedNonRepeatable: true,
+    parent: undefined,
+    signal: new AbortController().signal,
+  };
+}
+
+function createRecord(options: GuardedNodeOptions): MemberRecord {
+  const { address, peerPort, service } = options;
+  const startedAtMs = Date.now();
+  return {
+    incarnation: createIncarnation({ address, peerPort, startedAtMs }),
+    ...{ address, peerPort, service, startedAtMs },
+    region: "vlaanderen",
+    failureDomain: "gent-a",
+    version: 1,
+    state: "alive",
+    slots: 16,
+    inFlight: 0,
+    warmAtMs: 0,
+    successor: "",
+  };
+}
