--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -19,7 +19,9 @@
 import { createCallerApp } from "../caller/mod.ts";
 import {
   ConfigurationHolder,
-  watchConfiguration,
+  ConfigurationReader,
+  ConfigurationSpread,
+  createConfigurationTransfer,
 } from "../configuration/mod.ts";
 import type { DaemonSettings, MemberRecord } from "../generated/types.ts";
 import {
@@ -28,7 +30,11 @@
   RunLedger,
   SuccessorTable,
 } from "../idempotency/mod.ts";
-import { createIncarnation, GossipMembership } from "../membership/mod.ts";
+import {
+  createIncarnation,
+  GossipMembership,
+  UdpTransport,
+} from "../membership/mod.ts";
 import { PeerServer } from "../peer/mod.ts";
 import type { DialPeer } from "../peer/mod.ts";
 import {
@@ -40,7 +46,7 @@
 import type { CallEnvironment } from "../request/mod.ts";
 import { AllowanceRetryPolicy, EveryHopRetryPolicy } from "../retry/mod.ts";
 import { LocalFirstChooser, RandomChooser } from "../routing/mod.ts";
-import { HttpObjectStore } from "../store/mod.ts";
+import { BudgetedObjectStore, HttpObjectStore } from "../store/mod.ts";
 import {
   createLogger,
   DaemonMetrics,
@@ -49,6 +55,7 @@
 } from "../telemetry/mod.ts";
 import { RandomSource, SystemClock } from "../time/mod.ts";
 import { createAdminApp } from "./create_admin_app.ts";
+import { DaemonConfigurationPeers } from "./daemon_configuration_peers.ts";
 
 /** Interval at which the daemon tidies up, in milliseconds. */
 const HOUSEKEEPING_INTERVAL_MS = 500;
@@ -65,11 +72,18 @@
   readonly dial?: DialPeer;
 }
 
+/** Calls to the object API that one daemon may make at once. */
+const STORE_BURST_CALLS = 10;
+
+/** Calls to the object API that one daemon may make in the long run. */
+const STORE_CALLS_PER_SECOND = 1;
+
 /** A running daemon. */
 export class Daemon {
   readonly environment: CallEnvironment;
   readonly #store: HttpObjectStore;
   readonly #membership: GossipMembership;
+  readonly #configurationSpread: ConfigurationSpread;
   readonly #peerServer: PeerServer;
   readonly #stopSignal = new AbortController();
   #servers: ServerType[] = [];
@@ -103,7 +117,12 @@
     const isProtected = settings.protection === "on";
     const { fleetToken } = settings;
     this.#store = new HttpObjectStore(settings.storeUrl);
-    const store = this.#store;
+    const store = new BudgetedObjectStore({
+      store: this.#store,
+      clock,
+      burstCalls: STORE_BURST_CALLS,
+      callsPerSecond: STORE_CALLS_PER_SECOND,
+    });
     this.#membership = new GossipMembership({
       self,
       fleetToken,
@@ -113,6 +132,25 @@
       random,
       log,
       configuration,
+      journal,
+      transport: new UdpTransport({
+        address: settings.address,
+        port: settings.peerPort,
+        reportError: (error) =>
+          log.warn({ error: error.message }, "gossip-socket-error"),
+      }),
+    });
+    this.#membership.onPeerConfigurationVersion(({ incarnation, version }) =>
+      this.#configurationSpread.takePeerVersion(incarnation, version)
+    );
+    this.#configurationSpread = new ConfigurationSpread({
+      reader: new ConfigurationReader(store),
+      holder: configuration,
+      peers: new DaemonConfigurationPeers(this.#membership, linkOptions),
+      clock,
+      random,
+      log,
+      journal,
     });
     this.environment = {
       settings,
@@ -151,6 +189,8 @@
         this.#track(() =>
           servePeerCall(this.environment, call, { body, signal })
         ),
+      provideConfiguration: (knownVersion) =>
+        createConfigurationTransfer(configuration, knownVersion),
       reportError: (error, remoteAddress) =>
         log.warn(
           { error: error.message, name: error.name, remoteAddress },
@@ -161,13 +201,13 @@
 
   /** Whether the daemon can serve callers. */
   get isReady(): boolean {
-    return this.environment.configuration.version > 0 && !this.#stopped;
+    return this.#configurationSpread.isConfirmed && !this.#stopped;
   }
 
   /** Starts the listeners and joins the fleet. */
   async start(): Promise<void> {
     const { environment } = this;
-    const { settings, clock, configuration, log } = environment;
+    const { settings, clock, log } = environment;
     await this.#peerServer.listen(settings.address, settings.peerPort);
     await this.#listen(createCallerApp(environment), settings.callerPort);
     await this.#listen(createBackendApp(environment), settings.backendPort);
@@ -177,18 +217,8 @@
       settings.adminPort,
     );
     await this.#membership.start();
-    const signal = this.#stopSignal.signal;
-    void watchConfiguration({
-      store: this.#store,
-      holder: configuration,
-      clock,
-      log,
-      signal,
-    });
+    void this.#configurationSpread.run(this.#stopSignal.signal);
     environment.backend.subscribe(() => this.#publishBackend());
-    configuration.subscribe(({ version }) =>
-      environment.journal.record(DECISIONS.configurationChange, { version })
-    );
     this.#stopHousekeeping = clock.scheduleEvery(
       HOUSEKEEPING_INTERVAL_MS,
       () => this.#keepHouse(),
