--- a/src/testing/guarded/shared_membership.ts
+++ b/src/testing/guarded/shared_membership.ts
@@ -45,6 +45,10 @@
     this.#directory.set(this.#incarnation, { ...this.self, ...change });
   }
 
+  override announce(): void {
+    // Every change is seen at once.
+  }
+
   override start(): Promise<void> {
     return Promise.resolve();
   }
