--- /dev/null
+++ b/src/measure/once/compare_latency.ts
@@ -0,0 +1,98 @@
+/**
+ * Latency of non-repeatable requests beside that of a repeatable twin.
+ */
+
+import { build as buildHistogram } from "hdr-histogram-js";
+import type { Histogram } from "hdr-histogram-js";
+import type { TestCaller } from "../../testing/test_caller.ts";
+
+/** Medians and what the key adds to them, in milliseconds. */
+export interface LatencyComparison {
+  readonly repeatableP50Ms: number;
+  readonly addedMs: number;
+  readonly addedForwardedMs: number;
+}
+
+const CALLS_PER_KIND = 1_000;
+const MEDIAN = 50;
+const MICROSECONDS_PER_MS = 1_000;
+
+/**
+ * Alternates repeatable requests, requests with a key of their entry and
+ * requests with a key of another daemon.
+ *
+ * @param caller - Client
+ * @param entryUrls - Entry of the requests, then the daemon that issues the other keys
+ * @returns The medians
+ *
+ * @example
+ * const { addedMs } = await compareLatency(caller, [entryUrl, holderUrl]);
+ */
+export async function compareLatency(
+  caller: TestCaller,
+  [entryUrl, holderUrl]: readonly [string, string],
+): Promise<LatencyComparison> {
+  const histograms = {
+    repeatable: createHistogram(),
+    held: createHistogram(),
+    forwarded: createHistogram(),
+  };
+  for (let index = 0; index < CALLS_PER_KIND; index += 1) {
+    const [ownKey = ""] = await caller.fetchKeys(entryUrl, 1);
+    const [otherKey = ""] = await caller.fetchKeys(holderUrl, 1);
+    const send = (kind: keyof typeof histograms, idempotencyKey: string) =>
+      timeCall(caller, histograms[kind], {
+        entryUrl,
+        path: idempotencyKey === "" ? "/notes/1" : "/deliveries/1",
+        requestId: `${kind}-${index}`,
+        idempotencyKey,
+      });
+    await send("repeatable", "");
+    await send("held", ownKey);
+    await send("forwarded", otherKey);
+  }
+  const median = (histogram: Histogram) =>
+    histogram.getValueAtPercentile(MEDIAN) / MICROSECONDS_PER_MS;
+  const repeatableP50Ms = median(histograms.repeatable);
+  const add = (histogram: Histogram) =>
+    Number((median(histogram) - repeatableP50Ms).toFixed(3));
+  return {
+    repeatableP50Ms,
+    addedMs: add(histograms.held),
+    addedForwardedMs: add(histograms.forwarded),
+  };
+}
+
+interface TimedCall {
+  readonly entryUrl: string;
+  readonly path: string;
+  readonly requestId: string;
+  readonly idempotencyKey: string;
+}
+
+async function timeCall(
+  caller: TestCaller,
+  histogram: Histogram,
+  call: TimedCall,
+): Promise<void> {
+  const { outcome, durationMs } = await caller.send({
+    ...call,
+    service: "delivery-ledger",
+    method: "POST",
+    member: "member-1",
+    timeoutMs: 2_000,
+  });
+  if (outcome === "answered") {
+    histogram.recordValue(
+      Math.max(1, Math.round(durationMs * MICROSECONDS_PER_MS)),
+    );
+  }
+}
+
+function createHistogram(): Histogram {
+  return buildHistogram({
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: 60_000_000,
+    numberOfSignificantValueDigits: 3,
+  });
+}
--- a/src/testing/guarded/guarded_fleet.ts
+++ b/src/testing/guarded/guarded_fleet.ts
@@ -70,6 +70,12 @@
     }
   }
 
+  /** The links that a node's connections to others pass. */
+  listLinksFrom(index: number): LinkStandIn[] {
+    return [...this.#links].filter(([name]) => name.startsWith(`${index}-`))
+      .map(([, link]) => link);
+  }
+
   /** Brings a fault about, and takes it back after a while. */
   async inject(kind: FaultKind, index: number, forMs: number): Promise<void> {
     const node = this.nodes[index];
