--- a/src/configuration/configuration_holder.ts
+++ b/src/configuration/configuration_holder.ts
@@ -50,7 +50,7 @@
     version: number,
     patches: readonly DocumentPatch[] = [],
   ): boolean {
-    if (version <= this.version) {
+    if (!this.isNewer(version)) {
       return false;
     }
     const isComplete = this.version > 0 &&
@@ -69,6 +69,11 @@
     return true;
   }
 
+  /** Whether a version may take the place of the one in force. */
+  protected isNewer(version: number): boolean {
+    return version > this.version;
+  }
+
   /** The patches that lead from a version to the one in force; undefined where they are not kept. */
   listPatchesSince(version: number): readonly DocumentPatch[] | undefined {
     const count = this.version - version;
--- a/src/configuration/configuration_writer.ts
+++ b/src/configuration/configuration_writer.ts
@@ -42,7 +42,7 @@
 }
 
 /** Changes listed to an operator who lost a race. */
-const MAX_LISTED_CHANGES = 64;
+const MAX_LISTED_CHANGES = 1_024;
 
 const RETRY_BACKOFF = { firstDelayMs: 100, maxDelayMs: 2_000 } as const;
 
@@ -120,7 +120,11 @@
         return ok(head.version);
       }
       mayHaveTakenEffect ||= written.error.kind === "unsure";
-      const settled = await this.settle(head, written.error);
+      const settled = await this.settle(
+        head,
+        written.error,
+        mayHaveTakenEffect,
+      );
       if (settled) {
         return settled;
       }
@@ -137,6 +141,7 @@
   protected async settle(
     head: ConfigurationHead,
     failure: StoreFailure,
+    mayHaveTakenEffect: boolean,
   ): Promise<Result<number, VError> | undefined> {
     const current = failure.kind === "conflict"
       ? parseCurrent(failure)
@@ -151,7 +156,7 @@
     if (since.isErr()) {
       return undefined;
     }
-    return judgeWrite(head, since.value);
+    return judgeWrite(head, since.value, mayHaveTakenEffect);
   }
 
   async #readCurrent(): Promise<ConfigurationHead | undefined> {
@@ -168,11 +173,16 @@
 function judgeWrite(
   head: ConfigurationHead,
   since: readonly ConfigurationChange[],
-): Result<number, VError> | undefined {
+  mayHaveTakenEffect: boolean,
+): Result<number, VError> {
   const own = head.changes.at(-1);
   const atVersion = since.find(({ version }) => version === head.version);
   if (!atVersion) {
-    return undefined;
+    return err(
+      mayHaveTakenEffect
+        ? createGiveUpError(head, true)
+        : createConflictError(since),
+    );
   }
   return atVersion.changeId === own?.changeId
     ? ok(head.version)
--- /dev/null
+++ b/src/configuration/configuration_writer_test.ts
@@ -0,0 +1,337 @@
+import * as assert from "uvu/assert";
+import fc from "fast-check";
+import { suite } from "uvu";
+import type VError from "verror";
+import type { Result } from "neverthrow";
+import type { Configuration, ConfigurationChange } from "../generated/types.ts";
+import { advanceUntil } from "../testing/advance_in_steps.ts";
+import { findFalseVerdicts } from "../testing/check_configuration_history.ts";
+import type { SubmittedChange } from "../testing/check_configuration_history.ts";
+import { createTestConfiguration } from "../testing/create_test_configuration.ts";
+import { ManualClock } from "../testing/manual_clock.ts";
+import { MemoryObjectStore } from "../testing/memory_object_store.ts";
+import { ObjectTable } from "../testing/object_table.ts";
+import { RandomSource } from "../time/mod.ts";
+import { ConfigurationWriter } from "./configuration_writer.ts";
+import type { ConfigurationWriterOptions } from "./configuration_writer.ts";
+import type { AcceptedState } from "./create_head.ts";
+
+const STEP_MS = 20;
+
+const test = suite("configuration writer");
+
+/** Takes every answer at its word: a lost answer is a write that failed. */
+class TrustingWriter extends ConfigurationWriter {
+  protected override settle(
+    head: Parameters<ConfigurationWriter["settle"]>[0],
+    failure: Parameters<ConfigurationWriter["settle"]>[1],
+  ): ReturnType<ConfigurationWriter["settle"]> {
+    return failure.kind === "conflict"
+      ? super.settle(
+        { ...head, changes: [{ ...head.changes[0]!, changeId: "other" }] },
+        failure,
+        false,
+      )
+      : Promise.resolve(undefined);
+  }
+}
+
+function createBench(Writer = ConfigurationWriter) {
+  const clock = new ManualClock();
+  const table = new ObjectTable();
+  const createFaults = () => ({
+    isDown: false,
+    losesAnswers: false,
+    answersFromPast: false,
+    delayMs: 5,
+  });
+  function createWriter(seed: number) {
+    const faults = createFaults();
+    const store = new MemoryObjectStore({ table, clock, faults });
+    const options: ConfigurationWriterOptions = {
+      store,
+      clock,
+      random: new RandomSource(seed),
+      settleTimeoutMs: 30_000,
+    };
+    return { faults, writer: new Writer(options) };
+  }
+  return { clock, table, createWriter };
+}
+
+type Bench = ReturnType<typeof createBench>;
+type Operator = ReturnType<Bench["createWriter"]>;
+
+function withDeadline(deadlineMs: number): Configuration {
+  const configuration = createTestConfiguration();
+  return {
+    ...configuration,
+    requests: configuration.requests.map((request, index) =>
+      index === 0 ? { ...request, deadlineMs } : request
+    ),
+  };
+}
+
+async function readAccepted(
+  bench: Bench,
+  { writer }: Operator,
+): Promise<AcceptedState | undefined> {
+  const accepted = await advanceUntil(
+    bench.clock,
+    writer.readAccepted(),
+    STEP_MS,
+  );
+  return accepted._unsafeUnwrap();
+}
+
+function submit(
+  { writer }: Operator,
+  seen: AcceptedState | undefined,
+  change: { changeId: string; configuration: Configuration },
+): Promise<Result<number, VError>> {
+  return writer.submit({
+    state: { configuration: change.configuration, answers: null },
+    changeId: change.changeId,
+    author: change.changeId,
+    note: "",
+  }, seen);
+}
+
+async function submitAll(
+  bench: Bench,
+  operator: Operator,
+  count: number,
+): Promise<void> {
+  for (let index = 1; index <= count; index += 1) {
+    const seen = await readAccepted(bench, operator);
+    const change = {
+      changeId: `change-${index}`,
+      configuration: withDeadline(100 + index),
+    };
+    const result = await advanceUntil(
+      bench.clock,
+      submit(operator, seen, change),
+      STEP_MS,
+    );
+    assert.is(result._unsafeUnwrap(), index);
+  }
+}
+
+async function listAll(
+  bench: Bench,
+  operator: Operator,
+): Promise<ConfigurationChange[]> {
+  const accepted = await readAccepted(bench, operator);
+  if (!accepted) {
+    return [];
+  }
+  const changes = await advanceUntil(
+    bench.clock,
+    operator.writer.history.listChanges(accepted.head, {
+      aboveVersion: 0,
+      limit: 1_000,
+    }),
+    STEP_MS,
+  );
+  return changes._unsafeUnwrap();
+}
+
+test("of two operators who saw the same version one is accepted and the other is told of it", async () => {
+  const bench = createBench();
+  const [first, second] = [bench.createWriter(1), bench.createWriter(2)];
+  await submitAll(bench, first, 1);
+  const seen = await readAccepted(bench, second);
+  const results = await advanceUntil(
+    bench.clock,
+    Promise.all([
+      submit(first, seen, {
+        changeId: "one",
+        configuration: withDeadline(701),
+      }),
+      submit(second, seen, {
+        changeId: "two",
+        configuration: withDeadline(702),
+      }),
+    ]),
+    STEP_MS,
+  );
+  const losers = results.filter((result) => result.isErr());
+  assert.is(losers.length, 1);
+  const error = losers[0]!._unsafeUnwrapErr();
+  assert.is(error.name, "ConfigurationConflict");
+  assert.match(error.message, /version 2 by (one|two)/);
+});
+
+test("a write whose answer is lost is found again by its change id", async () => {
+  const bench = createBench();
+  const operator = bench.createWriter(1);
+  await submitAll(bench, operator, 2);
+  const seen = await readAccepted(bench, operator);
+  operator.faults.losesAnswers = true;
+  const result = await advanceUntil(
+    bench.clock,
+    submit(operator, seen, {
+      changeId: "lost",
+      configuration: withDeadline(900),
+    }),
+    STEP_MS,
+  );
+  assert.is(result._unsafeUnwrap(), 3);
+});
+
+test("a write during an outage that does not end is not called accepted or refused", async () => {
+  const bench = createBench();
+  const operator = bench.createWriter(1);
+  await submitAll(bench, operator, 1);
+  const seen = await readAccepted(bench, operator);
+  const submission = submit(operator, seen, {
+    changeId: "late",
+    configuration: withDeadline(900),
+  });
+  operator.faults.isDown = true;
+  const result = await advanceUntil(bench.clock, submission, STEP_MS);
+  assert.match(
+    result._unsafeUnwrapErr().name,
+    /StoreUnavailable|ConfigurationUnsettled/,
+  );
+});
+
+test("an invalid configuration is refused before anything is written", async () => {
+  const bench = createBench();
+  const operator = bench.createWriter(1);
+  const configuration = { ...createTestConfiguration(), classes: [] };
+  const result = await submit(operator, undefined, {
+    changeId: "invalid",
+    configuration,
+  });
+  assert.is(result._unsafeUnwrapErr().name, "ConfigurationInvalid");
+  assert.is(bench.table.get("configuration/current"), undefined);
+});
+
+test("every version of the history can be read again, large changes included", async () => {
+  const bench = createBench();
+  const operator = bench.createWriter(1);
+  await submitAll(bench, operator, 30);
+  const renamed = {
+    ...withDeadline(131),
+    services: withDeadline(131).services.concat(
+      Array.from({ length: 60 }, (_, index) => ({
+        name: `extra-${index}`,
+        calls: [],
+      })),
+    ),
+  };
+  const seen = await readAccepted(bench, operator);
+  const large = submit(operator, seen, {
+    changeId: "large",
+    configuration: renamed,
+  });
+  assert.is((await advanceUntil(bench.clock, large, STEP_MS)).isOk(), true);
+  const accepted = await readAccepted(bench, operator);
+  for (let version = 1; version <= 31; version += 1) {
+    const state = await advanceUntil(
+      bench.clock,
+      operator.writer.history.readVersion(accepted!.head, version),
+      STEP_MS,
+    );
+    const { configuration } = state._unsafeUnwrap();
+    const request = configuration.requests.find(({ name }) =>
+      name === "fetch-round"
+    );
+    assert.is(request?.deadlineMs, 100 + version);
+  }
+  const changes = await listAll(bench, operator);
+  assert.equal(
+    changes.map(({ version }) => version),
+    Array.from({ length: 31 }, (_, index) => 31 - index),
+  );
+});
+
+test("a writer that was paused over a whole ring of bases is told and overwrites nothing", async () => {
+  const bench = createBench();
+  const [active, paused] = [bench.createWriter(1), bench.createWriter(2)];
+  await submitAll(bench, active, 8);
+  const seen = await readAccepted(bench, paused);
+  for (let index = 9; index <= 8 * 66; index += 1) {
+    const current = await readAccepted(bench, active);
+    const change = {
+      changeId: `later-${index}`,
+      configuration: withDeadline(100 + index),
+    };
+    await advanceUntil(bench.clock, submit(active, current, change), STEP_MS);
+  }
+  const late = submit(paused, seen, {
+    changeId: "paused",
+    configuration: withDeadline(7),
+  });
+  const result = await advanceUntil(bench.clock, late, STEP_MS);
+  assert.is(result._unsafeUnwrapErr().name, "ConfigurationConflict");
+  const { state } = (await readAccepted(bench, active))!;
+  assert.is(state.version, 8 * 66);
+});
+
+/** Operators race under faults of their own; gives what is wrong in the history. */
+async function runRaces(
+  Writer: typeof ConfigurationWriter,
+  rounds: readonly { faults: readonly string[]; outageMs: number }[],
+): Promise<string[]> {
+  const bench = createBench(Writer);
+  const operators = [1, 2, 3].map((seed) => bench.createWriter(seed));
+  const auditor = bench.createWriter(4);
+  const submitted: SubmittedChange[] = [];
+  await submitAll(bench, operators[0]!, 1);
+  for (const [round, { faults, outageMs }] of rounds.entries()) {
+    const seen = await readAccepted(bench, auditor);
+    const submissions = operators.map(async (operator, index) => {
+      const changeId = `round-${round}-${index}`;
+      const configuration = withDeadline(1_000 + round * 10 + index);
+      operator.faults.losesAnswers = faults[index] === "loses";
+      operator.faults.isDown = faults[index] === "down";
+      bench.clock.schedule(outageMs, () => {
+        operator.faults.losesAnswers = false;
+        operator.faults.isDown = false;
+      });
+      const result = await submit(operator, seen, {
+        changeId,
+        configuration,
+      });
+      submitted.push({ changeId, result });
+    });
+    await advanceUntil(bench.clock, Promise.all(submissions), STEP_MS);
+  }
+  return findFalseVerdicts(submitted, await listAll(bench, auditor));
+}
+
+const roundsArbitrary = fc.array(
+  fc.record({
+    faults: fc.array(fc.constantFrom("none", "loses", "down"), {
+      minLength: 3,
+      maxLength: 3,
+    }),
+    outageMs: fc.integer({ min: 10, max: 5_000 }),
+  }),
+  { minLength: 1, maxLength: 6 },
+);
+
+test("whatever answers are lost, operators are told what became of their change", async () => {
+  await fc.assert(
+    fc.asyncProperty(roundsArbitrary, async (rounds) => {
+      assert.equal(await runRaces(ConfigurationWriter, rounds), []);
+    }),
+    { seed: 601, numRuns: 60 },
+  );
+});
+
+test("the check catches a writer that does not settle by reading back", async () => {
+  const details = await fc.check(
+    fc.asyncProperty(roundsArbitrary, async (rounds) => {
+      assert.equal(await runRaces(TrustingWriter, rounds), []);
+    }),
+    { seed: 601, numRuns: 60 },
+  );
+  assert.ok(details.failed);
+  const { actual } = details.errorInstance as { actual: string[] };
+  assert.match(actual.join("\n"), /was accepted/);
+});
+
+test.run();
--- /dev/null
+++ b/src/configuration/document_patch_test.ts
@@ -0,0 +1,95 @@
+import * as assert from "uvu/assert";
+import fc from "fast-check";
+import { suite } from "uvu";
+import type { Configuration } from "../generated/types.ts";
+import { createTestConfiguration } from "../testing/create_test_configuration.ts";
+import { canonicalizeNamedLists } from "./canonicalize_named_lists.ts";
+import { digestConfiguration } from "./digest_configuration.ts";
+import { applyDocumentPatch, createDocumentPatch } from "./document_patch.ts";
+
+const test = suite("document patches");
+
+/** Documents come from JSON, whose objects have the usual prototype. */
+const PLAIN_OBJECTS = { noNullPrototype: true };
+
+const nameArbitrary = fc.constantFrom("a", "b", "c", "d", "e", "f");
+
+const configurationArbitrary: fc.Arbitrary<Configuration> = fc.record({
+  services: fc.uniqueArray(
+    fc.record(
+      { name: nameArbitrary, calls: fc.array(nameArbitrary) },
+      PLAIN_OBJECTS,
+    ),
+    { selector: ({ name }) => name },
+  ),
+  deadlines: fc.dictionary(
+    nameArbitrary,
+    fc.integer({ min: 1, max: 9 }),
+    PLAIN_OBJECTS,
+  ),
+  retryRatio: fc.constantFrom(0, 0.1),
+}).map(({ services, deadlines, retryRatio }) => {
+  const [request] = createTestConfiguration().requests;
+  const requests = Object.entries(deadlines).map(([name, deadlineMs]) => ({
+    ...request!,
+    name,
+    deadlineMs,
+  }));
+  return createTestConfiguration({ services, requests, retryRatio });
+});
+
+test("a patch turns any document into any other and changes neither", () => {
+  fc.assert(
+    fc.property(
+      configurationArbitrary,
+      configurationArbitrary,
+      (before, after) => {
+        const untouched = structuredClone(before);
+        const patch = createDocumentPatch(before, after);
+        const applied = applyDocumentPatch(before, patch);
+        assert.equal(applied, canonicalizeNamedLists(after));
+        assert.equal(before, untouched);
+        assert.is(
+          digestConfiguration(applied as Configuration),
+          digestConfiguration(after),
+        );
+      },
+    ),
+    { seed: 603, numRuns: 300 },
+  );
+});
+
+test("the patch of one request is small however many there are", () => {
+  const [request] = createTestConfiguration().requests;
+  const requests = Array.from({ length: 2_000 }, (_, index) => ({
+    ...request!,
+    name: `request-${index}`,
+    pathPrefix: `/${index}`,
+  }));
+  const before = createTestConfiguration({ requests });
+  const after = {
+    ...before,
+    requests: requests.map((each, index) =>
+      index === 7 ? { ...each, deadlineMs: 5 } : each
+    ),
+  };
+  assert.equal(createDocumentPatch(before, after), {
+    requests: { "request-7": { deadlineMs: 5 } },
+  });
+});
+
+test("equal content has one digest, whatever the order", () => {
+  const configuration = createTestConfiguration();
+  const reordered = {
+    ...configuration,
+    requests: [...configuration.requests].reverse(),
+    services: [...configuration.services].reverse(),
+  };
+  assert.is(digestConfiguration(reordered), digestConfiguration(configuration));
+  assert.is.not(
+    digestConfiguration({ ...configuration, retryRatio: 0.2 }),
+    digestConfiguration(configuration),
+  );
+});
+
+test.run();
--- /dev/null
+++ b/src/peer/fetch_configuration_test.ts
@@ -0,0 +1,72 @@
+import * as assert from "uvu/assert";
+import { suite } from "uvu";
+import { SystemClock } from "../time/mod.ts";
+import { fetchConfiguration } from "./fetch_configuration.ts";
+import { PeerServer } from "./peer_server.ts";
+
+const ADDRESS = "127.80.1.1";
+const PEER_PORT = 7102;
+
+const test = suite("fetching of configurations between daemons");
+
+function createLinkOptions(incarnation: string, fleetToken: string) {
+  return {
+    identity: { incarnation, failureDomain: "gent-a", fleetToken },
+    clock: new SystemClock(),
+    maxBodyBytes: 1_000_000,
+  };
+}
+
+async function withServer(
+  bytes: Uint8Array,
+  run: () => Promise<void>,
+): Promise<void> {
+  const server = new PeerServer({
+    ...createLinkOptions("server", "right-token"),
+    handleCall: () => Promise.reject(new Error("no call is expected")),
+    provideConfiguration: (knownVersion) => bytes.subarray(knownVersion),
+    reportError: () => undefined,
+  });
+  await server.listen(ADDRESS, PEER_PORT);
+  await run();
+  server.close();
+}
+
+test("a transfer larger than a frame part arrives whole", async () => {
+  const bytes = Uint8Array.from({ length: 300_000 }, (_, index) => index % 251);
+  await withServer(bytes, async () => {
+    const fetched = await fetchConfiguration(
+      { address: ADDRESS, peerPort: PEER_PORT },
+      3,
+      createLinkOptions("client", "right-token"),
+    );
+    assert.ok(
+      Uint8Array.from(fetched._unsafeUnwrap()).every((byte, index) =>
+        byte === (index + 3) % 251
+      ),
+    );
+    assert.is(fetched._unsafeUnwrap().length, bytes.length - 3);
+  });
+});
+
+test("a stranger gets nothing", async () => {
+  await withServer(new Uint8Array([1]), async () => {
+    const fetched = await fetchConfiguration(
+      { address: ADDRESS, peerPort: PEER_PORT },
+      0,
+      createLinkOptions("client", "wrong-token"),
+    );
+    assert.ok(fetched.isErr());
+  });
+});
+
+test("a peer that cannot be reached is an error", async () => {
+  const fetched = await fetchConfiguration(
+    { address: ADDRESS, peerPort: PEER_PORT },
+    0,
+    createLinkOptions("client", "right-token"),
+  );
+  assert.ok(fetched.isErr());
+});
+
+test.run();
--- a/src/testing/object_api_stand_in.ts
+++ b/src/testing/object_api_stand_in.ts
@@ -8,6 +8,7 @@
 import { Hono } from "hono";
 import type { Context } from "hono";
 import type { StoredObject } from "../store/mod.ts";
+import { ObjectTable } from "./object_table.ts";
 
 /** Faults that can be switched on. */
 export interface ObjectApiFaults {
@@ -30,11 +31,6 @@
 
 const MAX_VALUE_BYTES = 1_048_576;
 
-interface History {
-  readonly current: StoredObject;
-  readonly previous: StoredObject | undefined;
-}
-
 /** An object API in memory. */
 export class ObjectApiStandIn {
   readonly faults: ObjectApiFaults = {
@@ -44,8 +40,7 @@
     delayMs: 0,
   };
   readonly counts: ObjectApiCounts = { reads: 0, writes: 0, watches: 0 };
-  readonly #objects = new Map<string, History>();
-  readonly #watchers = new Map<string, Set<() => void>>();
+  readonly #table = new ObjectTable();
   #server: ServerType | undefined;
 
   /** Starts to listen. */
@@ -71,14 +66,12 @@
   /** Stops. */
   close(): void {
     this.#server?.close();
-    for (const key of this.#watchers.keys()) {
-      this.#wake(key);
-    }
+    this.#table.wakeAll();
   }
 
   /** The object as it is now. */
   peek(key: string): StoredObject | undefined {
-    return this.#objects.get(key)?.current;
+    return this.#table.get(key);
   }
 
   async #get(context: Context): Promise<Response> {
@@ -107,28 +100,27 @@
     this.counts.writes += 1;
     const key = context.req.param("key") ?? "";
     const text = await context.req.text();
-    const current = this.#objects.get(key)?.current;
-    const expected = Number(context.req.header("if-match"));
     if (text.length > MAX_VALUE_BYTES) {
       return context.json({ error: "too large" }, 413);
     }
-    if (expected !== (current?.version ?? 0)) {
+    const { isAccepted, current } = this.#table.put(
+      key,
+      text,
+      Number(context.req.header("if-match")),
+    );
+    if (!isAccepted) {
       return context.json(current ?? { version: 0 }, 412);
     }
-    const next = { version: expected + 1, value: JSON.parse(text) };
-    this.#objects.set(key, { current: next, previous: current });
-    this.#wake(key);
     if (this.faults.losesAnswers) {
       return context.text("lost", 502);
     }
-    return context.json({ version: next.version });
+    return context.json({ version: current?.version });
   }
 
   #visible(key: string): StoredObject | undefined {
-    const history = this.#objects.get(key);
     return this.faults.answersFromPast
-      ? history?.previous ?? history?.current
-      : history?.current;
+      ? this.#table.getPrevious(key)
+      : this.#table.get(key);
   }
 
   #waitForChange(
@@ -136,25 +128,17 @@
     afterVersion: number,
     timeoutMs: number,
   ): Promise<void> {
-    if ((this.#objects.get(key)?.current.version ?? 0) > afterVersion) {
+    if ((this.#table.get(key)?.version ?? 0) > afterVersion) {
       return Promise.resolve();
     }
     return new Promise((resolve) => {
-      const watchers = this.#watchers.get(key) ?? new Set();
-      this.#watchers.set(key, watchers);
-      const timer = setTimeout(wake, timeoutMs);
-      function wake(): void {
+      const timer = setTimeout(finish, timeoutMs);
+      const forget = this.#table.onChange(key, finish);
+      function finish(): void {
         clearTimeout(timer);
-        watchers.delete(wake);
+        forget();
         resolve();
       }
-      watchers.add(wake);
     });
   }
-
-  #wake(key: string): void {
-    for (const wake of this.#watchers.get(key) ?? []) {
-      wake();
-    }
-  }
 }
