--- a/src/configuration/mod.ts
+++ b/src/configuration/mod.ts
@@ -29,6 +29,7 @@
 export { describeSchemaFindings } from "./describe_schema_findings.ts";
 export { applyDocumentPatch, createDocumentPatch } from "./document_patch.ts";
 export type { DocumentPatch } from "./document_patch.ts";
+export type { VersionNotice } from "./peer_versions.ts";
 export { findRequest } from "./find_request.ts";
 export type { CallTarget } from "./find_request.ts";
 export { validateConfigurationDocument } from "./validate_configuration_document.ts";
--- a/src/peer/fetch_configuration.ts
+++ b/src/peer/fetch_configuration.ts
@@ -14,9 +14,12 @@
   ConfigurationPartMessage,
 } from "../generated/types.ts";
 import { BodyAssembler } from "./body_assembler.ts";
-import type { PeerAddress } from "./peer_client.ts";
 import { PeerLink } from "./peer_link.ts";
-import type { PeerLinkOptions, PeerLinkOwner } from "./peer_link.ts";
+import type {
+  PeerAddress,
+  PeerLinkOptions,
+  PeerLinkOwner,
+} from "./peer_link_owner.ts";
 
 /** Time allowed for one fetch, in milliseconds. */
 const FETCH_TIMEOUT_MS = 3_000;
@@ -27,6 +30,7 @@
 /** A connection that asks one question. */
 class FetchLink implements PeerLinkOwner {
   readonly link: PeerLink;
+  readonly hasWork = true;
   readonly #knownVersion: number;
   readonly #settle: (result: Result<Uint8Array, VError>) => void;
   #assembler: BodyAssembler | undefined;
@@ -76,6 +80,10 @@
     // This connection asks for a configuration only.
   }
 
+  onSilent(): void {
+    // The time allowed for one fetch is short; nothing else is needed.
+  }
+
   onClose(error: VError | undefined): void {
     this.#settle(err(createFailure("the connection ended", error)));
   }
@@ -103,7 +111,8 @@
   options: PeerLinkOptions,
 ): Promise<Result<Uint8Array, VError>> {
   return new Promise((resolve) => {
-    const socket = connect({ host: address.address, port: address.peerPort });
+    const socket = options.dial?.(address) ??
+      connect({ host: address.address, port: address.peerPort });
     const settle = (result: Result<Uint8Array, VError>) => {
       cancelTimeout();
       resolve(result);
--- a/src/peer/peer_server.ts
+++ b/src/peer/peer_server.ts
@@ -4,7 +4,7 @@
 
 import { createServer } from "node:net";
 import type { Server, Socket } from "node:net";
-import type VError from "verror";
+import VError from "verror";
 import type {
   CallMessage,
   ConfigurationFetchMessage,
@@ -14,7 +14,7 @@
 import type { CallResult } from "../outcome/mod.ts";
 import { convertResultToReply } from "./convert_reply.ts";
 import { PeerLink } from "./peer_link.ts";
-import type { PeerLinkOptions, PeerLinkOwner } from "./peer_link.ts";
+import type { PeerLinkOptions, PeerLinkOwner } from "./peer_link_owner.ts";
 import { sendConfigurationParts } from "./send_configuration_parts.ts";
 
 /** Runs a call that a peer sent; the signal ends when the peer no longer waits. */
@@ -33,10 +33,15 @@
   readonly reportError: (error: VError, remoteAddress: string) => void;
 }
 
+interface RunningCall {
+  readonly controller: AbortController;
+  readonly isRepeatable: boolean;
+}
+
 /** One accepted connection with the calls that run for it. */
 class AcceptedLink implements PeerLinkOwner {
   readonly link: PeerLink;
-  readonly #running = new Map<number, AbortController>();
+  readonly #running = new Map<number, RunningCall>();
   readonly #options: PeerServerOptions;
   readonly #remoteAddress: string;
 
@@ -46,6 +51,10 @@
     this.link = new PeerLink(socket, this, options);
   }
 
+  get hasWork(): boolean {
+    return this.#running.size > 0;
+  }
+
   onHello(_hello: HelloMessage): void {
     // The link has checked the proof; nothing else depends on who calls.
   }
@@ -59,7 +68,11 @@
   }
 
   onCancel(callId: number): void {
-    this.#running.get(callId)?.abort();
+    this.#running.get(callId)?.controller.abort();
+  }
+
+  onSilent(): void {
+    // The dialling side opens a new connection; calls in progress go on.
   }
 
   onConfiguration(
@@ -73,8 +86,10 @@
   }
 
   onClose(error: VError | undefined): void {
-    for (const controller of this.#running.values()) {
-      controller.abort();
+    for (const { controller, isRepeatable } of this.#running.values()) {
+      if (isRepeatable) {
+        controller.abort();
+      }
     }
     if (error) {
       this.#options.reportError(error, this.#remoteAddress);
@@ -83,7 +98,8 @@
 
   async #serve(call: CallMessage, body: Uint8Array): Promise<void> {
     const controller = new AbortController();
-    this.#running.set(call.callId, controller);
+    const { isRepeatable } = call.context;
+    this.#running.set(call.callId, { controller, isRepeatable });
     const result = await this.#options.handleCall(
       call,
       body,
@@ -91,7 +107,11 @@
     );
     this.#running.delete(call.callId);
     const reply = convertResultToReply(call.callId, result);
-    this.link.sendWithBody(reply.head, reply.body);
+    if (!this.link.sendWithBody(reply.head, reply.body)) {
+      this.link.close(
+        new VError({ name: "PeerSlow" }, "peer does not read its replies"),
+      );
+    }
   }
 }
 
@@ -112,12 +132,10 @@
     });
   }
 
-  /** Stops listening and ends every connection. */
-  close(): void {
+  /** Stops listening and ends every connection after the replies that were sent on it. */
+  async close(): Promise<void> {
     this.#server.close();
-    for (const accepted of this.#links) {
-      accepted.link.close();
-    }
+    await Promise.all([...this.#links].map(({ link }) => link.finish()));
   }
 
   async #serve(socket: Socket, options: PeerServerOptions): Promise<void> {
--- a/src/testing/configuration_fleet.ts
+++ b/src/testing/configuration_fleet.ts
@@ -13,6 +13,7 @@
   ConfigurationSpread,
   createConfigurationTransfer,
 } from "../configuration/mod.ts";
+import type { VersionNotice } from "../configuration/mod.ts";
 import type { MemberRecord } from "../generated/types.ts";
 import { createSilentLogger, DecisionJournal } from "../telemetry/mod.ts";
 import type { Clock, RandomSource } from "../time/mod.ts";
@@ -103,11 +104,11 @@
   }
 
   override async fetch(
-    member: MemberRecord,
+    peer: VersionNotice,
     knownVersion: number,
   ): Promise<Result<Uint8Array, VError>> {
     const { clock } = this.#fleet.options;
-    const target = this.#fleet.findRunning(member.incarnation);
+    const target = this.#fleet.findRunning(peer.incarnation);
     if (!target || this.#fleet.isCut(this, target)) {
       await clock.sleep(FETCH_TIMEOUT_MS);
       return err(new VError({ name: "ConfigurationFetchFailed" }, "cut off"));
@@ -146,7 +147,7 @@
       this.#fleet.latencyMs(this, other),
       () => {
         if (other.isRunning) {
-          other.spread.takePeerVersion(this.self.incarnation, version);
+          other.spread.takeNotice({ ...this.self, version });
         }
       },
     );
