Add the configuration commands and the questionnaire

Cause: operators had no way to generate, check, apply or take back a configuration.

Change: init (asked or from a file), validate, diff, apply, history and rollback; answers are kept with the configuration, hand changes are carried over and disagreements named; exit codes in one place; answer files of both users.

--- /dev/null
+++ b/src/cli/changing_command.ts
@@ -0,0 +1,75 @@
+/**
+ * What the commands that change the configuration share: who changes it, why,
+ * and the wait until it is in force.
+ */
+
+import { Option } from "clipanion";
+import * as t from "typanion";
+import { EXIT_CODES } from "./exit_codes.ts";
+import { ConfigurationCommand } from "./configuration_command.ts";
+import type { CommandOutput } from "./configuration_command.ts";
+import { FleetClient } from "./fleet_client.ts";
+import { waitUntilInForce } from "./wait_until_in_force.ts";
+
+const DEFAULT_WAIT_SECONDS = 30;
+const MS_PER_SECOND = 1_000;
+
+/** Base of the commands that change the configuration. */
+export abstract class ChangingCommand extends ConfigurationCommand {
+  author = Option.String("--author", {
+    env: "CELERYHOLLOW_AUTHOR",
+    description: "Who changes it, for the history; default: the user's name",
+  });
+
+  note = Option.String("--note", {
+    description: "Why, for the history",
+  });
+
+  adminUrl = Option.String("--admin-url", {
+    env: "CELERYHOLLOW_ADMIN_URL",
+    description:
+      "Base URL of any daemon's admin port; without it the command does not wait",
+  });
+
+  fleetToken = Option.String("--fleet-token", {
+    env: "CELERYHOLLOW_FLEET_TOKEN",
+    description: "Shared secret of the fleet, for the wait",
+  });
+
+  waitSeconds = Option.String("--wait-seconds", String(DEFAULT_WAIT_SECONDS), {
+    validator: t.isNumber(),
+    description: "Longest wait until the change is in force everywhere",
+  });
+
+  /** Waits until a version is in force everywhere, where daemons can be asked. */
+  protected async finish(version: number): Promise<CommandOutput> {
+    const { adminUrl, fleetToken } = this;
+    if (adminUrl === undefined || fleetToken === undefined) {
+      return {
+        json: { version, waited: false },
+        lines: [
+          `accepted as version ${version}; give --admin-url and --fleet-token to wait until it is in force`,
+        ],
+      };
+    }
+    const report = await waitUntilInForce(
+      new FleetClient({ adminUrl, fleetToken }),
+      version,
+      {
+        timeoutMs: this.waitSeconds * MS_PER_SECOND,
+        report: (line) => this.report(line),
+      },
+    );
+    const { behind, daemonCount, inForceCount, unreachable } = report;
+    const isEverywhere = daemonCount > 0 && inForceCount === daemonCount;
+    return {
+      json: { waited: true, isEverywhere, ...report },
+      lines: [
+        `accepted as version ${version}; in force at ${inForceCount} of ${daemonCount} daemons`,
+        ...behind.map((address) => `still behind: ${address}`),
+        ...unreachable.map((address) => `cannot be asked: ${address}`),
+      ],
+      exitCode: isEverywhere ? EXIT_CODES.done : EXIT_CODES.notInForce,
+    };
+  }
+}
--- /dev/null
+++ b/src/cli/choose_exit_code.ts
@@ -0,0 +1,30 @@
+/**
+ * Exit codes of failed commands.
+ */
+
+import type VError from "verror";
+import { EXIT_CODES } from "./exit_codes.ts";
+import type { ExitCode } from "./exit_codes.ts";
+
+const CODES_BY_NAME: Readonly<Record<string, ExitCode>> = {
+  AnswersInvalid: EXIT_CODES.invalid,
+  ConfigurationInvalid: EXIT_CODES.invalid,
+  ProposalInvalid: EXIT_CODES.invalid,
+  ConfigurationConflict: EXIT_CODES.conflict,
+  AnswersConflict: EXIT_CODES.conflict,
+  ConfigurationUnsettled: EXIT_CODES.unsettled,
+  WrongUse: EXIT_CODES.wrongUse,
+};
+
+/**
+ * Chooses the exit code for an error.
+ *
+ * @param error - What ended the command
+ * @returns The exit code
+ *
+ * @example
+ * return chooseExitCode(accepted.error);
+ */
+export function chooseExitCode(error: VError): ExitCode {
+  return CODES_BY_NAME[error.name] ?? EXIT_CODES.failed;
+}
--- /dev/null
+++ b/src/cli/configuration_command.ts
@@ -0,0 +1,136 @@
+/**
+ * What the commands for configurations share: access to the object API, output
+ * for people or as JSON, and errors with every finding.
+ */
+
+import { randomUUID } from "node:crypto";
+import process from "node:process";
+import { Command, Option } from "clipanion";
+import { err } from "neverthrow";
+import type { Result } from "neverthrow";
+import VError from "verror";
+import { ConfigurationWriter } from "../configuration/mod.ts";
+import type {
+  AcceptedState,
+  ConfigurationState,
+} from "../configuration/mod.ts";
+import { HttpObjectStore } from "../store/mod.ts";
+import { RandomSource, SystemClock } from "../time/mod.ts";
+import { chooseExitCode } from "./choose_exit_code.ts";
+import { EXIT_CODES } from "./exit_codes.ts";
+import type { ExitCode } from "./exit_codes.ts";
+
+/** Time after which a write whose outcome cannot be learnt is given up, in milliseconds. */
+const SETTLE_TIMEOUT_MS = 30_000;
+
+/** What a command gives: an object for machines and lines for people. */
+export interface CommandOutput {
+  readonly json: Readonly<Record<string, unknown>>;
+  readonly lines: readonly string[];
+  readonly exitCode?: ExitCode;
+}
+
+/** Base of the commands for configurations. */
+export abstract class ConfigurationCommand extends Command {
+  json = Option.Boolean("--json", false, {
+    description: "Print one JSON object instead of text",
+  });
+
+  storeUrl = Option.String("--store-url", "http://127.0.0.1:7000", {
+    env: "CELERYHOLLOW_STORE_URL",
+    description: "Base URL of the platform's object API",
+  });
+
+  override async execute(): Promise<number> {
+    const store = new HttpObjectStore(this.storeUrl);
+    const writer = new ConfigurationWriter({
+      store,
+      clock: new SystemClock(),
+      random: new RandomSource(0),
+      settleTimeoutMs: SETTLE_TIMEOUT_MS,
+    });
+    const output = await this.runWith(writer);
+    await store.close();
+    return output.isOk() ? this.#print(output.value) : this.#fail(output.error);
+  }
+
+  /** Does what the command is for. */
+  protected abstract runWith(
+    writer: ConfigurationWriter,
+  ): Promise<Result<CommandOutput, VError>>;
+
+  /** Shows progress, apart from the output. */
+  protected report(line: string): void {
+    this.context.stderr.write(`${line}\n`);
+  }
+
+  /** Proposes a state under a new change id. */
+  protected async submit(
+    writer: ConfigurationWriter,
+    state: ConfigurationState,
+    change: {
+      readonly seen: AcceptedState | undefined;
+      readonly author: string | undefined;
+      readonly note: string | undefined;
+    },
+  ): Promise<Result<number, VError>> {
+    this.report("writing the change to the object API");
+    const { author, note, seen } = change;
+    return await writer.submit({
+      state,
+      changeId: randomUUID(),
+      author: author ?? process.env.USER ?? "",
+      note: note ?? "",
+    }, seen);
+  }
+
+  #print({ exitCode, json, lines }: CommandOutput): number {
+    const text = this.json ? JSON.stringify(json) : lines.join("\n");
+    this.context.stdout.write(text === "" ? "" : `${text}\n`);
+    return exitCode ?? EXIT_CODES.done;
+  }
+
+  #fail(error: VError): number {
+    const info = VError.info(error);
+    if (this.json) {
+      const { message, name } = error;
+      this.context.stdout.write(
+        `${JSON.stringify({ error: { name, message, ...info } })}\n`,
+      );
+    }
+    const findings = info.findings as readonly string[] | undefined;
+    const lines = findings && findings.length > 1
+      ? [
+        `${findings.length} findings:`,
+        ...findings.map((line) => `  - ${line}`),
+      ]
+      : [error.message];
+    this.context.stderr.write(`celeryhollow: ${lines.join("\n")}\n`);
+    return chooseExitCode(error);
+  }
+}
+
+/**
+ * Reads what is accepted, which has to be there.
+ *
+ * @param writer - Access to configurations
+ * @returns What is accepted, or an error
+ *
+ * @example
+ * const accepted = await readRequired(writer);
+ */
+export async function readRequired(
+  writer: ConfigurationWriter,
+): Promise<Result<AcceptedState, VError>> {
+  const accepted = await writer.readAccepted();
+  return accepted.andThen((value) =>
+    value === undefined
+      ? err(
+        new VError(
+          { name: "ConfigurationMissing" },
+          "no configuration has been accepted yet; start with `celeryhollow init`",
+        ),
+      )
+      : accepted as Result<AcceptedState, VError>
+  );
+}
--- /dev/null
+++ b/src/cli/configuration_commands_test.ts
@@ -0,0 +1,329 @@
+import { readFile, writeFile } from "node:fs/promises";
+import { mkdtemp, rm } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { PassThrough, Readable } from "node:stream";
+import * as assert from "uvu/assert";
+import { Cli } from "clipanion";
+import { suite } from "uvu";
+import type { ProposalFile } from "../generated/types.ts";
+import { ObjectApiStandIn } from "../testing/object_api_stand_in.ts";
+import { createCli } from "./create_cli.ts";
+import { EXIT_CODES } from "./exit_codes.ts";
+import { runCli } from "./run_cli.ts";
+
+const STORE_ADDRESS = "127.81.1.1";
+const STORE_PORT = 7000;
+const RONDEVAART = "examples/rondevaart.answers.json";
+
+interface Context {
+  store: ObjectApiStandIn;
+  folder: string;
+}
+
+interface Ran {
+  readonly exitCode: number;
+  readonly stdout: string;
+  readonly stderr: string;
+}
+
+const test = suite<Context>("commands for configurations");
+
+test.before.each(async (context) => {
+  context.store = new ObjectApiStandIn();
+  await context.store.listen(STORE_ADDRESS, STORE_PORT);
+  context.folder = await mkdtemp(join(tmpdir(), "celeryhollow-"));
+});
+
+test.after.each(async ({ folder, store }) => {
+  store.close();
+  await rm(folder, { recursive: true });
+});
+
+async function run(args: readonly string[], input = ""): Promise<Ran> {
+  const stdout = new PassThrough();
+  const stderr = new PassThrough();
+  const exitCode = await runCli(createCli(), [...args], {
+    ...Cli.defaultContext,
+    stdin: Readable.from(input === "" ? [] : [input]),
+    stdout,
+    stderr,
+  });
+  const read = (stream: PassThrough) => String(stream.read() ?? "");
+  return { exitCode, stdout: read(stdout), stderr: read(stderr) };
+}
+
+function runWithStore(args: readonly string[], input = ""): Promise<Ran> {
+  const storeUrl = `http://${STORE_ADDRESS}:${STORE_PORT}`;
+  return run([...args, "--store-url", storeUrl], input);
+}
+
+async function writeJson(
+  { folder }: Context,
+  name: string,
+  value: unknown,
+): Promise<string> {
+  const path = join(folder, name);
+  await writeFile(path, JSON.stringify(value));
+  return path;
+}
+
+async function readAnswers(): Promise<ProposalFile["answers"]> {
+  return JSON.parse(await readFile(RONDEVAART, "utf8"));
+}
+
+/** Applies the example answers and gives the configuration that they made. */
+async function initialize(): Promise<ProposalFile["configuration"]> {
+  const applied = await runWithStore([
+    "init",
+    "--answers",
+    RONDEVAART,
+    "--apply",
+  ]);
+  assert.is(applied.exitCode, EXIT_CODES.done, applied.stderr);
+  const { stdout } = await runWithStore([
+    "init",
+    "--answers",
+    RONDEVAART,
+    "--json",
+  ]);
+  return JSON.parse(stdout).configuration;
+}
+
+test("the answers of both users generate, validate and apply", async (context) => {
+  for (const name of ["rondevaart", "verrou_boreal"]) {
+    const output = join(context.folder, `${name}.json`);
+    const generated = await run([
+      "init",
+      "--answers",
+      `examples/${name}.answers.json`,
+      "--offline",
+      "--output",
+      output,
+    ]);
+    assert.is(generated.exitCode, EXIT_CODES.done, generated.stderr);
+    const validated = await run(["validate", output]);
+    assert.is(validated.exitCode, EXIT_CODES.done, validated.stderr);
+  }
+  const output = join(context.folder, "verrou_boreal.json");
+  const applied = await runWithStore(["apply", output]);
+  assert.is(applied.exitCode, EXIT_CODES.done, applied.stderr);
+  assert.match(applied.stdout, /version 1/);
+});
+
+test("answers with several faults are refused with every finding", async (context) => {
+  const answers = await readAnswers();
+  const [first, ...others] = answers.services;
+  const faulty = {
+    ...answers,
+    classes: [...answers.classes, "unused"],
+    importantClasses: ["unknown"],
+    services: [{ ...first!, connections: 1, calls: ["nowhere"] }, ...others],
+  };
+  const path = await writeJson(context, "answers.json", faulty);
+  const { exitCode, stderr } = await run([
+    "init",
+    "--answers",
+    path,
+    "--offline",
+  ]);
+  assert.is(exitCode, EXIT_CODES.invalid);
+  assert.match(stderr, /class unused has no request/);
+  assert.match(stderr, /important class unknown/);
+  assert.match(stderr, /accepts only 1 connections/);
+  assert.match(stderr, /unknown service nowhere/);
+});
+
+test("a hand change is carried over new answers and shown", async (context) => {
+  const configuration = await initialize();
+  const byHand = { ...configuration, retryRatio: 0.05 };
+  const path = await writeJson(context, "configuration.json", byHand);
+  const applied = await runWithStore(["apply", path, "--base-version", "1"]);
+  assert.is(applied.exitCode, EXIT_CODES.done, applied.stderr);
+  const answers = { ...await readAnswers(), regionLinkMegabitsPerSecond: 50 };
+  const adjusted = await runWithStore([
+    "init",
+    "--answers",
+    await writeJson(context, "answers.json", answers),
+    "--json",
+  ]);
+  assert.is(adjusted.exitCode, EXIT_CODES.done, adjusted.stderr);
+  assert.match(adjusted.stderr, /kept from hand changes: retryRatio = 0.05/);
+  const { configuration: next } = JSON.parse(adjusted.stdout);
+  assert.is(next.retryRatio, 0.05);
+  assert.is(next.regionLinkBitsPerSecond, 50_000_000);
+});
+
+test("hand changes and answers that disagree are named, and the operator decides", async (context) => {
+  const configuration = await initialize();
+  const requests = configuration.requests.map((request) =>
+    request.name === "fetch-round" ? { ...request, deadlineMs: 700 } : request
+  );
+  const byHand = { ...configuration, requests };
+  await runWithStore([
+    "apply",
+    await writeJson(context, "configuration.json", byHand),
+  ]);
+  const answers = await readAnswers();
+  const changed = {
+    ...answers,
+    requests: answers.requests.map((request) =>
+      request.name === "fetch-round" ? { ...request, deadlineMs: 900 } : request
+    ),
+  };
+  const path = await writeJson(context, "answers.json", changed);
+  const refused = await runWithStore(["init", "--answers", path]);
+  assert.is(refused.exitCode, EXIT_CODES.conflict);
+  assert.match(
+    refused.stderr,
+    /requests.fetch-round.deadlineMs was changed by hand to 700, the answers give 900/,
+  );
+  for (const [preference, deadlineMs] of [["answers", 900], ["hand", 700]]) {
+    const { stdout } = await runWithStore([
+      "init",
+      "--answers",
+      path,
+      "--prefer",
+      String(preference),
+      "--json",
+    ]);
+    const { configuration: next } = JSON.parse(stdout) as ProposalFile;
+    const request = next.requests.find(({ name }) => name === "fetch-round");
+    assert.is(request?.deadlineMs, deadlineMs);
+  }
+});
+
+test("a proposal on an older version is refused and the changes since are told", async (context) => {
+  const output = join(context.folder, "proposal.json");
+  const configuration = await initialize();
+  await runWithStore(["init", "--answers", RONDEVAART, "--output", output]);
+  const path = await writeJson(context, "configuration.json", {
+    ...configuration,
+    retryRatio: 0.2,
+  });
+  await runWithStore(["apply", path, "--author", "ana", "--note", "more"]);
+  const late = await runWithStore(["apply", output]);
+  assert.is(late.exitCode, EXIT_CODES.conflict);
+  assert.match(late.stderr, /version 2 by ana \(more\)/);
+});
+
+test("history lists changes and rollback makes an earlier one a new version", async (context) => {
+  const configuration = await initialize();
+  const path = await writeJson(context, "configuration.json", {
+    ...configuration,
+    retryRatio: 0.2,
+  });
+  await runWithStore(["apply", path, "--note", "more retries"]);
+  const rolled = await runWithStore(["rollback", "1"]);
+  assert.is(rolled.exitCode, EXIT_CODES.done, rolled.stderr);
+  assert.match(rolled.stdout, /version 3/);
+  assert.match(rolled.stderr, /retryRatio: 0.2 -> 0.1/);
+  const { stdout } = await runWithStore(["history", "--json"]);
+  const { changes } = JSON.parse(stdout);
+  assert.equal(
+    changes.map(({ note, version }: { note: string; version: number }) => [
+      version,
+      note,
+    ]),
+    [[3, "rollback to version 1"], [2, "more retries"], [1, ""]],
+  );
+  const unknown = await runWithStore(["rollback", "9"]);
+  assert.is(unknown.exitCode, EXIT_CODES.failed);
+});
+
+test("diff shows changes and tells scripts by its exit code", async (context) => {
+  const configuration = await initialize();
+  const same = await writeJson(context, "same.json", configuration);
+  const other = await writeJson(context, "other.json", {
+    ...configuration,
+    retryRatio: 0.3,
+  });
+  const [equal, different] = [
+    await runWithStore(["diff", same, "--exit-code"]),
+    await runWithStore(["diff", other, "--exit-code"]),
+  ];
+  assert.is(equal.exitCode, EXIT_CODES.done);
+  assert.is(different.exitCode, EXIT_CODES.differs);
+  assert.match(different.stdout, /~ retryRatio: 0.1 -> 0.3/);
+});
+
+test("an apply whose answer is lost tells the accepted version", async ({ store, folder }) => {
+  const output = join(folder, "proposal.json");
+  await run([
+    "init",
+    "--answers",
+    RONDEVAART,
+    "--offline",
+    "--output",
+    output,
+  ]);
+  store.faults.losesAnswers = true;
+  const { exitCode, stdout } = await runWithStore(["apply", output, "--json"]);
+  assert.is(exitCode, EXIT_CODES.done);
+  assert.equal(JSON.parse(stdout), { version: 1, waited: false });
+});
+
+test("an object API that is down is named and nothing is claimed", async ({ store }) => {
+  store.faults.isDown = true;
+  const { exitCode, stderr, stdout } = await runWithStore([
+    "history",
+    "--json",
+  ]);
+  assert.is(exitCode, EXIT_CODES.failed);
+  assert.match(stderr, /object API/);
+  assert.is(JSON.parse(stdout).error.name, "StoreUnavailable");
+});
+
+test("the questionnaire asked line by line gives what the file gives", async () => {
+  const lines = [
+    "bakery",
+    "north",
+    "n-a, n-b",
+    "10",
+    "orders, reading",
+    "",
+    "shops",
+    "front, stock",
+    ...["2", "10", "20", "stock"],
+    ...["2", "5", "not a number", "50", "-"],
+    "order, read",
+    ...["front", "POST", "/orders", "orders", "no", "", "", ""],
+    ...["front", "FETCH", "GET", "/read", "reading", "maybe", "yes", "800"],
+    ...["100", "-"],
+  ];
+  const asked = await run(
+    ["init", "--offline", "--json"],
+    `${lines.join("\n")}\n`,
+  );
+  assert.is(asked.exitCode, EXIT_CODES.done, asked.stderr);
+  assert.match(asked.stderr, /please give a number/);
+  assert.match(asked.stderr, /please answer yes or no/);
+  const { answers, configuration } = JSON.parse(asked.stdout) as ProposalFile;
+  assert.equal(answers.importantClasses, ["orders"]);
+  assert.equal(
+    configuration.requests.map(({ deadlineMs, isRepeatable, name }) => ({
+      name,
+      isRepeatable,
+      deadlineMs,
+    })),
+    [
+      { name: "order", isRepeatable: false, deadlineMs: 2_000 },
+      { name: "read", isRepeatable: true, deadlineMs: 800 },
+    ],
+  );
+});
+
+test("a questionnaire that ends early changes nothing and says so", async () => {
+  const { exitCode, stderr } = await run(["init", "--offline"], "bakery\n");
+  assert.is(exitCode, EXIT_CODES.failed);
+  assert.match(stderr, /nothing was changed/);
+});
+
+test("wrong flags get their own exit code", async () => {
+  const wrongFlag = await run(["apply", "--bogus", "x"]);
+  assert.is(wrongFlag.exitCode, EXIT_CODES.wrongUse);
+  const wrongNumber = await runWithStore(["history", "--limit", "many"]);
+  assert.is(wrongNumber.exitCode, EXIT_CODES.wrongUse);
+});
+
+test.run();
--- /dev/null
+++ b/src/cli/create_cli.ts
@@ -0,0 +1,38 @@
+/**
+ * The commands of the operator tool.
+ */
+
+import { Builtins, Cli } from "clipanion";
+import { ApplyCommand } from "./apply_command.ts";
+import { DiffCommand } from "./diff_command.ts";
+import { HistoryCommand } from "./history_command.ts";
+import { InitCommand } from "./init_command.ts";
+import { RollbackCommand } from "./rollback_command.ts";
+import { StatusCommand } from "./status_command.ts";
+import { ValidateCommand } from "./validate_command.ts";
+
+/**
+ * Creates the command line with every command registered.
+ *
+ * @returns The command line
+ *
+ * @example
+ * process.exitCode = await runCli(createCli(), process.argv.slice(2), context);
+ */
+export function createCli(): Cli {
+  const cli = new Cli({
+    binaryName: "celeryhollow",
+    binaryLabel: "celeryhollow operator tool",
+    binaryVersion: "0.1.0",
+  });
+  cli.register(Builtins.HelpCommand);
+  cli.register(Builtins.VersionCommand);
+  cli.register(StatusCommand);
+  cli.register(InitCommand);
+  cli.register(ValidateCommand);
+  cli.register(DiffCommand);
+  cli.register(ApplyCommand);
+  cli.register(HistoryCommand);
+  cli.register(RollbackCommand);
+  return cli;
+}
--- /dev/null
+++ b/src/cli/describe_patch.ts
@@ -0,0 +1,53 @@
+/**
+ * Differences between configurations, in lines for people.
+ */
+
+import { createDocumentPatch } from "../configuration/mod.ts";
+import type { Configuration } from "../generated/types.ts";
+import { listPatchChanges } from "../questionnaire/mod.ts";
+import type { PatchChange } from "../questionnaire/mod.ts";
+
+/**
+ * Describes what differs between two configurations.
+ *
+ * @param before - The earlier one; null: none
+ * @param after - The later one
+ * @returns One line for each changed value
+ *
+ * @example
+ * describeDifference(inForce, proposed); // ["~ requests.fetch-round.deadlineMs: 2000 -> 800"]
+ */
+export function describeDifference(
+  before: Configuration | null,
+  after: Configuration,
+): string[] {
+  return listPatchChanges(createDocumentPatch(before, after)).map((change) =>
+    describeChange(before, change)
+  );
+}
+
+function describeChange(
+  before: Configuration | null,
+  { path, value }: PatchChange,
+): string {
+  const name = path.join(".");
+  const old = findValue(before, path);
+  if (value === null) {
+    return `- ${name}`;
+  }
+  return old === undefined
+    ? `+ ${name}: ${JSON.stringify(value)}`
+    : `~ ${name}: ${JSON.stringify(old)} -> ${JSON.stringify(value)}`;
+}
+
+function findValue(
+  configuration: Configuration | null,
+  path: readonly string[],
+): unknown {
+  return path.reduce<unknown>((value, key) => {
+    if (Array.isArray(value)) {
+      return value.find(({ name }) => name === key);
+    }
+    return (value as Record<string, unknown> | null | undefined)?.[key];
+  }, configuration);
+}
--- /dev/null
+++ b/src/cli/init_command.ts
@@ -0,0 +1,205 @@
+/**
+ * The questionnaire as a command.
+ */
+
+import { writeFile } from "node:fs/promises";
+import { Command, Option } from "clipanion";
+import { err, ok } from "neverthrow";
+import type { Result } from "neverthrow";
+import * as t from "typanion";
+import VError from "verror";
+import { validateConfigurationDocument } from "../configuration/mod.ts";
+import type {
+  AcceptedState,
+  ConfigurationWriter,
+} from "../configuration/mod.ts";
+import type { ProposalFile, QuestionnaireAnswers } from "../generated/types.ts";
+import {
+  askQuestionnaire,
+  LineInput,
+  mergeAnswers,
+  PREFERENCES,
+  validateAnswers,
+} from "../questionnaire/mod.ts";
+import type { Adjustment, Preference } from "../questionnaire/mod.ts";
+import { ChangingCommand } from "./changing_command.ts";
+import type { CommandOutput } from "./configuration_command.ts";
+import { describeDifference } from "./describe_patch.ts";
+import { EXIT_CODE_HELP } from "./exit_codes.ts";
+import { readJsonFile } from "./read_document.ts";
+
+/** Generates or adjusts a configuration from answers. */
+export class InitCommand extends ChangingCommand {
+  static override paths = [["init"]];
+
+  static override usage = Command.Usage({
+    category: "Configuration",
+    description: "generate or adjust the configuration from a questionnaire",
+    details:
+      "Asks about regions, services, who calls whom, requests, what matters most and what may never run twice; " +
+      "or takes the answers from a file. Earlier answers are kept with the configuration and are what an empty line means. " +
+      "Changes made by hand are carried over and listed; where new answers change the same value, --prefer decides. " +
+      EXIT_CODE_HELP,
+    examples: [
+      [
+        "Generate a proposal from an answers file, without the object API",
+        "celeryhollow init --answers examples/rondevaart.answers.json --offline --output proposal.json",
+      ],
+      [
+        "Answer questions and put the result in force",
+        "celeryhollow init --apply --admin-url http://10.1.0.5:7103 --fleet-token SECRET",
+      ],
+      [
+        "Adjust with changed answers, which win over hand changes",
+        "celeryhollow init --answers answers.json --prefer answers --apply",
+      ],
+    ],
+  });
+
+  answers = Option.String("--answers", {
+    description: "File with the answers; without it they are asked for",
+  });
+
+  output = Option.String("--output", {
+    description: "File for the proposal, for `celeryhollow apply`",
+  });
+
+  apply = Option.Boolean("--apply", false, {
+    description: "Apply the result at once",
+  });
+
+  offline = Option.Boolean("--offline", false, {
+    description: "Do not read what is accepted; the result is a first version",
+  });
+
+  prefer = Option.String("--prefer", {
+    validator: t.isEnum(PREFERENCES),
+    description:
+      "Whose value stands where hand changes and answers disagree: answers or hand",
+  });
+
+  protected override async runWith(
+    writer: ConfigurationWriter,
+  ): Promise<Result<CommandOutput, VError>> {
+    if (this.apply && this.offline) {
+      return err(
+        new VError({ name: "WrongUse" }, "--apply needs the object API"),
+      );
+    }
+    const accepted = this.offline
+      ? ok<AcceptedState | undefined, VError>(undefined)
+      : await writer.readAccepted();
+    if (accepted.isErr()) {
+      return err(accepted.error);
+    }
+    const seen = accepted.value;
+    const answers = await this.#readAnswers(seen?.state.answers ?? null);
+    if (answers.isErr()) {
+      return err(answers.error);
+    }
+    const proposal = this.#createProposal(seen, answers.value);
+    return proposal.isErr()
+      ? err(proposal.error)
+      : await this.#deliver(writer, seen, proposal.value);
+  }
+
+  async #readAnswers(
+    known: QuestionnaireAnswers | null,
+  ): Promise<Result<QuestionnaireAnswers, VError>> {
+    if (this.answers !== undefined) {
+      return (await readJsonFile(this.answers)).andThen(validateAnswers);
+    }
+    const input = new LineInput(this.context.stdin, this.context.stderr);
+    const answers = await askQuestionnaire(input, known);
+    input.close();
+    return answers ? validateAnswers(answers) : err(
+      new VError(
+        { name: "InputEnded" },
+        "the input ended before the last answer; nothing was changed",
+      ),
+    );
+  }
+
+  #createProposal(
+    seen: AcceptedState | undefined,
+    answers: QuestionnaireAnswers,
+  ): Result<ProposalFile, VError> {
+    const adjustment = mergeAnswers(
+      seen?.state ?? null,
+      answers,
+      this.prefer as Preference ?? PREFERENCES.answers,
+    );
+    this.#reportAdjustment(adjustment);
+    if (adjustment.conflicts.length > 0 && this.prefer === undefined) {
+      return err(createConflictError(adjustment));
+    }
+    return validateConfigurationDocument(adjustment.document).map(
+      (configuration) => ({
+        baseVersion: seen?.head.version ?? 0,
+        answers,
+        configuration,
+      }),
+    );
+  }
+
+  #reportAdjustment({ conflicts, handChanges }: Adjustment): void {
+    for (const { path, value } of handChanges) {
+      this.report(
+        `kept from hand changes: ${path.join(".")} = ${JSON.stringify(value)}`,
+      );
+    }
+    if (this.prefer !== undefined) {
+      conflicts.forEach(({ path }) =>
+        this.report(`decided for ${this.prefer}: ${path.join(".")}`)
+      );
+    }
+  }
+
+  async #deliver(
+    writer: ConfigurationWriter,
+    seen: AcceptedState | undefined,
+    proposal: ProposalFile,
+  ): Promise<Result<CommandOutput, VError>> {
+    const before = seen?.state.configuration ?? null;
+    const differences = describeDifference(before, proposal.configuration);
+    if (this.output !== undefined) {
+      await writeFile(this.output, `${JSON.stringify(proposal, null, 2)}\n`);
+      this.report(`wrote ${this.output}`);
+    }
+    if (this.apply) {
+      differences.forEach((line) => this.report(line));
+      const { author, note } = this;
+      const version = await this.submit(writer, proposal, {
+        seen,
+        author,
+        note,
+      });
+      return version.isErr() ? err(version.error) : ok(
+        await this.finish(version.value),
+      );
+    }
+    const { baseVersion } = proposal;
+    return ok({
+      json: { ...proposal, differences },
+      lines: [
+        baseVersion === 0
+          ? "a first configuration:"
+          : `changes of version ${baseVersion}:`,
+        ...differences,
+      ],
+    });
+  }
+}
+
+function createConflictError({ conflicts }: Adjustment): VError {
+  const findings = conflicts.map(({ byAnswers, byHand, path }) =>
+    `${path.join(".")} was changed by hand to ${
+      JSON.stringify(byHand)
+    }, the answers give ${JSON.stringify(byAnswers)}`
+  );
+  return new VError(
+    { name: "AnswersConflict", info: { findings, conflicts } },
+    "%s; decide with --prefer answers or --prefer hand",
+    findings.join("; "),
+  );
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -3,15 +3,12 @@
  */
 
 import process from "node:process";
-import { Builtins, Cli } from "clipanion";
-import { StatusCommand } from "./status_command.ts";
+import { Cli } from "clipanion";
+import { createCli } from "./create_cli.ts";
+import { runCli } from "./run_cli.ts";
 
-const cli = new Cli({
-  binaryName: "celeryhollow",
-  binaryLabel: "celeryhollow operator tool",
-  binaryVersion: "0.1.0",
-});
-cli.register(Builtins.HelpCommand);
-cli.register(Builtins.VersionCommand);
-cli.register(StatusCommand);
-process.exitCode = await cli.run(process.argv.slice(2));
+process.exitCode = await runCli(
+  createCli(),
+  process.argv.slice(2),
+  Cli.defaultContext,
+);
--- /dev/null
+++ b/src/cli/rollback_command.ts
@@ -0,0 +1,58 @@
+/**
+ * The command that puts an earlier configuration in force again.
+ */
+
+import { Command, Option } from "clipanion";
+import { err, ok } from "neverthrow";
+import type { Result } from "neverthrow";
+import * as t from "typanion";
+import type VError from "verror";
+import type { ConfigurationWriter } from "../configuration/mod.ts";
+import { ChangingCommand } from "./changing_command.ts";
+import { readRequired } from "./configuration_command.ts";
+import type { CommandOutput } from "./configuration_command.ts";
+import { describeDifference } from "./describe_patch.ts";
+import { EXIT_CODE_HELP } from "./exit_codes.ts";
+
+/** Writes the state of an earlier version as a new version. */
+export class RollbackCommand extends ChangingCommand {
+  static override paths = [["rollback"]];
+
+  static override usage = Command.Usage({
+    category: "Configuration",
+    description: "put the configuration of an earlier version in force again",
+    details:
+      "Versions never fall: the earlier content becomes a new version, with the answers that belong to it. " +
+      EXIT_CODE_HELP,
+    examples: [["Go back to what version 11 was", "celeryhollow rollback 11"]],
+  });
+
+  version = Option.String({
+    validator: t.cascade(t.isNumber(), [t.isInteger(), t.isAtLeast(1)]),
+  });
+
+  protected override async runWith(
+    writer: ConfigurationWriter,
+  ): Promise<Result<CommandOutput, VError>> {
+    const accepted = await readRequired(writer);
+    if (accepted.isErr()) {
+      return err(accepted.error);
+    }
+    const seen = accepted.value;
+    const earlier = await writer.history.readVersion(seen.head, this.version);
+    if (earlier.isErr()) {
+      return err(earlier.error);
+    }
+    const { answers, configuration } = earlier.value;
+    describeDifference(seen.state.configuration, configuration).forEach((
+      line,
+    ) => this.report(line));
+    const note = this.note ?? `rollback to version ${this.version}`;
+    const state = { configuration, answers };
+    const { author } = this;
+    const version = await this.submit(writer, state, { seen, author, note });
+    return version.isErr() ? err(version.error) : ok(
+      await this.finish(version.value),
+    );
+  }
+}
--- a/src/cli/status_command.ts
+++ b/src/cli/status_command.ts
@@ -4,9 +4,7 @@
 
 import { Command, Option } from "clipanion";
 import { AdminClient } from "./admin_client.ts";
-
-/** Exit codes of the operator tool. */
-export const EXIT_CODES = { done: 0, failed: 1, wrongUse: 2 } as const;
+import { EXIT_CODES } from "./exit_codes.ts";
 
 /** Shows the status of a daemon. */
 export class StatusCommand extends Command {
--- /dev/null
+++ b/src/cli/wait_until_in_force_test.ts
@@ -0,0 +1,92 @@
+import { serve } from "@hono/node-server";
+import type { ServerType } from "@hono/node-server";
+import { Hono } from "hono";
+import * as assert from "uvu/assert";
+import { suite } from "uvu";
+import { FleetClient } from "./fleet_client.ts";
+import { waitUntilInForce } from "./wait_until_in_force.ts";
+
+const ADMIN_PORT = 7103;
+
+const test = suite("wait until a version is in force");
+
+function listAddresses(network: number): string[] {
+  return [1, 2, 3].map((host) => `127.81.${network}.${host}`);
+}
+
+/** Each daemon knows itself and the next one only. */
+function startDaemon(
+  addresses: readonly string[],
+  index: number,
+  readVersion: () => number,
+): Promise<ServerType> {
+  const members = addresses.slice(index, index + 2).map((address, offset) => ({
+    address,
+    failureDomain: `domain-${index + offset}`,
+    state: "alive",
+  }));
+  const app = new Hono();
+  app.get("/v1/status", (context) => context.json({ members }));
+  app.get(
+    "/v1/configuration",
+    (context) => context.json({ version: readVersion() }),
+  );
+  return new Promise((resolve) => {
+    const options = {
+      fetch: app.fetch,
+      hostname: addresses[index]!,
+      port: ADMIN_PORT,
+    };
+    const server = serve(options, () => resolve(server));
+  });
+}
+
+function createClient(addresses: readonly string[]): FleetClient {
+  return new FleetClient({
+    adminUrl: `http://${addresses[0]}:${ADMIN_PORT}`,
+    fleetToken: "test-token",
+  });
+}
+
+test("daemons of other failure domains are found and waited for", async () => {
+  const addresses = listAddresses(2);
+  let lastVersion = 4;
+  const servers = await Promise.all(
+    addresses.map((_, index) =>
+      startDaemon(addresses, index, () => index === 2 ? lastVersion : 5)
+    ),
+  );
+  const lines: string[] = [];
+  const report = await waitUntilInForce(createClient(addresses), 5, {
+    timeoutMs: 10_000,
+    report: (line) => {
+      lines.push(line);
+      lastVersion = 5;
+    },
+  });
+  servers.forEach((server) => server.close());
+  assert.is(report.inForceCount, 3);
+  assert.equal(lines, [
+    "version 5 in force at 2 of 3 daemons",
+    "version 5 in force at 3 of 3 daemons",
+  ]);
+});
+
+test("daemons that are behind or cannot be asked are named when the time is over", async () => {
+  const addresses = listAddresses(3);
+  const servers = await Promise.all(
+    [0, 1].map((index) =>
+      startDaemon(addresses, index, () => index === 0 ? 5 : 4)
+    ),
+  );
+  const report = await waitUntilInForce(createClient(addresses), 5, {
+    timeoutMs: 0,
+    report: () => undefined,
+  });
+  servers.forEach((server) => server.close());
+  assert.is(report.inForceCount, 1);
+  assert.equal(report.behind, [addresses[1]]);
+  assert.equal(report.unreachable, [addresses[2]]);
+});
+
+test.run();
--- a/src/configuration/mod.ts
+++ b/src/configuration/mod.ts
@@ -19,7 +19,10 @@
   ConfigurationState,
   VersionedState,
 } from "./configuration_state.ts";
-export { createConfigurationTransfer } from "./configuration_transfer.ts";
+export {
+  createConfigurationTransfer,
+  readConfigurationTransfer,
+} from "./configuration_transfer.ts";
 export { ConfigurationWriter } from "./configuration_writer.ts";
 export type {
   ConfigurationProposal,
--- a/src/daemon/create_admin_app.ts
+++ b/src/daemon/create_admin_app.ts
@@ -56,6 +56,10 @@
     "/v1/status",
     (context) => context.json(describeStatus(environment, options.isReady())),
   );
+  app.get("/v1/configuration", (context) => {
+    const { digest, version } = environment.configuration;
+    return context.json({ version, digest, isReady: options.isReady() });
+  });
   app.get("/v1/journal", (context) => {
     const sinceMs = context.req.query("sinceMs");
     const filter = {
--- /dev/null
+++ b/src/measure/configuration/create_large_configuration.ts
@@ -0,0 +1,67 @@
+/**
+ * Configurations of a given size.
+ */
+
+import type { Configuration } from "../../generated/types.ts";
+import { createTestConfiguration } from "../../testing/create_test_configuration.ts";
+
+const REQUESTS_PER_SERVICE = 3;
+const CALLS_PER_SERVICE = 3;
+
+/**
+ * Creates a configuration with services that call the next few.
+ *
+ * @param serviceCount - Number of services
+ * @returns The configuration
+ *
+ * @example
+ * const configuration = createLargeConfiguration(700);
+ */
+export function createLargeConfiguration(serviceCount: number): Configuration {
+  const names = Array.from(
+    { length: serviceCount },
+    (_, index) => `service-${index}`,
+  );
+  const services = names.map((name, index) => ({
+    name,
+    calls: names.slice(index + 1, index + 1 + CALLS_PER_SERVICE),
+  }));
+  const requests = names.flatMap((service, index) =>
+    Array.from({ length: REQUESTS_PER_SERVICE }, (_, kind) => ({
+      name: `${service}-request-${kind}`,
+      service,
+      method: "GET" as const,
+      pathPrefix: `/requests/${kind}`,
+      className: "rounds",
+      isRepeatable: true,
+      isBulk: false,
+      deadlineMs: 2_000,
+      retryAllowance: 3,
+      reaches: names.slice(index + 1, index + 1 + CALLS_PER_SERVICE),
+    }))
+  );
+  return createTestConfiguration({ services, requests });
+}
+
+/**
+ * Changes the deadline of one request.
+ *
+ * @param configuration - The configuration
+ * @param change - Number of the change; chooses the request and the deadline
+ * @returns The changed configuration
+ *
+ * @example
+ * const next = changeOneRequest(configuration, 7);
+ */
+export function changeOneRequest(
+  configuration: Configuration,
+  change: number,
+): Configuration {
+  const changed = change % configuration.requests.length;
+  return {
+    ...configuration,
+    requests: configuration.requests.map((request, index) =>
+      index === changed ? { ...request, deadlineMs: 1_000 + change } : request
+    ),
+  };
+}
--- /dev/null
+++ b/src/questionnaire/mod.ts
@@ -0,0 +1,16 @@
+/**
+ * The questionnaire from which configurations are generated and adjusted.
+ */
+
+export { askQuestionnaire } from "./ask_questionnaire.ts";
+export { generateConfiguration } from "./generate_configuration.ts";
+export { LineInput } from "./line_input.ts";
+export { createPatch, listPatchChanges } from "./list_patch_changes.ts";
+export type { PatchChange } from "./list_patch_changes.ts";
+export { mergeAnswers, PREFERENCES } from "./merge_answers.ts";
+export type {
+  Adjustment,
+  AdjustmentConflict,
+  Preference,
+} from "./merge_answers.ts";
+export { validateAnswers } from "./validate_answers.ts";
--- /dev/null
+++ b/src/questionnaire/validate_answers.ts
@@ -0,0 +1,76 @@
+/**
+ * Validation of answers.
+ */
+
+import { err, ok } from "neverthrow";
+import type { Result } from "neverthrow";
+import VError from "verror";
+import {
+  describeSchemaFindings,
+  validateConfigurationDocument,
+} from "../configuration/mod.ts";
+import type { QuestionnaireAnswers } from "../generated/types.ts";
+import { validateQuestionnaireAnswers } from "../generated/validators.ts";
+import { generateConfiguration } from "./generate_configuration.ts";
+
+/**
+ * Checks answers: their shape, that they agree with each other, and that the
+ * configuration they give is sound.
+ *
+ * @param value - The answers
+ * @returns The answers, or an error that names every finding
+ *
+ * @example
+ * const answers = validateAnswers(JSON.parse(text));
+ */
+export function validateAnswers(
+  value: unknown,
+): Result<QuestionnaireAnswers, VError> {
+  const findings = validateQuestionnaireAnswers(value)
+    ? [...findAnswerFindings(value), ...findConfigurationFindings(value)]
+    : describeSchemaFindings("", validateQuestionnaireAnswers.errors);
+  if (findings.length > 0) {
+    return err(
+      new VError(
+        { name: "AnswersInvalid", info: { findings } },
+        "%s",
+        findings.join("; "),
+      ),
+    );
+  }
+  return ok(value as QuestionnaireAnswers);
+}
+
+function findConfigurationFindings(answers: QuestionnaireAnswers): string[] {
+  const checked = validateConfigurationDocument(generateConfiguration(answers));
+  return checked.isOk() ? [] : VError.info(checked.error).findings;
+}
+
+function findAnswerFindings(
+  { classes, importantClasses, requests, services }: QuestionnaireAnswers,
+): string[] {
+  const wanted = new Set([
+    ...requests.flatMap(({ service, passesThrough }) => [
+      service,
+      ...passesThrough,
+    ]),
+    ...services.flatMap(({ calls }) => calls),
+  ]);
+  const used = new Set(requests.map(({ className }) => className));
+  return [
+    ...services.filter(({ connections, slots }) => connections < slots).map((
+      { name, connections, slots },
+    ) =>
+      `service ${name} has ${slots} slots but accepts only ${connections} connections`
+    ),
+    ...services.filter(({ name }) => !wanted.has(name)).map(({ name }) =>
+      `service ${name} is called by nothing`
+    ),
+    ...importantClasses.filter((name) => !classes.includes(name)).map((name) =>
+      `important class ${name} is not among the classes`
+    ),
+    ...classes.filter((name) => !used.has(name)).map((name) =>
+      `class ${name} has no request`
+    ),
+  ];
+}
--- a/src/tools/generate_schema_code.ts
+++ b/src/tools/generate_schema_code.ts
@@ -21,6 +21,7 @@
 const OPERATOR_SCHEMAS: ReadonlySet<string> = new Set([
   "answers",
   "configuration",
+  "proposal",
 ]);
 const IPV4 = /^(\d{1,3}\.){3}\d{1,3}$/;
 
