--- a/src/configuration/compile_configuration.ts
+++ b/src/configuration/compile_configuration.ts
@@ -2,7 +2,10 @@
  * Compilation of a configuration document.
  */
 
-import type { Configuration } from "../generated/types.ts";
+import type {
+  Configuration,
+  RequestConfiguration,
+} from "../generated/types.ts";
 import type {
   CompiledConfiguration,
   CompiledRequest,
@@ -29,11 +32,12 @@
   const callsByService = new Map(
     document.services.map(({ name, calls }) => [name, calls]),
   );
-  const requests = document.requests.map((request): CompiledRequest => ({
-    ...request,
-    classRank: classRanks.get(request.className) ?? classRanks.size,
-    path: listReachedServices(request, callsByService),
-  }));
+  const requests = document.requests.map((request): CompiledRequest =>
+    compileRequest(request, {
+      classRank: classRanks.get(request.className) ?? classRanks.size,
+      path: listReachedServices(request, callsByService),
+    })
+  );
   return {
     version,
     document,
@@ -65,3 +69,24 @@
     ),
   );
 }
+
+/** Copies field by field, which is several times faster here than spreading. */
+function compileRequest(
+  request: RequestConfiguration,
+  derived: Pick<CompiledRequest, "classRank" | "path">,
+): CompiledRequest {
+  return {
+    name: request.name,
+    service: request.service,
+    method: request.method,
+    pathPrefix: request.pathPrefix,
+    className: request.className,
+    isRepeatable: request.isRepeatable,
+    isBulk: request.isBulk,
+    deadlineMs: request.deadlineMs,
+    retryAllowance: request.retryAllowance,
+    reaches: request.reaches,
+    classRank: derived.classRank,
+    path: derived.path,
+  };
+}
--- a/src/configuration/digest_configuration.ts
+++ b/src/configuration/digest_configuration.ts
@@ -1,11 +1,16 @@
 /**
  * Digests of configurations.
+ *
+ * Documents are never changed in place and share their unchanged entries, so the
+ * digest of each entry is computed once and kept with it.
  */
 
 import { createHash } from "node:crypto";
 import type { Configuration } from "../generated/types.ts";
 import { canonicalizeNamedLists } from "./canonicalize_named_lists.ts";
 
+const entryDigests = new WeakMap<object, string>();
+
 /**
  * Gives a digest that equal configurations share, whatever their key order.
  *
@@ -16,10 +21,31 @@
  * digestConfiguration(applied) === change.digest;
  */
 export function digestConfiguration(configuration: Configuration): string {
-  const text = JSON.stringify(
-    canonicalizeNamedLists(configuration),
-    sortKeys,
+  const { requests, services, ...others } = canonicalizeNamedLists(
+    configuration,
   );
+  return digestText(JSON.stringify([
+    digestValue(others),
+    services.map(digestEntry),
+    requests.map(digestEntry),
+  ]));
+}
+
+function digestEntry(entry: object): string {
+  const known = entryDigests.get(entry);
+  if (known !== undefined) {
+    return known;
+  }
+  const digest = digestValue(entry);
+  entryDigests.set(entry, digest);
+  return digest;
+}
+
+function digestValue(value: unknown): string {
+  return digestText(JSON.stringify(value, sortKeys));
+}
+
+function digestText(text: string): string {
   return createHash("sha256").update(text).digest("hex");
 }
 
--- a/src/configuration/document_patch.ts
+++ b/src/configuration/document_patch.ts
@@ -61,22 +61,18 @@
   patch: DocumentPatch,
 ): KeyedDocument {
   const copy: Record<string, unknown> = { ...document };
-  for (const name of LONG_MAPS) {
-    const entries = document[name];
-    const touched = Object.keys(patch[name] ?? {}).filter((key) =>
-      Object.hasOwn(entries, key)
-    );
-    copy[name] = {
-      ...entries,
-      ...Object.fromEntries(
-        touched.map((key) => [key, structuredClone(entries[key])]),
-      ),
-    };
-  }
   for (const key of Object.keys(patch)) {
     if (!LONG_MAPS.some((name) => name === key) && key in copy) {
       copy[key] = structuredClone(copy[key]);
     }
   }
+  for (const name of LONG_MAPS) {
+    const entries = copy[name] as Record<string, unknown>;
+    for (const key of Object.keys(patch[name] ?? {})) {
+      if (Object.hasOwn(entries, key)) {
+        entries[key] = structuredClone(entries[key]);
+      }
+    }
+  }
   return copy as KeyedDocument;
 }
--- a/src/configuration/find_call_cycles.ts
+++ b/src/configuration/find_call_cycles.ts
@@ -16,36 +16,38 @@
 export function findCallCycles(
   services: readonly ServiceConfiguration[],
 ): string[][] {
-  const calls = new Map(services.map(({ name, calls }) => [name, calls]));
-  const finished = new Set<string>();
-  const cycles: string[][] = [];
-  for (const { name } of services) {
-    visit(name, [], { calls, finished, cycles });
-  }
-  return cycles;
+  const search: Search = {
+    calls: new Map(services.map(({ name, calls }) => [name, calls])),
+    finished: new Set(),
+    path: new Set(),
+    cycles: [],
+  };
+  services.forEach(({ name }) => visit(name, search));
+  return search.cycles;
 }
 
 interface Search {
   readonly calls: ReadonlyMap<string, readonly string[]>;
   readonly finished: Set<string>;
+  /** Services from the start of the search to the one being visited, in order. */
+  readonly path: Set<string>;
   readonly cycles: string[][];
 }
 
-function visit(
-  service: string,
-  path: readonly string[],
-  search: Search,
-): void {
-  const start = path.indexOf(service);
-  if (start >= 0) {
-    search.cycles.push([...path.slice(start), service]);
+function visit(service: string, search: Search): void {
+  const { calls, cycles, finished, path } = search;
+  if (path.has(service)) {
+    const services = [...path];
+    cycles.push([...services.slice(services.indexOf(service)), service]);
     return;
   }
-  if (search.finished.has(service)) {
+  if (finished.has(service)) {
     return;
   }
-  for (const called of search.calls.get(service) ?? []) {
-    visit(called, [...path, service], search);
+  path.add(service);
+  for (const called of calls.get(service) ?? []) {
+    visit(called, search);
   }
-  search.finished.add(service);
+  path.delete(service);
+  finished.add(service);
 }
