--- /dev/null
+++ b/src/measure/configuration/light_run.ts
@@ -0,0 +1,283 @@
+/**
+ * Changes to a fleet of light daemons in one process, with an outage of the
+ * store, a partition and restarts next to a store that answers from the past.
+ */
+
+import { ConfigurationWriter } from "../../configuration/mod.ts";
+import type { Configuration } from "../../generated/types.ts";
+import { findReversions } from "../../testing/check_configuration_history.ts";
+import { ConfigurationFleet } from "../../testing/configuration_fleet.ts";
+import type { LightDaemon } from "../../testing/configuration_fleet.ts";
+import { MemoryObjectStore } from "../../testing/memory_object_store.ts";
+import { writeConfiguration } from "../../testing/write_configuration.ts";
+import { RandomSource, SystemClock } from "../../time/mod.ts";
+import {
+  changeOneRequest,
+  createLargeConfiguration,
+} from "./create_large_configuration.ts";
+
+/** Size of a run. */
+export interface LightRunOptions {
+  readonly domainCount: number;
+  readonly daemonsPerDomain: number;
+  readonly serviceCount: number;
+  readonly randomSeed: number;
+}
+
+/** What a run found. */
+export interface LightRunResult {
+  readonly daemonCount: number;
+  readonly changes: number;
+  /** Time from acceptance to force, of each change at each daemon that could be reached. */
+  readonly inForceMs: readonly number[];
+  /** The same for the change accepted just before the outage. */
+  readonly outageInForceMs: readonly number[];
+  /** Time from the end of the partition until the cut-off domain was up to date. */
+  readonly catchUpMs: number;
+  readonly reversions: number;
+  readonly lostChanges: number;
+  /** Restarted daemons that became ready with less than was in force before. */
+  readonly earlyReady: number;
+  readonly peerBytesPerChange: number;
+  readonly watcherStoreBytesPerChange: number;
+  readonly storeCallsPerChange: number;
+}
+
+interface Acceptance {
+  readonly version: number;
+  readonly atMs: number;
+  readonly reachable: ReadonlySet<string>;
+}
+
+const CHANGES_PER_PHASE = 8;
+const CHANGE_INTERVAL_MS = 500;
+const SETTLE_MS = 3_000;
+const OUTAGE_MS = 6_000;
+const SEEN_BEFORE_OUTAGE_MS = 10;
+const RESTARTS = 8;
+const REGION_COUNT = 4;
+const FIRST_DOMAIN = "domain-0";
+const CUT_DOMAIN = "domain-1";
+
+function sleep(durationMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, durationMs));
+}
+
+/** One run over a light fleet. */
+class LightRun {
+  readonly fleet: ConfigurationFleet;
+  readonly acceptances: Acceptance[] = [];
+  readonly #clock = new SystemClock();
+  readonly #store: MemoryObjectStore;
+  #configuration: Configuration;
+
+  constructor(options: LightRunOptions) {
+    const { daemonsPerDomain, domainCount, randomSeed, serviceCount } = options;
+    this.#configuration = createLargeConfiguration(serviceCount);
+    this.fleet = new ConfigurationFleet({
+      clock: this.#clock,
+      random: new RandomSource(randomSeed),
+      domains: Array.from({ length: domainCount }, (_, index) => ({
+        name: `domain-${index}`,
+        region: `region-${index % REGION_COUNT}`,
+      })),
+      daemonsPerDomain,
+    });
+    this.#store = new MemoryObjectStore({
+      table: this.fleet.table,
+      clock: this.#clock,
+      faults: {
+        isDown: false,
+        losesAnswers: false,
+        answersFromPast: false,
+        delayMs: 2,
+      },
+    });
+  }
+
+  async start(): Promise<void> {
+    await writeConfiguration(this.#store, this.#configuration);
+    this.fleet.start();
+    await sleep(2 * SETTLE_MS);
+  }
+
+  /** Has one change accepted. */
+  async change(): Promise<Acceptance> {
+    const number = this.acceptances.length + 1;
+    this.#configuration = changeOneRequest(this.#configuration, number);
+    const reachable = new Set(
+      this.fleet.daemons.filter(({ isRunning, self }) =>
+        isRunning && !this.fleet.isDomainCut(self.failureDomain)
+      ).map(({ self }) => self.incarnation),
+    );
+    const version = await writeConfiguration(this.#store, this.#configuration);
+    const atMs = this.#clock.monotonicMs();
+    const acceptance = { version, atMs, reachable };
+    this.acceptances.push(acceptance);
+    return acceptance;
+  }
+
+  async changeSeveral(): Promise<void> {
+    for (let index = 0; index < CHANGES_PER_PHASE; index += 1) {
+      await this.change();
+      await sleep(CHANGE_INTERVAL_MS);
+    }
+    await sleep(SETTLE_MS);
+  }
+
+  /** A change that only one failure domain can read before the store is gone. */
+  async changeBeforeOutage(): Promise<Acceptance> {
+    this.fleet.setFaults({ isDown: true });
+    Object.assign(this.fleet.faultsOf(FIRST_DOMAIN), { isDown: false });
+    await sleep(SETTLE_MS);
+    const acceptance = await this.change();
+    await sleep(SEEN_BEFORE_OUTAGE_MS);
+    this.fleet.setFaults({ isDown: true });
+    await sleep(OUTAGE_MS);
+    this.fleet.setFaults({ isDown: false });
+    return acceptance;
+  }
+
+  /** Changes while a failure domain is cut off from the store and all others; gives the catch-up time. */
+  async changeDuringPartition(): Promise<number> {
+    const faults = this.fleet.faultsOf(CUT_DOMAIN);
+    this.fleet.setCut(CUT_DOMAIN, true);
+    faults.isDown = true;
+    this.fleet.table.wakeAll();
+    await this.changeSeveral();
+    const last = this.acceptances.at(-1)?.version ?? 0;
+    this.fleet.setCut(CUT_DOMAIN, false);
+    faults.isDown = false;
+    const healedAtMs = this.#clock.monotonicMs();
+    await sleep(2 * SETTLE_MS);
+    const times = this.fleet.daemons.filter(({ self }) =>
+      self.failureDomain === CUT_DOMAIN
+    ).map(({ self }) => this.#findInForceMs(self.incarnation, last));
+    return Math.max(...times) - healedAtMs;
+  }
+
+  /** Restarts daemons while the store answers from the past; counts those ready too early. */
+  async restartDuringStaleness(): Promise<number> {
+    await this.change();
+    await sleep(SETTLE_MS);
+    this.fleet.setFaults({ answersFromPast: true });
+    const old = this.fleet.daemons.filter((_, index) =>
+      index % Math.floor(this.fleet.daemons.length / RESTARTS) === 0
+    );
+    const before = Math.max(...old.map(({ holder }) => holder.version));
+    const restarted = old.map((daemon) => {
+      daemon.kill();
+      return this.fleet.restart(daemon);
+    });
+    const early = await countEarlyReady(restarted, before);
+    this.fleet.setFaults({ answersFromPast: false });
+    return early;
+  }
+
+  listInForceMs(acceptances: readonly Acceptance[]): number[] {
+    return acceptances.flatMap(({ atMs, reachable, version }) =>
+      [...reachable].map((incarnation) =>
+        Math.max(0, this.#findInForceMs(incarnation, version) - atMs)
+      )
+    );
+  }
+
+  async countLostChanges(): Promise<number> {
+    const writer = new ConfigurationWriter({
+      store: this.#store,
+      clock: this.#clock,
+      random: new RandomSource(1),
+      settleTimeoutMs: SETTLE_MS,
+    });
+    const accepted = (await writer.readAccepted())._unsafeUnwrap();
+    const last = this.acceptances.at(-1)?.version ?? 0;
+    const listed = accepted && await writer.history.listChanges(accepted.head, {
+      aboveVersion: 0,
+      limit: last,
+    });
+    const behind = this.fleet.daemons.filter(({ holder }) =>
+      holder.version !== last || holder.digest !== this.fleet.events.at(-1)
+          ?.digest
+    );
+    const found = listed?._unsafeUnwrap().length ?? 0;
+    return last - found + behind.length;
+  }
+
+  #findInForceMs(incarnation: string, version: number): number {
+    return this.fleet.events.find((event) =>
+      event.incarnation === incarnation && event.version >= version
+    )?.atMs ?? Infinity;
+  }
+}
+
+async function countEarlyReady(
+  restarted: readonly LightDaemon[],
+  version: number,
+): Promise<number> {
+  const early = new Set<LightDaemon>();
+  const endsAtMs = performance.now() + 2 * SETTLE_MS;
+  while (performance.now() < endsAtMs) {
+    restarted.filter(({ holder, spread }) =>
+      spread.isConfirmed && holder.version < version
+    ).forEach((daemon) => early.add(daemon));
+    await sleep(SEEN_BEFORE_OUTAGE_MS);
+  }
+  const unready = restarted.filter(({ spread }) => !spread.isConfirmed);
+  return early.size + unready.length;
+}
+
+/**
+ * Runs the changes and faults one after the other.
+ *
+ * @param options - Size of the fleet and of the configuration
+ * @returns Times, violations and traffic
+ *
+ * @example
+ * const { inForceMs } = await runLightFleet({ domainCount: 16, daemonsPerDomain: 15, serviceCount: 40, randomSeed: 1 });
+ */
+export async function runLightFleet(
+  options: LightRunOptions,
+): Promise<LightRunResult> {
+  const run = new LightRun(options);
+  await run.start();
+  const before = sumTraffic(run.fleet.daemons);
+  const startedChanges = run.acceptances.length;
+  await run.changeSeveral();
+  const after = sumTraffic(run.fleet.daemons);
+  const changes = run.acceptances.length - startedChanges;
+  const outage = await run.changeBeforeOutage();
+  await run.changeSeveral();
+  const catchUpMs = await run.changeDuringPartition();
+  const earlyReady = await run.restartDuringStaleness();
+  await run.changeSeveral();
+  const lostChanges = await run.countLostChanges();
+  run.fleet.stop();
+  const daemonCount = run.fleet.daemons.length;
+  const watchers = run.fleet.daemons.filter(({ spread }) => spread.isWatcher);
+  return {
+    daemonCount,
+    changes: run.acceptances.length,
+    inForceMs: run.listInForceMs(run.acceptances),
+    outageInForceMs: run.listInForceMs([outage]),
+    catchUpMs,
+    reversions: findReversions(run.fleet.events).length,
+    lostChanges,
+    earlyReady,
+    peerBytesPerChange: (after.peerBytes - before.peerBytes) / changes /
+      daemonCount,
+    watcherStoreBytesPerChange: (after.storeBytes - before.storeBytes) /
+      changes / watchers.length,
+    storeCallsPerChange: (after.storeCalls - before.storeCalls) / changes,
+  };
+}
+
+function sumTraffic(daemons: readonly LightDaemon[]) {
+  return daemons.reduce(
+    (sum, { peerBytes, store }) => ({
+      peerBytes: sum.peerBytes + peerBytes,
+      storeBytes: sum.storeBytes + store.traffic.bytes,
+      storeCalls: sum.storeCalls + store.traffic.calls,
+    }),
+    { peerBytes: 0, storeBytes: 0, storeCalls: 0 },
+  );
+}
--- /dev/null
+++ b/src/measure/experiments/configuration.ts
@@ -0,0 +1,91 @@
+/**
+ * How fast accepted configurations are in force everywhere, and what that costs.
+ */
+
+import { measureApplyCost } from "../configuration/measure_apply_cost.ts";
+import type { ApplyCost } from "../configuration/measure_apply_cost.ts";
+import { runLightFleet } from "../configuration/light_run.ts";
+import type { LightRunResult } from "../configuration/light_run.ts";
+import { runProcessFleet } from "../configuration/process_run.ts";
+import type { Experiment, ExperimentResult, TableRow } from "../experiment.ts";
+
+const TARGET_SERVICES = 700;
+const TARGET_CHANGES_PER_SECOND = 14_000 / 86_400;
+const MS_PER_SECOND = 1_000;
+
+const LIGHT_FLEET = {
+  domainCount: 16,
+  daemonsPerDomain: 15,
+  serviceCount: 40,
+  randomSeed: 801,
+} as const;
+
+export const experiment: Experiment = {
+  description:
+    "time until a change is in force everywhere, with an outage and a partition",
+  async run(): Promise<ExperimentResult> {
+    const cost = measureApplyCost(TARGET_SERVICES);
+    const light = await runLightFleet(LIGHT_FLEET);
+    const processes = await runProcessFleet();
+    const { inForceMs, outageInForceMs, ...lightFields } = light;
+    return {
+      rows: [
+        createTimeRow("light daemons", light.daemonCount, inForceMs),
+        createTimeRow(
+          "light daemons, just before an outage",
+          light.daemonCount,
+          outageInForceMs,
+        ),
+        createTimeRow(
+          "real processes",
+          processes.daemonCount,
+          processes.inForceMs,
+        ),
+      ],
+      fields: {
+        inForceP50Ms: findQuantile(inForceMs, 0.5),
+        inForceP99Ms: findQuantile(inForceMs, 0.99),
+        inForceMaxMs: findQuantile(inForceMs, 1),
+        outageInForceMaxMs: findQuantile(outageInForceMs, 1),
+        processInForceP99Ms: findQuantile(processes.inForceMs, 0.99),
+        processInForceMaxMs: findQuantile(processes.inForceMs, 1),
+        ...lightFields,
+        reversions: light.reversions + processes.reversions,
+        ...cost,
+        ...describeTarget(light, cost),
+      },
+    };
+  },
+};
+
+/** Costs of one daemon at the stated rate of changes and size. */
+function describeTarget(light: LightRunResult, cost: ApplyCost) {
+  const perSecond = TARGET_CHANGES_PER_SECOND;
+  return {
+    targetBytesPerSecond: light.peerBytesPerChange * perSecond,
+    targetWatcherBytesPerSecond:
+      (light.peerBytesPerChange + light.watcherStoreBytesPerChange) * perSecond,
+    targetCoreRatio: cost.applyMs * perSecond / MS_PER_SECOND,
+  };
+}
+
+function createTimeRow(
+  fleet: string,
+  daemons: number,
+  timesMs: readonly number[],
+): TableRow {
+  return {
+    fleet,
+    daemons,
+    samples: timesMs.length,
+    p50Ms: findQuantile(timesMs, 0.5),
+    p99Ms: findQuantile(timesMs, 0.99),
+    maxMs: findQuantile(timesMs, 1),
+  };
+}
+
+function findQuantile(values: readonly number[], ratio: number): number {
+  const sorted = [...values].sort((left, right) => left - right);
+  const index = Math.max(0, Math.ceil(sorted.length * ratio) - 1);
+  return Math.round((sorted[index] ?? 0) * 10) / 10;
+}
--- a/src/testing/configuration_fleet.ts
+++ b/src/testing/configuration_fleet.ts
@@ -47,7 +47,16 @@
 /** Interval at which each daemon exchanges its version with one other, in milliseconds. */
 const GOSSIP_INTERVAL_MS = 1_000;
 const ANNOUNCE_FANOUT = 3;
-const GOSSIP_DIGEST_BYTES = 8;
+
+/** Bytes of a version on a probe that is sent anyway. */
+const GOSSIP_VERSION_BYTES = 8;
+
+/** Bytes of a datagram that tells a version, with the headers of IP and UDP. */
+const ANNOUNCEMENT_BYTES = 300;
+
+/** Bytes of opening a connection, greeting and closing, with the headers of IP and TCP. */
+const CONNECTION_BYTES = 1_000;
+
 const FETCH_TIMEOUT_MS = 3_000;
 const SAME_DOMAIN_MS = 1;
 const SAME_REGION_MS = 2;
@@ -99,7 +108,7 @@
 
   override announce(): void {
     for (let count = 0; count < ANNOUNCE_FANOUT; count += 1) {
-      this.#tell(this.#fleet.chooseOther(this));
+      this.#tell(this.#fleet.chooseOther(this), ANNOUNCEMENT_BYTES);
     }
   }
 
@@ -115,8 +124,8 @@
     }
     await clock.sleep(2 * this.#fleet.latencyMs(this, target));
     const bytes = createConfigurationTransfer(target.holder, knownVersion);
-    target.peerBytes += bytes.length;
-    this.peerBytes += bytes.length;
+    target.peerBytes += bytes.length + CONNECTION_BYTES;
+    this.peerBytes += bytes.length + CONNECTION_BYTES;
     await clock.sleep(this.#fleet.latencyMs(this, target));
     return ok(bytes);
   }
@@ -130,19 +139,19 @@
 
   #gossip(): void {
     const other = this.#fleet.chooseOther(this);
-    this.#tell(other);
+    this.#tell(other, GOSSIP_VERSION_BYTES);
     if (other) {
-      other.#tell(this);
+      other.#tell(this, GOSSIP_VERSION_BYTES);
     }
   }
 
-  #tell(other: LightDaemon | undefined): void {
+  #tell(other: LightDaemon | undefined, bytes: number): void {
     if (!other || !this.isRunning || this.#fleet.isCut(this, other)) {
       return;
     }
     const { version } = this.holder;
-    this.peerBytes += GOSSIP_DIGEST_BYTES;
-    other.peerBytes += GOSSIP_DIGEST_BYTES;
+    this.peerBytes += bytes;
+    other.peerBytes += bytes;
     this.#fleet.options.clock.schedule(
       this.#fleet.latencyMs(this, other),
       () => {
@@ -212,6 +221,11 @@
     this.#cutDomains[isCut ? "add" : "delete"](domain);
   }
 
+  /** Whether a failure domain is cut off from all others. */
+  isDomainCut(domain: string): boolean {
+    return this.#cutDomains.has(domain);
+  }
+
   /** Whether nothing passes between two daemons. */
   isCut(left: LightDaemon, right: LightDaemon): boolean {
     const [one, other] = [left.self.failureDomain, right.self.failureDomain];
