--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -76,18 +76,18 @@
 const QUIET_MS = 250;
 const QUIET_TIMEOUT_MS = 2_000;
 
-/** Parts of a daemon that tests replace. */
-export interface DaemonParts {
-  /** Opens sockets to other daemons. */
-  readonly dial?: DialPeer;
-}
-
 /** Calls to the object API that one daemon may make at once. */
 const STORE_BURST_CALLS = 10;
 
 /** Calls to the object API that one daemon may make in the long run. */
 const STORE_CALLS_PER_SECOND = 1;
 
+/** Parts of a daemon that tests replace. */
+export interface DaemonParts {
+  /** Opens sockets to other daemons. */
+  readonly dial?: DialPeer;
+}
+
 /** A running daemon. */
 export class Daemon {
   readonly environment: CallEnvironment;
@@ -152,9 +152,6 @@
           log.warn({ error: error.message }, "gossip-socket-error"),
       }),
     });
-    this.#membership.onPeerConfigurationVersion(({ incarnation, version }) =>
-      this.#configurationSpread.takePeerVersion(incarnation, version)
-    );
     this.#configurationSpread = new ConfigurationSpread({
       reader: new ConfigurationReader(store),
       holder: configuration,
@@ -229,6 +226,9 @@
       createAdminApp(environment, { isReady, stop: () => this.stop() }),
       settings.adminPort,
     );
+    this.#membership.onPeerConfigurationVersion((notice) =>
+      this.#configurationSpread.takeNotice(notice)
+    );
     await this.#membership.start();
     void this.#configurationSpread.run(this.#stopSignal.signal);
     environment.backend.subscribe(() => this.#publishBackend());
--- a/src/membership/domain_exchange.ts
+++ b/src/membership/domain_exchange.ts
@@ -86,6 +86,15 @@
     }
   }
 
+  /** Chooses a daemon of each other failure domain, as a delegate. */
+  chooseTargets(): string[] {
+    return this.#context.isDelegate()
+      ? this.#listOthers().flatMap((failureDomain) =>
+        this.#chooseTarget(failureDomain) ?? []
+      )
+      : [];
+  }
+
   /** Probes the next failure domains and updates which of them are unreachable. */
   probeNext(): void {
     const { isDelegate, random, link } = this.#context;
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -41,6 +41,11 @@
   /** Changes the own record and spreads it. */
   abstract updateSelf(change: OwnRecordChange): void;
 
+  /** Tells a few members at once which configuration version is in force here. */
+  announceConfigurationVersion(): void {
+    // Without gossip nobody is told.
+  }
+
   /** Whether this daemon is one of the few of its failure domain that speak for it. */
   get isDelegate(): boolean {
     return true;
@@ -69,9 +74,6 @@
     }
   }
 
-  /** Tells a few members at once what gossip carries, the configuration version included. */
-  abstract announce(): void;
-
   /** Joins the fleet. */
   abstract start(): Promise<void>;
 
--- a/src/testing/guarded/guarded_node.ts
+++ b/src/testing/guarded/guarded_node.ts
@@ -29,7 +29,12 @@
   servePeerCall,
 } from "../../request/mod.ts";
 import type { CallEnvironment, EntryCall } from "../../request/mod.ts";
-import { AllowanceRetryPolicy } from "../../retry/mod.ts";
+import {
+  AllowanceRetryPolicy,
+  CallJoiner,
+  MAX_JOINABLE_CALLS,
+  RetryBudget,
+} from "../../retry/mod.ts";
 import { RandomChooser } from "../../routing/mod.ts";
 import {
   createSilentLogger,
@@ -213,7 +218,10 @@
       backendClient: this.backend,
       entryAdmission: new OpenEntryAdmission(),
       chooser: new RandomChooser(random),
-      retryPolicy: new AllowanceRetryPolicy(),
+      retryPolicy: new AllowanceRetryPolicy(
+        new RetryBudget(clock, () => 1),
+      ),
+      joiner: new CallJoiner(MAX_JOINABLE_CALLS),
       keys: parts.createKeys?.(keyOptions) ?? new KeyLedger(keyOptions),
       keyPlacement: new KeyPlacement(),
       successors: new SuccessorTable(clock),
--- a/src/testing/guarded/shared_membership.ts
+++ b/src/testing/guarded/shared_membership.ts
@@ -45,10 +45,6 @@
     this.#directory.set(this.#incarnation, { ...this.self, ...change });
   }
 
-  override announce(): void {
-    // Every change is seen at once.
-  }
-
   override start(): Promise<void> {
     return Promise.resolve();
   }
