Refuse at the entry by what the deepest service can carry

Change: backend sides learn their limit from own observation, queue shortly by chain, class, Member and deadline, and estimate the whole demand from the share that each call was admitted at. The share that they can carry rides on replies, is passed on by every daemon on the way, and entries apply it to the hash of the Member, important classes last.

--- /dev/null
+++ b/src/admission/adaptive_admission.ts
@@ -0,0 +1,292 @@
+/**
+ * Admission to the backend server by a learnt limit, with a short queue in
+ * front of it whose calls are refused as soon as they cannot run in time.
+ *
+ * It also computes how much of their demand entries should let through.
+ */
+
+import { err, ok } from "neverthrow";
+import type { Result } from "neverthrow";
+import type { LoadSignal } from "../generated/types.ts";
+import { createRefusal, REASONS } from "../outcome/mod.ts";
+import type { Reason, Refusal } from "../outcome/mod.ts";
+import type { Clock } from "../time/mod.ts";
+import { AdmissionJournal } from "./admission_journal.ts";
+import type { AdmissionRecords } from "./admission_journal.ts";
+import { AdmitLevel } from "./admit_level.ts";
+import { ConcurrencyLimit } from "./concurrency_limit.ts";
+import { DemandWindow } from "./demand_window.ts";
+import { HoldTime } from "./hold_time.ts";
+import { IdleMeter } from "./idle_meter.ts";
+import { InboundAdmission } from "./inbound_admission.ts";
+import type { InboundCall, Permit, PermitUse } from "./inbound_admission.ts";
+import { MemberUsage } from "./member_usage.ts";
+import { RunningCalls } from "./running_calls.ts";
+import { WaitingQueue } from "./waiting_queue.ts";
+import type { Waiter } from "./waiting_queue.ts";
+
+/** Share of its remaining time that a new chain may wait for its first slot. */
+const NEW_CHAIN_PATIENCE = 0.25;
+
+/** Most calls that wait, whatever their time left. */
+const MAX_WAITING = 2_000;
+
+/** Delay of the queue from which the latest calls go first, in milliseconds. */
+const NEWEST_FIRST_DELAY_MS = 100;
+
+/** Shortest wait that a refusal suggests, in milliseconds. */
+const MIN_RETRY_AFTER_MS = 50;
+
+const MS_PER_SECOND = 1_000;
+const PERMILLE = 1_000;
+
+/** What admission depends on. */
+export interface AdaptiveAdmissionOptions extends AdmissionRecords {
+  readonly clock: Clock;
+  /** Number that tells this instance from others of its service. */
+  readonly instance: number;
+  /** Share of the limit kept for each class, the most important first. */
+  readonly listReservedRatios: () => readonly number[];
+}
+
+type Entrance = Result<Permit, Refusal>;
+
+interface WaitingCall extends Waiter {
+  readonly settle: (entrance: Entrance) => void;
+}
+
+/** Learnt limit, short queue and demand of one backend server. */
+export class AdaptiveAdmission extends InboundAdmission {
+  readonly #options: AdaptiveAdmissionOptions;
+  readonly #limit: ConcurrencyLimit;
+  readonly #queue = new WaitingQueue<WaitingCall>();
+  readonly #running = new RunningCalls();
+  readonly #holdTime = new HoldTime();
+  readonly #demand = new DemandWindow();
+  readonly #level = new AdmitLevel();
+  readonly #usage = new MemberUsage();
+  readonly #idle = new IdleMeter();
+  readonly #journal: AdmissionJournal;
+
+  constructor(options: AdaptiveAdmissionOptions) {
+    super();
+    this.#options = options;
+    this.#limit = new ConcurrencyLimit(options.clock);
+    this.#journal = new AdmissionJournal(options);
+  }
+
+  override get pendingCalls(): number {
+    return this.#running.count + this.#queue.length;
+  }
+
+  override setCapacity(slots: number, warmAtMs: number): void {
+    this.#limit.setCeiling(slots, warmAtMs);
+    this.#journal.recordLimit(this.#limit.value, this.#holdMs);
+    this.#grantNext();
+  }
+
+  override describeLoad(service: string): LoadSignal {
+    this.#updateLevel();
+    const { ratios, demandPerSecond, lowestRatio } = this.#level;
+    return {
+      service,
+      inFlight: this.#running.count,
+      queued: this.#queue.length,
+      limit: this.#limit.value,
+      admitLevel: lowestRatio,
+      instance: this.#options.instance,
+      sequence: Math.floor(this.#options.clock.nowMs()),
+      demandPerSecond: Math.round(demandPerSecond),
+      admitPermille: ratios.map((ratio) => Math.ceil(ratio * PERMILLE)),
+    };
+  }
+
+  override async enter(call: InboundCall): Promise<Entrance> {
+    this.#demand.record({
+      atMs: this.#nowMs,
+      classRank: call.classRank,
+      service: call.service,
+      mark: call.context.admission,
+    });
+    this.#updateLevel();
+    if (call.signal.aborted) {
+      return err(createRefusal(REASONS.cancelled));
+    }
+    if (this.#mayRun(call.classRank)) {
+      return ok(this.#grant(call.classRank, call.context.member));
+    }
+    return await this.#wait(call);
+  }
+
+  get #nowMs(): number {
+    return this.#options.clock.monotonicMs();
+  }
+
+  get #holdMs(): number {
+    return this.#holdTime.estimateMs(this.#running.listAgesMs(this.#nowMs));
+  }
+
+  get #msPerCall(): number {
+    return this.#holdMs / Math.max(1, this.#limit.value);
+  }
+
+  get #queueDelayMs(): number {
+    return this.#queue.length * this.#msPerCall;
+  }
+
+  #wait(call: InboundCall): Promise<Entrance> {
+    return new Promise((resolve) => {
+      const waiter = this.#createWaiter(call, resolve);
+      const delayMs = (this.#queue.countAhead(waiter) + 1) * this.#msPerCall;
+      const isInTime = this.#nowMs + delayMs <= waiter.expiresAtMs &&
+        this.#queue.length < MAX_WAITING;
+      if (!isInTime) {
+        const victim = this.#queue.findVictim(waiter);
+        if (!victim) {
+          waiter.settle(this.#refuse(REASONS.overloadedInstance));
+          return;
+        }
+        this.#dismiss(victim, REASONS.overloadedInstance);
+      }
+      this.#queue.add(waiter);
+      this.#markIdle();
+    });
+  }
+
+  #createWaiter(
+    call: InboundCall,
+    resolve: (entrance: Entrance) => void,
+  ): WaitingCall {
+    const nowMs = this.#nowMs;
+    const isNested = call.context.depth > 0;
+    const leftMs = Math.max(0, call.deadlineAtMs - nowMs);
+    const patienceMs = isNested
+      ? Math.max(0, leftMs - this.#holdMs)
+      : leftMs * NEW_CHAIN_PATIENCE;
+    const cancelExpiry = this.#options.clock.schedule(
+      patienceMs,
+      () => this.#dismiss(waiter, REASONS.queueExpired),
+    );
+    const leave = () => this.#dismiss(waiter, REASONS.cancelled);
+    call.signal.addEventListener("abort", leave);
+    const waiter: WaitingCall = {
+      classRank: call.classRank,
+      member: call.context.member,
+      isNested,
+      arrivedAtMs: nowMs,
+      expiresAtMs: nowMs + patienceMs,
+      settle: (entrance) => {
+        cancelExpiry();
+        call.signal.removeEventListener("abort", leave);
+        resolve(entrance);
+      },
+    };
+    return waiter;
+  }
+
+  #dismiss(waiter: WaitingCall, reason: Reason): void {
+    if (this.#queue.remove(waiter)) {
+      waiter.settle(this.#refuse(reason));
+      this.#markIdle();
+    }
+  }
+
+  #refuse(reason: Reason): Entrance {
+    const waitMs = this.#queueDelayMs + this.#holdMs;
+    const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, Math.ceil(waitMs));
+    return err(createRefusal(reason, { retryAfterMs }));
+  }
+
+  #mayRun(classRank: number): boolean {
+    const free = this.#limit.value - this.#running.count;
+    return free > 0 && free > this.#countReservedForOthers(classRank);
+  }
+
+  /** Slots kept free for other classes, no more than these have calls for. */
+  #countReservedForOthers(classRank: number): number {
+    const ratios = this.#options.listReservedRatios();
+    if (ratios.every((ratio) => ratio === 0)) {
+      return 0;
+    }
+    const limit = this.#limit.value;
+    return ratios.reduce((sum, ratio, rank) => {
+      const slots = Math.floor(limit * ratio);
+      const kept = Math.min(slots, this.#level.countWanted(rank, this.#holdMs));
+      const isOther = rank !== classRank;
+      const unused = kept - this.#running.countClass(rank);
+      return sum + (isOther ? Math.max(0, unused) : 0);
+    }, 0);
+  }
+
+  #grant(classRank: number, member: string): Permit {
+    const startedAtMs = this.#nowMs;
+    const running = { classRank, startedAtMs };
+    this.#running.add(running);
+    this.#usage.record(member, startedAtMs);
+    this.#markIdle();
+    return {
+      release: (use) => {
+        this.#running.remove(running);
+        this.#learn(use);
+        this.#grantNext();
+        this.#updateLevel();
+      },
+    };
+  }
+
+  #learn(use: PermitUse): void {
+    if (use.isAnswered) {
+      this.#holdTime.observe(use.durationMs);
+    }
+    this.#limit.observe({
+      ownDurationMs: use.ownDurationMs,
+      isShed: use.isShed,
+      isSaturated: this.#queue.length > 0,
+    });
+    this.#journal.recordLimit(this.#limit.value, this.#holdMs);
+  }
+
+  #grantNext(): void {
+    const order = {
+      nowMs: this.#nowMs,
+      usage: this.#usage,
+      isNewestFirst: this.#queueDelayMs > NEWEST_FIRST_DELAY_MS,
+    };
+    for (;;) {
+      const next = this.#queue.findNext(order, (rank) => this.#mayRun(rank));
+      if (!next) {
+        break;
+      }
+      this.#queue.remove(next);
+      next.settle(ok(this.#grant(next.classRank, next.member)));
+    }
+    this.#markIdle();
+  }
+
+  #markIdle(): void {
+    const isIdle = this.#queue.length === 0 &&
+      this.#running.count < this.#limit.value;
+    this.#idle.set(isIdle, this.#nowMs);
+  }
+
+  #updateLevel(): void {
+    const nowMs = this.#nowMs;
+    const reservedRatios = this.#options.listReservedRatios();
+    const isUpdated = this.#level.update({
+      nowMs,
+      demands: () => this.#demand.estimate(nowMs, reservedRatios.length),
+      capacityPerSecond: MS_PER_SECOND / this.#msPerCall,
+      queueDelayMs: this.#queueDelayMs,
+      isIdle: () => this.#idle.read(nowMs),
+      reservedRatios,
+    });
+    if (isUpdated) {
+      this.#journal.recordLevel(this.#level.ratios, {
+        demandPerSecond: this.#level.demandPerSecond,
+        capacityPerSecond: MS_PER_SECOND / this.#msPerCall,
+        queueDelayMs: this.#queueDelayMs,
+        holdMs: this.#holdMs,
+      });
+    }
+  }
+}
--- /dev/null
+++ b/src/admission/adaptive_admission_test.ts
@@ -0,0 +1,233 @@
+import * as assert from "uvu/assert";
+import { suite } from "uvu";
+import type { CallContext } from "../generated/types.ts";
+import { DaemonMetrics, DecisionJournal } from "../telemetry/mod.ts";
+import { ManualClock } from "../testing/manual_clock.ts";
+import { AdaptiveAdmission } from "./adaptive_admission.ts";
+import type { InboundCall, Permit } from "./inbound_admission.ts";
+
+const test = suite("admission to the backend server");
+
+interface Fixture {
+  readonly clock: ManualClock;
+  readonly admission: AdaptiveAdmission;
+  readonly verdicts: Map<string, string>;
+  readonly permits: Map<string, Permit>;
+  enter(name: string, changes?: CallChanges): Promise<void>;
+  release(name: string, durationMs?: number): Promise<void>;
+}
+
+type CallChanges = Partial<Omit<InboundCall, "context">> & {
+  readonly context?: Partial<CallContext>;
+  readonly timeLeftMs?: number;
+};
+
+function createFixture(
+  { slots = 2, reservedRatios = [0, 0, 0] } = {},
+): Fixture {
+  const clock = new ManualClock();
+  const admission = new AdaptiveAdmission({
+    clock,
+    journal: new DecisionJournal(clock),
+    metrics: new DaemonMetrics(),
+    instance: 1,
+    listReservedRatios: () => reservedRatios,
+  });
+  admission.setCapacity(slots, 0);
+  const verdicts = new Map<string, string>();
+  const permits = new Map<string, Permit>();
+  return {
+    clock,
+    admission,
+    verdicts,
+    permits,
+    async enter(name, changes = {}) {
+      verdicts.set(name, "waiting");
+      const entered = admission.enter(createCall(clock, changes));
+      void entered.then((permit) => {
+        verdicts.set(name, permit.isOk() ? "running" : permit.error.reason);
+        if (permit.isOk()) {
+          permits.set(name, permit.value);
+        }
+      });
+      await settle();
+    },
+    async release(name, durationMs = 20) {
+      clock.advance(durationMs);
+      permits.get(name)?.release({
+        durationMs,
+        ownDurationMs: durationMs,
+        isAnswered: true,
+        isShed: false,
+      });
+      await settle();
+    },
+  };
+}
+
+function createCall(clock: ManualClock, changes: CallChanges): InboundCall {
+  const { context, timeLeftMs = 1_000, ...rest } = changes;
+  return {
+    context: {
+      requestId: "request-1",
+      requestName: "fetch-round",
+      className: "rounds",
+      member: "member-1",
+      tenant: "members",
+      remainingMs: timeLeftMs,
+      retryAllowance: 3,
+      depth: 0,
+      isRepeatable: true,
+      isBulk: false,
+      ...context,
+    },
+    service: "stock",
+    deadlineAtMs: clock.monotonicMs() + timeLeftMs,
+    classRank: 1,
+    signal: new AbortController().signal,
+    ...rest,
+  };
+}
+
+async function settle(): Promise<void> {
+  for (let turn = 0; turn < 8; turn += 1) {
+    await Promise.resolve();
+  }
+}
+
+const NESTED = { context: { depth: 2 } };
+
+test("no more calls run than there are slots, and the next one runs when one ends", async () => {
+  const { enter, release, verdicts } = createFixture();
+  await enter("a");
+  await enter("b");
+  await enter("c");
+  assert.equal([...verdicts.values()], ["running", "running", "waiting"]);
+  await release("a");
+  assert.is(verdicts.get("c"), "running");
+});
+
+test("calls of a running chain go before new chains, whatever came first", async () => {
+  const { enter, release, verdicts } = createFixture({ slots: 1 });
+  await enter("a");
+  await enter("new");
+  await enter("nested", NESTED);
+  await release("a");
+  assert.is(verdicts.get("nested"), "running");
+  assert.is(verdicts.get("new"), "waiting");
+});
+
+test("among new chains the important class goes first", async () => {
+  const { enter, release, verdicts } = createFixture({ slots: 1 });
+  await enter("a");
+  await enter("bulk", { classRank: 2 });
+  await enter("delivery", { classRank: 0 });
+  await release("a");
+  assert.is(verdicts.get("delivery"), "running");
+  assert.is(verdicts.get("bulk"), "waiting");
+});
+
+test("among equal classes the Member who used less goes first", async () => {
+  const { enter, release, verdicts } = createFixture({ slots: 1 });
+  await enter("a", { context: { member: "greedy" } });
+  await enter("greedy", { context: { member: "greedy" } });
+  await enter("modest", { context: { member: "modest" } });
+  await release("a");
+  assert.is(verdicts.get("modest"), "running");
+  assert.is(verdicts.get("greedy"), "waiting");
+});
+
+test("a new chain that found no slot within a quarter of its time is refused at once", async () => {
+  const { clock, enter, verdicts } = createFixture({ slots: 1 });
+  await enter("a");
+  await enter("b", { timeLeftMs: 400 });
+  clock.advance(99);
+  await settle();
+  assert.is(verdicts.get("b"), "waiting");
+  clock.advance(1);
+  await settle();
+  assert.is(verdicts.get("b"), "queue-expired");
+});
+
+test("a call of a running chain waits as long as it can still run in time", async () => {
+  const { clock, enter, verdicts } = createFixture({ slots: 1 });
+  await enter("a");
+  await enter("b", { ...NESTED, timeLeftMs: 400 });
+  clock.advance(370);
+  await settle();
+  assert.is(verdicts.get("b"), "waiting");
+  clock.advance(30);
+  await settle();
+  assert.is(verdicts.get("b"), "queue-expired");
+});
+
+test("a call that cannot run in time is refused without waiting", async () => {
+  const { enter, verdicts } = createFixture({ slots: 1 });
+  await enter("a");
+  await enter("b", { timeLeftMs: 40 });
+  assert.is(verdicts.get("b"), "overloaded-instance");
+});
+
+test("an important call takes the place of a less important one", async () => {
+  const { enter, verdicts } = createFixture({ slots: 1 });
+  await enter("a");
+  for (let call = 0; call < 20; call += 1) {
+    await enter(`round-${call}`, { ...NESTED, timeLeftMs: 300 });
+  }
+  const countRefused = () =>
+    [...verdicts.values()].filter((verdict) =>
+      verdict === "overloaded-instance"
+    ).length;
+  const refusedBefore = countRefused();
+  assert.ok(refusedBefore > 0);
+  await enter("delivery", { ...NESTED, timeLeftMs: 300, classRank: 0 });
+  assert.is(verdicts.get("delivery"), "waiting");
+  assert.is(countRefused(), refusedBefore + 1);
+});
+
+test("a call whose caller has gone leaves the queue", async () => {
+  const { admission, enter, verdicts } = createFixture({ slots: 1 });
+  const controller = new AbortController();
+  await enter("a");
+  await enter("b", { signal: controller.signal });
+  controller.abort();
+  await settle();
+  assert.is(verdicts.get("b"), "cancelled");
+  assert.is(admission.pendingCalls, 1);
+});
+
+test("reserved slots stay free for a class that has calls", async () => {
+  const { clock, enter, release, verdicts } = createFixture({
+    slots: 4,
+    reservedRatios: [0.25, 0, 0],
+  });
+  await enter("delivery-1", { classRank: 0 });
+  await release("delivery-1");
+  clock.advance(100);
+  for (const name of ["a", "b", "c", "d"]) {
+    await enter(name);
+  }
+  assert.is(verdicts.get("d"), "waiting");
+  await enter("delivery-2", { classRank: 0 });
+  assert.is(verdicts.get("delivery-2"), "running");
+});
+
+test("overload lowers the share asked of entries, of the least important class first", async () => {
+  const { admission, clock, enter } = createFixture({ slots: 1 });
+  for (let call = 0; call < 60; call += 1) {
+    await enter(`round-${call}`, { ...NESTED, classRank: 1 + call % 2 });
+    await enter(`delivery-${call}`, { ...NESTED, classRank: 0 });
+    clock.advance(10);
+  }
+  const [deliveries = 0, rounds = 0, bulk = 0] =
+    admission.describeLoad("stock").admitPermille ?? [];
+  assert.ok(deliveries >= rounds && rounds >= bulk, `${rounds} ${bulk}`);
+  assert.ok(bulk < 500);
+});
+
+test("without calls for it everything is asked for", () => {
+  const { admission } = createFixture();
+  assert.equal(admission.describeLoad("stock").admitLevel, 1);
+});
+
+test.run();
--- /dev/null
+++ b/src/admission/admit_level.ts
@@ -0,0 +1,115 @@
+/**
+ * The shares of each class that a service asks entries to admit.
+ *
+ * The shares follow from capacity over demand at once; the delay of the queue
+ * and idle slots correct what is wrong in the two estimates.
+ */
+
+import type { ClassDemand } from "./demand_window.ts";
+import { computeAdmitRatios } from "./compute_admit_ratios.ts";
+
+/** Time between two computations, in milliseconds. */
+const TICK_MS = 50;
+
+/** Delay of the queue that keeps all slots in use, in milliseconds. */
+const TARGET_DELAY_MS = 80;
+
+/** Time in which a wrong delay is corrected, in milliseconds. */
+const CORRECTION_MS = 400;
+
+/** Bounds of the correction, as a share of the capacity. */
+const MIN_CORRECTION = 0.05;
+const MAX_CORRECTION = 1.2;
+
+/** Growth of the shares in each tick while slots are idle. */
+const IDLE_GROWTH = 1.15;
+
+/** Share of that growth which is left after a tick without idle slots. */
+const GROWTH_DECAY = 0.8;
+
+/** Ticks made up for when no call came for a while. */
+const MAX_MISSED_TICKS = 20;
+
+const MS_PER_SECOND = 1_000;
+
+/** What the shares are computed from. */
+export interface LevelInput {
+  readonly nowMs: number;
+  readonly demands: () => readonly ClassDemand[];
+  readonly capacityPerSecond: number;
+  readonly queueDelayMs: number;
+  /** Whether slots were free for a good part of the time since the last update. */
+  readonly isIdle: () => boolean;
+  readonly reservedRatios: readonly number[];
+}
+
+/** Keeps the shares up to date. */
+export class AdmitLevel {
+  #ratios: readonly number[] = [];
+  #demands: readonly ClassDemand[] = [];
+  #demandPerSecond = 0;
+  #updatedAtMs: number | undefined;
+  #growth = 1;
+
+  /** Shares by class rank; empty before the first update. */
+  get ratios(): readonly number[] {
+    return this.#ratios;
+  }
+
+  /** Demand of all classes, if entries refused nothing. */
+  get demandPerSecond(): number {
+    return this.#demandPerSecond;
+  }
+
+  /** Share of all requests that is admitted. */
+  get lowestRatio(): number {
+    return Math.min(1, ...this.#ratios);
+  }
+
+  /** Slots that the calls of a class take up at once. */
+  countWanted(classRank: number, holdMs: number): number {
+    const perSecond = this.#demands[classRank]?.arrivingPerSecond ?? 0;
+    return Math.ceil(perSecond * holdMs / MS_PER_SECOND);
+  }
+
+  /** Computes the shares anew once a tick; tells whether it did. */
+  update(input: LevelInput): boolean {
+    const ticks = this.#updatedAtMs === undefined
+      ? 1
+      : (input.nowMs - this.#updatedAtMs) / TICK_MS;
+    if (ticks < 1) {
+      return false;
+    }
+    this.#updatedAtMs = input.nowMs;
+    const demands = input.demands();
+    this.#demands = demands;
+    this.#demandPerSecond = demands.reduce(
+      (sum, { wholePerSecond }) => sum + wholePerSecond,
+      0,
+    );
+    this.#adaptGrowth(input, Math.min(MAX_MISSED_TICKS, ticks));
+    this.#ratios = computeAdmitRatios(demands, {
+      capacityPerSecond: input.capacityPerSecond * this.#growth *
+        computeCorrection(input.queueDelayMs),
+      reservedRatios: input.reservedRatios,
+    });
+    return true;
+  }
+
+  #adaptGrowth(input: LevelInput, ticks: number): void {
+    if (!input.isIdle()) {
+      this.#growth = 1 + (this.#growth - 1) * GROWTH_DECAY ** ticks;
+      return;
+    }
+    const needed = this.#demandPerSecond / Math.max(1, input.capacityPerSecond);
+    this.#growth = Math.max(
+      1,
+      Math.min(needed, this.#growth * IDLE_GROWTH ** ticks),
+    );
+  }
+}
+
+function computeCorrection(queueDelayMs: number): number {
+  const correction = 1 + (TARGET_DELAY_MS - queueDelayMs) / CORRECTION_MS;
+  return Math.max(MIN_CORRECTION, Math.min(MAX_CORRECTION, correction));
+}
--- a/src/admission/entry_admission.ts
+++ b/src/admission/entry_admission.ts
@@ -5,31 +5,45 @@
 import { ok } from "neverthrow";
 import type { Result } from "neverthrow";
 import type { CompiledRequest } from "../configuration/mod.ts";
-import type { LoadSignal } from "../generated/types.ts";
+import type { AdmissionMark, LoadSignal } from "../generated/types.ts";
 import type { Refusal } from "../outcome/mod.ts";
 
 /** What entry admission is told about a request. */
 export interface EntryRequest {
   readonly request: CompiledRequest;
   readonly member: string;
+  readonly requestId: string;
+}
+
+/** A request that may start. */
+export interface EntryGrant {
+  /** The share that was admitted; undefined if it was all. */
+  readonly mark: AdmissionMark | undefined;
 }
 
 /** Decides which requests may start a chain of calls. */
 export abstract class EntryAdmission {
   /** Admits or refuses a request that has not started. */
-  abstract check(entry: EntryRequest): Result<void, Refusal>;
+  abstract check(entry: EntryRequest): Result<EntryGrant, Refusal>;
 
   /** Learns from the load signals of a reply. */
   abstract observe(loads: readonly LoadSignal[]): void;
+
+  /** Signals of overloaded services to pass on to those who call through this daemon. */
+  abstract listOverloaded(services: readonly string[]): LoadSignal[];
 }
 
 /** The baseline: everything may start. */
 export class OpenEntryAdmission extends EntryAdmission {
-  override check(_entry: EntryRequest): Result<void, Refusal> {
-    return ok(undefined);
+  override check(_entry: EntryRequest): Result<EntryGrant, Refusal> {
+    return ok({ mark: undefined });
   }
 
   override observe(_loads: readonly LoadSignal[]): void {
     // Nothing is learnt, since nothing is refused.
   }
+
+  override listOverloaded(_services: readonly string[]): LoadSignal[] {
+    return [];
+  }
 }
--- a/src/admission/inbound_admission.ts
+++ b/src/admission/inbound_admission.ts
@@ -10,8 +10,12 @@
 export interface PermitUse {
   /** Time the backend server took, in milliseconds. */
   readonly durationMs: number;
+  /** Time of it without the deeper calls that it waited for, in milliseconds. */
+  readonly ownDurationMs: number;
   /** Whether the backend server gave a whole answer. */
   readonly isAnswered: boolean;
+  /** Whether the backend server itself refused the call as too much. */
+  readonly isShed: boolean;
 }
 
 /** The right to run one call on the backend server. */
@@ -23,6 +27,9 @@
 /** What admission is told about a call. */
 export interface InboundCall {
   readonly context: CallContext;
+  readonly service: string;
+  /** When the deadline passes, in monotonic milliseconds. */
+  readonly deadlineAtMs: number;
   /** Rank of the call's class; 0 is the most important. */
   readonly classRank: number;
   /** Ends the wait when the caller has gone. */
--- a/src/admission/mod.ts
+++ b/src/admission/mod.ts
@@ -2,9 +2,13 @@
  * Decisions about which calls run: at the entry and at the backend server.
  */
 
+export { AdaptiveAdmission } from "./adaptive_admission.ts";
+export type { AdaptiveAdmissionOptions } from "./adaptive_admission.ts";
 export { EntryAdmission, OpenEntryAdmission } from "./entry_admission.ts";
-export type { EntryRequest } from "./entry_admission.ts";
+export type { EntryGrant, EntryRequest } from "./entry_admission.ts";
+export { hashText } from "./hash_text.ts";
 export { InboundAdmission } from "./inbound_admission.ts";
 export type { InboundCall, Permit, PermitUse } from "./inbound_admission.ts";
-export { LimitedAdmission } from "./limited_admission.ts";
+export { LevelEntryAdmission } from "./level_entry_admission.ts";
+export type { LevelEntryOptions } from "./level_entry_admission.ts";
 export { UnprotectedAdmission } from "./unprotected_admission.ts";
--- /dev/null
+++ b/src/admission/running_calls.ts
@@ -0,0 +1,43 @@
+/**
+ * Calls that hold a slot of the backend server.
+ */
+
+/** A call that holds a slot. */
+export interface RunningCall {
+  readonly classRank: number;
+  readonly startedAtMs: number;
+}
+
+/** Calls that run, by class. */
+export class RunningCalls {
+  readonly #calls = new Set<RunningCall>();
+  readonly #countByRank: number[] = [];
+
+  /** Calls that run. */
+  get count(): number {
+    return this.#calls.size;
+  }
+
+  /** A call begins to run. */
+  add(call: RunningCall): void {
+    this.#calls.add(call);
+    this.#countByRank[call.classRank] = this.countClass(call.classRank) + 1;
+  }
+
+  /** A call has ended. */
+  remove(call: RunningCall): void {
+    if (this.#calls.delete(call)) {
+      this.#countByRank[call.classRank] = this.countClass(call.classRank) - 1;
+    }
+  }
+
+  /** Calls of one class that run. */
+  countClass(classRank: number): number {
+    return this.#countByRank[classRank] ?? 0;
+  }
+
+  /** For how long each call has been running, in milliseconds. */
+  listAgesMs(nowMs: number): number[] {
+    return Array.from(this.#calls, ({ startedAtMs }) => nowMs - startedAtMs);
+  }
+}
--- /dev/null
+++ b/src/admission/service_levels.ts
@@ -0,0 +1,116 @@
+/**
+ * What this daemon knows of the shares that services ask entries to admit.
+ */
+
+import type { LoadSignal } from "../generated/types.ts";
+import type { Clock } from "../time/mod.ts";
+
+/** Age from which a share rises again without news, in milliseconds. */
+const FRESH_MS = 1_000;
+
+/** Time in which a share that gets no news rises from 0 to 1, in milliseconds. */
+const RISE_MS = 2_000;
+
+/** Age at which a signal is forgotten, in milliseconds. */
+const FORGET_MS = FRESH_MS + RISE_MS;
+
+/** Instances remembered for each service. */
+const MAX_INSTANCES = 64;
+
+/** Services remembered. */
+const MAX_SERVICES = 256;
+
+const PERMILLE = 1_000;
+
+interface KnownSignal {
+  readonly signal: LoadSignal;
+  readonly sequence: number;
+  readonly receivedAtMs: number;
+}
+
+/** Latest signals by service and instance; old ones lose their weight. */
+export class ServiceLevels {
+  readonly #clock: Clock;
+  readonly #services = new Map<string, Map<number, KnownSignal>>();
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  /** Takes a signal, unless a later one of the same instance is known. */
+  observe(signal: LoadSignal): void {
+    const { service, instance, sequence, admitPermille } = signal;
+    if (instance === undefined || sequence === undefined || !admitPermille) {
+      return;
+    }
+    const instances = this.#findInstances(service);
+    if (sequence <= (instances.get(instance)?.sequence ?? -1)) {
+      return;
+    }
+    instances.delete(instance);
+    instances.set(instance, {
+      signal,
+      sequence,
+      receivedAtMs: this.#clock.monotonicMs(),
+    });
+    keepLatest(instances, MAX_INSTANCES);
+  }
+
+  /** Share of a class that the service asks to admit, over its known instances. */
+  computeRatio(service: string, classRank: number): number {
+    const known = this.#listFresh(service);
+    let demand = 0;
+    let admitted = 0;
+    for (const { signal, receivedAtMs } of known) {
+      const weight = Math.max(1, signal.demandPerSecond ?? 0);
+      const ageMs = this.#clock.monotonicMs() - receivedAtMs;
+      const rise = Math.max(0, ageMs - FRESH_MS) / RISE_MS;
+      demand += weight;
+      admitted += weight * Math.min(1, readRatio(signal, classRank) + rise);
+    }
+    return demand === 0 ? 1 : admitted / demand;
+  }
+
+  /** Signals to pass on: those of services of which an instance refuses. */
+  listOverloaded(services: readonly string[]): LoadSignal[] {
+    return services.flatMap((service) => {
+      const signals = this.#listFresh(service).map(({ signal }) => signal);
+      return signals.some(({ admitLevel }) => admitLevel < 1) ? signals : [];
+    });
+  }
+
+  #findInstances(service: string): Map<number, KnownSignal> {
+    const instances = this.#services.get(service) ?? new Map();
+    this.#services.set(service, instances);
+    keepLatest(this.#services, MAX_SERVICES);
+    return instances;
+  }
+
+  #listFresh(service: string): KnownSignal[] {
+    const instances = this.#services.get(service);
+    if (!instances) {
+      return [];
+    }
+    const nowMs = this.#clock.monotonicMs();
+    for (const [instance, { receivedAtMs }] of instances) {
+      if (nowMs - receivedAtMs >= FORGET_MS) {
+        instances.delete(instance);
+      }
+    }
+    return [...instances.values()];
+  }
+}
+
+function readRatio(signal: LoadSignal, classRank: number): number {
+  const permille = signal.admitPermille ?? [];
+  return (permille[classRank] ?? permille.at(-1) ?? PERMILLE) / PERMILLE;
+}
+
+function keepLatest<K>(map: Map<K, unknown>, limit: number): void {
+  for (const key of map.keys()) {
+    if (map.size <= limit) {
+      return;
+    }
+    map.delete(key);
+  }
+}
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -5,11 +5,6 @@
 import { serve } from "@hono/node-server";
 import type { ServerType } from "@hono/node-server";
 import type { Hono } from "hono";
-import {
-  LimitedAdmission,
-  OpenEntryAdmission,
-  UnprotectedAdmission,
-} from "../admission/mod.ts";
 import {
   BACKEND_STATES,
   BackendClient,
@@ -39,6 +34,7 @@
 } from "../telemetry/mod.ts";
 import { RandomSource, SystemClock } from "../time/mod.ts";
 import { createAdminApp } from "./create_admin_app.ts";
+import { createAdmission } from "./create_admission.ts";
 
 /** Interval at which the daemon tidies up, in milliseconds. */
 const HOUSEKEEPING_INTERVAL_MS = 500;
@@ -89,6 +85,7 @@
       ...parts.dial === undefined ? {} : { dial: parts.dial },
     };
     const journal = new DecisionJournal(clock);
+    const metrics = new DaemonMetrics();
     const seeds = settings.seeds.split(",").filter((seed) => seed !== "");
     const isProtected = settings.protection === "on";
     const { fleetToken } = settings;
@@ -108,7 +105,7 @@
       settings,
       clock,
       log,
-      metrics: new DaemonMetrics(),
+      metrics,
       journal,
       configuration,
       membership: this.#membership,
@@ -119,10 +116,13 @@
       }),
       backend: new BackendRegistry(clock),
       backendClient: new BackendClient(settings.address),
-      entryAdmission: new OpenEntryAdmission(),
-      inboundAdmission: isProtected
-        ? new LimitedAdmission()
-        : new UnprotectedAdmission(),
+      ...createAdmission(isProtected, {
+        clock,
+        journal,
+        metrics,
+        configuration,
+        incarnation,
+      }),
       chooser: isProtected
         ? new LocalFirstChooser(random, self)
         : new RandomChooser(random),
--- a/src/measure/experiments/slow_deep.ts
+++ b/src/measure/experiments/slow_deep.ts
@@ -10,5 +10,5 @@
 export const experiment: Experiment = {
   description:
     "the deepest service 10x slower for 10 s, protected and unprotected",
-  run: () => compareOverload({ trigger: TRIGGERS.slowDeep, firstNetwork: 44 }),
+  run: () => compareOverload(TRIGGERS.slowDeep),
 };
--- a/src/measure/experiments/surge.ts
+++ b/src/measure/experiments/surge.ts
@@ -9,5 +9,5 @@
 /** The experiment. */
 export const experiment: Experiment = {
   description: "demand at 3x capacity for 10 s, protected and unprotected",
-  run: () => compareOverload({ trigger: TRIGGERS.surge, firstNetwork: 40 }),
+  run: () => compareOverload(TRIGGERS.surge),
 };
--- a/src/measure/overload/compare_overload.ts
+++ b/src/measure/overload/compare_overload.ts
@@ -2,6 +2,7 @@
  * An overload of both users' fleets, protected and unprotected in one run.
  */
 
+import { claimNetwork } from "../../testing/claim_network.ts";
 import type { ExperimentResult, TableRow } from "../experiment.ts";
 import type { OverloadShape } from "./overload_shape.ts";
 import { createRondevaartShape } from "./rondevaart_shape.ts";
@@ -11,13 +12,6 @@
 import type { OverloadFigures } from "./summarize_overload.ts";
 import { createVerrouShape } from "./verrou_shape.ts";
 
-/** Which overload to compare. */
-export interface ComparisonOptions {
-  readonly trigger: Trigger;
-  /** Second byte of the addresses of the first of four fleets. */
-  readonly firstNetwork: number;
-}
-
 const RANDOM_SEED = 4_711;
 const DIGITS = 3;
 
@@ -32,33 +26,31 @@
 /**
  * Overloads both shapes with protection on and off.
  *
- * @param options - Trigger and networks
+ * @param trigger - What causes the overload
  * @returns A row for each fleet; the fields hold the worse of the two shapes
  *
  * @example
- * const result = await compareOverload({ trigger: TRIGGERS.surge, firstNetwork: 40 });
+ * const result = await compareOverload(TRIGGERS.surge);
  */
 export async function compareOverload(
-  options: ComparisonOptions,
+  trigger: Trigger,
 ): Promise<ExperimentResult> {
   const rows: TableRow[] = [];
   const pairs: FigurePair[] = [];
-  let network = options.firstNetwork;
   for (const shape of [createRondevaartShape(), createVerrouShape()]) {
-    const runOptions = { trigger: options.trigger, randomSeed: RANDOM_SEED };
+    const runOptions = { trigger, randomSeed: RANDOM_SEED };
     const runs = {
       on: await runOverload(shape, {
         ...runOptions,
         protection: "on",
-        network,
+        network: await claimNetwork(),
       }),
       off: await runOverload(shape, {
         ...runOptions,
         protection: "off",
-        network: network + 1,
+        network: await claimNetwork(),
       }),
     };
-    network += 2;
     const pair = {
       guarded: summarizeOverload(shape, runs.on),
       baseline: summarizeOverload(shape, runs.off),
--- a/src/request/active_calls.ts
+++ b/src/request/active_calls.ts
@@ -7,6 +7,7 @@
 
 import type { CallContext } from "../generated/types.ts";
 import type { Clock } from "../time/mod.ts";
+import { NestedTime } from "./nested_time.ts";
 
 /** A call that is running on the backend server. */
 export interface ActiveCall {
@@ -17,6 +18,8 @@
   readonly signal: AbortSignal;
   /** Extra attempts that the call's subtree may still make. */
   allowanceLeft: number;
+  /** Time in which the call waited for deeper calls. */
+  readonly nestedTime: NestedTime;
 }
 
 /** Remembers running calls by their token. */
@@ -45,6 +48,7 @@
       deadlineAtMs,
       signal,
       allowanceLeft: context.retryAllowance,
+      nestedTime: new NestedTime(this.#clock),
     };
     this.#calls.set(token, call);
     return call;
--- a/src/request/run_call.ts
+++ b/src/request/run_call.ts
@@ -7,11 +7,18 @@
 
 import { err } from "neverthrow";
 import { BACKEND_STATES } from "../backend/mod.ts";
+import type { LoadSignal } from "../generated/types.ts";
 import { createRefusal, REASONS } from "../outcome/mod.ts";
 import type { CallResult } from "../outcome/mod.ts";
 import type { CallEnvironment } from "./call_environment.ts";
 import type { OutboundCall } from "./outbound_call.ts";
 
+/** Load signals on one reply. */
+const MAX_LOADS = 32;
+
+/** Statuses by which a backend server refuses a call as too much. */
+const SHED_STATUSES: ReadonlySet<number> = new Set([429, 503]);
+
 /**
  * Admits a call to the backend server, runs it and reports the load on its outcome.
  *
@@ -27,10 +34,26 @@
   call: OutboundCall,
 ): Promise<CallResult> {
   const result = await admitAndRun(environment, call);
-  const load = environment.inboundAdmission.describeLoad(call.service);
+  const loads = collectLoads(environment, call);
   return result
-    .map((answer) => ({ ...answer, loads: [load, ...answer.loads] }))
-    .mapErr((failure) => ({ ...failure, loads: [load, ...failure.loads] }));
+    .map((answer) => ({ ...answer, loads }))
+    .mapErr((failure) => ({ ...failure, loads }));
+}
+
+/** Own load first, then what is known of overloaded services further down. */
+function collectLoads(
+  environment: CallEnvironment,
+  call: OutboundCall,
+): LoadSignal[] {
+  const { configuration, entryAdmission, inboundAdmission } = environment;
+  const { requestName } = call.context;
+  const path = configuration.current?.requestsByName.get(requestName)?.path ??
+    [];
+  const deeper = entryAdmission.listOverloaded(
+    path.filter((service) => service !== call.service),
+  );
+  return [inboundAdmission.describeLoad(call.service), ...deeper]
+    .slice(0, MAX_LOADS);
 }
 
 async function admitAndRun(
@@ -58,20 +81,28 @@
   }
   const startedAtMs = clock.monotonicMs();
   const announcement = backend.announcement;
-  const result = announcement && startedAtMs < call.deadlineAtMs
+  const { result, nestedMs } = announcement && startedAtMs < call.deadlineAtMs
     ? await callBackend(environment, call)
-    : err(
-      createRefusal(REASONS.deadlineExpired, {
-        unusedAllowance: call.context.retryAllowance,
-      }),
-    );
+    : { result: refuseExpired(call), nestedMs: 0 };
+  const durationMs = clock.monotonicMs() - startedAtMs;
   permit.value.release({
-    durationMs: clock.monotonicMs() - startedAtMs,
+    durationMs,
+    ownDurationMs: durationMs - nestedMs,
     isAnswered: result.isOk(),
+    isShed: result.isOk() && nestedMs === 0 &&
+      SHED_STATUSES.has(result.value.status),
   });
   return result;
 }
 
+function refuseExpired(call: OutboundCall): CallResult {
+  return err(
+    createRefusal(REASONS.deadlineExpired, {
+      unusedAllowance: call.context.retryAllowance,
+    }),
+  );
+}
+
 function refuseBeforeQueue(environment: CallEnvironment, call: OutboundCall) {
   const { backend, clock } = environment;
   if (
@@ -88,14 +119,20 @@
     : undefined;
 }
 
+interface BackendRun {
+  readonly result: CallResult;
+  /** Time in which the backend server waited for deeper calls. */
+  readonly nestedMs: number;
+}
+
 async function callBackend(
   environment: CallEnvironment,
   call: OutboundCall,
-): Promise<CallResult> {
+): Promise<BackendRun> {
   const { activeCalls, backend, backendClient, clock, settings } = environment;
   const announcement = backend.announcement;
   if (!announcement) {
-    return err(createRefusal(REASONS.noBackendServer));
+    return { result: err(createRefusal(REASONS.noBackendServer)), nestedMs: 0 };
   }
   const remainingMs = Math.max(1, call.deadlineAtMs - clock.monotonicMs());
   const context = { ...call.context, remainingMs };
@@ -116,7 +153,9 @@
   cancelDeadline();
   call.signal.removeEventListener("abort", cancel);
   const unusedAllowance = active.allowanceLeft;
-  return result.map((answer) => ({ ...answer, unusedAllowance })).mapErr((
-    failure,
-  ) => ({ ...failure, unusedAllowance }));
+  return {
+    result: result.map((answer) => ({ ...answer, unusedAllowance }))
+      .mapErr((failure) => ({ ...failure, unusedAllowance })),
+    nestedMs: active.nestedTime.totalMs,
+  };
 }
--- a/src/request/serve_entry_call.ts
+++ b/src/request/serve_entry_call.ts
@@ -86,10 +86,15 @@
   if (parent) {
     parent.allowanceLeft -= call.context.retryAllowance;
   }
+  parent?.nestedTime.begin();
   const isGuarded = !call.context.isRepeatable && !parent;
   const result = isGuarded
     ? await dispatchOnce(environment, call)
     : await dispatchCall(environment, call);
+  parent?.nestedTime.end();
+  environment.entryAdmission.observe(
+    result.isOk() ? result.value.loads : result.error.loads,
+  );
   if (parent) {
     parent.allowanceLeft += result.isOk()
       ? result.value.unusedAllowance
@@ -134,9 +139,11 @@
     request.deadlineMs,
     entry.deadlineMs ?? request.deadlineMs,
   );
+  const requestId = entry.requestId === "" ? randomUUID() : entry.requestId;
   const admitted = environment.entryAdmission.check({
     request,
     member: entry.member,
+    requestId,
   });
   if (admitted.isErr()) {
     return err(admitted.error);
@@ -144,7 +151,7 @@
   return ok({
     ...pickTarget(entry),
     context: {
-      requestId: entry.requestId === "" ? randomUUID() : entry.requestId,
+      requestId,
       requestName: request.name,
       className: request.className,
       member: entry.member,
@@ -156,6 +163,7 @@
       depth: 0,
       isRepeatable,
       isBulk: request.isBulk,
+      ...admitted.value.mark && { admission: admitted.value.mark },
     },
     deadlineAtMs: environment.clock.monotonicMs() + remainingMs,
     classRank: request.classRank,
--- a/src/telemetry/decision_journal.ts
+++ b/src/telemetry/decision_journal.ts
@@ -10,6 +10,7 @@
 /** Kinds of decisions. */
 export const DECISIONS = {
   refusal: "refusal",
+  entryRefusal: "entry-refusal",
   limitChange: "limit-change",
   admitLevelChange: "admit-level-change",
   ejection: "ejection",
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -75,6 +75,22 @@
     registers: [this.registry],
   });
 
+  /** Share of requests that this instance asks entries to admit, by class rank. */
+  readonly admitRatio = new Gauge({
+    name: "celeryhollow_admit_ratio",
+    help: "Share of requests that this instance asks entries to admit",
+    labelNames: ["rank"] as const,
+    registers: [this.registry],
+  });
+
+  /** Requests refused at this entry, by class and the service that is overloaded. */
+  readonly entryRefusals = new Counter({
+    name: "celeryhollow_entry_refusals_total",
+    help: "Requests refused at the entry before any work was done",
+    labelNames: ["class", "service"] as const,
+    registers: [this.registry],
+  });
+
   /** Configuration version in force. */
   readonly configurationVersion = new Gauge({
     name: "celeryhollow_configuration_version",
