--- a/src/cli/drain_command.ts
+++ b/src/cli/drain_command.ts
@@ -20,7 +20,7 @@
     ]],
   });
 
-  override async execute(): Promise<number> {
+  protected override async ask(): Promise<number> {
     return await this.act("/v1/drain");
   }
 
@@ -48,7 +48,7 @@
     ]],
   });
 
-  override async execute(): Promise<number> {
+  protected override async ask(): Promise<number> {
     return await this.act("/v1/undrain");
   }
 }
--- a/src/cli/explain_command.ts
+++ b/src/cli/explain_command.ts
@@ -18,6 +18,7 @@
 /** Decisions that concern one request rather than the fleet. */
 const REQUEST_DECISIONS: ReadonlySet<string> = new Set([
   DECISIONS.refusal,
+  DECISIONS.entryRefusal,
   DECISIONS.unknownOutcome,
   DECISIONS.retryDenied,
 ]);
@@ -48,7 +49,7 @@
     description: "How far back to look, such as 30s, 5m or 2h (default 5m)",
   });
 
-  override async execute(): Promise<number> {
+  protected override async ask(): Promise<number> {
     const durationMs = parseDuration(this.since);
     if (durationMs === undefined) {
       this.context.stderr.write(
--- a/src/cli/fleet_command.ts
+++ b/src/cli/fleet_command.ts
@@ -9,14 +9,12 @@
 
 /** A command that asks daemons. */
 export abstract class FleetCommand extends Command<BaseContext> {
-  adminUrl = Option.String("--admin-url", {
-    required: true,
+  adminUrl = Option.String("--admin-url", "", {
     env: "CELERYHOLLOW_ADMIN_URL",
     description: "Base URL of any daemon's admin port (CELERYHOLLOW_ADMIN_URL)",
   });
 
-  fleetToken = Option.String("--fleet-token", {
-    required: true,
+  fleetToken = Option.String("--fleet-token", "", {
     env: "CELERYHOLLOW_FLEET_TOKEN",
     description: "Shared secret of the fleet (CELERYHOLLOW_FLEET_TOKEN)",
   });
@@ -25,6 +23,30 @@
     description: "Print one JSON document instead of tables",
   });
 
+  override async execute(): Promise<number> {
+    const missing = [
+      ...this.adminUrl === ""
+        ? ["--admin-url (CELERYHOLLOW_ADMIN_URL) is required"]
+        : [],
+      ...this.fleetToken === ""
+        ? ["--fleet-token (CELERYHOLLOW_FLEET_TOKEN) is required"]
+        : [],
+      ...this.adminUrl !== "" && !URL.canParse(this.adminUrl)
+        ? [`--admin-url ${this.adminUrl} is not a URL`]
+        : [],
+    ];
+    if (missing.length > 0) {
+      missing.forEach((problem) =>
+        this.showProgress(`celeryhollow: ${problem}`)
+      );
+      return EXIT_CODES.wrongUse;
+    }
+    return await this.ask();
+  }
+
+  /** Does what the command is for. */
+  protected abstract ask(): Promise<number>;
+
   /** The daemon that the command was pointed at. */
   protected createClient(): AdminClient {
     const { adminUrl, fleetToken } = this;
--- a/src/cli/status_command.ts
+++ b/src/cli/status_command.ts
@@ -34,7 +34,7 @@
     ],
   });
 
-  override async execute(): Promise<number> {
+  protected override async ask(): Promise<number> {
     const survey = await surveyFleet(this);
     if (survey.isErr()) {
       return this.fail(survey.error.message);
--- a/src/request/serve_entry_call.ts
+++ b/src/request/serve_entry_call.ts
@@ -15,7 +15,6 @@
 import { MAX_DEPTH } from "../constants/mod.ts";
 import { createRefusal, REASONS } from "../outcome/mod.ts";
 import type { CallResult, Refusal } from "../outcome/mod.ts";
-import { DECISIONS } from "../telemetry/mod.ts";
 import { createJoinKey } from "../retry/mod.ts";
 import type { ActiveCall } from "./active_calls.ts";
 import type { CallEnvironment } from "./call_environment.ts";
@@ -25,6 +24,7 @@
 import { isErrorAnswer } from "./is_error_answer.ts";
 import { lendAllowance } from "./lend_allowance.ts";
 import type { OutboundCall } from "./outbound_call.ts";
+import { recordOutcome } from "./record_outcome.ts";
 
 /** A call as it came over HTTP. */
 export interface EntryCall {
@@ -88,21 +88,33 @@
   if (entry.parent) {
     entry.parent.hasFailedBelow ||= result.isErr() || isErrorAnswer(result);
   }
-  const className = call.isOk() ? call.value.context.className : "none";
-  const tenant = call.isOk() ? call.value.context.tenant : "other";
-  const requestId = call.isOk()
-    ? call.value.context.requestId
-    : entry.requestId;
   recordOutcome(environment, result, {
-    className,
-    tenant,
-    requestId,
+    ...describeCall(environment, entry, call),
     startedAtMs,
     service: entry.service,
   });
   return result;
 }
 
+/** What logs, metrics and the journal call a request, also one that was refused at once. */
+function describeCall(
+  environment: CallEnvironment,
+  entry: EntryCall,
+  call: Result<OutboundCall, Refusal>,
+) {
+  if (call.isOk()) {
+    const { className, tenant, requestId } = call.value.context;
+    return { className, tenant, requestId };
+  }
+  const configuration = environment.configuration.current;
+  const request = configuration && findRequest(configuration, entry);
+  return {
+    className: entry.parent?.context.className ?? request?.className ?? "none",
+    tenant: "other",
+    requestId: entry.requestId,
+  };
+}
+
 interface SendCallOptions {
   readonly entry: EntryCall;
   readonly joinKey: string;
@@ -271,41 +283,3 @@
     ...{ idempotencyKey, attempt },
   };
 }
-
-interface OutcomeFacts {
-  readonly className: string;
-  readonly tenant: string;
-  readonly requestId: string;
-  readonly startedAtMs: number;
-  readonly service: string;
-}
-
-function recordOutcome(
-  environment: CallEnvironment,
-  result: CallResult,
-  facts: OutcomeFacts,
-): void {
-  const { clock, journal, log, metrics } = environment;
-  const { className, tenant, requestId, service } = facts;
-  const durationMs = clock.monotonicMs() - facts.startedAtMs;
-  const outcome = result.isOk() ? "answered" : result.error.kind;
-  metrics.callDuration.observe(
-    { class: className, tenant, outcome },
-    durationMs / 1_000,
-  );
-  if (result.isOk()) {
-    return;
-  }
-  const { reason } = result.error;
-  metrics.failures.inc({ class: className, outcome, reason });
-  const kind = outcome === "refused"
-    ? DECISIONS.refusal
-    : DECISIONS.unknownOutcome;
-  journal.record(kind, {
-    service,
-    reason,
-    class: className,
-    durationMs: Math.round(durationMs),
-  }, requestId);
-  log.debug({ requestId, service, reason, outcome }, "call-failed");
-}
