--- a/src/measure/experiments/once.ts
+++ b/src/measure/experiments/once.ts
@@ -23,6 +23,8 @@
 const IDLE_MS = 5_000;
 const OUTAGE_MS = 60_000;
 const FREEZE_MS = 8_000;
+/** Time for a new daemon to become known, in milliseconds. */
+const RESTART_SETTLE_MS = 2_000;
 /** A request that takes longer counts as not served, in milliseconds. */
 const SERVED_WITHIN_MS = 1_000;
 const MAX_ATTEMPTS_PER_INVOCATION = 5;
@@ -47,7 +49,7 @@
   const results = new Map<string, PhaseOutcome[]>();
   let loadedWrites = 0;
   for (const createPhase of PHASES) {
-    const phase = createPhase(fleet);
+    const phase = await createPhase(fleet);
     const writes = await countWrites(fleet, async () => {
       results.set(phase.name, await runPhase(phaseRun, phase));
     });
@@ -60,7 +62,7 @@
   return summarize({ results, violations, latency, idleWrites, loadedWrites });
 }
 
-const PHASES: readonly ((fleet: Fleet) => OncePhase)[] = [
+const PHASES: readonly ((fleet: Fleet) => OncePhase | Promise<OncePhase>)[] = [
   () => ({
     name: "calm",
     durationMs: 8_000,
@@ -85,8 +87,8 @@
       bringFault: () => void failing.daemon.kill("SIGKILL"),
     };
   },
-  (fleet) => {
-    fleet.relaunch(findLedger(fleet, 0));
+  async (fleet) => {
+    await restart(fleet, 0);
     const failing = findLedger(fleet, 1);
     return {
       ...createFaultPhase("plannedStop", failing),
@@ -96,8 +98,8 @@
       },
     };
   },
-  (fleet) => {
-    fleet.relaunch(findLedger(fleet, 1));
+  async (fleet) => {
+    await restart(fleet, 1);
     const failing = findLedger(fleet, 2);
     return {
       ...createFaultPhase("daemonFrozen", failing),
@@ -155,6 +157,11 @@
   };
 }
 
+async function restart(fleet: Fleet, index: number): Promise<void> {
+  await fleet.waitUntilReady(fleet.relaunch(findLedger(fleet, index)));
+  await sleep(RESTART_SETTLE_MS);
+}
+
 function findLedger(fleet: Fleet, index: number): RunningVm {
   const vm =
     fleet.vms.filter(({ plan }) => plan.service === "delivery-ledger")[index];
--- a/src/request/guarded_calls_test.ts
+++ b/src/request/guarded_calls_test.ts
@@ -2,6 +2,7 @@
 import { suite } from "uvu";
 import { PLACEMENTS } from "../idempotency/mod.ts";
 import { claimNetwork } from "../testing/claim_network.ts";
+import { createPeerCall } from "../testing/create_peer_call.ts";
 import { GuardedFleet, sleep } from "../testing/guarded/guarded_fleet.ts";
 import { createEntry } from "../testing/guarded/guarded_node.ts";
 import type { GuardedNode } from "../testing/guarded/guarded_node.ts";
@@ -13,7 +14,12 @@
   fleet: GuardedFleet;
 }
 
+/** Longer than a successor has for its acknowledgement. */
 const LONG_DELAY_MS = 7_000;
+
+/** Long enough for a connection to be cut before a reply arrives. */
+const SHORT_DELAY_MS = 1_000;
+
 const network = await claimNetwork();
 let fleets = 0;
 
@@ -56,6 +62,25 @@
   ).map(({ requestId }) => requestId);
 }
 
+/** Opens a connection from a node to each other one. */
+async function openConnections(
+  node: GuardedNode,
+  fleet: GuardedFleet,
+): Promise<void> {
+  const others = fleet.nodes.filter((other) => other !== node);
+  const call = createPeerCall("/");
+  const signal = new AbortController().signal;
+  await Promise.all(
+    others.map(({ environment }) =>
+      node.environment.peers.get(environment.membership.self).call(
+        { ...call, purpose: "resolve" },
+        new Uint8Array(0),
+        { signal },
+      )
+    ),
+  );
+}
+
 test("after a planned stop the successor has used keys, unused keys and later ones", async ({ fleet }) => {
   const [former, entry] = [pick(fleet, 0), pick(fleet, 1)];
   const keys = [1, 2].map(() => former.environment.keys.issueKey());
@@ -94,13 +119,8 @@
 test("a lost acknowledgement is asked for again and nobody else gets the keys", async ({ fleet }) => {
   const former = pick(fleet, 0);
   const links = fleet.listLinksFrom(0);
-  await Promise.all([1, 2, 3].map((id) =>
-    send(former, {
-      requestId: `warm-${id}`,
-      idempotencyKey: former.environment.keys.issueKey(),
-    })
-  ));
-  links.forEach((link) => link.backward.oneWayDelayMs = LONG_DELAY_MS);
+  await openConnections(former, fleet);
+  links.forEach((link) => link.backward.oneWayDelayMs = SHORT_DELAY_MS);
   const handedOver = handOverKeys(former.environment);
   await sleep(200);
   links.forEach((link) => link.backward.oneWayDelayMs = 0);
@@ -118,31 +138,7 @@
 test("without any acknowledgement the keys are used by nobody here", async ({ fleet }) => {
   const former = pick(fleet, 0);
   const idempotencyKey = former.environment.keys.issueKey();
-  await Promise.all(
-    fleet.nodes.slice(1).map(({ environment }) =>
-      former.environment.peers.get(environment.membership.self).call(
-        {
-          kind: "call",
-          purpose: "resolve",
-          idempotencyKey: "",
-          context: {
-            ...{ requestId: "warm", requestName: "warm", className: "warm" },
-            ...{
-              member: "",
-              tenant: "",
-              remainingMs: 1_000,
-              retryAllowance: 0,
-            },
-            ...{ depth: 0, isRepeatable: true, isBulk: false },
-          },
-          ...{ service: "warm", method: "GET", path: "/", contentType: "" },
-          bodyLengthBytes: 0,
-        },
-        new Uint8Array(0),
-        { signal: new AbortController().signal },
-      )
-    ),
-  );
+  await openConnections(former, fleet);
   fleet.listLinksFrom(0).forEach((link) =>
     link.backward.oneWayDelayMs = LONG_DELAY_MS
   );
