--- a/src/cli/status_command.ts
+++ b/src/cli/status_command.ts
@@ -1,44 +1,131 @@
 /**
- * The command that shows what a daemon knows.
+ * The command that shows the state of a fleet.
  */
 
-import { Command, Option } from "clipanion";
-import { AdminClient } from "./admin_client.ts";
+import { Command } from "clipanion";
+import type { DaemonStatus } from "./daemon_status.ts";
+import { FleetCommand } from "./fleet_command.ts";
+import { formatTable } from "./format_table.ts";
+import { surveyFleet } from "./survey_fleet.ts";
+import type { SurveyEntry } from "./survey_fleet.ts";
 
-/** Exit codes of the operator tool. */
-export const EXIT_CODES = { done: 0, failed: 1, wrongUse: 2 } as const;
+/** A member that one daemon reaches and another counts as dead. */
+interface Disagreement {
+  readonly member: string;
+  readonly countedDeadBy: number;
+  readonly countedAliveBy: number;
+}
 
-/** Shows the status of a daemon. */
-export class StatusCommand extends Command {
+/** Shows daemons, services, limits, versions in force and disagreements. */
+export class StatusCommand extends FleetCommand {
   static override paths = [["status"]];
 
   static override usage = Command.Usage({
-    description: "show what a daemon knows of itself and the fleet",
-    examples: [[
-      "Ask one daemon",
-      "celeryhollow status --admin-url http://10.1.0.5:7103 --fleet-token SECRET",
-    ]],
-  });
-
-  adminUrl = Option.String("--admin-url", {
-    required: true,
-    env: "CELERYHOLLOW_ADMIN_URL",
-    description: "Base URL of a daemon's admin port",
-  });
-
-  fleetToken = Option.String("--fleet-token", {
-    required: true,
-    env: "CELERYHOLLOW_FLEET_TOKEN",
-    description: "Shared secret of the fleet",
+    category: "Fleet",
+    description: "show daemons, limits, versions in force and who is leaving",
+    details:
+      "Asks the daemon at --admin-url, then every daemon that it names, and so on. Exits with 1 when the first daemon cannot be asked.",
+    examples: [
+      [
+        "Ask the whole fleet",
+        "celeryhollow status --admin-url http://10.1.0.5:7103 --fleet-token SECRET",
+      ],
+      ["With the environment set, for a script", "celeryhollow status --json"],
+    ],
   });
 
   override async execute(): Promise<number> {
-    const status = await new AdminClient(this).get("/v1/status");
-    if (status.isErr()) {
-      this.context.stderr.write(`celeryhollow: ${status.error.message}\n`);
-      return EXIT_CODES.failed;
+    const survey = await surveyFleet(this);
+    if (survey.isErr()) {
+      return this.fail(survey.error.message);
     }
-    this.context.stdout.write(`${JSON.stringify(status.value, null, 2)}\n`);
-    return EXIT_CODES.done;
+    const statuses = survey.value.flatMap(({ status }) =>
+      status.isOk() ? [status.value] : []
+    );
+    const unreachable = survey.value.filter(({ status }) => status.isErr());
+    const summary = {
+      daemons: statuses.map(({ members: _, ...own }) => own),
+      unreachable: unreachable.map(({ adminUrl }) => adminUrl),
+      versionsInForce: countVersions(statuses),
+      disagreements: listDisagreements(statuses),
+    };
+    return this.finish(
+      summary,
+      () => formatSummary(summary, statuses, unreachable),
+    );
   }
 }
+
+function countVersions(statuses: readonly DaemonStatus[]) {
+  const counts: Record<string, number> = {};
+  for (const { configurationVersion } of statuses) {
+    counts[configurationVersion] = (counts[configurationVersion] ?? 0) + 1;
+  }
+  return counts;
+}
+
+function listDisagreements(statuses: readonly DaemonStatus[]): Disagreement[] {
+  return statuses.flatMap(({ self }) => {
+    const views = statuses.flatMap(({ members }) =>
+      members.filter(({ incarnation }) => incarnation === self.incarnation)
+    );
+    const countedDeadBy = views.filter(({ state }) => state === "dead").length;
+    const countedAliveBy = views.length - countedDeadBy;
+    return countedDeadBy > 0
+      ? [{ member: self.incarnation, countedDeadBy, countedAliveBy }]
+      : [];
+  });
+}
+
+interface Summary {
+  readonly versionsInForce: Readonly<Record<string, number>>;
+  readonly disagreements: readonly Disagreement[];
+}
+
+function formatSummary(
+  { versionsInForce, disagreements }: Summary,
+  statuses: readonly DaemonStatus[],
+  unreachable: readonly SurveyEntry[],
+): string {
+  const versions = Object.entries(versionsInForce)
+    .map(([version, count]) => `${version} on ${count} daemons`);
+  const lines = [
+    formatTable(
+      [
+        "address",
+        "domain",
+        "service",
+        "state",
+        "ready",
+        "version",
+        "running",
+        "queued",
+        "limit",
+      ],
+      statuses.map(formatRow).sort(),
+    ),
+    "",
+    `configuration in force: ${versions.join(", ")}`,
+    ...unreachable.map(({ adminUrl }) => `cannot be asked: ${adminUrl}`),
+    ...disagreements.map(({ member, countedDeadBy, countedAliveBy }) =>
+      `partition? ${member} is up, yet ${countedDeadBy} daemons count it as dead and ${countedAliveBy} as alive`
+    ),
+  ];
+  return lines.join("\n");
+}
+
+function formatRow(status: DaemonStatus): string[] {
+  const { self, load, isReady, configurationVersion, backend } = status;
+  const { announcement, state } = backend;
+  return [
+    self.address,
+    self.failureDomain,
+    announcement?.service ?? "-",
+    self.state === "alive" ? state : self.state,
+    isReady ? "yes" : "no",
+    String(configurationVersion),
+    String(load.inFlight),
+    String(load.queued),
+    load.limit.toFixed(0),
+  ];
+}
--- a/src/configuration/configuration_peers.ts
+++ b/src/configuration/configuration_peers.ts
@@ -5,6 +5,7 @@
 import type { Result } from "neverthrow";
 import type VError from "verror";
 import type { MemberRecord } from "../generated/types.ts";
+import type { VersionNotice } from "./peer_versions.ts";
 
 /** The other daemons. */
 export abstract class ConfigurationPeers {
@@ -17,9 +18,9 @@
   /** Tells a few members at once that the own version has changed. */
   abstract announce(): void;
 
-  /** Fetches what is missing above a known version. */
+  /** Fetches from a peer what is missing above a known version. */
   abstract fetch(
-    member: MemberRecord,
+    peer: VersionNotice,
     knownVersion: number,
   ): Promise<Result<Uint8Array, VError>>;
 }
--- a/src/configuration/configuration_spread.ts
+++ b/src/configuration/configuration_spread.ts
@@ -7,7 +7,6 @@
  */
 
 import type VError from "verror";
-import type { MemberRecord } from "../generated/types.ts";
 import { Backoff } from "../store/mod.ts";
 import { DECISIONS } from "../telemetry/mod.ts";
 import type { DecisionJournal, Logger } from "../telemetry/mod.ts";
@@ -26,6 +25,7 @@
 import type { TransferredConfiguration } from "./configuration_transfer.ts";
 import { isVersionConfirmed } from "./confirmation.ts";
 import { PeerVersions } from "./peer_versions.ts";
+import type { VersionNotice } from "./peer_versions.ts";
 
 /** Dependencies of the spread. */
 export interface ConfigurationSpreadOptions {
@@ -85,7 +85,7 @@
     this.#isConfirmed ||= isVersionConfirmed({
       ownVersion: this.#options.holder.version,
       storeVersion: this.#acceptedVersion,
-      peerVersions: this.#peerVersions.listVersions(),
+      peerVersions: this.#peerVersions.list().map(({ version }) => version),
       elapsedMs: this.#options.clock.monotonicMs() - this.#startedAtMs,
     });
     return this.#isConfirmed;
@@ -112,10 +112,9 @@
   }
 
   /** Takes note of a version that a peer has told. */
-  takePeerVersion(incarnation: string, version: number): void {
-    const { holder } = this.#options;
-    this.#peerVersions.record(incarnation, version);
-    if (version > holder.version && version > this.#refusedVersion) {
+  takeNotice(notice: VersionNotice): void {
+    this.#peerVersions.record(notice);
+    if (this.#isAhead(notice)) {
       void this.#fetchFromPeers();
     }
   }
@@ -237,14 +236,14 @@
     }
     this.#isFetching = true;
     const tried = new Set<string>();
-    let member = this.#choosePeer(tried);
-    while (member && tried.size < FETCH_ATTEMPTS) {
-      tried.add(member.incarnation);
-      if (await this.#fetchFrom(member)) {
+    let peer = this.#choosePeer(tried);
+    while (peer && tried.size < FETCH_ATTEMPTS) {
+      tried.add(peer.incarnation);
+      if (await this.#fetchFrom(peer)) {
         tried.clear();
         this.#fetchBackoff.reset();
       }
-      member = this.#choosePeer(tried);
+      peer = this.#choosePeer(tried);
     }
     if (tried.size > 0) {
       await this.#options.clock.sleep(this.#fetchBackoff.nextDelayMs());
@@ -252,24 +251,24 @@
     this.#isFetching = false;
   }
 
-  async #fetchFrom(member: MemberRecord): Promise<boolean> {
+  async #fetchFrom(peer: VersionNotice): Promise<boolean> {
     const { holder } = this.#options;
     const known = holder.current;
-    const received = await this.#receive(member, holder.version);
+    const received = await this.#receive(peer, holder.version);
     if (received) {
-      return this.#adopt(received, member.incarnation);
+      return this.#adopt(received, peer.incarnation);
     }
-    const whole = known && await this.#receive(member, WHOLE_DOCUMENT);
-    return whole !== undefined && this.#adopt(whole, member.incarnation);
+    const whole = known && await this.#receive(peer, WHOLE_DOCUMENT);
+    return whole !== undefined && this.#adopt(whole, peer.incarnation);
   }
 
   async #receive(
-    member: MemberRecord,
+    peer: VersionNotice,
     knownVersion: number,
   ): Promise<TransferredConfiguration | undefined> {
     const { holder, log, peers } = this.#options;
     const known = holder.current?.document;
-    const bytes = await peers.fetch(member, knownVersion);
+    const bytes = await peers.fetch(peer, knownVersion);
     const received = bytes.andThen((value) =>
       readConfigurationTransfer(value, known)
     );
@@ -278,35 +277,37 @@
     }
     const { message, name } = received.error;
     log.warn(
-      { error: message, peer: member.incarnation },
+      { error: message, peer: peer.incarnation },
       "configuration-fetch-failed",
     );
     if (name === "ConfigurationInvalid") {
-      this.#noteRefusal(this.#peerVersions.get(member.incarnation), message);
+      this.#noteRefusal(peer.version, message);
     }
     return undefined;
   }
 
-  /** The nearest of the members that have a higher version and have not been tried. */
-  #choosePeer(tried: ReadonlySet<string>): MemberRecord | undefined {
+  /** The nearest of the peers that have a higher version and have not been tried. */
+  #choosePeer(tried: ReadonlySet<string>): VersionNotice | undefined {
     const { peers, random } = this.#options;
-    const { self } = peers;
-    const ahead = peers.listLive().filter(({ incarnation }) =>
-      !tried.has(incarnation) && this.#isAhead(incarnation)
+    const { failureDomain, region } = peers.self;
+    const live = new Map(
+      peers.listLive().map((member) => [member.incarnation, member]),
+    );
+    const ahead = this.#peerVersions.list().filter((notice) =>
+      !tried.has(notice.incarnation) && this.#isAhead(notice)
+    );
+    const inDomain = ahead.filter(({ incarnation }) =>
+      live.get(incarnation)?.failureDomain === failureDomain
     );
-    const inDomain = ahead.filter(({ failureDomain }) =>
-      failureDomain === self.failureDomain
+    const inRegion = ahead.filter(({ incarnation }) =>
+      live.get(incarnation)?.region === region
     );
-    const inRegion = ahead.filter(({ region }) => region === self.region);
     return random.choose(inDomain) ?? random.choose(inRegion) ??
       random.choose(ahead);
   }
 
-  #isAhead(incarnation: string): boolean {
-    const version = this.#peerVersions.get(incarnation);
-    return version > Math.max(
-      this.#options.holder.version,
-      this.#refusedVersion,
-    );
+  #isAhead({ version }: VersionNotice): boolean {
+    const { holder } = this.#options;
+    return version > Math.max(holder.version, this.#refusedVersion);
   }
 }
--- a/src/daemon/create_admin_app.ts
+++ b/src/daemon/create_admin_app.ts
@@ -56,6 +56,10 @@
     "/v1/status",
     (context) => context.json(describeStatus(environment, options.isReady())),
   );
+  app.get("/v1/configuration", (context) => {
+    const { digest, version } = environment.configuration;
+    return context.json({ version, digest, isReady: options.isReady() });
+  });
   app.get("/v1/journal", (context) => {
     const sinceMs = context.req.query("sinceMs");
     const filter = {
@@ -70,7 +74,7 @@
     );
   });
   app.post("/v1/drain", (context) => {
-    backend.leave();
+    backend.drain();
     return context.json({ state: backend.state });
   });
   app.post("/v1/undrain", (context) => {
