--- a/src/daemon/create_admin_app.ts
+++ b/src/daemon/create_admin_app.ts
@@ -95,12 +95,14 @@
 }
 
 function updateGauges(
-  { configuration, inboundAdmission, metrics }: CallEnvironment,
+  { configuration, inboundAdmission, keys, metrics, runs }: CallEnvironment,
 ): void {
   const load = inboundAdmission.describeLoad("");
   metrics.inFlight.set(load.inFlight);
   metrics.limit.set(load.limit);
   metrics.configurationVersion.set(configuration.version);
+  metrics.keysRemembered.set({ role: "holder" }, keys.size);
+  metrics.keysRemembered.set({ role: "runner" }, runs.size);
 }
 
 function describeStatus(environment: CallEnvironment, isReady: boolean) {
--- /dev/null
+++ b/src/idempotency/successor_table_test.ts
@@ -0,0 +1,51 @@
+import * as assert from "uvu/assert";
+import { test } from "uvu";
+import type { MemberRecord } from "../generated/types.ts";
+import { ManualClock } from "../testing/manual_clock.ts";
+import { KEY_LIFETIME_MS } from "./key_ledger.ts";
+import { SuccessorTable } from "./successor_table.ts";
+
+function createRecord(incarnation: string, successor: string): MemberRecord {
+  return {
+    ...{ incarnation, successor },
+    address: "127.0.0.1",
+    peerPort: 1,
+    region: "vlaanderen",
+    failureDomain: "gent-a",
+    startedAtMs: 0,
+    version: 1,
+    state: "leaving",
+    service: "",
+    slots: 0,
+    inFlight: 0,
+    warmAtMs: 0,
+  };
+}
+
+test("a holder without a known successor is its own", () => {
+  const table = new SuccessorTable(new ManualClock());
+  table.learn([createRecord("one", "")]);
+  assert.is(table.findHolder("one"), "one");
+});
+
+test("chains of successors are followed, circles end", () => {
+  const table = new SuccessorTable(new ManualClock());
+  table.learn([createRecord("one", "two"), createRecord("two", "three")]);
+  assert.is(table.findHolder("one"), "three");
+  table.learn([createRecord("three", "one")]);
+  assert.ok(["one", "two", "three"].includes(table.findHolder("one")));
+});
+
+test("a successor is known for as long as the keys may be used", () => {
+  const clock = new ManualClock();
+  const table = new SuccessorTable(clock);
+  table.learn([createRecord("one", "two")]);
+  clock.advance(KEY_LIFETIME_MS);
+  table.learn([]);
+  assert.is(table.findHolder("one"), "two");
+  clock.advance(1);
+  table.learn([]);
+  assert.is(table.findHolder("one"), "one");
+});
+
+test.run();
--- a/src/request/hand_over_keys.ts
+++ b/src/request/hand_over_keys.ts
@@ -70,6 +70,7 @@
     }
     if (offered.error === "unsure") {
       keyPlacement.lose();
+      recordLoss(environment, candidate, handover);
       return nothing;
     }
   }
@@ -192,6 +193,20 @@
   return { ...nothing, state, status, contentType, body };
 }
 
+function recordLoss(
+  { journal, log }: CallEnvironment,
+  { incarnation }: MemberRecord,
+  handover: KeyHandover,
+): void {
+  const facts = {
+    successor: incarnation,
+    usedKeys: handover.outcomes.length,
+    isAcknowledged: false,
+  };
+  journal.record(DECISIONS.keyHandOver, facts);
+  log.warn(facts, "key-hand-over-unacknowledged");
+}
+
 function recordHandOver(
   { journal, log }: CallEnvironment,
   { incarnation }: MemberRecord,
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -82,6 +82,14 @@
     registers: [this.registry],
   });
 
+  /** Used idempotency keys that are remembered, by the role of the memory. */
+  readonly keysRemembered = new Gauge({
+    name: "celeryhollow_keys_remembered",
+    help: "Used idempotency keys that are remembered",
+    labelNames: ["role"] as const,
+    registers: [this.registry],
+  });
+
   /** Configuration version in force. */
   readonly configurationVersion = new Gauge({
     name: "celeryhollow_configuration_version",
