--- /dev/null
+++ b/src/measure/capacity/measure_key_bytes.ts
@@ -0,0 +1,70 @@
+/**
+ * Memory that one used idempotency key takes at its holder.
+ */
+
+import process from "node:process";
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
+import { ok } from "neverthrow";
+import { KeyLedger } from "../../idempotency/mod.ts";
+import { ManualClock } from "../../testing/manual_clock.ts";
+
+/** Memory at one number of keys. */
+export interface KeySample {
+  readonly keys: number;
+  readonly heapBytes: number;
+}
+
+const ANSWER_BYTES = 200;
+
+/**
+ * Measures the heap of ledgers that remember an answer for each key.
+ *
+ * @param counts - Numbers of keys
+ * @returns Heap used at each number
+ *
+ * @example
+ * const samples = await measureKeyBytes([5_000, 10_000]);
+ */
+export async function measureKeyBytes(
+  counts: readonly number[],
+): Promise<KeySample[]> {
+  setFlagsFromString("--expose-gc");
+  const collectGarbage = runInNewContext("gc") as () => void;
+  const samples: KeySample[] = [];
+  for (const keys of counts) {
+    collectGarbage();
+    const before = readBytes();
+    const ledger = await fillLedger(keys);
+    collectGarbage();
+    samples.push({ keys: ledger.size, heapBytes: readBytes() - before });
+  }
+  return samples;
+}
+
+async function fillLedger(keys: number): Promise<KeyLedger> {
+  const clock = new ManualClock();
+  const incarnation = "10.0.0.1:7102/holder";
+  const ledger = new KeyLedger({ incarnation, fleetToken: "token", clock });
+  for (let sequence = 1; sequence <= keys; sequence += 1) {
+    const key = { holder: incarnation, issuedAtMs: clock.nowMs(), sequence };
+    await ledger.runOnce(key, {
+      attempt: 0,
+      dispatch: () =>
+        Promise.resolve(ok({
+          status: 200,
+          contentType: "application/json",
+          body: new Uint8Array(ANSWER_BYTES),
+          unusedAllowance: 0,
+          loads: [],
+        })),
+      settle: () => undefined,
+    });
+  }
+  return ledger;
+}
+
+function readBytes(): number {
+  const { heapUsed, arrayBuffers } = process.memoryUsage();
+  return heapUsed + arrayBuffers;
+}
--- /dev/null
+++ b/src/measure/capacity/measurements.ts
@@ -0,0 +1,53 @@
+/**
+ * Form of the committed measurements that the capacity page is computed from.
+ */
+
+import type { Line } from "./fit_line.ts";
+import type { CallCostSample } from "./measure_call_costs.ts";
+
+/** Lines of the membership experiment that the page uses. */
+export const MEMBERSHIP_LINES = [
+  "memberBytesByMembers",
+  "delegateBytesByMembers",
+  "memberBytesByDomains",
+  "delegateBytesByDomains",
+  "changeBytesByMembers",
+  "delegateChangeBytesByDomains",
+  "cpuMsByMembers",
+  "cpuMsByDomains",
+  "detectByMembers",
+] as const;
+
+/** One of {@link MEMBERSHIP_LINES}. */
+export type MembershipLine = (typeof MEMBERSHIP_LINES)[number];
+
+/** What the `membership` experiment found, as far as it is used. */
+export interface MembershipMeasurements {
+  readonly detectP99Ms: number;
+  readonly falseEvictions: number;
+  readonly slopes: Readonly<Record<MembershipLine, Line>>;
+  readonly recordBytes: Line;
+  readonly processes: readonly {
+    readonly daemons: number;
+    readonly residentMb: number;
+    readonly bareNodeMb: number;
+    readonly controlMb: number;
+    readonly coreRatio: number;
+  }[];
+  readonly samples: readonly {
+    readonly daemons: number;
+    readonly startReadsPerDaemon: number;
+    readonly startWritesPerDaemon: number;
+    readonly steadyReadsPerSecond: number;
+  }[];
+}
+
+/** All measurements. */
+export interface Measurements {
+  readonly measuredOn: string;
+  readonly membership: MembershipMeasurements;
+  readonly entryCpuMsPerCall: Line;
+  readonly backendCpuMsPerCall: Line;
+  readonly callSamples: readonly CallCostSample[];
+  readonly keyBytes: Line;
+}
--- /dev/null
+++ b/src/measure/capacity/render_capacity.ts
@@ -0,0 +1,119 @@
+/**
+ * The capacity page as Markdown.
+ */
+
+import type { CapacityRow } from "./compute_capacity.ts";
+import {
+  CHANGES_PER_SECOND,
+  computeCapacity,
+  MEMBERS_PER_DOMAIN,
+  round,
+} from "./compute_capacity.ts";
+import type { Measurements } from "./measurements.ts";
+import { ASSUMED, TARGET_SIZES } from "./target_sizes.ts";
+
+const PERCENT = 100;
+const RUMOR_DATAGRAMS_PER_SECOND = 6;
+const DATAGRAM_BYTES = 1_228;
+const RECORDS_PER_DATAGRAM = 7;
+const FANOUT = 4;
+const DOMAIN_EVICTION_RATIO = 0.2;
+
+/**
+ * Renders the page.
+ *
+ * @param measurements - What was measured
+ * @param notes - Text that follows the tables
+ * @returns The page
+ *
+ * @example
+ * await writeFile("docs/CAPACITY.md", renderCapacity(measurements, notes));
+ */
+export function renderCapacity(
+  measurements: Measurements,
+  notes: string,
+): string {
+  const rows = computeCapacity(measurements);
+  return [
+    "# Capacity at the two-year size",
+    "",
+    "Computed by `npm run capacity` from `src/measure/capacity/measured.json`" +
+    ` (measured on ${measurements.measuredOn}); do not edit the tables.`,
+    "",
+    ...renderSizes(),
+    "## Figures by role",
+    "",
+    "Headroom is the limit divided by the figure; below 1 the figure is over its limit.",
+    "The residual is the largest distance of a measured point from its line, relative to the largest value.",
+    "",
+    "| Role | Figure | At the size | Limit | Headroom | Residual | Worked out from | Carried by |",
+    "| --- | --- | --- | --- | --- | --- | --- | --- |",
+    ...rows.map(renderRow),
+    "",
+    ...renderBadDay(measurements),
+    notes.trimEnd(),
+    "",
+  ].join("\n");
+}
+
+function renderSizes(): string[] {
+  const { daemons, services, regions, failureDomains, callsPerSecond, depth } =
+    TARGET_SIZES;
+  return [
+    `Inputs: ${daemons} instances in ${services} services, ${regions} regions, ${failureDomains} failure domains` +
+    ` (${MEMBERS_PER_DOMAIN} daemons each), ${callsPerSecond} calls/s up to ${depth} deep,` +
+    ` ${TARGET_SIZES.configurationChangesPerDay} configuration changes, ${TARGET_SIZES.failuresPerDay} failures` +
+    ` and ${TARGET_SIZES.restartsPerDay} restarts a day.`,
+    "",
+    `Assumed, since the letter does not say: each service calls ${ASSUMED.callsPerService} others,` +
+    ` callers address every service, ${
+      ASSUMED.nonRepeatableRatio * PERCENT
+    }% of calls are non-repeatable,` +
+    ` a restart makes ${ASSUMED.changesPerRestart} changes of a record (${
+      round(CHANGES_PER_SECOND)
+    } changes/s over the fleet),` +
+    ` a rack holds ${ASSUMED.vmsPerRack} VMs.`,
+    "",
+  ];
+}
+
+function renderRow(row: CapacityRow): string {
+  const limit = row.limit === undefined
+    ? "none stated"
+    : `${round(row.limit)} ${row.unit}`;
+  const headroom = row.limit === undefined ? "" : round(row.limit / row.value);
+  return `| ${row.role} | ${row.figure} | ${
+    round(row.value)
+  } ${row.unit} | ${limit} | ${headroom} | ${
+    round(row.residualRatio * PERCENT)
+  }% | ${row.working} | ${row.mechanism} |`;
+}
+
+function renderBadDay({ membership }: Measurements): string[] {
+  const datagrams = Math.ceil(ASSUMED.vmsPerRack * 2 / RECORDS_PER_DATAGRAM) *
+    FANOUT;
+  const burst = RUMOR_DATAGRAMS_PER_SECOND * DATAGRAM_BYTES * 2;
+  const evictions = Math.floor(MEMBERS_PER_DOMAIN * DOMAIN_EVICTION_RATIO);
+  const detect = membership.slopes.detectByMembers;
+  const detectMs = detect.intercept + detect.slope * MEMBERS_PER_DOMAIN;
+  return [
+    "## The bad day",
+    "",
+    "| Event | What happens | Cost |",
+    "| --- | --- | --- |",
+    `| A VM fails | Its failure domain evicts it; delegates pass it on | ${
+      round(detectMs)
+    } ms at p99 by the line (${
+      round(detect.residualRatio * PERCENT)
+    }% residual); worst measured ${round(membership.detectP99Ms)} ms |`,
+    `| A rack of ${ASSUMED.vmsPerRack} VMs fails | Suspicions and evictions, within the cap of ${evictions} a minute in the domain | ${datagrams} datagrams with rumors from each daemon of the domain, at most ${
+      round(burst)
+    } B/s sent and received by the budget of the rumors: over 4,096 B/s for ${
+      round(datagrams / RUMOR_DATAGRAMS_PER_SECOND)
+    } s |`,
+    "| A failure domain is lost or cut off | Each other domain's three delegates mark it unreachable; its records are kept, and it keeps its own | Three changes of a record in each domain, and nothing for each of its members |",
+    "| Regions lose each other for minutes | As before, for each domain of the other region | At the end each pair of domains compares 64 fingerprints and exchanges what differs |",
+    "| Everything restarts | First reads of seed lists, joins, then own domain, called services, other services | See the store's third line; the time at this size is not measured |",
+    "",
+  ];
+}
--- a/src/measure/membership/measure_processes.ts
+++ b/src/measure/membership/measure_processes.ts
@@ -3,12 +3,11 @@
  */
 
 import { spawn } from "node:child_process";
-import type { ChildProcess } from "node:child_process";
-import { readFile } from "node:fs/promises";
 import { claimNetwork } from "../../testing/claim_network.ts";
 import { createMorningFleet } from "../create_morning_fleet.ts";
 import { Fleet } from "../fleet.ts";
 import type { VmPlan } from "../fleet.ts";
+import { readProcessUsage } from "../read_process_usage.ts";
 
 /** What was measured with one number of processes. */
 export interface ProcessSample {
@@ -23,9 +22,6 @@
 
 const SETTLE_MS = 15_000;
 const WINDOW_MS = 15_000;
-const TICKS_PER_SECOND = 100;
-const KB_PER_MB = 1_024;
-const MS_PER_SECOND = 1_000;
 
 /**
  * Measures daemons that serve no load.
@@ -49,20 +45,22 @@
   try {
     await fleet.start();
     await sleep(SETTLE_MS);
-    const processes = fleet.vms.map(({ daemon }) => daemon);
-    const before = await Promise.all(processes.map(readTicks));
+    const readAll = () =>
+      Promise.all(fleet.vms.map(({ daemon }) => readProcessUsage(daemon.pid)));
+    const before = await readAll();
     await sleep(WINDOW_MS);
-    const after = await Promise.all(processes.map(readTicks));
-    const ticks = after.map((value, index) => value - (before[index] ?? 0));
-    const residentMb = average(await Promise.all(processes.map(readResident)));
-    const bareNodeMb = await readResident(bare);
-    const seconds = WINDOW_MS / MS_PER_SECOND;
+    const after = await readAll();
+    const cpuMs = after.map((usage, index) =>
+      usage.cpuMs - (before[index]?.cpuMs ?? 0)
+    );
+    const residentMb = average(after.map((usage) => usage.residentMb));
+    const bareNodeMb = (await readProcessUsage(bare.pid)).residentMb;
     return {
       daemons,
       residentMb,
       bareNodeMb,
       controlMb: residentMb - bareNodeMb,
-      coreRatio: average(ticks) / TICKS_PER_SECOND / seconds,
+      coreRatio: average(cpuMs) / WINDOW_MS,
     };
   } finally {
     bare.kill("SIGKILL");
@@ -80,17 +78,6 @@
   });
 }
 
-async function readTicks({ pid }: ChildProcess): Promise<number> {
-  const stat = await readFile(`/proc/${pid}/stat`, "utf8");
-  const fields = stat.slice(stat.lastIndexOf(")") + 2).split(" ");
-  return Number(fields[11]) + Number(fields[12]);
-}
-
-async function readResident({ pid }: ChildProcess): Promise<number> {
-  const status = await readFile(`/proc/${pid}/status`, "utf8");
-  return Number(/VmRSS:\s+(\d+)/.exec(status)?.[1] ?? 0) / KB_PER_MB;
-}
-
 function average(values: readonly number[]): number {
   return values.reduce((sum, value) => sum + value, 0) / values.length;
 }
--- a/src/membership/gossip_membership.ts
+++ b/src/membership/gossip_membership.ts
@@ -22,12 +22,15 @@
 import { GossipLink } from "./gossip_link.ts";
 import type { GossipTraffic } from "./gossip_link.ts";
 import { InstanceView } from "./instance_view.ts";
-import { MemberTable, MERGE_OUTCOMES } from "./member_table.ts";
+import { MemberTable } from "./member_table.ts";
 import { Membership } from "./membership.ts";
 import type { OwnRecordChange } from "./membership.ts";
 import { RecordPuller } from "./record_puller.ts";
+import { RecordIntake } from "./record_intake.ts";
 import { Rejoiner } from "./rejoiner.ts";
 import { RemoteContacts } from "./remote_contacts.ts";
+import { routeMessage } from "./route_message.ts";
+import type { MessageParts } from "./route_message.ts";
 import { RumorQueue } from "./rumor_queue.ts";
 import { RumorSpreader } from "./rumor_spreader.ts";
 import { SeedKeeper } from "./seed_keeper.ts";
@@ -85,8 +88,9 @@
   readonly #seedKeeper: SeedKeeper;
   readonly #spreader: RumorSpreader;
   readonly #rejoiner: Rejoiner;
+  readonly #intake: RecordIntake;
+  readonly #parts: MessageParts;
   #isDelegate = false;
-  #isLearning = false;
   #lastTickAtMs: number;
   #nextProbeAtMs: number;
   #stopTimers: () => void = () => undefined;
@@ -129,6 +133,17 @@
       contacts: this.#contacts,
       join: (address) => this.#rejoiner.join(address),
     });
+    this.#intake = new RecordIntake(context, {
+      interest: this.#interest,
+      contacts: this.#contacts,
+      seen: this.#seen,
+    });
+    this.#parts = {
+      detector: this.#detector,
+      antiEntropy: this.#antiEntropy,
+      puller: this.#puller,
+      rejoiner: this.#rejoiner,
+    };
     this.#lastTickAtMs = clock.monotonicMs();
     this.#nextProbeAtMs = this.#lastTickAtMs +
       random.nextRatio() * PROBE_INTERVAL_MS;
@@ -282,33 +297,8 @@
 
   #handle(message: GossipMessage, source: string): void {
     this.#noteSender(message, source);
-    this.#takeRecords(message, source);
-    switch (message.kind) {
-      case "join":
-        this.#rejoiner.handleJoin(message, source);
-        break;
-      case "ping":
-        this.#detector.handlePing(message, source);
-        this.#rejoiner.greetStranger(message, source);
-        break;
-      case "ack":
-        this.#detector.handleAck(message);
-        break;
-      case "ping-request":
-        this.#detector.handlePingRequest(message, source);
-        break;
-      case "digest":
-        this.#antiEntropy.handleDigest(message, source);
-        break;
-      case "pull":
-        this.#puller.handlePull(message, source);
-        break;
-      case "push":
-        this.#puller.handleAnswer(message);
-    }
-    if (message.kind === "ping" || message.kind === "ack") {
-      this.#antiEntropy.noteDigest(message, source);
-    }
+    this.#intake.take(message, source);
+    routeMessage(this.#parts, message, source);
   }
 
   #noteSender(message: GossipMessage, source: string): void {
@@ -325,51 +315,8 @@
     }
   }
 
-  #takeRecords(message: GossipMessage, source: string): void {
-    const newer: MemberRecord[] = [];
-    this.#isLearning = message.kind === "push" && message.isReply === true;
-    for (const record of message.records) {
-      const isStale = this.#takeRecord(record);
-      const known = this.#table.get(record.incarnation);
-      if (isStale && known) {
-        newer.push(known);
-      }
-    }
-    this.#isLearning = false;
-    const [first] = newer;
-    if (first) {
-      this.#link.send(source, {
-        kind: "push",
-        sequence: 0,
-        isReply: true,
-        records: [first],
-      });
-    }
-  }
-
-  /** Takes one record; tells whether the sender should hear of a newer one. */
-  #takeRecord(record: MemberRecord): boolean {
-    if (record.failureDomain !== this.self.failureDomain) {
-      this.#contacts.add(record.failureDomain, nameTarget(record));
-    }
-    if (this.#isKept(record)) {
-      return this.#table.merge(record) === MERGE_OUTCOMES.stale;
-    }
-    if (!this.#isLearning && this.#seen.isNews(record)) {
-      this.#rumors.add(record);
-    }
-    return false;
-  }
-
-  #isKept(record: MemberRecord): boolean {
-    return record.failureDomain === this.self.failureDomain ||
-      this.#isDelegate || this.#table.get(record.incarnation) !== undefined ||
-      this.#seen.isExpected(record.incarnation) ||
-      this.#interest.wants(record.service, this.self.service);
-  }
-
   #noteChange(record: MemberRecord, previous: MemberRecord | undefined): void {
-    if (!this.#isLearning || previous) {
+    if (!this.#intake.isLearning || previous) {
       this.#rumors.add(record);
     }
     this.#view.noteChange(record, previous);
