--- a/src/request/forward_to_holder.ts
+++ b/src/request/forward_to_holder.ts
@@ -38,7 +38,7 @@
   const attempt = call.attempt;
   let isSent = false;
   while (clock.monotonicMs() < call.deadlineAtMs && !call.signal.aborted) {
-    const target = findHolder(environment, holder);
+    const target = await findHolder(environment, holder);
     if (!target) {
       break;
     }
@@ -66,12 +66,19 @@
   return describeMissingHolder(call, isSent);
 }
 
-function findHolder(
+/** Finds the daemon that holds the keys; others are asked where it is outside the own view. */
+async function findHolder(
   { membership, successors }: CallEnvironment,
   holder: string,
-): MemberRecord | undefined {
+): Promise<MemberRecord | undefined> {
   successors.learn(membership.listAll());
-  const record = membership.find(successors.findHolder(holder));
+  const current = successors.findHolder(holder);
+  let record = membership.find(current) ?? await membership.lookUp(current);
+  if (record && record.successor !== "") {
+    successors.learn([record]);
+    const next = successors.findHolder(holder);
+    record = membership.find(next) ?? await membership.lookUp(next);
+  }
   return record?.state === "dead" ? undefined : record;
 }
 
