Test leaving with stale views and with requests longer than the notice

Two of three instances leave while the entry goes on believing in all three: 12 of 12 calls without a retry allowance are answered by the third.

--- /dev/null
+++ b/src/daemon/leaving_test.ts
@@ -0,0 +1,129 @@
+import { suite } from "uvu";
+import * as assert from "uvu/assert";
+import { createTestConfiguration } from "../testing/create_test_configuration.ts";
+import { SmallFleet, waitUntil } from "../testing/small_fleet.ts";
+import { TestCaller } from "../testing/test_caller.ts";
+import type { TestOutcome } from "../testing/test_caller.ts";
+
+interface Context {
+  fleet: SmallFleet;
+  caller: TestCaller;
+}
+
+const SERVICES = [
+  "round-planning",
+  "price-sheets",
+  "price-sheets",
+  "price-sheets",
+];
+const LONG_MS = 30_000;
+/** Longer than a stopping daemon gives notice. */
+const WORK_MS = 1_500;
+
+const test = suite<Context>("leaving of backend servers and daemons");
+
+test.before.each(async (context) => {
+  const configuration = createTestConfiguration();
+  context.caller = new TestCaller();
+  context.fleet = new SmallFleet({
+    vms: SERVICES.map((service, index) => ({
+      service,
+      address: `127.70.1.${index + 1}`,
+    })),
+    storeAddress: "127.70.1.200",
+    drainTimeoutMs: LONG_MS,
+    configuration: {
+      ...configuration,
+      requests: configuration.requests.map((request) => ({
+        ...request,
+        deadlineMs: LONG_MS,
+        retryAllowance: 0,
+      })),
+    },
+  });
+  await context.fleet.start();
+});
+
+test.after.each(async ({ caller, fleet }) => {
+  await caller.close();
+  await fleet.stop();
+});
+
+function send(
+  { caller, fleet }: Context,
+  requestId: string,
+  entry = 0,
+): Promise<TestOutcome> {
+  return caller.send({
+    entryUrl: fleet.entryUrl(entry),
+    service: "price-sheets",
+    method: "GET",
+    path: "/sheets/1",
+    requestId,
+    member: "member-1",
+    timeoutMs: LONG_MS,
+  });
+}
+
+/** Lets the entry go on believing that every instance takes new work. */
+function keepStaleView(fleet: SmallFleet): void {
+  const membership = fleet.daemons[0]?.environment.membership;
+  assert.ok(membership);
+  if (membership) {
+    const instances = membership.listInstances("price-sheets");
+    assert.is(instances.length, 3);
+    membership.listInstances = () => instances;
+  }
+}
+
+test("a refusal by a leaving instance is sent on, though the request may not be retried", async (context) => {
+  const { fleet } = context;
+  keepStaleView(fleet);
+  fleet.daemons[1]?.environment.backend.leave();
+  fleet.daemons[2]?.environment.backend.leave();
+  for (let call = 0; call < 12; call += 1) {
+    assert.is((await send(context, `request-${call}`)).outcome, "answered");
+  }
+  assert.equal(
+    fleet.backendServers.map(({ runs }) => runs.length),
+    [0, 0, 0, 12],
+  );
+});
+
+test("with every instance leaving the call is refused and not run", async (context) => {
+  const { fleet } = context;
+  keepStaleView(fleet);
+  fleet.daemons.slice(1).forEach(({ environment }) =>
+    environment.backend.leave()
+  );
+  const { outcome } = await send(context, "request-1");
+  assert.is(outcome, "refused-not-run");
+  assert.is(fleet.listRuns("price-sheets").length, 0);
+});
+
+test("a stopping daemon finishes what runs, and ends its callers' connections", async (context) => {
+  const { fleet } = context;
+  for (const { behavior } of fleet.backendServers) {
+    behavior.serviceTimeMs = WORK_MS;
+  }
+  const running = [1, 2, 3].map((entry) =>
+    send(context, `running-${entry}`, entry)
+  );
+  await waitUntil(() => fleet.activeCount === 3);
+  const stopped = fleet.daemons[1]?.stop();
+  const late = await fetch(`${fleet.entryUrl(1)}/call/price-sheets/sheets/2`);
+  await late.text();
+  assert.is(late.headers.get("celeryhollow-outcome"), "answered");
+  assert.is(late.headers.get("connection"), "close");
+  const outcomes = await Promise.all(running);
+  assert.equal(outcomes.map(({ outcome }) => outcome), [
+    "answered",
+    "answered",
+    "answered",
+  ]);
+  await stopped;
+  const runs = fleet.backendServers.flatMap(({ runs }) => runs);
+  assert.ok(runs.every(({ isFinished }) => isFinished));
+});
+
+test.run();
--- a/src/testing/small_fleet.ts
+++ b/src/testing/small_fleet.ts
@@ -32,6 +32,8 @@
   readonly storeAddress: string;
   readonly configuration?: Configuration;
   readonly protection?: "on" | "off";
+  /** Longest wait of a stopping daemon for requests in progress; next to none by default. */
+  readonly drainTimeoutMs?: number;
   /** Addresses of links to be used in place of a VM's own address. */
   readonly links?: Readonly<Record<string, string>>;
 }
@@ -132,7 +134,7 @@
       seeds: "",
       logLevel: "error",
       randomSeed: 7,
-      drainTimeoutMs: 1,
+      drainTimeoutMs: this.#plan.drainTimeoutMs ?? 1,
       maxBodyBytes: 1_048_576,
     };
     const links = this.#plan.links ?? {};
