Forget unneeded records after a daemon stops being a delegate; membership metrics

Cause: a former delegate kept the records of the whole fleet. It now drops those it does not need once a minute; a test sees it.

--- a/src/daemon/create_admin_app.ts
+++ b/src/daemon/create_admin_app.ts
@@ -6,6 +6,7 @@
 import { createHash } from "node:crypto";
 import { Hono } from "hono";
 import type { Context } from "hono";
+import { updateMembershipGauges } from "../membership/mod.ts";
 import type { CallEnvironment } from "../request/mod.ts";
 
 /** What the interface needs beside the parts that serve requests. */
@@ -91,12 +92,13 @@
 }
 
 function updateGauges(
-  { configuration, inboundAdmission, metrics }: CallEnvironment,
+  { configuration, inboundAdmission, membership, metrics }: CallEnvironment,
 ): void {
   const load = inboundAdmission.describeLoad("");
   metrics.inFlight.set(load.inFlight);
   metrics.limit.set(load.limit);
   metrics.configurationVersion.set(configuration.version);
+  updateMembershipGauges(metrics, membership);
 }
 
 function describeStatus(environment: CallEnvironment, isReady: boolean) {
--- a/src/membership/gossip_membership.ts
+++ b/src/membership/gossip_membership.ts
@@ -49,6 +49,9 @@
 /** Interval at which an awaited record is looked for, in milliseconds. */
 const LOOK_UP_POLL_MS = 20;
 
+/** Interval at which records that are not needed any more are forgotten, in milliseconds. */
+const FORGET_INTERVAL_MS = 60_000;
+
 /** Datagrams in which the last state of a stopping daemon is told. */
 const FAREWELL_FANOUT = 6;
 
@@ -93,6 +96,7 @@
   #isDelegate = false;
   #lastTickAtMs: number;
   #nextProbeAtMs: number;
+  #nextForgetAtMs = 0;
   #stopTimers: () => void = () => undefined;
 
   constructor(options: GossipMembershipOptions) {
@@ -158,7 +162,7 @@
   }
 
   /** Bytes and datagrams since the start. */
-  get traffic(): Readonly<GossipTraffic> {
+  override get traffic(): Readonly<GossipTraffic> {
     return this.#link.traffic;
   }
 
@@ -271,6 +275,17 @@
     this.#seedKeeper.tick();
     this.#rejoiner.tick();
     this.#table.forgetDead();
+    this.#forgetUnwanted();
+  }
+
+  #forgetUnwanted(): void {
+    const nowMs = this.#options.clock.monotonicMs();
+    if (nowMs >= this.#nextForgetAtMs) {
+      this.#nextForgetAtMs = nowMs + FORGET_INTERVAL_MS;
+      this.#intake.dropUnwanted().forEach((record) =>
+        this.#view.noteChange(record, undefined)
+      );
+    }
   }
 
   #updateDelegates(): void {
--- a/src/membership/gossip_membership_test.ts
+++ b/src/membership/gossip_membership_test.ts
@@ -312,6 +312,27 @@
   assert.ok(isListed());
 });
 
+test("a daemon that is no delegate any more forgets what it does not need", async () => {
+  const fleet = await startFleet({ domains: 4, services: 16 });
+  const delegate = fleet.members.find(({ membership }) =>
+    membership.isDelegate
+  );
+  assert.ok(delegate);
+  assert.is(delegate?.membership.listAll().length, fleet.members.length);
+  delegate?.membership.updateSelf({ state: "leaving" });
+  await fleet.run(130_000);
+  assert.not(delegate?.membership.isDelegate);
+  const { service = "", failureDomain } = delegate?.record ?? {};
+  const number = Number(service.split("-")[1]);
+  const wanted = [0, number + 1, number + 2, number + 3].map((index) =>
+    `service-${index % 16}`
+  );
+  const others = delegate?.membership.listAll().filter((record) =>
+    record.failureDomain !== failureDomain && !wanted.includes(record.service)
+  );
+  assert.equal(others, []);
+});
+
 test("a member outside the own view is found by asking", async () => {
   const fleet = await startFleet({ domains: 4, services: 16 });
   const asker = fleet.members.find(({ membership }) => !membership.isDelegate);
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -22,6 +22,12 @@
   notice: PeerConfigurationNotice,
 ) => void;
 
+/** Bytes of control messages. */
+export interface MembershipTraffic {
+  readonly sentBytes: number;
+  readonly receivedBytes: number;
+}
+
 /** Knowledge of the fleet. */
 export abstract class Membership {
   readonly #configurationListeners = new Set<PeerConfigurationListener>();
@@ -51,6 +57,11 @@
     // Without gossip the next record of the instance tells.
   }
 
+  /** Bytes of control messages since the start, with their headers. */
+  get traffic(): MembershipTraffic {
+    return { sentBytes: 0, receivedBytes: 0 };
+  }
+
   /** The record of one incarnation; peers are asked where it is not known here. */
   lookUp(incarnation: string): Promise<MemberRecord | undefined> {
     return Promise.resolve(this.find(incarnation));
--- a/src/membership/mod.ts
+++ b/src/membership/mod.ts
@@ -16,8 +16,10 @@
 export type { EvictionSizes } from "./eviction_guard.ts";
 export { Membership } from "./membership.ts";
 export type {
+  MembershipTraffic,
   OwnRecordChange,
   PeerConfigurationListener,
   PeerConfigurationNotice,
 } from "./membership.ts";
 export { UdpTransport } from "./udp_transport.ts";
+export { updateMembershipGauges } from "./update_membership_gauges.ts";
--- a/src/membership/record_intake.ts
+++ b/src/membership/record_intake.ts
@@ -55,6 +55,16 @@
     }
   }
 
+  /** Forgets records of other failure domains that are not needed any more; gives them. */
+  dropUnwanted(): MemberRecord[] {
+    const { table } = this.#context;
+    const unwanted = table.list().filter((record) =>
+      record.state !== "dead" && !this.#isWanted(record)
+    );
+    unwanted.forEach(({ incarnation }) => table.forget(incarnation));
+    return unwanted;
+  }
+
   /** Takes one record; tells whether the sender should hear of a newer one. */
   #takeOne(record: MemberRecord): boolean {
     const { rumors, table } = this.#context;
@@ -71,11 +81,16 @@
     return false;
   }
 
-  #isKept({ failureDomain, incarnation, service }: MemberRecord): boolean {
+  #isKept(record: MemberRecord): boolean {
+    return this.#context.table.get(record.incarnation) !== undefined ||
+      this.#isWanted(record);
+  }
+
+  #isWanted({ failureDomain, incarnation, service }: MemberRecord): boolean {
     const { isDelegate, table } = this.#context;
     const { interest, seen } = this.#options;
     return failureDomain === table.self.failureDomain || isDelegate() ||
-      table.get(incarnation) !== undefined || seen.isExpected(incarnation) ||
+      seen.isExpected(incarnation) ||
       interest.wants(service, table.self.service);
   }
 }
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -88,4 +88,20 @@
     help: "Configuration version in force",
     registers: [this.registry],
   });
+
+  /** Members that this daemon knows, by state. */
+  readonly members = new Gauge({
+    name: "celeryhollow_members",
+    help: "Members that this daemon knows",
+    labelNames: ["state"] as const,
+    registers: [this.registry],
+  });
+
+  /** Bytes of membership messages since the start, by direction. */
+  readonly membershipBytes = new Gauge({
+    name: "celeryhollow_membership_bytes",
+    help: "Bytes of membership messages since the start, with headers",
+    labelNames: ["direction"] as const,
+    registers: [this.registry],
+  });
 }
