Send what a stopping daemon says last before its socket closes

Cause: the socket was closed in the same turn as the farewell datagrams were handed over, so none left; a stopped daemon was found dead only by probes. The periodic duties, addresses and start order have files of their own; two copies of address parsing are one.

--- a/src/membership/gossip_membership.ts
+++ b/src/membership/gossip_membership.ts
@@ -11,12 +11,11 @@
 import type { DecisionJournal, Logger } from "../telemetry/mod.ts";
 import type { Clock, RandomSource } from "../time/mod.ts";
 import { AntiEntropy } from "./anti_entropy.ts";
-import { chooseDelegates } from "./choose_delegates.ts";
 import type { DatagramTransport } from "./datagram_transport.ts";
 import { DomainExchange } from "./domain_exchange.ts";
 import { CappedEvictionGuard } from "./eviction_guard.ts";
 import type { EvictionGuard } from "./eviction_guard.ts";
-import { FailureDetector, PROBE_INTERVAL_MS } from "./failure_detector.ts";
+import { FailureDetector } from "./failure_detector.ts";
 import { nameTarget } from "./gossip_context.ts";
 import type { GossipContext } from "./gossip_context.ts";
 import { GossipLink } from "./gossip_link.ts";
@@ -26,6 +25,8 @@
 import { Membership } from "./membership.ts";
 import type { OwnRecordChange } from "./membership.ts";
 import { RecordPuller } from "./record_puller.ts";
+import { parseTarget } from "./parse_target.ts";
+import { PeriodicDuties, TICK_INTERVAL_MS } from "./periodic_duties.ts";
 import { RecordIntake } from "./record_intake.ts";
 import { Rejoiner } from "./rejoiner.ts";
 import { RemoteContacts } from "./remote_contacts.ts";
@@ -37,21 +38,12 @@
 import { SeenRumors } from "./seen_rumors.ts";
 import { ServiceInterest } from "./service_interest.ts";
 
-/** Interval at which news is sent and short deadlines are checked, in milliseconds. */
-const TICK_INTERVAL_MS = 100;
-
-/** Gap between two ticks from which the daemon counts as having been paused, in milliseconds. */
-const PAUSE_MS = 1_000;
-
 /** Wait for the answer of peers that are asked for an incarnation, in milliseconds. */
 const LOOK_UP_TIMEOUT_MS = 300;
 
 /** Interval at which an awaited record is looked for, in milliseconds. */
 const LOOK_UP_POLL_MS = 20;
 
-/** Interval at which records that are not needed any more are forgotten, in milliseconds. */
-const FORGET_INTERVAL_MS = 60_000;
-
 /** Datagrams in which the last state of a stopping daemon is told. */
 const FAREWELL_FANOUT = 6;
 
@@ -93,16 +85,13 @@
   readonly #rejoiner: Rejoiner;
   readonly #intake: RecordIntake;
   readonly #parts: MessageParts;
-  #isDelegate = false;
-  #lastTickAtMs: number;
-  #nextProbeAtMs: number;
-  #nextForgetAtMs = 0;
+  readonly #duties: PeriodicDuties;
   #stopTimers: () => void = () => undefined;
 
   constructor(options: GossipMembershipOptions) {
     super();
     this.#options = options;
-    const { clock, configuration, random, self } = options;
+    const { clock, configuration, self } = options;
     this.#table = new MemberTable({
       self,
       clock,
@@ -121,7 +110,7 @@
       link: this.#link,
       rumors: this.#rumors,
       journal: options.journal,
-      isDelegate: () => this.#isDelegate,
+      isDelegate: () => this.#duties.isDelegate,
     };
     const context = this.#context;
     this.#interest = new ServiceInterest(configuration, clock);
@@ -148,9 +137,16 @@
       puller: this.#puller,
       rejoiner: this.#rejoiner,
     };
-    this.#lastTickAtMs = clock.monotonicMs();
-    this.#nextProbeAtMs = this.#lastTickAtMs +
-      random.nextRatio() * PROBE_INTERVAL_MS;
+    this.#duties = new PeriodicDuties(context, {
+      detector: this.#detector,
+      exchange: this.#exchange,
+      puller: this.#puller,
+      spreader: this.#spreader,
+      rejoiner: this.#rejoiner,
+      seedKeeper: this.#seedKeeper,
+      intake: this.#intake,
+      view: this.#view,
+    });
   }
 
   override get self(): MemberRecord {
@@ -158,10 +154,9 @@
   }
 
   override get isDelegate(): boolean {
-    return this.#isDelegate;
+    return this.#duties.isDelegate;
   }
 
-  /** Bytes and datagrams since the start. */
   override get traffic(): Readonly<GossipTraffic> {
     return this.#link.traffic;
   }
@@ -169,7 +164,7 @@
   override listInstances(service: string): readonly MemberRecord[] {
     const instances = this.#view.list(service);
     if (
-      instances.length === 0 && !this.#isDelegate &&
+      instances.length === 0 && !this.isDelegate &&
       this.#interest.noteAsked(service)
     ) {
       this.#puller.restartNamed();
@@ -199,7 +194,7 @@
     const deadlineMs = clock.monotonicMs() + LOOK_UP_TIMEOUT_MS;
     this.#seen.expect(incarnation);
     if (!this.find(incarnation)) {
-      this.#listOwnDelegates().forEach((delegate) =>
+      this.#duties.listDelegates().forEach((delegate) =>
         this.#link.send(nameTarget(delegate), {
           kind: "pull",
           sequence: 0,
@@ -231,7 +226,7 @@
     const unsubscribe = configuration.subscribe(() => this.#puller.restart());
     const stopTicks = clock.scheduleEvery(
       TICK_INTERVAL_MS,
-      () => this.#tick(),
+      () => this.#duties.tick(),
     );
     this.#stopTimers = () => {
       stopTicks();
@@ -247,59 +242,6 @@
     await this.#link.close();
   }
 
-  #tick(): void {
-    const nowMs = this.#options.clock.monotonicMs();
-    if (nowMs - this.#lastTickAtMs > PAUSE_MS) {
-      this.#detector.restart();
-      this.#exchange.restart();
-    }
-    this.#lastTickAtMs = nowMs;
-    this.#spreader.refill(TICK_INTERVAL_MS);
-    this.#spreader.spread();
-    this.#exchange.flush();
-    this.#puller.pullDue();
-    if (nowMs >= this.#nextProbeAtMs) {
-      this.#nextProbeAtMs = Math.max(
-        this.#nextProbeAtMs + PROBE_INTERVAL_MS,
-        nowMs,
-      );
-      this.#tickSlowly();
-    }
-  }
-
-  #tickSlowly(): void {
-    this.#updateDelegates();
-    this.#detector.evictSuspects();
-    this.#detector.probeNext();
-    this.#exchange.probeNext();
-    this.#seedKeeper.tick();
-    this.#rejoiner.tick();
-    this.#table.forgetDead();
-    this.#forgetUnwanted();
-  }
-
-  #forgetUnwanted(): void {
-    const nowMs = this.#options.clock.monotonicMs();
-    if (nowMs >= this.#nextForgetAtMs) {
-      this.#nextForgetAtMs = nowMs + FORGET_INTERVAL_MS;
-      this.#intake.dropUnwanted().forEach((record) =>
-        this.#view.noteChange(record, undefined)
-      );
-    }
-  }
-
-  #updateDelegates(): void {
-    const delegates = this.#listOwnDelegates();
-    this.#isDelegate = delegates.some(({ incarnation }) =>
-      incarnation === this.self.incarnation
-    );
-    this.#view.updateUnreachable(delegates);
-  }
-
-  #listOwnDelegates(): MemberRecord[] {
-    return chooseDelegates(this.#table.listDomain(this.self.failureDomain));
-  }
-
   #createHead() {
     const { incarnation, failureDomain } = this.self;
     return {
@@ -317,12 +259,12 @@
   }
 
   #noteSender(message: GossipMessage, source: string): void {
-    const separator = source.lastIndexOf(":");
+    const { address, port } = parseTarget(source);
     this.notifyConfigurationVersion({
       version: message.configurationVersion,
       incarnation: message.sender,
-      address: source.slice(0, separator),
-      peerPort: Number(source.slice(separator + 1)),
+      address,
+      peerPort: port,
     });
     if (message.failureDomain !== this.self.failureDomain) {
       this.#contacts.add(message.failureDomain, source);
--- a/src/membership/member_table.ts
+++ b/src/membership/member_table.ts
@@ -6,6 +6,8 @@
 import type { MemberRecord } from "../generated/types.ts";
 import type { Clock } from "../time/mod.ts";
 import type { EvictionGuard } from "./eviction_guard.ts";
+import { nameTarget } from "./gossip_context.ts";
+import { isStartedLater } from "./is_started_later.ts";
 import { MemberIndex } from "./member_index.ts";
 import { MemberDigests } from "./member_digests.ts";
 import { supersedes } from "./supersedes.ts";
@@ -206,7 +208,7 @@
 
   /** Of two incarnations at one address only the later started can be alive. */
   #settleAddress(record: MemberRecord): MemberRecord {
-    const incarnation = this.#byAddress.get(nameAddress(record));
+    const incarnation = this.#byAddress.get(nameTarget(record));
     const holder = incarnation === undefined
       ? undefined
       : this.get(incarnation);
@@ -263,7 +265,7 @@
   }
 
   #noteAddress(record: MemberRecord): void {
-    const name = nameAddress(record);
+    const name = nameTarget(record);
     const holder = this.get(this.#byAddress.get(name) ?? "");
     if (!holder || isStartedLater(record, holder)) {
       this.#byAddress.set(name, record.incarnation);
@@ -274,7 +276,7 @@
     this.digests.toggle(record);
     this.#byDomain.remove(record.failureDomain, record.incarnation);
     this.#byService.remove(record.service, record.incarnation);
-    const name = nameAddress(record);
+    const name = nameTarget(record);
     if (this.#byAddress.get(name) === record.incarnation) {
       this.#byAddress.delete(name);
     }
@@ -296,13 +298,3 @@
   return next.state === "dead" && known.state !== "leaving" &&
     known.state !== "dead";
 }
-
-function isStartedLater(one: MemberRecord, other: MemberRecord): boolean {
-  return one.startedAtMs === other.startedAtMs
-    ? one.incarnation > other.incarnation
-    : one.startedAtMs > other.startedAtMs;
-}
-
-function nameAddress({ address, peerPort }: MemberRecord): string {
-  return `${address}:${peerPort}`;
-}
--- a/src/membership/udp_transport.ts
+++ b/src/membership/udp_transport.ts
@@ -6,6 +6,9 @@
 import type { Socket } from "node:dgram";
 import { DatagramTransport } from "./datagram_transport.ts";
 import type { DatagramHandler } from "./datagram_transport.ts";
+import { parseTarget } from "./parse_target.ts";
+
+const MAX_PORT = 65_535;
 
 /** Where a transport listens, and whom it tells of errors. */
 export interface UdpTransportOptions {
@@ -18,6 +21,8 @@
 export class UdpTransport extends DatagramTransport {
   readonly #options: UdpTransportOptions;
   #socket: Socket | undefined;
+  #sending = 0;
+  #notifyIdle: () => void = () => undefined;
 
   constructor(options: UdpTransportOptions) {
     super();
@@ -43,20 +48,36 @@
   }
 
   override send(bytes: Uint8Array, target: string): void {
-    const separator = target.lastIndexOf(":");
-    const port = Number(target.slice(separator + 1));
-    if (port > 0 && port <= 65_535) {
-      this.#socket?.send(bytes, port, target.slice(0, separator), () => {
-        // A datagram that cannot be sent counts as lost.
-      });
+    const { address, port } = parseTarget(target);
+    if (this.#socket && port > 0 && port <= MAX_PORT) {
+      this.#sending += 1;
+      // A datagram that cannot be sent counts as lost.
+      this.#socket.send(
+        bytes,
+        port,
+        address,
+        () => this.#noteSent(),
+      );
     }
   }
 
-  override close(): Promise<void> {
+  /** Stops once everything handed over has been sent. */
+  override async close(): Promise<void> {
     const socket = this.#socket;
     this.#socket = undefined;
-    return new Promise((resolve) =>
-      socket ? socket.close(() => resolve()) : resolve()
-    );
+    if (!socket) {
+      return;
+    }
+    if (this.#sending > 0) {
+      await new Promise<void>((resolve) => this.#notifyIdle = resolve);
+    }
+    await new Promise<void>((resolve) => socket.close(() => resolve()));
+  }
+
+  #noteSent(): void {
+    this.#sending -= 1;
+    if (this.#sending === 0) {
+      this.#notifyIdle();
+    }
   }
 }
