Split the spread of configurations into store, peers and intake

Change: ConfigurationIntake puts in force or refuses, PeerFetcher fetches while some peer is ahead, ConfigurationSpread follows the store.

--- a/src/configuration/configuration_spread.ts
+++ b/src/configuration/configuration_spread.ts
@@ -13,17 +13,14 @@
 import type { Clock, RandomSource } from "../time/mod.ts";
 import { chooseWatchers, WATCHERS_PER_DOMAIN } from "./choose_watchers.ts";
 import type { ConfigurationHolder } from "./configuration_holder.ts";
+import { ConfigurationIntake } from "./configuration_intake.ts";
 import type { ConfigurationPeers } from "./configuration_peers.ts";
 import type {
   ConfigurationReader,
   StoredHead,
 } from "./configuration_reader.ts";
-import {
-  readConfigurationTransfer,
-  WHOLE_DOCUMENT,
-} from "./configuration_transfer.ts";
-import type { TransferredConfiguration } from "./configuration_transfer.ts";
 import { isVersionConfirmed } from "./confirmation.ts";
+import { PeerFetcher } from "./peer_fetcher.ts";
 import { PeerVersions } from "./peer_versions.ts";
 import type { VersionNotice } from "./peer_versions.ts";
 
@@ -53,30 +50,31 @@
 /** Pauses after failed store calls. */
 const STORE_BACKOFF = { firstDelayMs: 500, maxDelayMs: 15_000 } as const;
 
-/** Pauses after rounds in which no peer gave what it told. */
-const FETCH_BACKOFF = { firstDelayMs: 100, maxDelayMs: 2_000 } as const;
-
-/** Peers asked in one round. */
-const FETCH_ATTEMPTS = 3;
-
 /** Keeps the holder of one daemon at the highest accepted version it can reach. */
 export class ConfigurationSpread {
   readonly #options: ConfigurationSpreadOptions;
   readonly #peerVersions = new PeerVersions();
   readonly #storeBackoff: Backoff;
-  readonly #fetchBackoff: Backoff;
+  readonly #intake: ConfigurationIntake;
+  readonly #fetcher: PeerFetcher;
   readonly #startedAtMs: number;
   #storeVersion = 0;
   #acceptedVersion = 0;
-  #refusedVersion = 0;
   #isConfirmed = false;
   #isWatcher = false;
-  #isFetching = false;
 
   constructor(options: ConfigurationSpreadOptions) {
     this.#options = options;
     this.#storeBackoff = new Backoff(options.random, STORE_BACKOFF);
-    this.#fetchBackoff = new Backoff(options.random, FETCH_BACKOFF);
+    this.#intake = new ConfigurationIntake({
+      ...options,
+      announce: () => options.peers.announce(),
+    });
+    this.#fetcher = new PeerFetcher({
+      ...options,
+      intake: this.#intake,
+      peerVersions: this.#peerVersions,
+    });
     this.#startedAtMs = options.clock.monotonicMs();
   }
 
@@ -106,16 +104,17 @@
       if (this.#isWatcher || needsStore) {
         await this.#askStore();
       } else {
-        await this.#options.clock.sleep(ROLE_CHECK_INTERVAL_MS);
+        await clock.sleep(ROLE_CHECK_INTERVAL_MS);
       }
     }
+    this.#fetcher.stop();
   }
 
   /** Takes note of a version that a peer has told. */
   takeNotice(notice: VersionNotice): void {
     this.#peerVersions.record(notice);
-    if (this.#isAhead(notice)) {
-      void this.#fetchFromPeers();
+    if (this.#intake.isNews(notice.version)) {
+      void this.#fetcher.catchUp();
     }
   }
 
@@ -166,7 +165,7 @@
   /** Puts the state of a head in force; false where the store has to be asked again. */
   async #takeHead({ head, storeVersion }: StoredHead): Promise<boolean> {
     const { holder, reader } = this.#options;
-    if (head.version > Math.max(holder.version, this.#refusedVersion)) {
+    if (this.#intake.isNews(head.version)) {
       const { current } = holder;
       const state = await reader.readState(
         head,
@@ -182,7 +181,7 @@
       const patches = head.changes.filter(({ version }) =>
         version > holder.version
       ).flatMap(({ patch }) => patch === undefined ? [] : [patch]);
-      this.#adopt({ ...state.value, patches }, "store");
+      this.#intake.adopt({ ...state.value, patches }, "store");
     }
     this.#storeVersion = Math.max(this.#storeVersion, storeVersion);
     this.#acceptedVersion = Math.max(this.#acceptedVersion, head.version);
@@ -192,122 +191,15 @@
   /** An invalid configuration is skipped until the next; whatever could not be read is read again. */
   #refuse(error: VError, version: number, storeVersion: number): boolean {
     const { message, name } = error;
-    this.#options.log.error(
-      { version, error: message },
-      "configuration-unusable",
-    );
     if (name !== "ConfigurationInvalid") {
+      this.#options.log.warn(
+        { version, error: message },
+        "configuration-unreadable",
+      );
       return false;
     }
-    this.#noteRefusal(version, message);
+    this.#intake.refuse(version, message);
     this.#storeVersion = Math.max(this.#storeVersion, storeVersion);
     return true;
   }
-
-  #noteRefusal(version: number, error: string): void {
-    this.#options.journal.record(DECISIONS.configurationRefused, {
-      version,
-      error,
-    });
-    this.#refusedVersion = Math.max(this.#refusedVersion, version);
-  }
-
-  #adopt(received: TransferredConfiguration, source: string): boolean {
-    const { holder, journal, log, peers } = this.#options;
-    const { configuration, patches, version } = received;
-    const previousVersion = holder.version;
-    const isNew = holder.offer(configuration, version, patches);
-    if (isNew) {
-      journal.record(DECISIONS.configurationChange, {
-        version,
-        previousVersion,
-        source,
-        patches: patches.length,
-      });
-      log.info({ version, previousVersion, source }, "configuration-in-force");
-      peers.announce();
-    }
-    return isNew;
-  }
-
-  async #fetchFromPeers(): Promise<void> {
-    if (this.#isFetching) {
-      return;
-    }
-    this.#isFetching = true;
-    const tried = new Set<string>();
-    let peer = this.#choosePeer(tried);
-    while (peer && tried.size < FETCH_ATTEMPTS) {
-      tried.add(peer.incarnation);
-      if (await this.#fetchFrom(peer)) {
-        tried.clear();
-        this.#fetchBackoff.reset();
-      }
-      peer = this.#choosePeer(tried);
-    }
-    if (tried.size > 0) {
-      await this.#options.clock.sleep(this.#fetchBackoff.nextDelayMs());
-    }
-    this.#isFetching = false;
-  }
-
-  async #fetchFrom(peer: VersionNotice): Promise<boolean> {
-    const { holder } = this.#options;
-    const known = holder.current;
-    const received = await this.#receive(peer, holder.version);
-    if (received) {
-      return this.#adopt(received, peer.incarnation);
-    }
-    const whole = known && await this.#receive(peer, WHOLE_DOCUMENT);
-    return whole !== undefined && this.#adopt(whole, peer.incarnation);
-  }
-
-  async #receive(
-    peer: VersionNotice,
-    knownVersion: number,
-  ): Promise<TransferredConfiguration | undefined> {
-    const { holder, log, peers } = this.#options;
-    const known = holder.current?.document;
-    const bytes = await peers.fetch(peer, knownVersion);
-    const received = bytes.andThen((value) =>
-      readConfigurationTransfer(value, known)
-    );
-    if (received.isOk()) {
-      return received.value;
-    }
-    const { message, name } = received.error;
-    log.warn(
-      { error: message, peer: peer.incarnation },
-      "configuration-fetch-failed",
-    );
-    if (name === "ConfigurationInvalid") {
-      this.#noteRefusal(peer.version, message);
-    }
-    return undefined;
-  }
-
-  /** The nearest of the peers that have a higher version and have not been tried. */
-  #choosePeer(tried: ReadonlySet<string>): VersionNotice | undefined {
-    const { peers, random } = this.#options;
-    const { failureDomain, region } = peers.self;
-    const live = new Map(
-      peers.listLive().map((member) => [member.incarnation, member]),
-    );
-    const ahead = this.#peerVersions.list().filter((notice) =>
-      !tried.has(notice.incarnation) && this.#isAhead(notice)
-    );
-    const inDomain = ahead.filter(({ incarnation }) =>
-      live.get(incarnation)?.failureDomain === failureDomain
-    );
-    const inRegion = ahead.filter(({ incarnation }) =>
-      live.get(incarnation)?.region === region
-    );
-    return random.choose(inDomain) ?? random.choose(inRegion) ??
-      random.choose(ahead);
-  }
-
-  #isAhead({ version }: VersionNotice): boolean {
-    const { holder } = this.#options;
-    return version > Math.max(holder.version, this.#refusedVersion);
-  }
 }
--- /dev/null
+++ b/src/configuration/peer_fetcher.ts
@@ -0,0 +1,141 @@
+/**
+ * Fetching of newer configurations from peers, the nearest first.
+ */
+
+import { Backoff } from "../store/mod.ts";
+import type { Logger } from "../telemetry/mod.ts";
+import type { Clock, RandomSource } from "../time/mod.ts";
+import type { ConfigurationHolder } from "./configuration_holder.ts";
+import type { ConfigurationIntake } from "./configuration_intake.ts";
+import type { ConfigurationPeers } from "./configuration_peers.ts";
+import {
+  readConfigurationTransfer,
+  WHOLE_DOCUMENT,
+} from "./configuration_transfer.ts";
+import type { TransferredConfiguration } from "./configuration_transfer.ts";
+import type { PeerVersions, VersionNotice } from "./peer_versions.ts";
+
+/** Dependencies of the fetcher. */
+export interface PeerFetcherOptions {
+  readonly holder: ConfigurationHolder;
+  readonly intake: ConfigurationIntake;
+  readonly peers: ConfigurationPeers;
+  readonly peerVersions: PeerVersions;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: Logger;
+}
+
+/** Pauses after rounds in which no peer gave what it told. */
+const FETCH_BACKOFF = { firstDelayMs: 100, maxDelayMs: 2_000 } as const;
+
+/** Peers asked in one round. */
+const FETCH_ATTEMPTS = 3;
+
+/** Fetches while some peer has told of a higher version, one fetch at a time. */
+export class PeerFetcher {
+  readonly #options: PeerFetcherOptions;
+  readonly #backoff: Backoff;
+  #isFetching = false;
+  #isStopped = false;
+
+  constructor(options: PeerFetcherOptions) {
+    this.#options = options;
+    this.#backoff = new Backoff(options.random, FETCH_BACKOFF);
+  }
+
+  /** Fetches until no peer is known to be ahead. */
+  async catchUp(): Promise<void> {
+    if (this.#isFetching) {
+      return;
+    }
+    this.#isFetching = true;
+    while (!this.#isStopped && this.#listAhead().length > 0) {
+      if (await this.#runRound()) {
+        this.#backoff.reset();
+      } else if (this.#listAhead().length > 0) {
+        await this.#options.clock.sleep(this.#backoff.nextDelayMs());
+      }
+    }
+    this.#isFetching = false;
+  }
+
+  /** Starts no further fetch. */
+  stop(): void {
+    this.#isStopped = true;
+  }
+
+  async #runRound(): Promise<boolean> {
+    const tried = new Set<string>();
+    let peer = this.#choosePeer(tried);
+    while (peer && tried.size < FETCH_ATTEMPTS) {
+      tried.add(peer.incarnation);
+      if (await this.#fetchFrom(peer)) {
+        return true;
+      }
+      peer = this.#choosePeer(tried);
+    }
+    return false;
+  }
+
+  async #fetchFrom(peer: VersionNotice): Promise<boolean> {
+    const { holder, intake } = this.#options;
+    const { version } = holder;
+    const received = await this.#receive(peer, version);
+    if (received) {
+      return intake.adopt(received, peer.incarnation);
+    }
+    const whole = version === 0 || !intake.isNews(peer.version)
+      ? undefined
+      : await this.#receive(peer, WHOLE_DOCUMENT);
+    return whole !== undefined && intake.adopt(whole, peer.incarnation);
+  }
+
+  async #receive(
+    peer: VersionNotice,
+    knownVersion: number,
+  ): Promise<TransferredConfiguration | undefined> {
+    const { holder, intake, log, peers } = this.#options;
+    const known = holder.current?.document;
+    const bytes = await peers.fetch(peer, knownVersion);
+    const received = bytes.andThen((value) =>
+      readConfigurationTransfer(value, known)
+    );
+    if (received.isOk()) {
+      return received.value;
+    }
+    const { message, name } = received.error;
+    log.warn(
+      { error: message, peer: peer.incarnation },
+      "configuration-fetch-failed",
+    );
+    if (name === "ConfigurationInvalid") {
+      intake.refuse(peer.version, message);
+    }
+    return undefined;
+  }
+
+  #listAhead(): VersionNotice[] {
+    const { intake, peerVersions } = this.#options;
+    return peerVersions.list().filter(({ version }) => intake.isNews(version));
+  }
+
+  #choosePeer(tried: ReadonlySet<string>): VersionNotice | undefined {
+    const { peers, random } = this.#options;
+    const { failureDomain, region } = peers.self;
+    const live = new Map(
+      peers.listLive().map((member) => [member.incarnation, member]),
+    );
+    const ahead = this.#listAhead().filter(({ incarnation }) =>
+      !tried.has(incarnation)
+    );
+    const inDomain = ahead.filter(({ incarnation }) =>
+      live.get(incarnation)?.failureDomain === failureDomain
+    );
+    const inRegion = ahead.filter(({ incarnation }) =>
+      live.get(incarnation)?.region === region
+    );
+    return random.choose(inDomain) ?? random.choose(inRegion) ??
+      random.choose(ahead);
+  }
+}
