--- a/src/backend/backend_registry.ts
+++ b/src/backend/backend_registry.ts
@@ -23,7 +23,8 @@
   #announcement: Announcement | undefined;
   #renewedAtMs = 0;
   #firstSeenAtMs = 0;
-  #isLeaving = false;
+  #leftAtMs: number | undefined;
+  #isDrained = false;
 
   constructor(clock: Clock) {
     this.#clock = clock;
@@ -39,7 +40,7 @@
     if (!this.#announcement) {
       return BACKEND_STATES.absent;
     }
-    if (this.#isLeaving) {
+    if (this.#isDrained || this.#leftAtMs !== undefined) {
       return BACKEND_STATES.leaving;
     }
     const ageMs = this.#clock.monotonicMs() - this.#renewedAtMs;
@@ -53,13 +54,19 @@
     return this.#firstSeenAtMs + (this.#announcement?.coldStartMs ?? 0);
   }
 
-  /** Takes an announcement or its renewal. */
+  /**
+   * Takes an announcement or its renewal. Renewals by a backend server that is
+   * leaving are ignored; after a while, or on another port, an announcement is
+   * that of its replacement.
+   */
   announce(announcement: Announcement): void {
-    const isNew = this.state === BACKEND_STATES.absent ||
-      this.#announcement?.port !== announcement.port;
+    const isNew = this.#isFromNewServer(announcement);
+    if (this.#leftAtMs !== undefined && !isNew) {
+      return;
+    }
     if (isNew) {
       this.#firstSeenAtMs = this.#clock.nowMs();
-      this.#isLeaving = false;
+      this.#leftAtMs = undefined;
     }
     this.#announcement = announcement;
     this.#renewedAtMs = this.#clock.monotonicMs();
@@ -68,13 +75,20 @@
 
   /** The backend server takes no new work from now on. */
   leave(): void {
-    this.#isLeaving = true;
+    this.#leftAtMs ??= this.#clock.monotonicMs();
+    this.#notify();
+  }
+
+  /** An operator, or the stop of the daemon, lets the VM take no new work, whatever is announced. */
+  drain(): void {
+    this.#isDrained = true;
     this.#notify();
   }
 
-  /** Takes back a leave, when an operator undoes a drain. */
+  /** Takes back a drain. */
   stay(): void {
-    this.#isLeaving = false;
+    this.#isDrained = false;
+    this.#leftAtMs = undefined;
     this.#notify();
   }
 
@@ -84,6 +98,14 @@
     return () => this.#listeners.delete(listener);
   }
 
+  #isFromNewServer({ port }: Announcement): boolean {
+    if (!this.#announcement || this.#announcement.port !== port) {
+      return true;
+    }
+    const sinceMs = this.#leftAtMs ?? this.#renewedAtMs;
+    return this.#clock.monotonicMs() - sinceMs > ANNOUNCEMENT_TIMEOUT_MS;
+  }
+
   #notify(): void {
     for (const listener of this.#listeners) {
       listener();
--- a/src/cli/create_cli.ts
+++ b/src/cli/create_cli.ts
@@ -5,6 +5,8 @@
 import { Builtins, Cli } from "clipanion";
 import { ApplyCommand } from "./apply_command.ts";
 import { DiffCommand } from "./diff_command.ts";
+import { DrainCommand, UndrainCommand } from "./drain_command.ts";
+import { ExplainCommand } from "./explain_command.ts";
 import { HistoryCommand } from "./history_command.ts";
 import { InitCommand } from "./init_command.ts";
 import { RollbackCommand } from "./rollback_command.ts";
@@ -28,6 +30,9 @@
   cli.register(Builtins.HelpCommand);
   cli.register(Builtins.VersionCommand);
   cli.register(StatusCommand);
+  cli.register(ExplainCommand);
+  cli.register(DrainCommand);
+  cli.register(UndrainCommand);
   cli.register(InitCommand);
   cli.register(ValidateCommand);
   cli.register(DiffCommand);
--- /dev/null
+++ b/src/cli/fleet_command.ts
@@ -0,0 +1,51 @@
+/**
+ * What commands that ask the daemons of a fleet have in common.
+ */
+
+import { Command, Option } from "clipanion";
+import type { BaseContext } from "clipanion";
+import { AdminClient } from "./admin_client.ts";
+import { EXIT_CODES } from "./exit_codes.ts";
+
+/** A command that asks daemons. */
+export abstract class FleetCommand extends Command<BaseContext> {
+  adminUrl = Option.String("--admin-url", {
+    required: true,
+    env: "CELERYHOLLOW_ADMIN_URL",
+    description: "Base URL of any daemon's admin port (CELERYHOLLOW_ADMIN_URL)",
+  });
+
+  fleetToken = Option.String("--fleet-token", {
+    required: true,
+    env: "CELERYHOLLOW_FLEET_TOKEN",
+    description: "Shared secret of the fleet (CELERYHOLLOW_FLEET_TOKEN)",
+  });
+
+  isJson = Option.Boolean("--json", false, {
+    description: "Print one JSON document instead of tables",
+  });
+
+  /** The daemon that the command was pointed at. */
+  protected createClient(): AdminClient {
+    const { adminUrl, fleetToken } = this;
+    return new AdminClient({ adminUrl, fleetToken });
+  }
+
+  /** Says on standard error what is going on. */
+  protected showProgress(text: string): void {
+    this.context.stderr.write(`${text}\n`);
+  }
+
+  /** Prints a result and ends well. */
+  protected finish(value: unknown, text: () => string): number {
+    const output = this.isJson ? JSON.stringify(value, null, 2) : text();
+    this.context.stdout.write(`${output}\n`);
+    return EXIT_CODES.done;
+  }
+
+  /** Says what went wrong and ends with a failure. */
+  protected fail(message: string): number {
+    this.context.stderr.write(`celeryhollow: ${message}\n`);
+    return EXIT_CODES.failed;
+  }
+}
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -44,7 +44,13 @@
   servePeerCall,
 } from "../request/mod.ts";
 import type { CallEnvironment } from "../request/mod.ts";
-import { AllowanceRetryPolicy, EveryHopRetryPolicy } from "../retry/mod.ts";
+import {
+  AllowanceRetryPolicy,
+  CallJoiner,
+  EveryHopRetryPolicy,
+  MAX_JOINABLE_CALLS,
+  RetryBudget,
+} from "../retry/mod.ts";
 import { LocalFirstChooser, RandomChooser } from "../routing/mod.ts";
 import { BudgetedObjectStore, HttpObjectStore } from "../store/mod.ts";
 import {
@@ -66,11 +72,9 @@
 /** Interval at which a stopping daemon checks for requests in progress, in milliseconds. */
 const DRAIN_POLL_MS = 20;
 
-/** Calls to the object API that one daemon may make at once. */
-const STORE_BURST_CALLS = 10;
-
-/** Calls to the object API that one daemon may make in the long run. */
-const STORE_CALLS_PER_SECOND = 1;
+/** Quiet after which a stopping daemon closes its connections, and longest wait for it, in milliseconds. */
+const QUIET_MS = 250;
+const QUIET_TIMEOUT_MS = 2_000;
 
 /** Parts of a daemon that tests replace. */
 export interface DaemonParts {
@@ -78,6 +82,12 @@
   readonly dial?: DialPeer;
 }
 
+/** Calls to the object API that one daemon may make at once. */
+const STORE_BURST_CALLS = 10;
+
+/** Calls to the object API that one daemon may make in the long run. */
+const STORE_CALLS_PER_SECOND = 1;
+
 /** A running daemon. */
 export class Daemon {
   readonly environment: CallEnvironment;
@@ -114,6 +124,8 @@
     };
     const journal = new DecisionJournal(clock);
     const seeds = settings.seeds.split(",").filter((seed) => seed !== "");
+    const readRetryRatio = () =>
+      configuration.current?.document.retryRatio ?? 0;
     const isProtected = settings.protection === "on";
     const { fleetToken } = settings;
     this.#store = new HttpObjectStore(settings.storeUrl);
@@ -172,8 +184,9 @@
         ? new LocalFirstChooser(random, self)
         : new RandomChooser(random),
       retryPolicy: isProtected
-        ? new AllowanceRetryPolicy()
+        ? new AllowanceRetryPolicy(new RetryBudget(clock, readRetryRatio))
         : new EveryHopRetryPolicy(),
+      joiner: new CallJoiner(isProtected ? MAX_JOINABLE_CALLS : 0),
       keys: new KeyLedger({ incarnation, fleetToken, clock }),
       keyPlacement: new KeyPlacement(),
       successors: new SuccessorTable(clock),
@@ -245,27 +258,43 @@
       "daemon-stopping",
     );
     this.#membership.updateSelf({ state: "leaving" });
-    backend.leave();
+    backend.drain();
     const sendLateOutcomes = await handOverKeys(this.environment);
     await clock.sleep(LEAVE_NOTICE_MS);
     const deadlineMs = clock.monotonicMs() + settings.drainTimeoutMs;
-    while (this.#requestsInProgress > 0 && clock.monotonicMs() < deadlineMs) {
-      await clock.sleep(DRAIN_POLL_MS);
-    }
+    await this.#waitForQuiet(0, deadlineMs);
     await sendLateOutcomes();
+    this.#servers.forEach((server) => server.close());
+    await this.#waitForQuiet(
+      QUIET_MS,
+      Math.min(deadlineMs, clock.monotonicMs() + QUIET_TIMEOUT_MS),
+    );
     this.#stopHousekeeping();
     this.#stopSignal.abort();
     await this.#membership.stop();
-    this.#servers.forEach((server) => server.close());
     await this.#peerServer.close();
     peers.close();
     await this.#store.close();
     log.info({}, "daemon-stopped");
   }
 
+  /** Waits until no request has been in progress for some time. */
+  async #waitForQuiet(quietMs: number, deadlineMs: number): Promise<void> {
+    const { clock } = this.environment;
+    let busyAtMs = clock.monotonicMs();
+    while (clock.monotonicMs() < deadlineMs) {
+      if (this.#requestsInProgress > 0) {
+        busyAtMs = clock.monotonicMs();
+      } else if (clock.monotonicMs() - busyAtMs >= quietMs) {
+        return;
+      }
+      await clock.sleep(DRAIN_POLL_MS);
+    }
+  }
+
   #listen(app: Hono, port: number): Promise<void> {
     const fetch = (request: Request) =>
-      this.#track(() => Promise.resolve(app.fetch(request)));
+      this.#track(async () => this.#endConnection(await app.fetch(request)));
     return new Promise((resolve, reject) => {
       const server = serve({
         fetch,
@@ -277,6 +306,14 @@
     });
   }
 
+  /** Lets a caller's connection end after this response while the daemon stops. */
+  #endConnection(response: Response): Response {
+    if (this.#stopped) {
+      response.headers.set("connection", "close");
+    }
+    return response;
+  }
+
   async #track<T>(run: () => Promise<T>): Promise<T> {
     this.#requestsInProgress += 1;
     try {
--- a/src/membership/gossip_membership.ts
+++ b/src/membership/gossip_membership.ts
@@ -201,14 +201,9 @@
     this.#exchange.flush();
   }
 
-  override announceConfigurationVersion(): void {
-    const targets = [
-      ...this.#spreader.chooseTargets(),
-      ...this.#exchange.chooseTargets(),
-    ];
-    for (const target of targets) {
-      this.#link.send(target, { kind: "push", sequence: 0, records: [] });
-    }
+  override announce(): void {
+    this.#spreader.announce();
+    this.#exchange.announce();
   }
 
   override async start(): Promise<void> {
--- a/src/peer/fetch_configuration.ts
+++ b/src/peer/fetch_configuration.ts
@@ -30,7 +30,6 @@
 /** A connection that asks one question. */
 class FetchLink implements PeerLinkOwner {
   readonly link: PeerLink;
-  readonly hasWork = true;
   readonly #knownVersion: number;
   readonly #settle: (result: Result<Uint8Array, VError>) => void;
   #assembler: BodyAssembler | undefined;
@@ -45,6 +44,11 @@
     this.link = new PeerLink(socket, this, options.link);
   }
 
+  /** The connection waits for its answer until it ends. */
+  get hasWork(): boolean {
+    return true;
+  }
+
   onHello(): void {
     this.link.send({
       kind: "configuration-fetch",
@@ -81,7 +85,7 @@
   }
 
   onSilent(): void {
-    // The time allowed for one fetch is short; nothing else is needed.
+    // The timeout of the fetch ends the connection.
   }
 
   onClose(error: VError | undefined): void {
--- a/src/request/active_calls.ts
+++ b/src/request/active_calls.ts
@@ -8,6 +8,7 @@
 import { randomBytes } from "node:crypto";
 import type { CallContext } from "../generated/types.ts";
 import type { CallResult } from "../outcome/mod.ts";
+import { RetryAllowance } from "../retry/mod.ts";
 import type { Clock } from "../time/mod.ts";
 
 /** A call that is running on the backend server. */
@@ -18,7 +19,11 @@
   readonly deadlineAtMs: number;
   readonly signal: AbortSignal;
   /** Extra attempts that the call's subtree may still make. */
-  allowanceLeft: number;
+  readonly allowance: RetryAllowance;
+  /** Services that the call has called. */
+  readonly calledServices: Set<string>;
+  /** Whether a nested call has failed for good. */
+  hasFailedBelow: boolean;
   /** Non-repeatable calls that the running call has made, by their derived keys. */
   readonly children: Map<string, Promise<CallResult>>;
 }
@@ -52,7 +57,9 @@
       context,
       deadlineAtMs,
       signal,
-      allowanceLeft: context.retryAllowance,
+      allowance: new RetryAllowance(context.retryAllowance),
+      calledServices: new Set<string>(),
+      hasFailedBelow: false,
       children: new Map(),
     };
     this.#calls.set(token, call);
