--- a/src/membership/domain_exchange.ts
+++ b/src/membership/domain_exchange.ts
@@ -86,13 +86,15 @@
     }
   }
 
-  /** Chooses a daemon of each other failure domain, as a delegate. */
-  chooseTargets(): string[] {
-    return this.#context.isDelegate()
-      ? this.#listOthers().flatMap((failureDomain) =>
-        this.#chooseTarget(failureDomain) ?? []
-      )
-      : [];
+  /** Tells one daemon of each other failure domain the configuration version, as a delegate. */
+  announce(): void {
+    const { isDelegate, link } = this.#context;
+    for (const failureDomain of isDelegate() ? this.#listOthers() : []) {
+      const target = this.#chooseTarget(failureDomain);
+      if (target) {
+        link.send(target, { kind: "push", sequence: 0, records: [] });
+      }
+    }
   }
 
   /** Probes the next failure domains and updates which of them are unreachable. */
--- a/src/peer/fetch_configuration.ts
+++ b/src/peer/fetch_configuration.ts
@@ -81,7 +81,7 @@
   }
 
   onSilent(): void {
-    // The time allowed for one fetch is short; nothing else is needed.
+    // The timeout of the fetch ends the connection.
   }
 
   onClose(error: VError | undefined): void {
