Order the queue by class first and forget stale instances sooner

A fleet whose addresses were taken measured another one. Change: signals are passed on for as long as an overload is remembered; weight halves every 200 ms; the most important class gets the next slot, and what it pushes back too far is refused at once. A fleet start fails if a daemon exited, and networks with a listening daemon are not claimed.

--- a/src/admission/adaptive_admission.ts
+++ b/src/admission/adaptive_admission.ts
@@ -14,7 +14,9 @@
 import { AdmissionJournal } from "./admission_journal.ts";
 import type { AdmissionRecords } from "./admission_journal.ts";
 import { AdmitLevel } from "./admit_level.ts";
+import { computePatienceMs } from "./compute_patience_ms.ts";
 import { ConcurrencyLimit } from "./concurrency_limit.ts";
+import { countReservedSlots } from "./count_reserved_slots.ts";
 import { DemandWindow } from "./demand_window.ts";
 import { HoldTime } from "./hold_time.ts";
 import { IdleMeter } from "./idle_meter.ts";
@@ -23,10 +25,13 @@
 import { MemberUsage } from "./member_usage.ts";
 import { RunningCalls } from "./running_calls.ts";
 import { WaitingQueue } from "./waiting_queue.ts";
-import type { Waiter } from "./waiting_queue.ts";
+import type { OrderOptions, Waiter } from "./waiting_queue.ts";
 
-/** Share of its remaining time that a new chain may wait for its first slot. */
-const NEW_CHAIN_PATIENCE = 0.25;
+/** Share of the time that a call may wait which the calls ahead of it may take. */
+const PROMISED_WAIT_RATIO = 0.8;
+
+/** Share of the time that a call may wait from which the calls ahead of it leave no hope. */
+const HOPELESS_WAIT_RATIO = 1.25;
 
 /** Most calls that wait, whatever their time left. */
 const MAX_WAITING = 2_000;
@@ -134,35 +139,57 @@
     return this.#queue.length * this.#msPerCall;
   }
 
+  get #order(): OrderOptions {
+    return {
+      nowMs: this.#nowMs,
+      usage: this.#usage,
+      isNewestFirst: this.#queueDelayMs > NEWEST_FIRST_DELAY_MS,
+    };
+  }
+
   #wait(call: InboundCall): Promise<Entrance> {
     return new Promise((resolve) => {
       const waiter = this.#createWaiter(call, resolve);
-      const delayMs = (this.#queue.countAhead(waiter) + 1) * this.#msPerCall;
-      const isInTime = this.#nowMs + delayMs <= waiter.expiresAtMs &&
-        this.#queue.length < MAX_WAITING;
-      if (!isInTime) {
-        const victim = this.#queue.findVictim(waiter);
-        if (!victim) {
-          waiter.settle(this.#refuse(REASONS.overloadedInstance));
-          return;
-        }
-        this.#dismiss(victim, REASONS.overloadedInstance);
+      if (!this.#canRunInTime(waiter)) {
+        waiter.settle(this.#refuse(REASONS.overloadedInstance));
+        return;
       }
       this.#queue.add(waiter);
       this.#markIdle();
     });
   }
 
+  /** Refuses waiting calls that more important ones have pushed back too far. */
+  #dismissHopeless(): void {
+    const msPerCall = this.#msPerCall;
+    let delayMs = 0;
+    for (const waiter of this.#queue.listInOrder(this.#order)) {
+      delayMs += msPerCall;
+      const patienceMs = waiter.expiresAtMs - this.#nowMs;
+      if (delayMs > patienceMs * HOPELESS_WAIT_RATIO) {
+        delayMs -= msPerCall;
+        this.#dismiss(waiter, REASONS.overloadedInstance);
+      }
+    }
+  }
+
+  #canRunInTime(waiter: WaitingCall): boolean {
+    const patienceMs = waiter.expiresAtMs - this.#nowMs;
+    const delayMs = (this.#queue.countAhead(waiter) + 1) * this.#msPerCall;
+    return delayMs <= patienceMs * PROMISED_WAIT_RATIO &&
+      this.#queue.length < MAX_WAITING;
+  }
+
   #createWaiter(
     call: InboundCall,
     resolve: (entrance: Entrance) => void,
   ): WaitingCall {
     const nowMs = this.#nowMs;
     const isNested = call.context.depth > 0;
-    const leftMs = Math.max(0, call.deadlineAtMs - nowMs);
-    const patienceMs = isNested
-      ? Math.max(0, leftMs - this.#holdMs)
-      : leftMs * NEW_CHAIN_PATIENCE;
+    const patienceMs = computePatienceMs(call.deadlineAtMs - nowMs, {
+      isNested,
+      holdMs: this.#holdMs,
+    });
     const cancelExpiry = this.#options.clock.schedule(
       patienceMs,
       () => this.#dismiss(waiter, REASONS.queueExpired),
@@ -199,23 +226,12 @@
 
   #mayRun(classRank: number): boolean {
     const free = this.#limit.value - this.#running.count;
-    return free > 0 && free > this.#countReservedForOthers(classRank);
-  }
-
-  /** Slots kept free for other classes, no more than these have calls for. */
-  #countReservedForOthers(classRank: number): number {
-    const ratios = this.#options.listReservedRatios();
-    if (ratios.every((ratio) => ratio === 0)) {
-      return 0;
-    }
-    const limit = this.#limit.value;
-    return ratios.reduce((sum, ratio, rank) => {
-      const slots = Math.floor(limit * ratio);
-      const kept = Math.min(slots, this.#level.countWanted(rank, this.#holdMs));
-      const isOther = rank !== classRank;
-      const unused = kept - this.#running.countClass(rank);
-      return sum + (isOther ? Math.max(0, unused) : 0);
-    }, 0);
+    return free > 0 && free > countReservedSlots(this.#running, {
+          classRank,
+          limit: this.#limit.value,
+          reservedRatios: this.#options.listReservedRatios(),
+          countWanted: (rank) => this.#level.countWanted(rank, this.#holdMs),
+        });
   }
 
   #grant(classRank: number, member: string): Permit {
@@ -247,11 +263,7 @@
   }
 
   #grantNext(): void {
-    const order = {
-      nowMs: this.#nowMs,
-      usage: this.#usage,
-      isNewestFirst: this.#queueDelayMs > NEWEST_FIRST_DELAY_MS,
-    };
+    const order = this.#order;
     for (;;) {
       const next = this.#queue.findNext(order, (rank) => this.#mayRun(rank));
       if (!next) {
@@ -281,6 +293,7 @@
       reservedRatios,
     });
     if (isUpdated) {
+      this.#dismissHopeless();
       this.#journal.recordLevel(this.#level.ratios, {
         demandPerSecond: this.#level.demandPerSecond,
         capacityPerSecond: MS_PER_SECOND / this.#msPerCall,
--- a/src/admission/admit_level.ts
+++ b/src/admission/admit_level.ts
@@ -21,6 +21,9 @@
 const MIN_CORRECTION = 0.05;
 const MAX_CORRECTION = 1.2;
 
+/** Share of the capacity that a long queue does not take from important classes. */
+const MAX_SPARED_RATIO = 0.9;
+
 /** Growth of the shares in each tick while slots are idle. */
 const IDLE_GROWTH = 1.15;
 
@@ -89,13 +92,31 @@
     );
     this.#adaptGrowth(input, Math.min(MAX_MISSED_TICKS, ticks));
     this.#ratios = computeAdmitRatios(demands, {
-      capacityPerSecond: input.capacityPerSecond * this.#growth *
-        computeCorrection(input.queueDelayMs),
+      capacityPerSecond: this.#correctCapacity(input, demands),
       reservedRatios: input.reservedRatios,
     });
     return true;
   }
 
+  /**
+   * Capacity by which the shares are computed. A long queue is emptied at the
+   * cost of the least important class, as far as that suffices.
+   */
+  #correctCapacity(
+    { capacityPerSecond, queueDelayMs }: LevelInput,
+    demands: readonly ClassDemand[],
+  ): number {
+    const wanted = demands.map(({ arrivingPerSecond }) => arrivingPerSecond);
+    const lowest = wanted.filter((perSecond) => perSecond > 0).at(-1) ?? 0;
+    const spared = wanted.reduce((sum, each) => sum + each, 0) - lowest;
+    const corrected = capacityPerSecond * this.#growth *
+      computeCorrection(queueDelayMs);
+    return Math.max(
+      corrected,
+      Math.min(spared, capacityPerSecond * MAX_SPARED_RATIO),
+    );
+  }
+
   #adaptGrowth(input: LevelInput, ticks: number): void {
     if (!input.isIdle()) {
       this.#growth = 1 + (this.#growth - 1) * GROWTH_DECAY ** ticks;
--- a/src/admission/level_entry_admission_test.ts
+++ b/src/admission/level_entry_admission_test.ts
@@ -147,6 +147,14 @@
   assert.ok(isNear(listAdmitted(entry).length / MEMBERS, 0.4375));
 });
 
+test("an instance that gave no news for long does not outweigh one that did", () => {
+  const { clock, entry } = createEntry();
+  entry.observe([createSignal(clock, { instance: 2 })]);
+  clock.advance(900);
+  entry.observe([createSignal(clock, { admitPermille: [1_000, 1_000] })]);
+  assert.ok(listAdmitted(entry).length / MEMBERS > 0.95);
+});
+
 test("a share without news rises again and is forgotten", () => {
   const { clock, entry } = createEntry();
   entry.observe([createSignal(clock)]);
@@ -166,6 +174,16 @@
   assert.ok(listAdmitted(entry).length > MEMBERS * 0.5);
 });
 
+test("the end of an overload is passed on too", () => {
+  const { clock, entry } = createEntry();
+  entry.observe([createSignal(clock)]);
+  clock.advance(100);
+  const over = createSignal(clock, { admitLevel: 1, admitPermille: [1_000] });
+  entry.observe([over]);
+  assert.equal(entry.listOverloaded(["stock"]), [over]);
+  assert.is(listAdmitted(entry).length, MEMBERS);
+});
+
 test("signals of overloaded services are passed on, others are not", () => {
   const { clock, entry } = createEntry();
   const calm = createSignal(clock, { service: "ledger", admitLevel: 1 });
--- a/src/admission/service_levels.ts
+++ b/src/admission/service_levels.ts
@@ -11,6 +11,9 @@
 /** Time in which a share that gets no news rises from 0 to 1, in milliseconds. */
 const RISE_MS = 2_000;
 
+/** Age at which a signal counts half beside newer ones of its service, in milliseconds. */
+const HALF_WEIGHT_MS = 200;
+
 /** Age at which a signal is forgotten, in milliseconds. */
 const FORGET_MS = FRESH_MS + RISE_MS;
 
@@ -28,10 +31,16 @@
   readonly receivedAtMs: number;
 }
 
+interface KnownService {
+  readonly instances: Map<number, KnownSignal>;
+  /** When an instance last asked for less than everything. */
+  overloadedAtMs: number;
+}
+
 /** Latest signals by service and instance; old ones lose their weight. */
 export class ServiceLevels {
   readonly #clock: Clock;
-  readonly #services = new Map<string, Map<number, KnownSignal>>();
+  readonly #services = new Map<string, KnownService>();
 
   constructor(clock: Clock) {
     this.#clock = clock;
@@ -43,27 +52,29 @@
     if (instance === undefined || sequence === undefined || !admitPermille) {
       return;
     }
-    const instances = this.#findInstances(service);
+    const known = this.#findService(service);
+    const { instances } = known;
     if (sequence <= (instances.get(instance)?.sequence ?? -1)) {
       return;
     }
+    const receivedAtMs = this.#clock.monotonicMs();
     instances.delete(instance);
-    instances.set(instance, {
-      signal,
-      sequence,
-      receivedAtMs: this.#clock.monotonicMs(),
-    });
+    instances.set(instance, { signal, sequence, receivedAtMs });
+    if (signal.admitLevel < 1) {
+      known.overloadedAtMs = receivedAtMs;
+    }
     keepLatest(instances, MAX_INSTANCES);
   }
 
   /** Share of a class that the service asks to admit, over its known instances. */
   computeRatio(service: string, classRank: number): number {
-    const known = this.#listFresh(service);
+    const nowMs = this.#clock.monotonicMs();
     let demand = 0;
     let admitted = 0;
-    for (const { signal, receivedAtMs } of known) {
-      const weight = Math.max(1, signal.demandPerSecond ?? 0);
-      const ageMs = this.#clock.monotonicMs() - receivedAtMs;
+    for (const { signal, receivedAtMs } of this.#listFresh(service)) {
+      const ageMs = nowMs - receivedAtMs;
+      const weight = Math.max(1, signal.demandPerSecond ?? 0) *
+        2 ** (-ageMs / HALF_WEIGHT_MS);
       const rise = Math.max(0, ageMs - FRESH_MS) / RISE_MS;
       demand += weight;
       admitted += weight * Math.min(1, readRatio(signal, classRank) + rise);
@@ -71,23 +82,32 @@
     return demand === 0 ? 1 : admitted / demand;
   }
 
-  /** Signals to pass on: those of services of which an instance refuses. */
+  /**
+   * Signals to pass on: those of services that are or lately were overloaded,
+   * so that the end of an overload becomes known as fast as its begin.
+   */
   listOverloaded(services: readonly string[]): LoadSignal[] {
-    return services.flatMap((service) => {
-      const signals = this.#listFresh(service).map(({ signal }) => signal);
-      return signals.some(({ admitLevel }) => admitLevel < 1) ? signals : [];
-    });
+    const nowMs = this.#clock.monotonicMs();
+    return services
+      .filter((service) => {
+        const known = this.#services.get(service);
+        return known && nowMs - known.overloadedAtMs < FORGET_MS;
+      })
+      .flatMap((service) =>
+        this.#listFresh(service).map(({ signal }) => signal)
+      );
   }
 
-  #findInstances(service: string): Map<number, KnownSignal> {
-    const instances = this.#services.get(service) ?? new Map();
-    this.#services.set(service, instances);
+  #findService(service: string): KnownService {
+    const known = this.#services.get(service) ??
+      { instances: new Map(), overloadedAtMs: Number.NEGATIVE_INFINITY };
+    this.#services.set(service, known);
     keepLatest(this.#services, MAX_SERVICES);
-    return instances;
+    return known;
   }
 
   #listFresh(service: string): KnownSignal[] {
-    const instances = this.#services.get(service);
+    const instances = this.#services.get(service)?.instances;
     if (!instances) {
       return [];
     }
--- a/src/admission/waiting_queue.ts
+++ b/src/admission/waiting_queue.ts
@@ -52,9 +52,9 @@
   }
 
   /**
-   * The call that gets the next slot, among the classes that may have one:
-   * calls of running chains first, by deadline; then new ones by class, those
-   * of Members who used less before others.
+   * The call that gets the next slot, among the classes that may have one: the
+   * most important class first; in it calls of running chains by deadline, then
+   * new ones, those of Members who used less before others.
    */
   findNext(
     options: OrderOptions,
@@ -72,40 +72,33 @@
     return best;
   }
 
-  /**
-   * The call to refuse so that the given one can wait: the least important; of
-   * those a new chain before a running one, and the one with the most time left.
-   */
-  findVictim(waiter: Waiter): T | undefined {
-    let worst: T | undefined;
-    for (const other of this.#waiters) {
-      if (!worst || isLessWorthy(other, worst)) {
-        worst = other;
-      }
-    }
-    return worst && isLowerStanding(worst, waiter) ? worst : undefined;
+  /** All calls, those first that get a slot first. */
+  listInOrder(options: OrderOptions): T[] {
+    return [...this.#waiters].sort((one, other) =>
+      isBefore(one, other, options) ? -1 : 1
+    );
   }
 }
 
 function goesFirst(one: Waiter, other: Waiter): boolean {
+  if (one.classRank !== other.classRank) {
+    return one.classRank < other.classRank;
+  }
   if (one.isNested !== other.isNested) {
     return one.isNested;
   }
-  if (one.isNested) {
-    return one.expiresAtMs <= other.expiresAtMs;
-  }
-  return one.classRank <= other.classRank;
+  return !one.isNested || one.expiresAtMs <= other.expiresAtMs;
 }
 
 function isBefore(one: Waiter, other: Waiter, options: OrderOptions): boolean {
   const { nowMs, usage, isNewestFirst } = options;
+  if (one.classRank !== other.classRank) {
+    return one.classRank < other.classRank;
+  }
   if (one.isNested || other.isNested) {
     return one.isNested && (!other.isNested ||
       one.expiresAtMs < other.expiresAtMs);
   }
-  if (one.classRank !== other.classRank) {
-    return one.classRank < other.classRank;
-  }
   const difference = Math.round(usage.estimate(one.member, nowMs)) -
     Math.round(usage.estimate(other.member, nowMs));
   if (difference !== 0) {
@@ -115,18 +108,3 @@
     ? one.arrivedAtMs > other.arrivedAtMs
     : one.arrivedAtMs < other.arrivedAtMs;
 }
-
-function isLessWorthy(one: Waiter, other: Waiter): boolean {
-  if (one.classRank !== other.classRank) {
-    return one.classRank > other.classRank;
-  }
-  if (one.isNested !== other.isNested) {
-    return !one.isNested;
-  }
-  return one.expiresAtMs > other.expiresAtMs;
-}
-
-function isLowerStanding(one: Waiter, other: Waiter): boolean {
-  return one.classRank > other.classRank ||
-    (one.classRank === other.classRank && !one.isNested && other.isNested);
-}
--- a/src/measure/fleet.ts
+++ b/src/measure/fleet.ts
@@ -94,6 +94,12 @@
       await vm.backendServer.start();
     }));
     await Promise.all(this.vms.map((vm) => this.#waitUntilComplete(vm)));
+    const exited = this.vms.find(({ daemon }) => daemon.exitCode !== null);
+    if (exited) {
+      throw new Error(
+        `the daemon at ${exited.plan.address} has exited; is the address in use?`,
+      );
+    }
   }
 
   /** URL of the object API stand-in. */
--- a/src/testing/claim_network.ts
+++ b/src/testing/claim_network.ts
@@ -2,7 +2,7 @@
  * Loopback networks that concurrent runs do not share.
  */
 
-import { createServer } from "node:net";
+import { connect, createServer } from "node:net";
 
 /** Second bytes of loopback addresses that runs may claim. */
 const FIRST_NETWORK = 100;
@@ -11,6 +11,9 @@
 /** Port whose listener marks a network as claimed. */
 const CLAIM_PORT = 6999;
 
+/** Port on which a fleet that outlived its claim still listens. */
+const CALLER_PORT = 7100;
+
 /**
  * Claims a loopback network (127.N.0.0/16) for the life of this process.
  *
@@ -21,13 +24,25 @@
  */
 export async function claimNetwork(): Promise<number> {
   for (let network = FIRST_NETWORK; network <= LAST_NETWORK; network += 1) {
-    if (await tryToListen(`127.${network}.255.254`)) {
+    const isInUse = await isListening(`127.${network}.0.1`);
+    if (!isInUse && await tryToListen(`127.${network}.255.254`)) {
       return network;
     }
   }
   throw new Error("every loopback network is claimed");
 }
 
+function isListening(address: string): Promise<boolean> {
+  return new Promise((resolve) => {
+    const socket = connect(CALLER_PORT, address);
+    socket.once("connect", () => {
+      socket.destroy();
+      resolve(true);
+    });
+    socket.once("error", () => resolve(false));
+  });
+}
+
 function tryToListen(address: string): Promise<boolean> {
   return new Promise((resolve) => {
     const server = createServer();
