--- a/src/admission/adaptive_admission.ts
+++ b/src/admission/adaptive_admission.ts
@@ -128,7 +128,8 @@
   }
 
   get #holdMs(): number {
-    return this.#holdTime.estimateMs(this.#running.listAgesMs(this.#nowMs));
+    const meanAgeMs = this.#running.computeMeanAgeMs(this.#nowMs);
+    return this.#holdTime.estimateMs(meanAgeMs);
   }
 
   get #msPerCall(): number {
--- a/src/admission/hold_time.ts
+++ b/src/admission/hold_time.ts
@@ -23,10 +23,7 @@
    * The time to expect; calls that already run longer than those before them
    * raise it, so that a slowdown shows before the first slow call has ended.
    */
-  estimateMs(runningAgesMs: readonly number[]): number {
-    const averageMs = this.#averageMs ?? FIRST_GUESS_MS;
-    const totalAgeMs = runningAgesMs.reduce((sum, ageMs) => sum + ageMs, 0);
-    const meanAgeMs = totalAgeMs / Math.max(1, runningAgesMs.length);
-    return Math.max(1, averageMs, meanAgeMs);
+  estimateMs(meanAgeMs: number): number {
+    return Math.max(1, this.#averageMs ?? FIRST_GUESS_MS, meanAgeMs);
   }
 }
--- a/src/admission/running_calls.ts
+++ b/src/admission/running_calls.ts
@@ -12,6 +12,7 @@
 export class RunningCalls {
   readonly #calls = new Set<RunningCall>();
   readonly #countByRank: number[] = [];
+  #startedAtSumMs = 0;
 
   /** Calls that run. */
   get count(): number {
@@ -21,12 +22,14 @@
   /** A call begins to run. */
   add(call: RunningCall): void {
     this.#calls.add(call);
+    this.#startedAtSumMs += call.startedAtMs;
     this.#countByRank[call.classRank] = this.countClass(call.classRank) + 1;
   }
 
   /** A call has ended. */
   remove(call: RunningCall): void {
     if (this.#calls.delete(call)) {
+      this.#startedAtSumMs -= call.startedAtMs;
       this.#countByRank[call.classRank] = this.countClass(call.classRank) - 1;
     }
   }
@@ -36,8 +39,9 @@
     return this.#countByRank[classRank] ?? 0;
   }
 
-  /** For how long each call has been running, in milliseconds. */
-  listAgesMs(nowMs: number): number[] {
-    return Array.from(this.#calls, ({ startedAtMs }) => nowMs - startedAtMs);
+  /** For how long calls have been running on average, in milliseconds. */
+  computeMeanAgeMs(nowMs: number): number {
+    const count = this.#calls.size;
+    return count === 0 ? 0 : nowMs - this.#startedAtSumMs / count;
   }
 }
--- a/src/admission/waiting_queue.ts
+++ b/src/admission/waiting_queue.ts
@@ -60,12 +60,12 @@
     options: OrderOptions,
     mayRun: (classRank: number) => boolean,
   ): T | undefined {
+    const verdicts: (boolean | undefined)[] = [];
     let best: T | undefined;
     for (const waiter of this.#waiters) {
-      if (
-        mayRun(waiter.classRank) &&
-        (!best || isBefore(waiter, best, options))
-      ) {
+      const { classRank } = waiter;
+      const isAllowed = verdicts[classRank] ??= mayRun(classRank);
+      if (isAllowed && (!best || isBefore(waiter, best, options))) {
         best = waiter;
       }
     }
