--- a/src/peer/peer_client.ts
+++ b/src/peer/peer_client.ts
@@ -58,6 +58,9 @@
       this.#forget(dialed);
       return err(createRefusal(REASONS.connectFailed, { unusedAllowance }));
     }
+    if (!this.#isMeant(dialed)) {
+      return err(createRefusal(REASONS.connectFailed, { unusedAllowance }));
+    }
     if (options.signal.aborted) {
       return err(createRefusal(REASONS.cancelled, { unusedAllowance }));
     }
@@ -96,6 +99,12 @@
     this.#forget(dialed);
   }
 
+  #isMeant(dialed: DialedLink): boolean {
+    const { incarnation } = this.#address;
+    return incarnation === undefined ||
+      dialed.remoteIncarnation === incarnation;
+  }
+
   #dial(): DialedLink {
     if (this.#current && !this.#current.isSpent) {
       return this.#current;
--- a/src/peer/peer_link.ts
+++ b/src/peer/peer_link.ts
@@ -34,6 +34,12 @@
   readonly assembler: BodyAssembler;
 }
 
+/** Longest wait for what was sent to leave at a planned stop, in milliseconds. */
+const FLUSH_TIMEOUT_MS = 1_000;
+
+/** Interval at which a connection that ends checks what is left to send, in milliseconds. */
+const FLUSH_POLL_MS = 5;
+
 const EMPTY_BODY = new Uint8Array(0);
 
 /** A connection to one peer. */
@@ -98,6 +104,18 @@
     this.#socket.destroy();
   }
 
+  /** Ends the connection once everything sent has left. */
+  async finish(): Promise<void> {
+    const { clock } = this.#options;
+    const cancelClose = clock.schedule(FLUSH_TIMEOUT_MS, () => this.close());
+    while (this.#writer.queuedBytes > 0 && !this.#socket.destroyed) {
+      await clock.sleep(FLUSH_POLL_MS);
+    }
+    await new Promise<void>((resolve) => this.#socket.end(() => resolve()));
+    cancelClose();
+    this.close();
+  }
+
   /** Sends a call or a reply with its body; false when nothing was sent. */
   sendWithBody(head: Headed, body: Uint8Array): boolean {
     if (
--- a/src/peer/peer_link_owner.ts
+++ b/src/peer/peer_link_owner.ts
@@ -15,6 +15,8 @@
 export interface PeerAddress {
   readonly address: string;
   readonly peerPort: number;
+  /** Incarnation that is meant; another one at the address is not called. */
+  readonly incarnation?: string;
 }
 
 /** What a daemon says about itself to its peers. */
--- a/src/request/dispatch_call.ts
+++ b/src/request/dispatch_call.ts
@@ -11,8 +11,11 @@
 import { DECISIONS } from "../telemetry/mod.ts";
 import { AttemptHistory } from "./attempt_history.ts";
 import type { CallEnvironment } from "./call_environment.ts";
+import { callUntilDeadline } from "./call_until_deadline.ts";
+import { createCallMessage } from "./create_call_message.ts";
 import type { OutboundCall } from "./outbound_call.ts";
 import { runCall } from "./run_call.ts";
+import { sendOnce } from "./send_once.ts";
 
 /** Wait suggested when no instance is known, in milliseconds. */
 const NO_INSTANCE_RETRY_AFTER_MS = 1_000;
@@ -169,34 +172,21 @@
   { instance, failsWhenSilent }: SendOptions,
 ): Promise<CallResult> {
   const { membership, peers, clock } = environment;
+  if (call.guard) {
+    return await sendOnce(environment, call, {
+      runner: instance,
+      guard: call.guard,
+    });
+  }
   if (instance.incarnation === membership.self.incarnation) {
     return await runCall(environment, call);
   }
-  const deadline = new AbortController();
-  const cancel = () => deadline.abort(REASONS.cancelled);
-  const cancelDeadline = clock.schedule(
-    call.context.remainingMs,
-    () => deadline.abort(REASONS.deadlineExpired),
-  );
-  call.signal.addEventListener("abort", cancel);
-  const { context, idempotencyKey, service, method, path, contentType, body } =
-    call;
-  const bodyLengthBytes = body.length;
-  const message = {
-    context,
-    idempotencyKey,
-    service,
-    method,
-    path,
-    contentType,
-    bodyLengthBytes,
-  };
-  const result = await peers.get(instance)
-    .call({ kind: "call", purpose: "run", ...message }, body, {
-      signal: deadline.signal,
-      failsWhenSilent,
-    });
-  cancelDeadline();
-  call.signal.removeEventListener("abort", cancel);
+  const { result } = await callUntilDeadline(peers.get(instance), clock, {
+    message: createCallMessage(call, "run"),
+    body: call.body,
+    deadlineAtMs: call.deadlineAtMs,
+    signal: call.signal,
+    failsWhenSilent,
+  });
   return result;
 }
--- a/src/request/serve_entry_call.ts
+++ b/src/request/serve_entry_call.ts
@@ -15,13 +15,14 @@
 import { MAX_DEPTH } from "../constants/mod.ts";
 import { createRefusal, REASONS } from "../outcome/mod.ts";
 import type { CallResult, Refusal } from "../outcome/mod.ts";
-import { DECISIONS } from "../telemetry/mod.ts";
 import { createJoinKey } from "../retry/mod.ts";
 import type { ActiveCall } from "./active_calls.ts";
 import type { CallEnvironment } from "./call_environment.ts";
 import { dispatchCall } from "./dispatch_call.ts";
+import { dispatchChildOnce } from "./dispatch_child_once.ts";
 import { dispatchOnce } from "./dispatch_once.ts";
 import { isErrorAnswer } from "./is_error_answer.ts";
+import { recordOutcome } from "./record_outcome.ts";
 import { lendAllowance } from "./lend_allowance.ts";
 import type { OutboundCall } from "./outbound_call.ts";
 
@@ -35,6 +36,8 @@
   /** Empty when the caller gave none. */
   readonly requestId: string;
   readonly idempotencyKey: string;
+  /** Attempt number that the caller stated; 0 if none. */
+  readonly attempt: number;
   readonly member: string;
   readonly tenant: string;
   /** Undefined when the caller gave none. */
@@ -130,7 +133,9 @@
   call: OutboundCall,
   parent: ActiveCall,
 ): Promise<CallResult> {
-  const result = await dispatchCall(environment, call);
+  const result = call.context.isRepeatable
+    ? await dispatchCall(environment, call)
+    : await dispatchChildOnce(environment, call, parent);
   const { unusedAllowance } = result.isOk() ? result.value : result.error;
   parent.allowance.takeBack(call.context.retryAllowance, unusedAllowance);
   return result;
@@ -172,10 +177,9 @@
     request.deadlineMs,
     entry.deadlineMs ?? request.deadlineMs,
   );
-  const admitted = environment.entryAdmission.check({
-    request,
-    member: entry.member,
-  });
+  const admitted = isRepeatable
+    ? environment.entryAdmission.check({ request, member: entry.member })
+    : ok(undefined); // The holder of the key decides; only it knows what has run.
   if (admitted.isErr()) {
     return err(admitted.error);
   }
@@ -252,45 +256,10 @@
 }
 
 function pickTarget(entry: EntryCall) {
-  const { service, method, path, contentType, body, idempotencyKey, signal } =
-    entry;
-  return { service, method, path, contentType, body, idempotencyKey, signal };
-}
-
-interface OutcomeFacts {
-  readonly className: string;
-  readonly tenant: string;
-  readonly requestId: string;
-  readonly startedAtMs: number;
-  readonly service: string;
-}
-
-function recordOutcome(
-  environment: CallEnvironment,
-  result: CallResult,
-  facts: OutcomeFacts,
-): void {
-  const { clock, journal, log, metrics } = environment;
-  const { className, tenant, requestId, service } = facts;
-  const durationMs = clock.monotonicMs() - facts.startedAtMs;
-  const outcome = result.isOk() ? "answered" : result.error.kind;
-  metrics.callDuration.observe(
-    { class: className, tenant, outcome },
-    durationMs / 1_000,
-  );
-  if (result.isOk()) {
-    return;
-  }
-  const { reason } = result.error;
-  metrics.failures.inc({ class: className, outcome, reason });
-  const kind = outcome === "refused"
-    ? DECISIONS.refusal
-    : DECISIONS.unknownOutcome;
-  journal.record(kind, {
-    service,
-    reason,
-    class: className,
-    durationMs: Math.round(durationMs),
-  }, requestId);
-  log.debug({ requestId, service, reason, outcome }, "call-failed");
+  const { service, method, path, contentType, body, signal } = entry;
+  const { idempotencyKey, attempt } = entry;
+  return {
+    ...{ service, method, path, contentType, body, signal },
+    ...{ idempotencyKey, attempt },
+  };
 }
--- a/src/retry/retry_policy.ts
+++ b/src/retry/retry_policy.ts
@@ -65,6 +65,8 @@
   REASONS.noBackendServer,
   REASONS.backendFailed,
   REASONS.leaving,
+  REASONS.notStarted,
+  REASONS.keyLedgerFull,
 ]);
 
 /** Overloaded instances after which the whole service counts as overloaded. */
--- a/src/testing/backend_server_stand_in.ts
+++ b/src/testing/backend_server_stand_in.ts
@@ -47,7 +47,7 @@
   readonly service: string;
   readonly member: string;
   /** Time left that the daemon announced, in milliseconds. */
-  readonly deadlineMs: number;
+  readonly deadlineMs?: number;
   readonly atMs: number;
   readonly isFinished: boolean;
 }
@@ -92,6 +92,9 @@
   async start(): Promise<void> {
     const app = new Hono();
     app.all("*", (context) => this.#handle(context));
+    app.onError((error, context) =>
+      context.json({ error: error.message }, 500)
+    );
     const { address, port } = this.#options;
     await new Promise<void>((resolve) => {
       this.#server = serve(
