Choose instances by expected wait, with ejection, slow start, subsets and a link budget

Cause: instances were chosen by locality alone, so calls stayed with a slow, full, cold or broken instance, and nothing bounded what crosses the region link. Change: AdaptiveChooser compares two random instances of each tier by own calls in flight, own latency, refusals and aged load reports, and leaves a tier when a further one promises a clearly shorter wait; outliers are ejected up to half of a service and re-admitted by single probes; starting and re-admitted instances are loaded slowly; at most eight instances of a tier are used, by rendezvous hashing; each daemon has a share of the region link by class, and bulk stays local while a local copy can serve. RandomChooser stays as the baseline. Tests with sockets claim their network, since two runs met on one address.

--- /dev/null
+++ b/src/daemon/create_outbound_parts.ts
@@ -0,0 +1,88 @@
+/**
+ * The parts of a daemon that decide about calls it sends to others.
+ */
+
+import type { ConfigurationHolder } from "../configuration/mod.ts";
+import type { DaemonSettings, MemberRecord } from "../generated/types.ts";
+import {
+  AllowanceRetryPolicy,
+  CallJoiner,
+  EveryHopRetryPolicy,
+  MAX_JOINABLE_CALLS,
+  RetryBudget,
+} from "../retry/mod.ts";
+import type { RetryPolicy } from "../retry/mod.ts";
+import { AdaptiveChooser, LinkBudget, RandomChooser } from "../routing/mod.ts";
+import type { InstanceChooser } from "../routing/mod.ts";
+import type { DecisionJournal } from "../telemetry/mod.ts";
+import type { Clock, RandomSource } from "../time/mod.ts";
+
+const BITS_PER_BYTE = 8;
+
+/** Dependencies of the parts. */
+export interface OutboundPartsOptions {
+  readonly settings: DaemonSettings;
+  readonly self: MemberRecord;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly journal: DecisionJournal;
+  readonly configuration: ConfigurationHolder;
+}
+
+/** Choice of instances, retries and joining of duplicates. */
+export interface OutboundParts {
+  readonly chooser: InstanceChooser;
+  readonly retryPolicy: RetryPolicy;
+  readonly joiner: CallJoiner;
+  /** Adapts the parts to the members that are known; called at intervals. */
+  maintain(members: readonly MemberRecord[]): void;
+}
+
+/**
+ * Creates the parts, or those of the baseline where protection is off.
+ *
+ * @param options - Dependencies
+ * @returns The parts
+ *
+ * @example
+ * const outbound = createOutboundParts({ settings, self, clock, random, journal, configuration });
+ */
+export function createOutboundParts(
+  options: OutboundPartsOptions,
+): OutboundParts {
+  if (options.settings.protection === "off") {
+    return {
+      chooser: new RandomChooser(options.random),
+      retryPolicy: new EveryHopRetryPolicy(),
+      joiner: new CallJoiner(0),
+      maintain: () => undefined,
+    };
+  }
+  const { clock, random, self, journal, configuration } = options;
+  const linkBudget = new LinkBudget(clock);
+  const chooser = new AdaptiveChooser({
+    clock,
+    random,
+    locality: self,
+    linkBudget,
+    reportOutlier: (kind, facts) => journal.record(kind, facts),
+  });
+  const readRetryRatio = () => configuration.current?.document.retryRatio ?? 0;
+  return {
+    chooser,
+    retryPolicy: new AllowanceRetryPolicy(
+      new RetryBudget(clock, readRetryRatio),
+    ),
+    joiner: new CallJoiner(MAX_JOINABLE_CALLS),
+    maintain: (members) => {
+      const alive = members.filter(({ state }) => state !== "dead");
+      const neighbors = alive.filter(({ region }) => region === self.region);
+      const linkBitsPerSecond =
+        configuration.current?.document.regionLinkBitsPerSecond ?? 0;
+      linkBudget.setRate(
+        linkBitsPerSecond / BITS_PER_BYTE / Math.max(1, neighbors.length),
+      );
+      chooser.retain(new Set(alive.map(({ incarnation }) => incarnation)));
+    },
+  };
+}
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -38,14 +38,6 @@
   servePeerCall,
 } from "../request/mod.ts";
 import type { CallEnvironment } from "../request/mod.ts";
-import {
-  AllowanceRetryPolicy,
-  CallJoiner,
-  EveryHopRetryPolicy,
-  MAX_JOINABLE_CALLS,
-  RetryBudget,
-} from "../retry/mod.ts";
-import { LocalFirstChooser, RandomChooser } from "../routing/mod.ts";
 import { HttpObjectStore } from "../store/mod.ts";
 import {
   createLogger,
@@ -55,6 +47,8 @@
 } from "../telemetry/mod.ts";
 import { RandomSource, SystemClock } from "../time/mod.ts";
 import { createAdminApp } from "./create_admin_app.ts";
+import { createOutboundParts } from "./create_outbound_parts.ts";
+import type { OutboundParts } from "./create_outbound_parts.ts";
 
 /** Interval at which the daemon tidies up, in milliseconds. */
 const HOUSEKEEPING_INTERVAL_MS = 500;
@@ -77,6 +71,7 @@
   readonly #store: HttpObjectStore;
   readonly #membership: GossipMembership;
   readonly #peerServer: PeerServer;
+  readonly #outbound: OutboundParts;
   readonly #stopSignal = new AbortController();
   #servers: ServerType[] = [];
   #stopHousekeeping: () => void = () => undefined;
@@ -106,8 +101,6 @@
     };
     const journal = new DecisionJournal(clock);
     const seeds = settings.seeds.split(",").filter((seed) => seed !== "");
-    const readRetryRatio = () =>
-      configuration.current?.document.retryRatio ?? 0;
     const isProtected = settings.protection === "on";
     const { fleetToken } = settings;
     this.#store = new HttpObjectStore(settings.storeUrl);
@@ -122,6 +115,10 @@
       log,
       configuration,
     });
+    const outbound = createOutboundParts({
+      ...{ settings, self, clock, random, journal, configuration },
+    });
+    this.#outbound = outbound;
     this.environment = {
       settings,
       clock,
@@ -141,13 +138,9 @@
       inboundAdmission: isProtected
         ? new LimitedAdmission()
         : new UnprotectedAdmission(),
-      chooser: isProtected
-        ? new LocalFirstChooser(random, self)
-        : new RandomChooser(random),
-      retryPolicy: isProtected
-        ? new AllowanceRetryPolicy(new RetryBudget(clock, readRetryRatio))
-        : new EveryHopRetryPolicy(),
-      joiner: new CallJoiner(isProtected ? MAX_JOINABLE_CALLS : 0),
+      chooser: outbound.chooser,
+      retryPolicy: outbound.retryPolicy,
+      joiner: outbound.joiner,
       keys: new KeyLedger({ incarnation, fleetToken, clock }),
       keyPlacement: new KeyPlacement(),
       successors: new SuccessorTable(clock),
@@ -293,10 +286,12 @@
   #keepHouse(): void {
     const { membership, peers, successors } = this.environment;
     this.#publishBackend();
-    successors.learn(membership.listAll());
+    const members = membership.listAll();
+    successors.learn(members);
+    this.#outbound.maintain(members);
     peers.retain(
       new Set(
-        membership.listAll().filter(({ state }) => state !== "dead").map((
+        members.filter(({ state }) => state !== "dead").map((
           record,
         ) => record.incarnation),
       ),
--- a/src/peer/silent_connection_test.ts
+++ b/src/peer/silent_connection_test.ts
@@ -6,6 +6,7 @@
 import { HEARTBEAT_INTERVAL_MS } from "../constants/mod.ts";
 import type { CallMessage } from "../generated/types.ts";
 import type { CallResult } from "../outcome/mod.ts";
+import { claimNetwork } from "../testing/claim_network.ts";
 import { createPeerCall } from "../testing/create_peer_call.ts";
 import { LinkStandIn } from "../testing/link_stand_in.ts";
 import { ManualClock } from "../testing/manual_clock.ts";
@@ -28,8 +29,9 @@
   replacements: LinkReplacement[];
 }
 
-const SERVER_ADDRESS = "127.50.2.1";
-const LINK_ADDRESS = "127.50.2.2";
+const NETWORK = await claimNetwork();
+const SERVER_ADDRESS = `127.${NETWORK}.2.1`;
+const LINK_ADDRESS = `127.${NETWORK}.2.2`;
 const PEER_PORT = 7302;
 const SILENCE_MS = 1_250;
 const EMPTY_BODY = new Uint8Array(0);
--- a/src/request/dispatch_call.ts
+++ b/src/request/dispatch_call.ts
@@ -7,19 +7,16 @@
 import type { MemberRecord } from "../generated/types.ts";
 import { createRefusal, REASONS } from "../outcome/mod.ts";
 import type { CallResult } from "../outcome/mod.ts";
-import type { AttemptReport } from "../routing/mod.ts";
 import { DECISIONS } from "../telemetry/mod.ts";
 import { AttemptHistory } from "./attempt_history.ts";
 import type { CallEnvironment } from "./call_environment.ts";
 import { callUntilDeadline } from "./call_until_deadline.ts";
 import { createCallMessage } from "./create_call_message.ts";
 import type { OutboundCall } from "./outbound_call.ts";
+import { reportAttempt } from "./report_attempt.ts";
 import { runCall } from "./run_call.ts";
 import { sendOnce } from "./send_once.ts";
 
-/** Wait suggested when no instance is known, in milliseconds. */
-const NO_INSTANCE_RETRY_AFTER_MS = 1_000;
-
 /**
  * Sends a call until it is answered or the policy ends it.
  *
@@ -103,20 +100,19 @@
   if (call.context.remainingMs <= 0) {
     return err(createRefusal(REASONS.deadlineExpired, { unusedAllowance }));
   }
-  const { classRank, context: { isBulk } } = call;
-  const instance = chooser.choose(membership.listInstances(call.service), {
+  const { classRank, service, context: { isBulk, isRepeatable } } = call;
+  const choice = chooser.choose(membership.listInstances(service), {
+    service,
     excluded,
     isBulk,
+    isRepeatable,
     classRank,
   });
-  if (!instance) {
-    return err(
-      createRefusal(REASONS.noInstance, {
-        unusedAllowance,
-        retryAfterMs: NO_INSTANCE_RETRY_AFTER_MS,
-      }),
-    );
+  if (choice.isErr()) {
+    const { reason, retryAfterMs } = choice.error;
+    return err(createRefusal(reason, { unusedAllowance, retryAfterMs }));
   }
+  const instance = choice.value;
   excluded.add(instance.incarnation);
   metrics.attempts.inc({ service: call.service, retry: String(attempts > 1) });
   const startedAtMs = clock.monotonicMs();
@@ -136,31 +132,6 @@
   return result;
 }
 
-function reportAttempt(
-  call: OutboundCall,
-  result: CallResult,
-  durationMs: number,
-): AttemptReport {
-  if (result.isOk()) {
-    const { loads, body } = result.value;
-    return {
-      durationMs,
-      outcome: "answered",
-      reason: "",
-      loads,
-      bodyBytes: call.body.length + body.length,
-    };
-  }
-  const { kind, reason, loads } = result.error;
-  return {
-    durationMs,
-    outcome: kind,
-    reason,
-    loads,
-    bodyBytes: call.body.length,
-  };
-}
-
 interface SendOptions {
   readonly instance: MemberRecord;
   readonly failsWhenSilent: boolean;
--- a/src/request/retries_and_cancellation_test.ts
+++ b/src/request/retries_and_cancellation_test.ts
@@ -1,11 +1,13 @@
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
+import { claimNetwork } from "../testing/claim_network.ts";
 import { createTestConfiguration } from "../testing/create_test_configuration.ts";
 import { SmallFleet, waitUntil } from "../testing/small_fleet.ts";
 import { TestCaller } from "../testing/test_caller.ts";
 import type { TestCall, TestOutcome } from "../testing/test_caller.ts";
 
 interface Context {
+  network: number;
   fleet: SmallFleet;
   caller: TestCaller;
 }
@@ -17,14 +19,18 @@
 
 const test = suite<Context>("retries and cancellation along a chain");
 
+test.before(async (context) => {
+  context.network = await claimNetwork();
+});
+
 test.before.each(async (context) => {
   context.caller = new TestCaller();
   context.fleet = new SmallFleet({
     vms: [...CHAIN, ...CHAIN].map((service, index) => ({
       service,
-      address: `127.51.1.${index + 1}`,
+      address: `127.${context.network}.1.${index + 1}`,
     })),
-    storeAddress: "127.51.1.200",
+    storeAddress: `127.${context.network}.1.200`,
     configuration: createLongConfiguration(),
   });
   await context.fleet.start();
--- a/src/routing/instance_chooser.ts
+++ b/src/routing/instance_chooser.ts
@@ -2,24 +2,38 @@
  * Choice of the instance that a call is sent to.
  */
 
+import type { Result } from "neverthrow";
 import type { LoadSignal, MemberRecord } from "../generated/types.ts";
+import type { Reason } from "../outcome/mod.ts";
 
 /** What the choice is told about a call. */
 export interface ChoiceOptions {
+  readonly service: string;
   /** Incarnations that this call must not be sent to again. */
   readonly excluded: ReadonlySet<string>;
   /** Whether the answer is large. */
   readonly isBulk: boolean;
+  /** Whether the call may be sent to an instance of which it is not known that it works. */
+  readonly isRepeatable: boolean;
   /** Rank of the call's class; 0 is the most important. */
   readonly classRank: number;
 }
 
+/** Why no instance was chosen. */
+export interface ChoiceRefusal {
+  readonly reason: Reason;
+  /** Wait to suggest to the caller, in milliseconds. */
+  readonly retryAfterMs: number;
+}
+
 /** How an attempt at an instance ended. */
 export interface AttemptReport {
   readonly durationMs: number;
   readonly outcome: "answered" | "refused" | "unknown";
   /** Reason of a refusal or unknown outcome; empty for an answer. */
   readonly reason: string;
+  /** Whether the backend server answered with an error of its own making. */
+  readonly isErrorAnswer: boolean;
   readonly loads: readonly LoadSignal[];
   /** Bytes of the request and the reply bodies. */
   readonly bodyBytes: number;
@@ -27,11 +41,11 @@
 
 /** Chooses among the instances of one service. */
 export abstract class InstanceChooser {
-  /** Chooses an instance; undefined when none may be used. */
+  /** Chooses an instance, or tells why none may be used. */
   abstract choose(
     candidates: readonly MemberRecord[],
     options: ChoiceOptions,
-  ): MemberRecord | undefined;
+  ): Result<MemberRecord, ChoiceRefusal>;
 
   /** An attempt at the instance begins. */
   abstract begin(instance: MemberRecord): void;
@@ -39,3 +53,12 @@
   /** An attempt at the instance has ended. */
   abstract end(instance: MemberRecord, report: AttemptReport): void;
 }
+
+/** Wait suggested when no instance is known, in milliseconds. */
+const NO_INSTANCE_RETRY_AFTER_MS = 1_000;
+
+/** The refusal when no instance is known. */
+export const NO_INSTANCE: ChoiceRefusal = {
+  reason: "no-instance",
+  retryAfterMs: NO_INSTANCE_RETRY_AFTER_MS,
+};
--- a/src/routing/mod.ts
+++ b/src/routing/mod.ts
@@ -2,8 +2,14 @@
  * Choice of instances.
  */
 
+export { AdaptiveChooser } from "./adaptive_chooser.ts";
+export type { AdaptiveChooserOptions } from "./adaptive_chooser.ts";
 export { InstanceChooser } from "./instance_chooser.ts";
-export type { AttemptReport, ChoiceOptions } from "./instance_chooser.ts";
-export { LocalFirstChooser } from "./local_first_chooser.ts";
-export type { Locality } from "./local_first_chooser.ts";
+export type {
+  AttemptReport,
+  ChoiceOptions,
+  ChoiceRefusal,
+} from "./instance_chooser.ts";
+export { LinkBudget } from "./link_budget.ts";
+export type { Locality } from "./locality_tiers.ts";
 export { RandomChooser } from "./random_chooser.ts";
--- a/src/routing/random_chooser.ts
+++ b/src/routing/random_chooser.ts
@@ -2,10 +2,16 @@
  * The baseline: any instance, each as likely.
  */
 
+import { err, ok } from "neverthrow";
+import type { Result } from "neverthrow";
 import type { MemberRecord } from "../generated/types.ts";
 import type { RandomSource } from "../time/mod.ts";
-import { InstanceChooser } from "./instance_chooser.ts";
-import type { AttemptReport, ChoiceOptions } from "./instance_chooser.ts";
+import { InstanceChooser, NO_INSTANCE } from "./instance_chooser.ts";
+import type {
+  AttemptReport,
+  ChoiceOptions,
+  ChoiceRefusal,
+} from "./instance_chooser.ts";
 
 /** Chooses at random. */
 export class RandomChooser extends InstanceChooser {
@@ -19,12 +25,13 @@
   override choose(
     candidates: readonly MemberRecord[],
     options: ChoiceOptions,
-  ): MemberRecord | undefined {
-    return this.#random.choose(
+  ): Result<MemberRecord, ChoiceRefusal> {
+    const chosen = this.#random.choose(
       candidates.filter(({ incarnation }) =>
         !options.excluded.has(incarnation)
       ),
     );
+    return chosen ? ok(chosen) : err(NO_INSTANCE);
   }
 
   override begin(_instance: MemberRecord): void {
--- a/src/testing/link_stand_in_test.ts
+++ b/src/testing/link_stand_in_test.ts
@@ -3,6 +3,7 @@
 import type { Server, Socket } from "node:net";
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
+import { claimNetwork } from "./claim_network.ts";
 import { LinkStandIn } from "./link_stand_in.ts";
 
 interface Context {
@@ -10,10 +11,11 @@
   link: LinkStandIn;
 }
 
+const NETWORK = await claimNetwork();
 const ROUTE = {
-  listenAddress: "127.50.1.2",
+  listenAddress: `127.${NETWORK}.1.2`,
   listenPort: 7301,
-  targetAddress: "127.50.1.1",
+  targetAddress: `127.${NETWORK}.1.1`,
   targetPort: 7300,
 };
 
