--- a/src/peer/peer_link_owner.ts
+++ b/src/peer/peer_link_owner.ts
@@ -6,6 +6,8 @@
 import type VError from "verror";
 import type {
   CallMessage,
+  ConfigurationFetchMessage,
+  ConfigurationPartMessage,
   HelloMessage,
   ReplyMessage,
 } from "../generated/types.ts";
@@ -40,6 +42,10 @@
   onCancel(callId: number): void;
   /** The peer has left a heartbeat unanswered; the link stays open for a while. */
   onSilent(silenceMs: number): void;
+  /** The peer asks for a newer configuration, or sends a part of one. */
+  onConfiguration?(
+    message: ConfigurationFetchMessage | ConfigurationPartMessage,
+  ): void;
   /** The link ended, with the error that ended it, if any. */
   onClose(error: VError | undefined): void;
 }
--- a/src/testing/small_fleet.ts
+++ b/src/testing/small_fleet.ts
@@ -4,7 +4,6 @@
  */
 
 import { connect } from "node:net";
-import { CONFIGURATION_KEY } from "../configuration/mod.ts";
 import { Daemon } from "../daemon/daemon.ts";
 import type { Configuration, DaemonSettings } from "../generated/types.ts";
 import { HttpObjectStore } from "../store/mod.ts";
@@ -15,6 +14,7 @@
   TEST_CHAINS,
 } from "./create_test_configuration.ts";
 import { ObjectApiStandIn } from "./object_api_stand_in.ts";
+import { writeConfiguration } from "./write_configuration.ts";
 
 /** One VM of a small fleet. */
 export interface SmallVm {
@@ -38,6 +38,7 @@
 
 const SLOTS = 16;
 const POLL_MS = 5;
+const WAIT_TIMEOUT_MS = 30_000;
 const STORE_PORT = 7000;
 const PORTS = { caller: 7100, backend: 7101, peer: 7102, admin: 7103 };
 const BACKEND_SERVER_PORT = 7200;
@@ -76,7 +77,7 @@
       this.#plan;
     await this.#store.listen(storeAddress, STORE_PORT);
     const client = new HttpObjectStore(this.#storeUrl);
-    await client.write(CONFIGURATION_KEY, configuration, 0);
+    await writeConfiguration(client, configuration);
     await client.close();
     await Promise.all(this.daemons.map((daemon) => daemon.start()));
     await waitUntil(() => this.daemons.every(({ isReady }) => isReady));
@@ -144,16 +145,20 @@
 }
 
 /**
- * Waits until a condition holds; the test's own time limit ends a wait in vain.
+ * Waits until a condition holds.
  *
  * @param isDone - The condition
- * @returns When it holds
+ * @returns When it holds; rejected when it does not hold in time
  *
  * @example
  * await waitUntil(() => fleet.activeCount === 0);
  */
 export async function waitUntil(isDone: () => boolean): Promise<void> {
+  const deadlineMs = performance.now() + WAIT_TIMEOUT_MS;
   while (!isDone()) {
+    if (performance.now() > deadlineMs) {
+      throw new Error("the condition did not come to hold in time");
+    }
     await new Promise((resolve) => setTimeout(resolve, POLL_MS));
   }
 }
