--- a/src/measure/fleet.ts
+++ b/src/measure/fleet.ts
@@ -7,6 +7,7 @@
 import type { ChildProcess } from "node:child_process";
 import { once } from "node:events";
 import { readFile } from "node:fs/promises";
+import process from "node:process";
 import { fileURLToPath } from "node:url";
 import { request } from "undici";
 import type { Configuration } from "../generated/types.ts";
@@ -14,6 +15,7 @@
 import { BackendServerStandIn } from "../testing/backend_server_stand_in.ts";
 import type { BackendBehavior } from "../testing/backend_server_stand_in.ts";
 import { writeConfiguration } from "../testing/write_configuration.ts";
+import { LINKS_VARIABLE } from "../testing/links_variable.ts";
 import { ObjectApiStandIn } from "../testing/object_api_stand_in.ts";
 
 /** Secret of the fleets that experiments start. */
@@ -37,6 +39,8 @@
   readonly slots: number;
   readonly coldStartMs?: number;
   readonly behavior?: Partial<BackendBehavior>;
+  /** Addresses of links that this VM's daemon dials in place of other VMs. */
+  readonly links?: Readonly<Record<string, string>>;
 }
 
 /** What a fleet consists of. */
@@ -61,6 +65,9 @@
 const DAEMON_PROGRAM = fileURLToPath(
   new URL("../daemon/main.js", import.meta.url),
 );
+const LINKED_DAEMON_PROGRAM = fileURLToPath(
+  new URL("../testing/linked_daemon.js", import.meta.url),
+);
 const READY_POLL_MS = 50;
 const READY_TIMEOUT_MS = 20_000;
 
@@ -190,8 +197,10 @@
       "--random-seed": String(this.plan.randomSeed + this.vms.length + 1),
       "--log-level": "error",
     };
-    return spawn("node", [DAEMON_PROGRAM, ...Object.entries(settings).flat()], {
+    const program = plan.links ? LINKED_DAEMON_PROGRAM : DAEMON_PROGRAM;
+    return spawn("node", [program, ...Object.entries(settings).flat()], {
       stdio: ["ignore", "inherit", "inherit"],
+      env: { ...process.env, [LINKS_VARIABLE]: JSON.stringify(plan.links) },
     });
   }
 
--- a/src/request/call_until_deadline.ts
+++ b/src/request/call_until_deadline.ts
@@ -14,6 +14,8 @@
   /** When the wait ends, in monotonic milliseconds. */
   readonly deadlineAtMs: number;
   readonly signal: AbortSignal;
+  /** Whether the wait ends when the connection falls silent, because the call may be sent or asked again; true unless given. */
+  readonly failsWhenSilent?: boolean;
 }
 
 /** The outcome of a call to a peer and what became of its messages. */
@@ -50,7 +52,7 @@
   }
   const result = await client.call(call.message, call.body, {
     signal: controller.signal,
-    failsWhenSilent: true, // Each of these calls may be sent or asked again.
+    failsWhenSilent: call.failsWhenSilent ?? true,
     trace,
   });
   cancelDeadline();
--- a/src/request/dispatch_call.ts
+++ b/src/request/dispatch_call.ts
@@ -7,20 +7,19 @@
 import type { MemberRecord } from "../generated/types.ts";
 import { createRefusal, REASONS } from "../outcome/mod.ts";
 import type { CallFailure, CallResult } from "../outcome/mod.ts";
-import type { AttemptReport } from "../routing/mod.ts";
 import { DECISIONS } from "../telemetry/mod.ts";
 import { AttemptHistory } from "./attempt_history.ts";
 import type { CallEnvironment } from "./call_environment.ts";
+import { callUntilDeadline } from "./call_until_deadline.ts";
+import { createCallMessage } from "./create_call_message.ts";
 import type { OutboundCall } from "./outbound_call.ts";
+import { reportAttempt } from "./report_attempt.ts";
 import { runCall } from "./run_call.ts";
 import { sendOnce } from "./send_once.ts";
 
 /** Refusals by leaving instances that a call is sent on after, free of its allowance. */
 const MAX_REDIRECTS = 8;
 
-/** Wait suggested when no instance is known, in milliseconds. */
-const NO_INSTANCE_RETRY_AFTER_MS = 1_000;
-
 /**
  * Sends a call until it is answered or the policy ends it.
  *
@@ -114,20 +113,19 @@
   if (call.context.remainingMs <= 0) {
     return err(createRefusal(REASONS.deadlineExpired, { unusedAllowance }));
   }
-  const { classRank, context: { isBulk } } = call;
-  const instance = chooser.choose(membership.listInstances(call.service), {
+  const { classRank, service, context: { isBulk, isRepeatable } } = call;
+  const choice = chooser.choose(membership.listInstances(service), {
+    service,
     excluded,
     isBulk,
+    isRepeatable,
     classRank,
   });
-  if (!instance) {
-    return err(
-      createRefusal(REASONS.noInstance, {
-        unusedAllowance,
-        retryAfterMs: NO_INSTANCE_RETRY_AFTER_MS,
-      }),
-    );
+  if (choice.isErr()) {
+    const { reason, retryAfterMs } = choice.error;
+    return err(createRefusal(reason, { unusedAllowance, retryAfterMs }));
   }
+  const instance = choice.value;
   excluded.add(instance.incarnation);
   metrics.attempts.inc({ service: call.service, retry: String(attempts > 1) });
   const startedAtMs = clock.monotonicMs();
@@ -150,31 +148,6 @@
   return result;
 }
 
-function reportAttempt(
-  call: OutboundCall,
-  result: CallResult,
-  durationMs: number,
-): AttemptReport {
-  if (result.isOk()) {
-    const { loads, body } = result.value;
-    return {
-      durationMs,
-      outcome: "answered",
-      reason: "",
-      loads,
-      bodyBytes: call.body.length + body.length,
-    };
-  }
-  const { kind, reason, loads } = result.error;
-  return {
-    durationMs,
-    outcome: kind,
-    reason,
-    loads,
-    bodyBytes: call.body.length,
-  };
-}
-
 interface SendOptions {
   readonly instance: MemberRecord;
   readonly failsWhenSilent: boolean;
@@ -195,31 +168,12 @@
   if (instance.incarnation === membership.self.incarnation) {
     return await runCall(environment, call);
   }
-  const deadline = new AbortController();
-  const cancel = () => deadline.abort(REASONS.cancelled);
-  const cancelDeadline = clock.schedule(
-    call.context.remainingMs,
-    () => deadline.abort(REASONS.deadlineExpired),
-  );
-  call.signal.addEventListener("abort", cancel);
-  const { context, idempotencyKey, service, method, path, contentType, body } =
-    call;
-  const bodyLengthBytes = body.length;
-  const message = {
-    context,
-    idempotencyKey,
-    service,
-    method,
-    path,
-    contentType,
-    bodyLengthBytes,
-  };
-  const result = await peers.get(instance)
-    .call({ kind: "call", purpose: "run", ...message }, body, {
-      signal: deadline.signal,
-      failsWhenSilent,
-    });
-  cancelDeadline();
-  call.signal.removeEventListener("abort", cancel);
+  const { result } = await callUntilDeadline(peers.get(instance), clock, {
+    message: createCallMessage(call, "run"),
+    body: call.body,
+    deadlineAtMs: call.deadlineAtMs,
+    signal: call.signal,
+    failsWhenSilent,
+  });
   return result;
 }
--- a/src/request/record_outcome.ts
+++ b/src/request/record_outcome.ts
@@ -1,30 +1,29 @@
 /**
- * Recording of what became of a call at the daemon that it entered at.
+ * Records of outcomes at the entry.
  */
 
 import type { CallResult } from "../outcome/mod.ts";
 import { DECISIONS } from "../telemetry/mod.ts";
 import type { CallEnvironment } from "./call_environment.ts";
 
-/** What is recorded beside the outcome. */
+/** What a record of an outcome names. */
 export interface OutcomeFacts {
   readonly className: string;
   readonly tenant: string;
   readonly requestId: string;
-  readonly service: string;
-  /** When the call arrived, in monotonic milliseconds. */
   readonly startedAtMs: number;
+  readonly service: string;
 }
 
 /**
- * Records an outcome in metrics, and in journal and log if it is no answer.
+ * Records the outcome of a call in metrics, journal and log.
  *
  * @param environment - The daemon's parts
  * @param result - The outcome
- * @param facts - What the call was
+ * @param facts - What the record names
  *
  * @example
- * recordOutcome(environment, result, { className, tenant, requestId, service, startedAtMs });
+ * recordOutcome(environment, result, { className, tenant, requestId, startedAtMs, service });
  */
 export function recordOutcome(
   environment: CallEnvironment,
--- a/src/request/serve_entry_call.ts
+++ b/src/request/serve_entry_call.ts
@@ -22,9 +22,9 @@
 import { dispatchChildOnce } from "./dispatch_child_once.ts";
 import { dispatchOnce } from "./dispatch_once.ts";
 import { isErrorAnswer } from "./is_error_answer.ts";
+import { recordOutcome } from "./record_outcome.ts";
 import { lendAllowance } from "./lend_allowance.ts";
 import type { OutboundCall } from "./outbound_call.ts";
-import { recordOutcome } from "./record_outcome.ts";
 
 /** A call as it came over HTTP. */
 export interface EntryCall {
--- a/src/testing/small_fleet.ts
+++ b/src/testing/small_fleet.ts
@@ -40,6 +40,7 @@
 
 const SLOTS = 16;
 const POLL_MS = 5;
+const WAIT_TIMEOUT_MS = 30_000;
 const STORE_PORT = 7000;
 const PORTS = { caller: 7100, backend: 7101, peer: 7102, admin: 7103 };
 const BACKEND_SERVER_PORT = 7200;
@@ -146,16 +147,20 @@
 }
 
 /**
- * Waits until a condition holds; the test's own time limit ends a wait in vain.
+ * Waits until a condition holds.
  *
  * @param isDone - The condition
- * @returns When it holds
+ * @returns When it holds; rejected when it does not hold in time
  *
  * @example
  * await waitUntil(() => fleet.activeCount === 0);
  */
 export async function waitUntil(isDone: () => boolean): Promise<void> {
+  const deadlineMs = performance.now() + WAIT_TIMEOUT_MS;
   while (!isDone()) {
+    if (performance.now() > deadlineMs) {
+      throw new Error("the condition did not come to hold in time");
+    }
     await new Promise((resolve) => setTimeout(resolve, POLL_MS));
   }
 }
