--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -3,20 +3,12 @@
  */
 
 import process from "node:process";
-import { Builtins, Cli } from "clipanion";
-import { DrainCommand, UndrainCommand } from "./drain_command.ts";
-import { ExplainCommand } from "./explain_command.ts";
-import { StatusCommand } from "./status_command.ts";
+import { Cli } from "clipanion";
+import { createCli } from "./create_cli.ts";
+import { runCli } from "./run_cli.ts";
 
-const cli = new Cli({
-  binaryName: "celeryhollow",
-  binaryLabel: "celeryhollow operator tool",
-  binaryVersion: "0.1.0",
-});
-cli.register(Builtins.HelpCommand);
-cli.register(Builtins.VersionCommand);
-cli.register(StatusCommand);
-cli.register(ExplainCommand);
-cli.register(DrainCommand);
-cli.register(UndrainCommand);
-process.exitCode = await cli.run(process.argv.slice(2));
+process.exitCode = await runCli(
+  createCli(),
+  process.argv.slice(2),
+  Cli.defaultContext,
+);
--- a/src/configuration/mod.ts
+++ b/src/configuration/mod.ts
@@ -19,7 +19,10 @@
   ConfigurationState,
   VersionedState,
 } from "./configuration_state.ts";
-export { createConfigurationTransfer } from "./configuration_transfer.ts";
+export {
+  createConfigurationTransfer,
+  readConfigurationTransfer,
+} from "./configuration_transfer.ts";
 export { ConfigurationWriter } from "./configuration_writer.ts";
 export type {
   ConfigurationProposal,
@@ -29,6 +32,7 @@
 export { describeSchemaFindings } from "./describe_schema_findings.ts";
 export { applyDocumentPatch, createDocumentPatch } from "./document_patch.ts";
 export type { DocumentPatch } from "./document_patch.ts";
+export type { VersionNotice } from "./peer_versions.ts";
 export { findRequest } from "./find_request.ts";
 export type { CallTarget } from "./find_request.ts";
 export { validateConfigurationDocument } from "./validate_configuration_document.ts";
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -5,11 +5,6 @@
 import { serve } from "@hono/node-server";
 import type { ServerType } from "@hono/node-server";
 import type { Hono } from "hono";
-import {
-  LimitedAdmission,
-  OpenEntryAdmission,
-  UnprotectedAdmission,
-} from "../admission/mod.ts";
 import {
   BACKEND_STATES,
   BackendClient,
@@ -61,6 +56,7 @@
 } from "../telemetry/mod.ts";
 import { RandomSource, SystemClock } from "../time/mod.ts";
 import { createAdminApp } from "./create_admin_app.ts";
+import { createAdmission } from "./create_admission.ts";
 import { DaemonConfigurationPeers } from "./daemon_configuration_peers.ts";
 
 /** Interval at which the daemon tidies up, in milliseconds. */
@@ -76,18 +72,18 @@
 const QUIET_MS = 250;
 const QUIET_TIMEOUT_MS = 2_000;
 
-/** Parts of a daemon that tests replace. */
-export interface DaemonParts {
-  /** Opens sockets to other daemons. */
-  readonly dial?: DialPeer;
-}
-
 /** Calls to the object API that one daemon may make at once. */
 const STORE_BURST_CALLS = 10;
 
 /** Calls to the object API that one daemon may make in the long run. */
 const STORE_CALLS_PER_SECOND = 1;
 
+/** Parts of a daemon that tests replace. */
+export interface DaemonParts {
+  /** Opens sockets to other daemons. */
+  readonly dial?: DialPeer;
+}
+
 /** A running daemon. */
 export class Daemon {
   readonly environment: CallEnvironment;
@@ -123,6 +119,7 @@
       ...parts.dial === undefined ? {} : { dial: parts.dial },
     };
     const journal = new DecisionJournal(clock);
+    const metrics = new DaemonMetrics();
     const seeds = settings.seeds.split(",").filter((seed) => seed !== "");
     const readRetryRatio = () =>
       configuration.current?.document.retryRatio ?? 0;
@@ -152,9 +149,6 @@
           log.warn({ error: error.message }, "gossip-socket-error"),
       }),
     });
-    this.#membership.onPeerConfigurationVersion(({ incarnation, version }) =>
-      this.#configurationSpread.takePeerVersion(incarnation, version)
-    );
     this.#configurationSpread = new ConfigurationSpread({
       reader: new ConfigurationReader(store),
       holder: configuration,
@@ -168,7 +162,7 @@
       settings,
       clock,
       log,
-      metrics: new DaemonMetrics(),
+      metrics,
       journal,
       configuration,
       membership: this.#membership,
@@ -179,10 +173,13 @@
       }),
       backend: new BackendRegistry(clock),
       backendClient: new BackendClient(settings.address),
-      entryAdmission: new OpenEntryAdmission(),
-      inboundAdmission: isProtected
-        ? new LimitedAdmission()
-        : new UnprotectedAdmission(),
+      ...createAdmission(isProtected, {
+        clock,
+        journal,
+        metrics,
+        configuration,
+        incarnation,
+      }),
       chooser: isProtected
         ? new LocalFirstChooser(random, self)
         : new RandomChooser(random),
@@ -229,6 +226,9 @@
       createAdminApp(environment, { isReady, stop: () => this.stop() }),
       settings.adminPort,
     );
+    this.#membership.onPeerConfigurationVersion((notice) =>
+      this.#configurationSpread.takeNotice(notice)
+    );
     await this.#membership.start();
     void this.#configurationSpread.run(this.#stopSignal.signal);
     environment.backend.subscribe(() => this.#publishBackend());
--- a/src/membership/rumor_spreader.ts
+++ b/src/membership/rumor_spreader.ts
@@ -32,38 +32,29 @@
     );
   }
 
+  /** Chooses members of the own failure domain at random. */
+  chooseTargets(fanout = FANOUT): string[] {
+    const { random, table } = this.#context;
+    const others = table.listDomain(table.self.failureDomain).filter((
+      { incarnation, state },
+    ) => incarnation !== table.self.incarnation && state !== "suspect");
+    return chooseSeveral(random, others, fanout).map(nameTarget);
+  }
+
   /** Pushes rumors that were not pushed yet, while the budget lasts. */
   spread(fanout = FANOUT): void {
-    const { link, random, rumors, table } = this.#context;
+    const { link, rumors } = this.#context;
     while (rumors.freshCount > 0 && this.#budget >= fanout) {
-      const others = table.listDomain(table.self.failureDomain).filter((
-        { incarnation, state },
-      ) => incarnation !== table.self.incarnation && state !== "suspect");
-      const targets = chooseSeveral(random, others, fanout);
+      const targets = this.chooseTargets(fanout);
       if (targets.length === 0) {
         return;
       }
       const records = takeWithinBytes(rumors.listFresh());
       for (const target of targets) {
-        link.send(nameTarget(target), { kind: "push", sequence: 0, records });
+        link.send(target, { kind: "push", sequence: 0, records });
       }
       this.#budget -= targets.length;
       rumors.markPushed(records);
     }
   }
-
-  /** Tells a few members the configuration version, which every datagram carries. */
-  announce(): void {
-    const { link, random, table } = this.#context;
-    const others = table.listDomain(table.self.failureDomain).filter((
-      { incarnation },
-    ) => incarnation !== table.self.incarnation);
-    for (const target of chooseSeveral(random, others, FANOUT)) {
-      if (this.#budget < 1) {
-        return;
-      }
-      this.#budget -= 1;
-      link.send(nameTarget(target), { kind: "push", sequence: 0, records: [] });
-    }
-  }
 }
--- a/src/peer/fetch_configuration.ts
+++ b/src/peer/fetch_configuration.ts
@@ -30,6 +30,7 @@
 /** A connection that asks one question. */
 class FetchLink implements PeerLinkOwner {
   readonly link: PeerLink;
+  readonly hasWork = true;
   readonly #knownVersion: number;
   readonly #settle: (result: Result<Uint8Array, VError>) => void;
   #assembler: BodyAssembler | undefined;
@@ -44,11 +45,6 @@
     this.link = new PeerLink(socket, this, options.link);
   }
 
-  /** The connection waits for its answer until it ends. */
-  get hasWork(): boolean {
-    return true;
-  }
-
   onHello(): void {
     this.link.send({
       kind: "configuration-fetch",
@@ -85,7 +81,7 @@
   }
 
   onSilent(): void {
-    // The timeout of the fetch ends the connection.
+    // The time allowed for one fetch is short; nothing else is needed.
   }
 
   onClose(error: VError | undefined): void {
@@ -115,7 +111,8 @@
   options: PeerLinkOptions,
 ): Promise<Result<Uint8Array, VError>> {
   return new Promise((resolve) => {
-    const socket = connect({ host: address.address, port: address.peerPort });
+    const socket = options.dial?.(address) ??
+      connect({ host: address.address, port: address.peerPort });
     const settle = (result: Result<Uint8Array, VError>) => {
       cancelTimeout();
       resolve(result);
--- a/src/request/active_calls.ts
+++ b/src/request/active_calls.ts
@@ -10,6 +10,7 @@
 import type { CallResult } from "../outcome/mod.ts";
 import { RetryAllowance } from "../retry/mod.ts";
 import type { Clock } from "../time/mod.ts";
+import { NestedTime } from "./nested_time.ts";
 
 /** A call that is running on the backend server. */
 export interface ActiveCall {
@@ -26,6 +27,8 @@
   hasFailedBelow: boolean;
   /** Non-repeatable calls that the running call has made, by their derived keys. */
   readonly children: Map<string, Promise<CallResult>>;
+  /** Time in which the call waited for deeper calls. */
+  readonly nestedTime: NestedTime;
 }
 
 /** Random bytes that set the tokens of one process apart from those of others. */
@@ -61,6 +64,7 @@
       calledServices: new Set<string>(),
       hasFailedBelow: false,
       children: new Map(),
+      nestedTime: new NestedTime(this.#clock),
     };
     this.#calls.set(token, call);
     return call;
--- a/src/request/dispatch_call.ts
+++ b/src/request/dispatch_call.ts
@@ -87,16 +87,16 @@
   }
 }
 
-/** A leaving instance has run nothing, so that another may be asked as if it had been the first. */
-function mayRedirect({ kind, reason }: CallFailure): boolean {
-  return kind === "refused" && reason === REASONS.leaving;
-}
-
 function readUnused(result: CallResult, handedDown: number): number {
   const { unusedAllowance } = result.isOk() ? result.value : result.error;
   return Math.min(handedDown, unusedAllowance);
 }
 
+/** A leaving instance has run nothing, so that another may be asked as if it had been the first. */
+function mayRedirect({ kind, reason }: CallFailure): boolean {
+  return kind === "refused" && reason === REASONS.leaving;
+}
+
 interface AttemptOptions {
   readonly excluded: Set<string>;
   readonly attempts: number;
--- a/src/request/dispatch_once.ts
+++ b/src/request/dispatch_once.ts
@@ -68,12 +68,16 @@
   call: OutboundCall,
 ): Promise<CallResult> {
   const { configuration, entryAdmission } = environment;
-  const { requestName, member } = call.context;
+  const { requestName, member, requestId } = call.context;
   const request = configuration.current?.requestsByName.get(requestName);
-  const admitted = request && entryAdmission.check({ request, member });
-  return admitted?.isErr()
-    ? err(admitted.error)
-    : await dispatchCall(environment, call);
+  const admitted = request &&
+    entryAdmission.check({ request, member, requestId });
+  if (admitted?.isErr()) {
+    return err(admitted.error);
+  }
+  const mark = admitted?.unwrapOr({ mark: undefined }).mark;
+  const context = { ...call.context, ...mark && { admission: mark } };
+  return await dispatchCall(environment, { ...call, context });
 }
 
 function settleAgain(
