Tell unknown where an entry cannot prove a refusal for the key

Cause: an entry without a configuration, or with another one, refused a later attempt as not run though an earlier attempt elsewhere may have run. Change: such refusals are unknown unless the caller states a first attempt.

--- a/src/request/serve_entry_call.ts
+++ b/src/request/serve_entry_call.ts
@@ -25,6 +25,8 @@
 import { isErrorAnswer } from "./is_error_answer.ts";
 import { lendAllowance } from "./lend_allowance.ts";
 import type { OutboundCall } from "./outbound_call.ts";
+import { pickTarget } from "./pick_target.ts";
+import { qualifyRefusal } from "./qualify_refusal.ts";
 
 /** A call as it came over HTTP. */
 export interface EntryCall {
@@ -83,7 +85,7 @@
   const startedAtMs = environment.clock.monotonicMs();
   const call = prepareCall(environment, entry);
   const result: CallResult = call.isErr()
-    ? err(call.error)
+    ? err(qualifyRefusal(entry, call.error))
     : await sendCall(environment, call.value, { entry, joinKey });
   if (entry.parent) {
     entry.parent.hasFailedBelow ||= result.isErr() || isErrorAnswer(result);
@@ -255,15 +257,6 @@
   return request ? request.isRepeatable : isParentRepeatable;
 }
 
-function pickTarget(entry: EntryCall) {
-  const { service, method, path, contentType, body, signal } = entry;
-  const { idempotencyKey, attempt } = entry;
-  return {
-    ...{ service, method, path, contentType, body, signal },
-    ...{ idempotencyKey, attempt },
-  };
-}
-
 interface OutcomeFacts {
   readonly className: string;
   readonly tenant: string;
