Ask for holders that the entry does not know

Cause: since daemons know only the members they deal with, an entry found no record of most holders and gave their keys up as gone. Change: the entry looks the holder up and follows the successor in its record; a member that nobody knew is not asked for again for 5 s.

--- a/src/idempotency/successor_table.ts
+++ b/src/idempotency/successor_table.ts
@@ -9,6 +9,9 @@
 /** Longest chain of successors that is followed. */
 const MAX_CHAIN = 16;
 
+/** Time for which a member that nobody knew is not asked for again, in milliseconds. */
+const MISSING_RETENTION_MS = 5_000;
+
 interface Succession {
   readonly successor: string;
   readonly learntAtMs: number;
@@ -18,6 +21,7 @@
 export class SuccessorTable {
   readonly #clock: Clock;
   readonly #successions = new Map<string, Succession>();
+  readonly #missing = new Map<string, number>();
 
   constructor(clock: Clock) {
     this.#clock = clock;
@@ -38,6 +42,23 @@
     }
   }
 
+  /** Notes that nobody knew a daemon process just now. */
+  noteMissing(incarnation: string): void {
+    const nowMs = this.#clock.monotonicMs();
+    for (const [other, missedAtMs] of this.#missing) {
+      if (nowMs - missedAtMs > MISSING_RETENTION_MS) {
+        this.#missing.delete(other);
+      }
+    }
+    this.#missing.set(incarnation, nowMs);
+  }
+
+  /** Whether nobody knew a daemon process a short while ago, so that asking again is of no use yet. */
+  isMissing(incarnation: string): boolean {
+    const missedAtMs = this.#missing.get(incarnation) ?? -Infinity;
+    return this.#clock.monotonicMs() - missedAtMs <= MISSING_RETENTION_MS;
+  }
+
   /** The daemon process that holds the keys of `holder`, as far as is known. */
   findHolder(holder: string): string {
     let current = holder;
--- a/src/idempotency/successor_table_test.ts
+++ b/src/idempotency/successor_table_test.ts
@@ -48,4 +48,13 @@
   assert.is(table.findHolder("one"), "one");
 });
 
+test("a member that nobody knew is not asked for again for a while", () => {
+  const clock = new ManualClock();
+  const table = new SuccessorTable(clock);
+  table.noteMissing("one");
+  assert.equal([table.isMissing("one"), table.isMissing("two")], [true, false]);
+  clock.advance(5_001);
+  assert.not(table.isMissing("one"));
+});
+
 test.run();
--- a/src/request/forward_to_holder.ts
+++ b/src/request/forward_to_holder.ts
@@ -38,7 +38,7 @@
   const attempt = call.attempt;
   let isSent = false;
   while (clock.monotonicMs() < call.deadlineAtMs && !call.signal.aborted) {
-    const target = findHolder(environment, holder);
+    const target = await findHolder(environment, holder);
     if (!target) {
       break;
     }
@@ -66,15 +66,38 @@
   return describeMissingHolder(call, isSent);
 }
 
-function findHolder(
-  { membership, successors }: CallEnvironment,
+/** The member that holds the keys of a daemon process; undefined when it is gone or nobody knows it. */
+async function findHolder(
+  environment: CallEnvironment,
   holder: string,
-): MemberRecord | undefined {
+): Promise<MemberRecord | undefined> {
+  const { membership, successors } = environment;
   successors.learn(membership.listAll());
-  const record = membership.find(successors.findHolder(holder));
+  const current = successors.findHolder(holder);
+  const record = await findMember(environment, current);
+  successors.learn(record ? [record] : []);
+  if (successors.findHolder(holder) !== current) {
+    return await findHolder(environment, holder);
+  }
   return record?.state === "dead" ? undefined : record;
 }
 
+/** A daemon knows only the members it deals with; others are asked for. */
+async function findMember(
+  { membership, successors }: CallEnvironment,
+  incarnation: string,
+): Promise<MemberRecord | undefined> {
+  const known = membership.find(incarnation);
+  if (known || successors.isMissing(incarnation)) {
+    return known;
+  }
+  const found = await membership.lookUp(incarnation);
+  if (!found) {
+    successors.noteMissing(incarnation);
+  }
+  return found;
+}
+
 function describeMissingHolder(
   call: OutboundCall,
   isSent: boolean,
--- a/src/request/guarded_calls_test.ts
+++ b/src/request/guarded_calls_test.ts
@@ -153,6 +153,19 @@
   assert.equal(listRuns(fleet, "delivery-ledger"), []);
 });
 
+test("a holder that the entry does not know is asked for", async ({ fleet }) => {
+  const [holder, entry] = [pick(fleet, 0), pick(fleet, 1)];
+  const idempotencyKey = holder.environment.keys.issueKey();
+  entry.environment.membership.find = () => undefined;
+  const request = { requestId: "one", idempotencyKey };
+  assert.is(await send(entry, request), "unknown key-holder-gone");
+  const known = holder.environment.membership.self;
+  const other = pick(fleet, 2);
+  other.environment.membership.find = () => undefined;
+  other.environment.membership.lookUp = () => Promise.resolve(known);
+  assert.is(await send(other, request), "answered");
+});
+
 test("another process at the holder's address is not taken for the holder", async ({ fleet }) => {
   const idempotencyKey = pick(fleet, 0).environment.keys.issueKey();
   await fleet.inject("crash", 0, 0);
