--- a/src/measure/experiments/once.ts
+++ b/src/measure/experiments/once.ts
@@ -15,6 +15,7 @@
 import { collectHistory } from "../once/collect_history.ts";
 import { compareLatency } from "../once/compare_latency.ts";
 import type { LatencyComparison } from "../once/compare_latency.ts";
+import { measureKeyBytes } from "../once/measure_key_bytes.ts";
 import { runPhase } from "../once/run_phase.ts";
 import type { OncePhase, PhaseOutcome, PhaseRun } from "../once/run_phase.ts";
 import { TimedHistory } from "../once/timed_history.ts";
@@ -36,6 +37,7 @@
 };
 
 async function run(): Promise<ExperimentResult> {
+  const keyBytes = await measureKeyBytes();
   const fleet = new Fleet(createPlan(await claimNetwork()));
   await fleet.start();
   const phaseRun = {
@@ -59,7 +61,9 @@
   const violations = check(phaseRun, phaseRun.history);
   await phaseRun.caller.close();
   await fleet.stop();
-  return summarize({ results, violations, latency, idleWrites, loadedWrites });
+  return summarize({
+    ...{ results, violations, latency, idleWrites, loadedWrites, keyBytes },
+  });
 }
 
 const PHASES: readonly ((fleet: Fleet) => OncePhase | Promise<OncePhase>)[] = [
@@ -203,6 +207,7 @@
   readonly latency: LatencyComparison;
   readonly idleWrites: number;
   readonly loadedWrites: number;
+  readonly keyBytes: number;
 }
 
 function summarize(findings: Findings): ExperimentResult {
@@ -237,6 +242,7 @@
       storeWritesPerSecond: findings.loadedWrites,
       idleStoreWritesPerSecond: findings.idleWrites,
       ...latency,
+      keyBytes: findings.keyBytes,
       servedDuringStoreOutageRatio: share(of("storeOutage"), isServed),
       targetServedDuringStoreOutageRatio: 0.99,
       unavailableMs: measureUnavailableMs(of("holderCrash")),
--- /dev/null
+++ b/src/measure/once/measure_key_bytes.ts
@@ -0,0 +1,51 @@
+/**
+ * Memory that a holder spends on each used key.
+ */
+
+import process from "node:process";
+import { ok } from "neverthrow";
+import { decodeIdempotencyKey, KeyLedger } from "../../idempotency/mod.ts";
+import { SystemClock } from "../../time/mod.ts";
+
+const KEYS = 30_000;
+const ANSWER_BYTES = 64;
+const FLEET_TOKEN = "measure-token";
+
+/**
+ * Measures the growth of the heap and of buffers by many used keys.
+ *
+ * @returns Bytes for each remembered key with a small answer
+ *
+ * @example
+ * const keyBytes = await measureKeyBytes();
+ */
+export async function measureKeyBytes(): Promise<number> {
+  const ledger = new KeyLedger({
+    incarnation: "127.0.0.1:7102/measured",
+    fleetToken: FLEET_TOKEN,
+    clock: new SystemClock(),
+  });
+  const beforeBytes = readUsedBytes();
+  for (let count = 0; count < KEYS; count += 1) {
+    const key = decodeIdempotencyKey(ledger.issueKey(), FLEET_TOKEN);
+    await ledger.runOnce(key._unsafeUnwrap(), {
+      attempt: 1,
+      dispatch: () =>
+        Promise.resolve(ok({
+          status: 200,
+          contentType: "application/json",
+          body: new Uint8Array(ANSWER_BYTES),
+          unusedAllowance: 0,
+          loads: [],
+        })),
+      settle: () => undefined,
+    });
+  }
+  return Math.round((readUsedBytes() - beforeBytes) / ledger.size);
+}
+
+function readUsedBytes(): number {
+  globalThis.gc?.();
+  const { heapUsed, external } = process.memoryUsage();
+  return heapUsed + external;
+}
--- a/src/request/guarded_calls_test.ts
+++ b/src/request/guarded_calls_test.ts
@@ -194,6 +194,21 @@
   assert.equal(listRuns(fleet, "delivery-ledger"), ["one"]);
 });
 
+test("an outcome that could not be told is told once the runner can be asked again", async ({ fleet }) => {
+  const holder = pick(fleet, 3);
+  const idempotencyKey = holder.environment.keys.issueKey();
+  const request = { requestId: "one", idempotencyKey };
+  const first = send(holder, { ...request, deadlineMs: 400 });
+  while (listRuns(fleet, "delivery-ledger").length === 0) {
+    await sleep(1);
+  }
+  fleet.listLinksFrom(3).forEach((link) => link.cut());
+  assert.is(await first, "unknown connection-lost");
+  fleet.listLinksFrom(3).forEach((link) => link.restore());
+  assert.is(await send(holder, { ...request, attempt: 2 }), "answered");
+  assert.equal(listRuns(fleet, "delivery-ledger"), ["one"]);
+});
+
 test("a caller that leaves does not stop the run that it will ask for", async ({ fleet }) => {
   const [holder, entry] = [pick(fleet, 3), pick(fleet, 4)];
   const idempotencyKey = holder.environment.keys.issueKey();
