--- a/src/membership/domain_exchange.ts
+++ b/src/membership/domain_exchange.ts
@@ -86,15 +86,13 @@
     }
   }
 
-  /** Tells one daemon of each other failure domain the configuration version, as a delegate. */
-  announce(): void {
-    const { isDelegate, link } = this.#context;
-    for (const failureDomain of isDelegate() ? this.#listOthers() : []) {
-      const target = this.#chooseTarget(failureDomain);
-      if (target) {
-        link.send(target, { kind: "push", sequence: 0, records: [] });
-      }
-    }
+  /** Chooses a daemon of each other failure domain, as a delegate. */
+  chooseTargets(): string[] {
+    return this.#context.isDelegate()
+      ? this.#listOthers().flatMap((failureDomain) =>
+        this.#chooseTarget(failureDomain) ?? []
+      )
+      : [];
   }
 
   /** Probes the next failure domains and updates which of them are unreachable. */
--- a/src/peer/peer_link_owner.ts
+++ b/src/peer/peer_link_owner.ts
@@ -40,12 +40,12 @@
   onReply(reply: ReplyMessage, body: Uint8Array): void;
   /** The peer no longer waits for a call. */
   onCancel(callId: number): void;
+  /** The peer has left a heartbeat unanswered; the link stays open for a while. */
+  onSilent(silenceMs: number): void;
   /** The peer asks for a newer configuration, or sends a part of one. */
   onConfiguration?(
     message: ConfigurationFetchMessage | ConfigurationPartMessage,
   ): void;
-  /** The peer has left a heartbeat unanswered; the link stays open for a while. */
-  onSilent(silenceMs: number): void;
   /** The link ended, with the error that ended it, if any. */
   onClose(error: VError | undefined): void;
 }
--- a/src/request/serve_entry_call.ts
+++ b/src/request/serve_entry_call.ts
@@ -118,7 +118,10 @@
     return await sendNestedCall(environment, call, parent);
   }
   if (!call.context.isRepeatable) {
-    return await dispatchOnce(environment, call);
+    const result = await dispatchOnce(environment, call);
+    const { loads } = result.isOk() ? result.value : result.error;
+    environment.entryAdmission.observe(loads);
+    return result;
   }
   return await environment.joiner.start(
     joinKey,
@@ -133,9 +136,11 @@
   call: OutboundCall,
   parent: ActiveCall,
 ): Promise<CallResult> {
+  parent.nestedTime.begin();
   const result = call.context.isRepeatable
     ? await dispatchCall(environment, call)
     : await dispatchChildOnce(environment, call, parent);
+  parent.nestedTime.end();
   const { unusedAllowance } = result.isOk() ? result.value : result.error;
   parent.allowance.takeBack(call.context.retryAllowance, unusedAllowance);
   return result;
@@ -177,16 +182,18 @@
     request.deadlineMs,
     entry.deadlineMs ?? request.deadlineMs,
   );
+  const requestId = entry.requestId === "" ? randomUUID() : entry.requestId;
+  const { member } = entry;
   const admitted = isRepeatable
-    ? environment.entryAdmission.check({ request, member: entry.member })
-    : ok(undefined); // The holder of the key decides; only it knows what has run.
+    ? environment.entryAdmission.check({ request, member, requestId })
+    : ok({ mark: undefined }); // The holder of the key decides; only it knows what has run.
   if (admitted.isErr()) {
     return err(admitted.error);
   }
   return ok({
     ...pickTarget(entry),
     context: {
-      requestId: entry.requestId === "" ? randomUUID() : entry.requestId,
+      requestId,
       requestName: request.name,
       className: request.className,
       member: entry.member,
@@ -198,6 +205,7 @@
       depth: 0,
       isRepeatable,
       isBulk: request.isBulk,
+      ...admitted.value.mark && { admission: admitted.value.mark },
     },
     deadlineAtMs: environment.clock.monotonicMs() + remainingMs,
     classRank: request.classRank,
