--- a/src/cli/describe_patch.ts
+++ b/src/cli/describe_patch.ts
@@ -4,7 +4,7 @@
 
 import { createDocumentPatch } from "../configuration/mod.ts";
 import type { Configuration } from "../generated/types.ts";
-import { listPatchChanges } from "../questionnaire/mod.ts";
+import { findValue, summarizePatch } from "../questionnaire/mod.ts";
 import type { PatchChange } from "../questionnaire/mod.ts";
 
 /**
@@ -21,7 +21,8 @@
   before: Configuration | null,
   after: Configuration,
 ): string[] {
-  return listPatchChanges(createDocumentPatch(before, after)).map((change) =>
+  const patch = createDocumentPatch(before, after);
+  return summarizePatch(before, patch).map((change) =>
     describeChange(before, change)
   );
 }
@@ -39,15 +40,3 @@
     ? `+ ${name}: ${JSON.stringify(value)}`
     : `~ ${name}: ${JSON.stringify(old)} -> ${JSON.stringify(value)}`;
 }
-
-function findValue(
-  configuration: Configuration | null,
-  path: readonly string[],
-): unknown {
-  return path.reduce<unknown>((value, key) => {
-    if (Array.isArray(value)) {
-      return value.find(({ name }) => name === key);
-    }
-    return (value as Record<string, unknown> | null | undefined)?.[key];
-  }, configuration);
-}
--- a/src/cli/init_command.ts
+++ b/src/cli/init_command.ts
@@ -193,9 +193,13 @@
 
 function createConflictError({ conflicts }: Adjustment): VError {
   const findings = conflicts.map(({ byAnswers, byHand, path }) =>
-    `${path.join(".")} was changed by hand to ${
-      JSON.stringify(byHand)
-    }, the answers give ${JSON.stringify(byAnswers)}`
+    `${path.join(".")} was ${
+      byHand === null
+        ? "removed by hand"
+        : `changed by hand to ${JSON.stringify(byHand)}`
+    }, the answers give ${
+      byAnswers === null ? "none" : JSON.stringify(byAnswers)
+    }`
   );
   return new VError(
     { name: "AnswersConflict", info: { findings, conflicts } },
--- a/src/configuration/configuration_spread.ts
+++ b/src/configuration/configuration_spread.ts
@@ -33,6 +33,8 @@
   readonly random: RandomSource;
   readonly log: Logger;
   readonly journal: DecisionJournal;
+  /** Daemons of a failure domain that watch the object API; all do in the baseline. */
+  readonly watchersPerDomain?: number;
 }
 
 /** How long one watch waits, in milliseconds. */
@@ -130,7 +132,7 @@
     );
     const watchers = chooseWatchers(
       domain.map((member) => member.incarnation),
-      WATCHERS_PER_DOMAIN,
+      this.#options.watchersPerDomain ?? WATCHERS_PER_DOMAIN,
     );
     const isWatcher = watchers.includes(incarnation);
     if (isWatcher !== this.#isWatcher) {
--- a/src/configuration/configuration_spread_test.ts
+++ b/src/configuration/configuration_spread_test.ts
@@ -5,7 +5,7 @@
 import { advanceInSteps, advanceUntil } from "../testing/advance_in_steps.ts";
 import { findReversions } from "../testing/check_configuration_history.ts";
 import { ConfigurationFleet } from "../testing/configuration_fleet.ts";
-import type { LightDaemon } from "../testing/configuration_fleet.ts";
+import type { LightConfigurationDaemon } from "../testing/light_configuration_daemon.ts";
 import { createTestConfiguration } from "../testing/create_test_configuration.ts";
 import { ManualClock } from "../testing/manual_clock.ts";
 import { MemoryObjectStore } from "../testing/memory_object_store.ts";
@@ -79,7 +79,7 @@
   return [...new Set(fleet.daemons.map(({ holder }) => holder.version))];
 }
 
-function listWatchers({ fleet }: Bench): LightDaemon[] {
+function listWatchers({ fleet }: Bench): LightConfigurationDaemon[] {
   return fleet.daemons.filter(({ isRunning, spread }) =>
     isRunning && spread.isWatcher
   );
--- a/src/measure/configuration/light_run.ts
+++ b/src/measure/configuration/light_run.ts
@@ -7,7 +7,7 @@
 import type { Configuration } from "../../generated/types.ts";
 import { findReversions } from "../../testing/check_configuration_history.ts";
 import { ConfigurationFleet } from "../../testing/configuration_fleet.ts";
-import type { LightDaemon } from "../../testing/configuration_fleet.ts";
+import type { LightConfigurationDaemon } from "../../testing/light_configuration_daemon.ts";
 import { MemoryObjectStore } from "../../testing/memory_object_store.ts";
 import { writeConfiguration } from "../../testing/write_configuration.ts";
 import { RandomSource, SystemClock } from "../../time/mod.ts";
@@ -22,10 +22,22 @@
   readonly daemonsPerDomain: number;
   readonly serviceCount: number;
   readonly randomSeed: number;
+  /** Daemons of a failure domain that watch the object API. */
+  readonly watchersPerDomain?: number;
+}
+
+/** What changes cost while nothing is wrong. */
+export interface ChangeTraffic {
+  /** Of one daemon. */
+  readonly peerBytesPerChange: number;
+  /** Of one watcher. */
+  readonly watcherStoreBytesPerChange: number;
+  /** Of the fleet. */
+  readonly storeCallsPerChange: number;
 }
 
 /** What a run found. */
-export interface LightRunResult {
+export interface LightRunResult extends ChangeTraffic {
   readonly daemonCount: number;
   readonly changes: number;
   /** Time from acceptance to force, of each change at each daemon that could be reached. */
@@ -38,9 +50,6 @@
   readonly lostChanges: number;
   /** Restarted daemons that became ready with less than was in force before. */
   readonly earlyReady: number;
-  readonly peerBytesPerChange: number;
-  readonly watcherStoreBytesPerChange: number;
-  readonly storeCallsPerChange: number;
 }
 
 interface Acceptance {
@@ -73,6 +82,7 @@
 
   constructor(options: LightRunOptions) {
     const { daemonsPerDomain, domainCount, randomSeed, serviceCount } = options;
+    const { watchersPerDomain } = options;
     this.#configuration = createLargeConfiguration(serviceCount);
     this.fleet = new ConfigurationFleet({
       clock: this.#clock,
@@ -82,6 +92,7 @@
         region: `region-${index % REGION_COUNT}`,
       })),
       daemonsPerDomain,
+      ...watchersPerDomain === undefined ? {} : { watchersPerDomain },
     });
     this.#store = new MemoryObjectStore({
       table: this.fleet.table,
@@ -125,6 +136,23 @@
     await sleep(SETTLE_MS);
   }
 
+  /** Changes while nothing is wrong; gives what they cost. */
+  async measureTraffic(): Promise<ChangeTraffic> {
+    const { daemons } = this.fleet;
+    const before = sumTraffic(daemons);
+    await this.changeSeveral();
+    const after = sumTraffic(daemons);
+    const watchers = daemons.filter(({ spread }) => spread.isWatcher);
+    return {
+      peerBytesPerChange: (after.peerBytes - before.peerBytes) /
+        CHANGES_PER_PHASE / daemons.length,
+      watcherStoreBytesPerChange: (after.storeBytes - before.storeBytes) /
+        CHANGES_PER_PHASE / watchers.length,
+      storeCallsPerChange: (after.storeCalls - before.storeCalls) /
+        CHANGES_PER_PHASE,
+    };
+  }
+
   /** A change that only one failure domain can read before the store is gone. */
   async changeBeforeOutage(): Promise<Acceptance> {
     this.fleet.setFaults({ isDown: true });
@@ -211,10 +239,10 @@
 }
 
 async function countEarlyReady(
-  restarted: readonly LightDaemon[],
+  restarted: readonly LightConfigurationDaemon[],
   version: number,
 ): Promise<number> {
-  const early = new Set<LightDaemon>();
+  const early = new Set<LightConfigurationDaemon>();
   const endsAtMs = performance.now() + 2 * SETTLE_MS;
   while (performance.now() < endsAtMs) {
     restarted.filter(({ holder, spread }) =>
@@ -240,11 +268,7 @@
 ): Promise<LightRunResult> {
   const run = new LightRun(options);
   await run.start();
-  const before = sumTraffic(run.fleet.daemons);
-  const startedChanges = run.acceptances.length;
-  await run.changeSeveral();
-  const after = sumTraffic(run.fleet.daemons);
-  const changes = run.acceptances.length - startedChanges;
+  const traffic = await run.measureTraffic();
   const outage = await run.changeBeforeOutage();
   await run.changeSeveral();
   const catchUpMs = await run.changeDuringPartition();
@@ -252,10 +276,9 @@
   await run.changeSeveral();
   const lostChanges = await run.countLostChanges();
   run.fleet.stop();
-  const daemonCount = run.fleet.daemons.length;
-  const watchers = run.fleet.daemons.filter(({ spread }) => spread.isWatcher);
   return {
-    daemonCount,
+    ...traffic,
+    daemonCount: run.fleet.daemons.length,
     changes: run.acceptances.length,
     inForceMs: run.listInForceMs(run.acceptances),
     outageInForceMs: run.listInForceMs([outage]),
@@ -263,15 +286,29 @@
     reversions: findReversions(run.fleet.events).length,
     lostChanges,
     earlyReady,
-    peerBytesPerChange: (after.peerBytes - before.peerBytes) / changes /
-      daemonCount,
-    watcherStoreBytesPerChange: (after.storeBytes - before.storeBytes) /
-      changes / watchers.length,
-    storeCallsPerChange: (after.storeCalls - before.storeCalls) / changes,
   };
 }
 
-function sumTraffic(daemons: readonly LightDaemon[]) {
+/**
+ * Measures what changes cost a fleet while nothing is wrong.
+ *
+ * @param options - Size of the fleet and of the configuration
+ * @returns Bytes and store calls of one change
+ *
+ * @example
+ * const { storeCallsPerChange } = await measureLightTraffic(options);
+ */
+export async function measureLightTraffic(
+  options: LightRunOptions,
+): Promise<ChangeTraffic> {
+  const run = new LightRun(options);
+  await run.start();
+  const traffic = await run.measureTraffic();
+  run.fleet.stop();
+  return traffic;
+}
+
+function sumTraffic(daemons: readonly LightConfigurationDaemon[]) {
   return daemons.reduce(
     (sum, { peerBytes, store }) => ({
       peerBytes: sum.peerBytes + peerBytes,
--- a/src/measure/experiments/configuration.ts
+++ b/src/measure/experiments/configuration.ts
@@ -4,7 +4,10 @@
 
 import { measureApplyCost } from "../configuration/measure_apply_cost.ts";
 import type { ApplyCost } from "../configuration/measure_apply_cost.ts";
-import { runLightFleet } from "../configuration/light_run.ts";
+import {
+  measureLightTraffic,
+  runLightFleet,
+} from "../configuration/light_run.ts";
 import type { LightRunResult } from "../configuration/light_run.ts";
 import { runProcessFleet } from "../configuration/process_run.ts";
 import type { Experiment, ExperimentResult, TableRow } from "../experiment.ts";
@@ -26,6 +29,10 @@
   async run(): Promise<ExperimentResult> {
     const cost = measureApplyCost(TARGET_SERVICES);
     const light = await runLightFleet(LIGHT_FLEET);
+    const baseline = await measureLightTraffic({
+      ...LIGHT_FLEET,
+      watchersPerDomain: LIGHT_FLEET.daemonsPerDomain,
+    });
     const processes = await runProcessFleet();
     const { inForceMs, outageInForceMs, ...lightFields } = light;
     return {
@@ -51,6 +58,7 @@
         processInForceMaxMs: findQuantile(processes.inForceMs, 1),
         ...lightFields,
         reversions: light.reversions + processes.reversions,
+        baselineStoreCallsPerChange: baseline.storeCallsPerChange,
         ...cost,
         ...describeTarget(light, cost),
       },
--- a/src/questionnaire/list_patch_changes.ts
+++ b/src/questionnaire/list_patch_changes.ts
@@ -3,6 +3,7 @@
  */
 
 import type { DocumentPatch } from "../configuration/mod.ts";
+import { findValue } from "./find_value.ts";
 
 /** One changed value. */
 export interface PatchChange {
@@ -33,6 +34,38 @@
   );
 }
 
+/**
+ * Lists the changes that a patch makes to a document. An entry that the document
+ * does not have is one change, whatever it consists of.
+ *
+ * @param document - What the patch applies to
+ * @param patch - A merge patch
+ * @returns Changes in the order of the patch
+ *
+ * @example
+ * summarizePatch(configuration, { requests: { added: { deadlineMs: 5 } } });
+ * // [{ path: ["requests", "added"], value: { deadlineMs: 5 } }]
+ */
+export function summarizePatch(
+  document: unknown,
+  patch: DocumentPatch,
+): PatchChange[] {
+  const changes = new Map<string, PatchChange>();
+  for (const change of listPatchChanges(patch)) {
+    const length = countKnownKeys(document, change.path) + 1;
+    const path = change.path.slice(0, length);
+    changes.set(path.join("."), { path, value: findValue(patch, path) });
+  }
+  return [...changes.values()];
+}
+
+function countKnownKeys(document: unknown, path: readonly string[]): number {
+  const unknown = path.findIndex((_, index) =>
+    findValue(document, path.slice(0, index + 1)) === undefined
+  );
+  return unknown < 0 ? path.length : unknown;
+}
+
 /**
  * Puts changes together to a patch.
  *
--- a/src/questionnaire/merge_answers.ts
+++ b/src/questionnaire/merge_answers.ts
@@ -16,7 +16,12 @@
   QuestionnaireAnswers,
 } from "../generated/types.ts";
 import { generateConfiguration } from "./generate_configuration.ts";
-import { createPatch, listPatchChanges } from "./list_patch_changes.ts";
+import { findValue } from "./find_value.ts";
+import {
+  createPatch,
+  listPatchChanges,
+  summarizePatch,
+} from "./list_patch_changes.ts";
 import type { PatchChange } from "./list_patch_changes.ts";
 
 /** Whose value stands where answers and hand changes disagree. */
@@ -89,11 +94,14 @@
   generated: Configuration,
   preference: Preference,
 ): Adjustment {
-  const differences = listPatchChanges(createDocumentPatch(generated, current));
+  const differences = summarizePatch(
+    generated,
+    createDocumentPatch(generated, current),
+  );
   const conflicts = differences.map(({ path, value }) => ({
     path,
     byHand: value,
-    byAnswers: "(generated)",
+    byAnswers: findValue(generated, path) ?? null,
   }));
   return preference === PREFERENCES.hand
     ? { document: current, handChanges: differences, conflicts }
--- a/src/questionnaire/mod.ts
+++ b/src/questionnaire/mod.ts
@@ -5,7 +5,8 @@
 export { askQuestionnaire } from "./ask_questionnaire.ts";
 export { generateConfiguration } from "./generate_configuration.ts";
 export { LineInput } from "./line_input.ts";
-export { createPatch, listPatchChanges } from "./list_patch_changes.ts";
+export { findValue } from "./find_value.ts";
+export { summarizePatch } from "./list_patch_changes.ts";
 export type { PatchChange } from "./list_patch_changes.ts";
 export { mergeAnswers, PREFERENCES } from "./merge_answers.ts";
 export type {
--- a/src/store/http_object_store.ts
+++ b/src/store/http_object_store.ts
@@ -139,7 +139,7 @@
       const text = await response.body.text();
       return ok({
         status: response.statusCode,
-        body: text === "" ? undefined : JSON.parse(text),
+        body: hasObject(response.statusCode) ? JSON.parse(text) : undefined,
       });
     } catch (cause) {
       return err(unavailable((cause as Error).message));
@@ -147,6 +147,11 @@
   }
 }
 
+/** Other answers carry no object; what stands between may answer in plain text. */
+function hasObject(status: number): boolean {
+  return status === STATUS.ok || status === STATUS.preconditionFailed;
+}
+
 function objectPath(key: string): string {
   return `/objects/${encodeURIComponent(key)}`;
 }
--- a/src/testing/configuration_fleet.ts
+++ b/src/testing/configuration_fleet.ts
@@ -1,23 +1,10 @@
 /**
- * Light daemons in one process: the real spread of configurations over fakes of
- * the store's access, gossip and peer connections.
+ * Light daemons in several failure domains of one process.
  */
 
-import { err, ok } from "neverthrow";
-import type { Result } from "neverthrow";
-import VError from "verror";
-import {
-  ConfigurationHolder,
-  ConfigurationPeers,
-  ConfigurationReader,
-  ConfigurationSpread,
-  createConfigurationTransfer,
-} from "../configuration/mod.ts";
-import type { VersionNotice } from "../configuration/mod.ts";
-import type { MemberRecord } from "../generated/types.ts";
-import { createSilentLogger, DecisionJournal } from "../telemetry/mod.ts";
+import type { ConfigurationHolder } from "../configuration/mod.ts";
 import type { Clock, RandomSource } from "../time/mod.ts";
-import { MemoryObjectStore } from "./memory_object_store.ts";
+import { LightConfigurationDaemon } from "./light_configuration_daemon.ts";
 import type { ObjectApiFaults } from "./object_api_stand_in.ts";
 import { ObjectTable } from "./object_table.ts";
 
@@ -31,6 +18,8 @@
     readonly region: string;
   }[];
   readonly daemonsPerDomain: number;
+  /** Daemons of a failure domain that watch the object API. */
+  readonly watchersPerDomain?: number;
   /** Creates the part that a test replaces by a defective one. */
   readonly createHolder?: () => ConfigurationHolder;
 }
@@ -44,131 +33,16 @@
   readonly atMs: number;
 }
 
-/** Interval at which each daemon exchanges its version with one other, in milliseconds. */
-const GOSSIP_INTERVAL_MS = 1_000;
-const ANNOUNCE_FANOUT = 3;
-
-/** Bytes of a version on a probe that is sent anyway. */
-const GOSSIP_VERSION_BYTES = 8;
-
-/** Bytes of a datagram that tells a version, with the headers of IP and UDP. */
-const ANNOUNCEMENT_BYTES = 300;
-
-/** Bytes of opening a connection, greeting and closing, with the headers of IP and TCP. */
-const CONNECTION_BYTES = 1_000;
-
-const FETCH_TIMEOUT_MS = 3_000;
 const SAME_DOMAIN_MS = 1;
 const SAME_REGION_MS = 2;
 const OTHER_REGION_MS = 31;
 
-/** One daemon, as far as configurations concern it. */
-export class LightDaemon extends ConfigurationPeers {
-  override readonly self: MemberRecord;
-  readonly holder: ConfigurationHolder;
-  readonly spread: ConfigurationSpread;
-  readonly store: MemoryObjectStore;
-  readonly journal: DecisionJournal;
-  /** Bytes of configuration traffic with peers, sent and received. */
-  peerBytes = 0;
-  isRunning = true;
-  readonly #fleet: ConfigurationFleet;
-  readonly #stop = new AbortController();
-  readonly #stopGossip: () => void;
-
-  constructor(fleet: ConfigurationFleet, self: MemberRecord) {
-    super();
-    const { clock, random, createHolder } = fleet.options;
-    this.#fleet = fleet;
-    this.self = self;
-    this.holder = createHolder?.() ?? new ConfigurationHolder();
-    const faults = fleet.faultsOf(self.failureDomain);
-    this.store = new MemoryObjectStore({ table: fleet.table, clock, faults });
-    this.journal = new DecisionJournal(clock);
-    this.spread = new ConfigurationSpread({
-      reader: new ConfigurationReader(this.store),
-      holder: this.holder,
-      peers: this,
-      clock,
-      random,
-      log: createSilentLogger(),
-      journal: this.journal,
-    });
-    this.holder.subscribe(({ version }) => fleet.noteInForce(this, version));
-    void this.spread.run(this.#stop.signal);
-    this.#stopGossip = clock.scheduleEvery(
-      GOSSIP_INTERVAL_MS + random.nextInteger(GOSSIP_INTERVAL_MS / 10),
-      () => this.#gossip(),
-    );
-  }
-
-  override listLive(): readonly MemberRecord[] {
-    return this.#fleet.listReachable(this).map(({ self }) => self);
-  }
-
-  override announce(): void {
-    for (let count = 0; count < ANNOUNCE_FANOUT; count += 1) {
-      this.#tell(this.#fleet.chooseOther(this), ANNOUNCEMENT_BYTES);
-    }
-  }
-
-  override async fetch(
-    peer: VersionNotice,
-    knownVersion: number,
-  ): Promise<Result<Uint8Array, VError>> {
-    const { clock } = this.#fleet.options;
-    const target = this.#fleet.findRunning(peer.incarnation);
-    if (!target || this.#fleet.isCut(this, target)) {
-      await clock.sleep(FETCH_TIMEOUT_MS);
-      return err(new VError({ name: "ConfigurationFetchFailed" }, "cut off"));
-    }
-    await clock.sleep(2 * this.#fleet.latencyMs(this, target));
-    const bytes = createConfigurationTransfer(target.holder, knownVersion);
-    target.peerBytes += bytes.length + CONNECTION_BYTES;
-    this.peerBytes += bytes.length + CONNECTION_BYTES;
-    await clock.sleep(this.#fleet.latencyMs(this, target));
-    return ok(bytes);
-  }
-
-  /** Ends the process; nothing of it is left. */
-  kill(): void {
-    this.isRunning = false;
-    this.#stop.abort();
-    this.#stopGossip();
-  }
-
-  #gossip(): void {
-    const other = this.#fleet.chooseOther(this);
-    this.#tell(other, GOSSIP_VERSION_BYTES);
-    if (other) {
-      other.#tell(this, GOSSIP_VERSION_BYTES);
-    }
-  }
-
-  #tell(other: LightDaemon | undefined, bytes: number): void {
-    if (!other || !this.isRunning || this.#fleet.isCut(this, other)) {
-      return;
-    }
-    const { version } = this.holder;
-    this.peerBytes += bytes;
-    other.peerBytes += bytes;
-    this.#fleet.options.clock.schedule(
-      this.#fleet.latencyMs(this, other),
-      () => {
-        if (other.isRunning) {
-          other.spread.takeNotice({ ...this.self, version });
-        }
-      },
-    );
-  }
-}
-
 /** Light daemons in several failure domains. */
 export class ConfigurationFleet {
   readonly options: ConfigurationFleetOptions;
   readonly table = new ObjectTable();
   readonly events: InForceEvent[] = [];
-  daemons: LightDaemon[] = [];
+  daemons: LightConfigurationDaemon[] = [];
   readonly #faults = new Map<string, ObjectApiFaults>();
   readonly #cutDomains = new Set<string>();
   #startCount = 0;
@@ -190,7 +64,7 @@
   }
 
   /** Starts a new process on the address of one that was killed. */
-  restart(old: LightDaemon): LightDaemon {
+  restart(old: LightConfigurationDaemon): LightConfigurationDaemon {
     const { address, failureDomain, region } = old.self;
     const next = this.#launch(address, failureDomain, region);
     this.daemons = this.daemons.map((daemon) => daemon === old ? next : daemon);
@@ -227,14 +101,20 @@
   }
 
   /** Whether nothing passes between two daemons. */
-  isCut(left: LightDaemon, right: LightDaemon): boolean {
+  isCut(
+    left: LightConfigurationDaemon,
+    right: LightConfigurationDaemon,
+  ): boolean {
     const [one, other] = [left.self.failureDomain, right.self.failureDomain];
     return one !== other &&
       (this.#cutDomains.has(one) || this.#cutDomains.has(other));
   }
 
   /** Time of one way between two daemons, in milliseconds. */
-  latencyMs(left: LightDaemon, right: LightDaemon): number {
+  latencyMs(
+    left: LightConfigurationDaemon,
+    right: LightConfigurationDaemon,
+  ): number {
     if (left.self.region !== right.self.region) {
       return OTHER_REGION_MS;
     }
@@ -244,27 +124,32 @@
   }
 
   /** Daemons that run and are not cut off from one, itself included. */
-  listReachable(from: LightDaemon): LightDaemon[] {
+  listReachable(from: LightConfigurationDaemon): LightConfigurationDaemon[] {
     return this.daemons.filter((daemon) =>
       daemon.isRunning && !this.isCut(from, daemon)
     );
   }
 
   /** A random daemon that another can reach. */
-  chooseOther(from: LightDaemon): LightDaemon | undefined {
+  chooseOther(
+    from: LightConfigurationDaemon,
+  ): LightConfigurationDaemon | undefined {
     const others = this.listReachable(from).filter((other) => other !== from);
     return this.options.random.choose(others);
   }
 
   /** The running daemon of an incarnation. */
-  findRunning(incarnation: string): LightDaemon | undefined {
+  findRunning(incarnation: string): LightConfigurationDaemon | undefined {
     return this.daemons.find(({ isRunning, self }) =>
       isRunning && self.incarnation === incarnation
     );
   }
 
   /** Records that a version came into force. */
-  noteInForce({ holder, self }: LightDaemon, version: number): void {
+  noteInForce(
+    { holder, self }: LightConfigurationDaemon,
+    version: number,
+  ): void {
     const { address, incarnation } = self;
     const atMs = this.options.clock.monotonicMs();
     const { digest } = holder;
@@ -275,9 +160,9 @@
     address: string,
     failureDomain: string,
     region: string,
-  ): LightDaemon {
+  ): LightConfigurationDaemon {
     this.#startCount += 1;
-    return new LightDaemon(this, {
+    return new LightConfigurationDaemon(this, {
       incarnation: `${address}#${this.#startCount}`,
       address,
       peerPort: 1,
