--- a/src/daemon/create_outbound_parts.ts
+++ b/src/daemon/create_outbound_parts.ts
@@ -19,6 +19,9 @@
 
 const BITS_PER_BYTE = 8;
 
+/** Share of the region link given out to daemons; the rest is for gossip and framing. */
+const PLANNED_LINK_RATIO = 0.9;
+
 /** Dependencies of the parts. */
 export interface OutboundPartsOptions {
   readonly settings: DaemonSettings;
@@ -27,6 +30,7 @@
   readonly random: RandomSource;
   readonly journal: DecisionJournal;
   readonly configuration: ConfigurationHolder;
+  readonly routing: "adaptive" | "random";
 }
 
 /** Choice of instances, retries and joining of duplicates. */
@@ -69,7 +73,7 @@
   });
   const readRetryRatio = () => configuration.current?.document.retryRatio ?? 0;
   return {
-    chooser,
+    chooser: options.routing === "random" ? new RandomChooser(random) : chooser,
     retryPolicy: new AllowanceRetryPolicy(
       new RetryBudget(clock, readRetryRatio),
     ),
@@ -80,7 +84,8 @@
       const linkBitsPerSecond =
         configuration.current?.document.regionLinkBitsPerSecond ?? 0;
       linkBudget.setRate(
-        linkBitsPerSecond / BITS_PER_BYTE / Math.max(1, neighbors.length),
+        linkBitsPerSecond * PLANNED_LINK_RATIO / BITS_PER_BYTE /
+          Math.max(1, neighbors.length),
       );
       chooser.retain(new Set(alive.map(({ incarnation }) => incarnation)));
     },
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -70,6 +70,8 @@
 export interface DaemonParts {
   /** Opens sockets to other daemons. */
   readonly dial?: DialPeer;
+  /** Routing alone may be that of the baseline. */
+  readonly routing?: "adaptive" | "random";
 }
 
 /** Calls to the object API that one daemon may make at once. */
@@ -155,6 +157,7 @@
     });
     const outbound = createOutboundParts({
       ...{ settings, self, clock, random, journal, configuration },
+      routing: parts.routing ?? "adaptive",
     });
     this.#outbound = outbound;
     this.environment = {
--- a/src/measure/fleet.ts
+++ b/src/measure/fleet.ts
@@ -15,7 +15,7 @@
 import { BackendServerStandIn } from "../testing/backend_server_stand_in.ts";
 import type { BackendBehavior } from "../testing/backend_server_stand_in.ts";
 import { writeConfiguration } from "../testing/write_configuration.ts";
-import { LINKS_VARIABLE } from "../testing/links_variable.ts";
+import { LINKS_VARIABLE, ROUTING_VARIABLE } from "../testing/links_variable.ts";
 import { ObjectApiStandIn } from "../testing/object_api_stand_in.ts";
 
 /** Secret of the fleets that experiments start. */
@@ -51,6 +51,8 @@
   readonly storeAddress: string;
   readonly storePort: number;
   readonly protection: "on" | "off";
+  /** Routing of daemons with links; adaptive when left out. */
+  readonly routing?: "adaptive" | "random";
   readonly randomSeed: number;
 }
 
@@ -194,7 +196,11 @@
     const program = plan.links ? LINKED_DAEMON_PROGRAM : DAEMON_PROGRAM;
     return spawn("node", [program, ...Object.entries(settings).flat()], {
       stdio: ["ignore", "inherit", "inherit"],
-      env: { ...process.env, [LINKS_VARIABLE]: JSON.stringify(plan.links) },
+      env: {
+        ...process.env,
+        [LINKS_VARIABLE]: JSON.stringify(plan.links),
+        [ROUTING_VARIABLE]: this.plan.routing ?? "adaptive",
+      },
     });
   }
 
--- a/src/testing/link_stand_in.ts
+++ b/src/testing/link_stand_in.ts
@@ -16,6 +16,12 @@
   readonly targetPort: number;
 }
 
+/** Directions that several links have in common. */
+export interface SharedDirections {
+  readonly forward: LinkDirection;
+  readonly backward: LinkDirection;
+}
+
 interface Flow {
   readonly near: Socket;
   readonly far: Socket;
@@ -32,9 +38,10 @@
   readonly #flows = new Set<Flow>();
   #isCut = false;
 
-  constructor(character: LinkCharacter = {}) {
-    this.forward = new LinkDirection(character);
-    this.backward = new LinkDirection(character);
+  /** Creates a link; given directions are shared with other links. */
+  constructor(character: LinkCharacter = {}, shared?: SharedDirections) {
+    this.forward = shared?.forward ?? new LinkDirection(character);
+    this.backward = shared?.backward ?? new LinkDirection(character);
   }
 
   /** Connections that are open. */
--- a/src/testing/linked_daemon.ts
+++ b/src/testing/linked_daemon.ts
@@ -6,7 +6,7 @@
 import process from "node:process";
 import { Daemon } from "../daemon/daemon.ts";
 import { readSettings } from "../daemon/read_settings.ts";
-import { LINKS_VARIABLE } from "./links_variable.ts";
+import { LINKS_VARIABLE, ROUTING_VARIABLE } from "./links_variable.ts";
 
 function readFlags(): Record<string, string> {
   const flags: Record<string, string> = {};
@@ -28,6 +28,7 @@
     process.env[LINKS_VARIABLE] ?? "{}",
   );
   const daemon = new Daemon(settings.value, {
+    routing: process.env[ROUTING_VARIABLE] === "random" ? "random" : "adaptive",
     dial: ({ address, peerPort }) =>
       connect({ host: links[address] ?? address, port: peerPort }),
   });
--- a/src/testing/links_variable.ts
+++ b/src/testing/links_variable.ts
@@ -1,6 +1,9 @@
 /**
- * How an experiment tells a daemon process which links to dial.
+ * How an experiment tells a daemon process which links to dial and how to route.
  */
 
 /** Environment variable with a JSON object of link addresses by VM address. */
 export const LINKS_VARIABLE = "CELERYHOLLOW_TEST_LINKS";
+
+/** Environment variable that is `random` for the baseline of routing alone. */
+export const ROUTING_VARIABLE = "CELERYHOLLOW_TEST_ROUTING";
