--- /dev/null
+++ b/src/measure/experiments/routing.ts
@@ -0,0 +1,46 @@
+/**
+ * Routing around one impaired part of a service after the other, against
+ * random routing with all other protection in place.
+ */
+
+import type { Experiment, ExperimentResult } from "../experiment.ts";
+import { runRoutingPhases } from "../routing/run_routing_phases.ts";
+import type { RoutingPhaseResult } from "../routing/run_routing_phases.ts";
+
+/** The experiment. */
+export const experiment: Experiment = {
+  description: "routing around slow, lying, cold, silent and lost instances",
+  run,
+};
+
+async function run(): Promise<ExperimentResult> {
+  const adaptive = await runRoutingPhases({ routing: "adaptive", network: 55 });
+  const random = await runRoutingPhases({ routing: "random", network: 56 });
+  const phases = Object.fromEntries(adaptive.map((row, index) => {
+    const other = random[index];
+    return [row.phase, {
+      ...pickMeasures(row),
+      ...other ? { random: pickMeasures(other) } : {},
+    }];
+  }));
+  const worst = (rows: readonly RoutingPhaseResult[]) => ({
+    goodputRatio: Math.min(...rows.map(({ goodputRatio }) => goodputRatio)),
+    p99Ms: Math.max(...rows.map(({ p99Ms }) => p99Ms)),
+    crossRegionBytesPerSecond: Math.max(
+      ...rows.map((row) => row.crossRegionBytesPerSecond),
+    ),
+    misroutedRatio: Math.max(
+      ...rows.map(({ misroutedRatio }) => misroutedRatio),
+    ),
+  });
+  return {
+    rows: [...adaptive, ...random],
+    fields: { ...worst(adaptive), worstRandom: worst(random), phases },
+  };
+}
+
+function pickMeasures(row: RoutingPhaseResult) {
+  const { goodputRatio, p99Ms, crossRegionBytesPerSecond, misroutedRatio } =
+    row;
+  return { goodputRatio, p99Ms, crossRegionBytesPerSecond, misroutedRatio };
+}
