--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -76,6 +76,8 @@
 export interface DaemonParts {
   /** Opens sockets to other daemons. */
   readonly dial?: DialPeer;
+  /** Routing alone may be that of the baseline. */
+  readonly routing?: "adaptive" | "random";
 }
 
 /** A running daemon. */
@@ -153,6 +155,7 @@
     });
     const outbound = createOutboundParts({
       ...{ settings, self, clock, random, journal, configuration },
+      routing: parts.routing ?? "adaptive",
     });
     this.#outbound = outbound;
     this.environment = {
