Count a test file as failed unless every test in it ran

Cause: a before hook that failed left fleet_test with 0 of 4 tests run, yet counted as ok; the fleet set a variable of linked daemons for ordinary ones, which refused to start. Change: the runner compares tests run with the total; the variables are set only for linked daemons.

--- a/src/measure/fleet.ts
+++ b/src/measure/fleet.ts
@@ -200,13 +200,13 @@
       "--log-level": "error",
     };
     const program = plan.links ? LINKED_DAEMON_PROGRAM : DAEMON_PROGRAM;
+    const variables = plan.links && {
+      [LINKS_VARIABLE]: JSON.stringify(plan.links),
+      [ROUTING_VARIABLE]: this.plan.routing ?? "adaptive",
+    };
     return spawn("node", [program, ...Object.entries(settings).flat()], {
       stdio: ["ignore", "inherit", "inherit"],
-      env: {
-        ...process.env,
-        [LINKS_VARIABLE]: JSON.stringify(plan.links),
-        [ROUTING_VARIABLE]: this.plan.routing ?? "adaptive",
-      },
+      env: { ...process.env, ...variables },
     });
   }
 
--- a/src/tools/run_tests.ts
+++ b/src/tools/run_tests.ts
@@ -53,14 +53,11 @@
   const failedNames = [...output.matchAll(/FAIL\s+.*"(.*)"/g)].map((
     [, name = ""],
   ) => name);
-  const hasRun = /Total:\s+[1-9]/.test(output);
-  if (!hasRun || (code !== 0 && failedNames.length === 0)) {
-    return {
-      file,
-      passed,
-      failedNames: [...failedNames, `(the file ended with code ${code})`],
-      output,
-    };
+  const total = Number(/Total:\s+(\d+)/.exec(output)?.[1] ?? 0);
+  const isWhole = total > 0 && passed + failedNames.length === total;
+  if (!isWhole || (code !== 0 && failedNames.length === 0)) {
+    const ending = `(${passed} of ${total} ran, ended with code ${code})`;
+    return { file, passed, failedNames: [...failedNames, ending], output };
   }
   return { file, passed, failedNames, output };
 }
