--- a/src/admission/adaptive_admission.ts
+++ b/src/admission/adaptive_admission.ts
@@ -18,12 +18,11 @@
 import { ConcurrencyLimit } from "./concurrency_limit.ts";
 import { countReservedSlots } from "./count_reserved_slots.ts";
 import { DemandWindow } from "./demand_window.ts";
-import { HoldTime } from "./hold_time.ts";
 import { IdleMeter } from "./idle_meter.ts";
 import { InboundAdmission } from "./inbound_admission.ts";
-import type { InboundCall, Permit, PermitUse } from "./inbound_admission.ts";
+import type { InboundCall, Permit } from "./inbound_admission.ts";
 import { MemberUsage } from "./member_usage.ts";
-import { RunningCalls } from "./running_calls.ts";
+import { SlotUse } from "./slot_use.ts";
 import { WaitingQueue } from "./waiting_queue.ts";
 import type { OrderOptions, Waiter } from "./waiting_queue.ts";
 
@@ -65,8 +64,7 @@
   readonly #options: AdaptiveAdmissionOptions;
   readonly #limit: ConcurrencyLimit;
   readonly #queue = new WaitingQueue<WaitingCall>();
-  readonly #running = new RunningCalls();
-  readonly #holdTime = new HoldTime();
+  readonly #slots: SlotUse;
   readonly #demand = new DemandWindow();
   readonly #level = new AdmitLevel();
   readonly #usage = new MemberUsage();
@@ -77,16 +75,17 @@
     super();
     this.#options = options;
     this.#limit = new ConcurrencyLimit(options.clock);
+    this.#slots = new SlotUse(options.clock);
     this.#journal = new AdmissionJournal(options);
   }
 
   override get pendingCalls(): number {
-    return this.#running.count + this.#queue.length;
+    return this.#slots.running.count + this.#queue.length;
   }
 
   override setCapacity(slots: number, warmAtMs: number): void {
     this.#limit.setCeiling(slots, warmAtMs);
-    this.#journal.recordLimit(this.#limit.value, this.#holdMs);
+    this.#journal.recordLimit(this.#limit.value, this.#slots.holdMs);
     this.#grantNext();
   }
 
@@ -95,7 +94,7 @@
     const { ratios, demandPerSecond, lowestRatio } = this.#level;
     return {
       service,
-      inFlight: this.#running.count,
+      inFlight: this.#slots.running.count,
       queued: this.#queue.length,
       limit: this.#limit.value,
       admitLevel: lowestRatio,
@@ -127,13 +126,8 @@
     return this.#options.clock.monotonicMs();
   }
 
-  get #holdMs(): number {
-    const meanAgeMs = this.#running.computeMeanAgeMs(this.#nowMs);
-    return this.#holdTime.estimateMs(meanAgeMs);
-  }
-
   get #msPerCall(): number {
-    return this.#holdMs / Math.max(1, this.#limit.value);
+    return this.#slots.holdMs / Math.max(1, this.#limit.value);
   }
 
   get #queueDelayMs(): number {
@@ -189,7 +183,7 @@
     const isNested = call.context.depth > 0;
     const patienceMs = computePatienceMs(call.deadlineAtMs - nowMs, {
       isNested,
-      holdMs: this.#holdMs,
+      holdMs: this.#slots.holdMs,
     });
     const cancelExpiry = this.#options.clock.schedule(
       patienceMs,
@@ -220,49 +214,41 @@
   }
 
   #refuse(reason: Reason): Entrance {
-    const waitMs = this.#queueDelayMs + this.#holdMs;
+    const waitMs = this.#queueDelayMs + this.#slots.holdMs;
     const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, Math.ceil(waitMs));
     return err(createRefusal(reason, { retryAfterMs }));
   }
 
   #mayRun(classRank: number): boolean {
-    const free = this.#limit.value - this.#running.count;
-    return free > 0 && free > countReservedSlots(this.#running, {
+    const free = this.#limit.value - this.#slots.running.count;
+    return free > 0 && free > countReservedSlots(this.#slots.running, {
           classRank,
           limit: this.#limit.value,
           reservedRatios: this.#options.listReservedRatios(),
-          countWanted: (rank) => this.#level.countWanted(rank, this.#holdMs),
+          countWanted: (rank) =>
+            this.#level.countWanted(rank, this.#slots.estimateHoldMs(rank)),
         });
   }
 
   #grant(classRank: number, member: string): Permit {
-    const startedAtMs = this.#nowMs;
-    const running = { classRank, startedAtMs };
-    this.#running.add(running);
-    this.#usage.record(member, startedAtMs);
+    const running = this.#slots.begin(classRank);
+    this.#usage.record(member, running.startedAtMs);
     this.#markIdle();
     return {
       release: (use) => {
-        this.#running.remove(running);
-        this.#learn(use);
+        this.#slots.end(running, use);
+        this.#limit.observe({
+          ownDurationMs: use.ownDurationMs,
+          isShed: use.isShed,
+          isSaturated: this.#queue.length > 0,
+        });
+        this.#journal.recordLimit(this.#limit.value, this.#slots.holdMs);
         this.#grantNext();
         this.#updateLevel();
       },
     };
   }
 
-  #learn(use: PermitUse): void {
-    if (use.isAnswered) {
-      this.#holdTime.observe(use.durationMs);
-    }
-    this.#limit.observe({
-      ownDurationMs: use.ownDurationMs,
-      isShed: use.isShed,
-      isSaturated: this.#queue.length > 0,
-    });
-    this.#journal.recordLimit(this.#limit.value, this.#holdMs);
-  }
-
   #grantNext(): void {
     const order = this.#order;
     for (;;) {
@@ -278,7 +264,7 @@
 
   #markIdle(): void {
     const isIdle = this.#queue.length === 0 &&
-      this.#running.count < this.#limit.value;
+      this.#slots.running.count < this.#limit.value;
     this.#idle.set(isIdle, this.#nowMs);
   }
 
@@ -288,7 +274,10 @@
     const isUpdated = this.#level.update({
       nowMs,
       demands: () => this.#demand.estimate(nowMs, reservedRatios.length),
-      capacityPerSecond: MS_PER_SECOND / this.#msPerCall,
+      slots: this.#limit.value,
+      holdsMs: reservedRatios.map((_, rank) =>
+        this.#slots.estimateHoldMs(rank)
+      ),
       queueDelayMs: this.#queueDelayMs,
       isIdle: () => this.#idle.read(nowMs),
       reservedRatios,
@@ -299,7 +288,7 @@
         demandPerSecond: this.#level.demandPerSecond,
         capacityPerSecond: MS_PER_SECOND / this.#msPerCall,
         queueDelayMs: this.#queueDelayMs,
-        holdMs: this.#holdMs,
+        holdMs: this.#slots.holdMs,
       });
     }
   }
--- a/src/admission/admit_level.ts
+++ b/src/admission/admit_level.ts
@@ -6,7 +6,8 @@
  */
 
 import type { ClassDemand } from "./demand_window.ts";
-import { computeAdmitRatios } from "./compute_admit_ratios.ts";
+import { smoothDemands } from "./smooth_demands.ts";
+import { computeAdmitRatios, computeSlots } from "./compute_admit_ratios.ts";
 
 /** Time between two computations, in milliseconds. */
 const TICK_MS = 50;
@@ -18,7 +19,7 @@
 const CORRECTION_MS = 400;
 
 /** Bounds of the correction, as a share of the capacity. */
-const MIN_CORRECTION = 0.05;
+const MIN_CORRECTION = 0.1;
 const MAX_CORRECTION = 1.2;
 
 /** Share of the capacity that a long queue does not take from important classes. */
@@ -33,13 +34,14 @@
 /** Ticks made up for when no call came for a while. */
 const MAX_MISSED_TICKS = 20;
 
-const MS_PER_SECOND = 1_000;
-
 /** What the shares are computed from. */
 export interface LevelInput {
   readonly nowMs: number;
   readonly demands: () => readonly ClassDemand[];
-  readonly capacityPerSecond: number;
+  /** Calls that may run at once. */
+  readonly slots: number;
+  /** Time for which a call of each class holds its slot, in milliseconds. */
+  readonly holdsMs: readonly number[];
   readonly queueDelayMs: number;
   /** Whether slots were free for a good part of the time since the last update. */
   readonly isIdle: () => boolean;
@@ -72,7 +74,7 @@
   /** Slots that the calls of a class take up at once. */
   countWanted(classRank: number, holdMs: number): number {
     const perSecond = this.#demands[classRank]?.arrivingPerSecond ?? 0;
-    return Math.ceil(perSecond * holdMs / MS_PER_SECOND);
+    return Math.ceil(computeSlots(perSecond, holdMs));
   }
 
   /** Computes the shares anew once a tick; tells whether it did. */
@@ -84,7 +86,7 @@
       return false;
     }
     this.#updatedAtMs = input.nowMs;
-    const demands = input.demands();
+    const demands = smoothDemands(this.#demands, input.demands());
     this.#demands = demands;
     this.#demandPerSecond = demands.reduce(
       (sum, { wholePerSecond }) => sum + wholePerSecond,
@@ -92,29 +94,28 @@
     );
     this.#adaptGrowth(input, Math.min(MAX_MISSED_TICKS, ticks));
     this.#ratios = computeAdmitRatios(demands, {
-      capacityPerSecond: this.#correctCapacity(input, demands),
+      slots: this.#correctSlots(input, demands),
+      holdsMs: input.holdsMs,
       reservedRatios: input.reservedRatios,
     });
     return true;
   }
 
   /**
-   * Capacity by which the shares are computed. A long queue is emptied at the
-   * cost of the least important class, as far as that suffices.
+   * Slots by which the shares are computed. A long queue is emptied at the cost
+   * of the least important class, as far as that suffices.
    */
-  #correctCapacity(
-    { capacityPerSecond, queueDelayMs }: LevelInput,
+  #correctSlots(
+    { slots, holdsMs, queueDelayMs }: LevelInput,
     demands: readonly ClassDemand[],
   ): number {
-    const wanted = demands.map(({ arrivingPerSecond }) => arrivingPerSecond);
-    const lowest = wanted.filter((perSecond) => perSecond > 0).at(-1) ?? 0;
-    const spared = wanted.reduce((sum, each) => sum + each, 0) - lowest;
-    const corrected = capacityPerSecond * this.#growth *
-      computeCorrection(queueDelayMs);
-    return Math.max(
-      corrected,
-      Math.min(spared, capacityPerSecond * MAX_SPARED_RATIO),
+    const wanted = demands.map(({ arrivingPerSecond }, rank) =>
+      computeSlots(arrivingPerSecond, holdsMs[rank] ?? 1)
     );
+    const lowest = wanted.filter((each) => each > 0).at(-1) ?? 0;
+    const spared = wanted.reduce((sum, each) => sum + each, 0) - lowest;
+    const corrected = slots * this.#growth * computeCorrection(queueDelayMs);
+    return Math.max(corrected, Math.min(spared, slots * MAX_SPARED_RATIO));
   }
 
   #adaptGrowth(input: LevelInput, ticks: number): void {
@@ -122,7 +123,12 @@
       this.#growth = 1 + (this.#growth - 1) * GROWTH_DECAY ** ticks;
       return;
     }
-    const needed = this.#demandPerSecond / Math.max(1, input.capacityPerSecond);
+    const wanted = this.#demands.reduce(
+      (sum, { wholePerSecond }, rank) =>
+        sum + computeSlots(wholePerSecond, input.holdsMs[rank] ?? 1),
+      0,
+    );
+    const needed = wanted / Math.max(1, input.slots);
     this.#growth = Math.max(
       1,
       Math.min(needed, this.#growth * IDLE_GROWTH ** ticks),
--- a/src/admission/admit_level_test.ts
+++ b/src/admission/admit_level_test.ts
@@ -4,6 +4,7 @@
 import type { LevelInput } from "./admit_level.ts";
 import { computeAdmitRatios, MIN_ADMIT_RATIO } from "./compute_admit_ratios.ts";
 import { DemandWindow } from "./demand_window.ts";
+import { smoothDemands } from "./smooth_demands.ts";
 
 const test = suite("share of demand that a service asks for");
 
@@ -18,7 +19,8 @@
   return {
     nowMs: 0,
     demands: () => createDemands(300),
-    capacityPerSecond: 100,
+    slots: 2,
+    holdsMs: [20],
     queueDelayMs: 80,
     isIdle: () => false,
     reservedRatios: [0],
@@ -28,7 +30,8 @@
 
 test("capacity goes to the important classes first", () => {
   const ratios = computeAdmitRatios(createDemands(40, 120, 50), {
-    capacityPerSecond: 100,
+    slots: 2,
+    holdsMs: [20, 20, 20],
     reservedRatios: [0, 0, 0],
   });
   assert.equal(ratios, [1, 0.5, MIN_ADMIT_RATIO]);
@@ -36,18 +39,35 @@
 
 test("a class gets what is reserved for it before more important ones take the rest", () => {
   const ratios = computeAdmitRatios(createDemands(200, 100), {
-    capacityPerSecond: 100,
+    slots: 2,
+    holdsMs: [20, 20],
     reservedRatios: [0, 0.2],
   });
   assert.equal(ratios, [0.4, 0.2]);
 });
 
+test("a class whose calls hold their slots for long gets fewer of them", () => {
+  const ratios = computeAdmitRatios(createDemands(40, 120), {
+    slots: 2,
+    holdsMs: [20, 40],
+    reservedRatios: [0, 0],
+  });
+  assert.equal(ratios, [1, 0.25]);
+});
+
+test("noise of an estimate is smoothed and a jump is taken at once", () => {
+  const [noise] = smoothDemands(createDemands(100), createDemands(120));
+  assert.is(noise?.wholePerSecond, 104);
+  const [jump] = smoothDemands(createDemands(100), createDemands(300));
+  assert.is(jump?.wholePerSecond, 300);
+});
+
 test("a class that another service holds back is not held back again", () => {
   const demands = [
     { wholePerSecond: 400, arrivingPerSecond: 80 },
     { wholePerSecond: 20, arrivingPerSecond: 20 },
   ];
-  const division = { capacityPerSecond: 100, reservedRatios: [0, 0] };
+  const division = { slots: 2, holdsMs: [20, 20], reservedRatios: [0, 0] };
   assert.equal(computeAdmitRatios(demands, division), [1, 1]);
 });
 
--- a/src/admission/running_calls.ts
+++ b/src/admission/running_calls.ts
@@ -12,7 +12,7 @@
 export class RunningCalls {
   readonly #calls = new Set<RunningCall>();
   readonly #countByRank: number[] = [];
-  #startedAtSumMs = 0;
+  readonly #startedAtSumsMs: number[] = [];
 
   /** Calls that run. */
   get count(): number {
@@ -22,14 +22,14 @@
   /** A call begins to run. */
   add(call: RunningCall): void {
     this.#calls.add(call);
-    this.#startedAtSumMs += call.startedAtMs;
+    this.#addStart(call.classRank, call.startedAtMs);
     this.#countByRank[call.classRank] = this.countClass(call.classRank) + 1;
   }
 
   /** A call has ended. */
   remove(call: RunningCall): void {
     if (this.#calls.delete(call)) {
-      this.#startedAtSumMs -= call.startedAtMs;
+      this.#addStart(call.classRank, -call.startedAtMs);
       this.#countByRank[call.classRank] = this.countClass(call.classRank) - 1;
     }
   }
@@ -42,6 +42,19 @@
   /** For how long calls have been running on average, in milliseconds. */
   computeMeanAgeMs(nowMs: number): number {
     const count = this.#calls.size;
-    return count === 0 ? 0 : nowMs - this.#startedAtSumMs / count;
+    const sumMs = this.#startedAtSumsMs.reduce((sum, each) => sum + each, 0);
+    return count === 0 ? 0 : nowMs - sumMs / count;
+  }
+
+  /** For how long calls of one class have been running on average, in milliseconds. */
+  computeClassMeanAgeMs(classRank: number, nowMs: number): number {
+    const count = this.countClass(classRank);
+    const sumMs = this.#startedAtSumsMs[classRank] ?? 0;
+    return count === 0 ? 0 : nowMs - sumMs / count;
+  }
+
+  #addStart(classRank: number, startedAtMs: number): void {
+    const sumMs = this.#startedAtSumsMs[classRank] ?? 0;
+    this.#startedAtSumsMs[classRank] = sumMs + startedAtMs;
   }
 }
--- a/src/telemetry/decision_journal.ts
+++ b/src/telemetry/decision_journal.ts
@@ -4,8 +4,8 @@
 
 import type { Clock } from "../time/mod.ts";
 
-/** Entries kept by one daemon. */
-const JOURNAL_ENTRIES = 2_000;
+/** Entries of one kind kept by one daemon. */
+const ENTRIES_PER_KIND = 500;
 
 /** Kinds of decisions. */
 export const DECISIONS = {
@@ -48,11 +48,24 @@
   readonly sinceMs?: number | undefined;
 }
 
-/** Keeps the latest decisions of one daemon. */
+interface Ring {
+  readonly entries: NumberedEntry[];
+  next: number;
+}
+
+interface NumberedEntry {
+  readonly number: number;
+  readonly entry: JournalEntry;
+}
+
+/**
+ * Keeps the latest decisions of one daemon, those of each kind apart, so that
+ * many refusals do not push out the change that caused them.
+ */
 export class DecisionJournal {
   readonly #clock: Clock;
-  readonly #entries: JournalEntry[] = [];
-  #next = 0;
+  readonly #rings = new Map<DecisionKind, Ring>();
+  #count = 0;
 
   constructor(clock: Clock) {
     this.#clock = clock;
@@ -60,26 +73,30 @@
 
   /** Records a decision; `requestId` is empty where it concerns no single request. */
   record(kind: DecisionKind, facts: DecisionFacts, requestId = ""): void {
-    this.#entries[this.#next] = {
-      atMs: this.#clock.nowMs(),
-      kind,
-      requestId,
-      facts,
-    };
-    this.#next = (this.#next + 1) % JOURNAL_ENTRIES;
+    const ring = this.#findRing(kind);
+    const entry = { atMs: this.#clock.nowMs(), kind, requestId, facts };
+    ring.entries[ring.next] = { number: this.#count, entry };
+    ring.next = (ring.next + 1) % ENTRIES_PER_KIND;
+    this.#count += 1;
   }
 
   /** Lists matching entries, the oldest first. */
   list(filter: JournalFilter = {}): JournalEntry[] {
-    const inOrder = [
-      ...this.#entries.slice(this.#next),
-      ...this.#entries.slice(0, this.#next),
-    ];
-    return inOrder.filter((entry) =>
-      (filter.kind === undefined || entry.kind === filter.kind) &&
-      (filter.requestId === undefined ||
-        entry.requestId === filter.requestId) &&
-      (filter.sinceMs === undefined || entry.atMs >= filter.sinceMs)
-    );
+    return [...this.#rings.values()]
+      .flatMap(({ entries }) => entries)
+      .sort((one, other) => one.number - other.number)
+      .map(({ entry }) => entry)
+      .filter((entry) =>
+        (filter.kind === undefined || entry.kind === filter.kind) &&
+        (filter.requestId === undefined ||
+          entry.requestId === filter.requestId) &&
+        (filter.sinceMs === undefined || entry.atMs >= filter.sinceMs)
+      );
+  }
+
+  #findRing(kind: DecisionKind): Ring {
+    const ring = this.#rings.get(kind) ?? { entries: [], next: 0 };
+    this.#rings.set(kind, ring);
+    return ring;
   }
 }
