Do not begin to refuse while slots are idle

Change: a service whose slots were idle since the last tick and which asks for everything goes on doing so.

--- a/src/admission/admit_level.ts
+++ b/src/admission/admit_level.ts
@@ -48,7 +48,10 @@
   readonly reservedRatios: readonly number[];
 }
 
-/** Keeps the shares up to date. */
+/**
+ * Keeps the shares up to date. A service with idle slots does not begin to
+ * refuse, whatever it estimates.
+ */
 export class AdmitLevel {
   #ratios: readonly number[] = [];
   #demands: readonly ClassDemand[] = [];
@@ -92,7 +95,15 @@
       (sum, { wholePerSecond }) => sum + wholePerSecond,
       0,
     );
-    this.#adaptGrowth(input, Math.min(MAX_MISSED_TICKS, ticks));
+    const isIdle = input.isIdle();
+    if (isIdle && this.lowestRatio === 1) {
+      this.#ratios = demands.map(() => 1);
+      return true;
+    }
+    this.#adaptGrowth(input, {
+      isIdle,
+      ticks: Math.min(MAX_MISSED_TICKS, ticks),
+    });
     this.#ratios = computeAdmitRatios(demands, {
       slots: this.#correctSlots(input, demands),
       holdsMs: input.holdsMs,
@@ -118,8 +129,11 @@
     return Math.max(corrected, Math.min(spared, slots * MAX_SPARED_RATIO));
   }
 
-  #adaptGrowth(input: LevelInput, ticks: number): void {
-    if (!input.isIdle()) {
+  #adaptGrowth(
+    input: LevelInput,
+    { isIdle, ticks }: { isIdle: boolean; ticks: number },
+  ): void {
+    if (!isIdle) {
       this.#growth = 1 + (this.#growth - 1) * GROWTH_DECAY ** ticks;
       return;
     }
--- a/src/admission/admit_level_test.ts
+++ b/src/admission/admit_level_test.ts
@@ -102,8 +102,15 @@
   assert.ok(empty.lowestRatio > 0.35);
 });
 
+test("a service with idle slots does not begin to refuse", () => {
+  const level = new AdmitLevel();
+  level.update(createInput({ isIdle: () => true, queueDelayMs: 0 }));
+  assert.is(level.lowestRatio, 1);
+});
+
 test("idle slots raise the share step by step until all is admitted", () => {
   const level = new AdmitLevel();
+  level.update(createInput({ nowMs: -50 }));
   const shares = Array.from({ length: 12 }, (_, tick) => {
     level.update(
       createInput({ nowMs: tick * 50, isIdle: () => true, queueDelayMs: 0 }),
