--- a/src/measure/experiments/latency.ts
+++ b/src/measure/experiments/latency.ts
@@ -1,6 +1,8 @@
 /**
  * Time that the daemons add to a call at a moderate steady load: the same call
- * through two daemons and straight to the backend server, alternated.
+ * through two daemons and straight to the backend server, alternated. A bare
+ * health request to a daemon, in the same turn, tells what one exchange over
+ * HTTP costs on the machine.
  */
 
 import { build as buildHistogram } from "hdr-histogram-js";
@@ -18,6 +20,12 @@
 const MICROSECONDS_PER_MS = 1_000;
 const PERCENTILES = [50, 90, 99] as const;
 
+/** Ways of a request that are timed in turn. */
+const WAYS = ["direct", "daemons", "bare"] as const;
+
+type Way = (typeof WAYS)[number];
+type LatencyHistograms = Readonly<Record<Way, Histogram>>;
+
 /** The experiment. */
 export const experiment: Experiment = {
   description: "time added to one call at p50, p90 and p99",
@@ -38,25 +46,22 @@
   if (!entry || !target) {
     throw new Error("the fleet lacks a service");
   }
-  const histograms = {
+  const histograms: LatencyHistograms = {
     direct: createHistogram(),
-    throughDaemons: createHistogram(),
+    daemons: createHistogram(),
+    bare: createHistogram(),
+  };
+  const urls: Record<Way, string> = {
+    direct: `http://${target.plan.address}:${PORTS.backendServer}/sheets/1`,
+    daemons: `${entry.entryUrl}/call/price-sheets/sheets/1`,
+    bare: `http://${entry.plan.address}:${PORTS.admin}/health`,
   };
-  const directUrl =
-    `http://${target.plan.address}:${PORTS.backendServer}/sheets/1`;
-  const daemonUrl = `${entry.entryUrl}/call/price-sheets/sheets/1`;
   const startedAtMs = performance.now();
   const pending: Promise<void>[] = [];
   for (let call = 0; call < WARM_UP_CALLS + CALLS; call += 1) {
-    const isDirect = call % 2 === 0;
-    const histogram = isDirect ? histograms.direct : histograms.throughDaemons;
-    pending.push(
-      timeCall(
-        agent,
-        isDirect ? directUrl : daemonUrl,
-        call < WARM_UP_CALLS ? undefined : histogram,
-      ),
-    );
+    const way = WAYS[call % WAYS.length] ?? "direct";
+    const histogram = call < WARM_UP_CALLS ? undefined : histograms[way];
+    pending.push(timeCall(agent, urls[way], histogram));
     const dueAtMs = startedAtMs + call * INTERVAL_MS;
     await new Promise((resolve) =>
       setTimeout(resolve, Math.max(0, dueAtMs - performance.now()))
@@ -102,28 +107,27 @@
 }
 
 function summarize(
-  { direct, throughDaemons }: Record<"direct" | "throughDaemons", Histogram>,
+  { direct, daemons, bare }: LatencyHistograms,
   { durationMs, residentMb }: { durationMs: number; residentMb: number },
 ): ExperimentResult {
+  const read = (histogram: Histogram, percentile: number) =>
+    histogram.getValueAtPercentile(percentile) / MICROSECONDS_PER_MS;
   const rows = PERCENTILES.map((percentile) => {
-    const directMs = direct.getValueAtPercentile(percentile) /
-      MICROSECONDS_PER_MS;
-    const daemonsMs = throughDaemons.getValueAtPercentile(percentile) /
-      MICROSECONDS_PER_MS;
-    return {
-      percentile,
-      directMs,
-      daemonsMs,
-      addedMs: Number((daemonsMs - directMs).toFixed(3)),
-    };
+    const directMs = read(direct, percentile);
+    const daemonsMs = read(daemons, percentile);
+    const addedMs = Number((daemonsMs - directMs).toFixed(3));
+    const bareMs = read(bare, percentile);
+    return { percentile, directMs, daemonsMs, addedMs, bareMs };
   });
-  const [p50, p90, p99] = rows.map(({ addedMs }) => addedMs);
+  const [p50, p90, p99] = rows;
   return {
     rows,
     fields: {
-      addedP50Ms: p50,
-      addedP90Ms: p90,
-      addedP99Ms: p99,
+      addedP50Ms: p50?.addedMs,
+      addedP90Ms: p90?.addedMs,
+      addedP99Ms: p99?.addedMs,
+      bareP50Ms: p50?.bareMs,
+      bareP99Ms: p99?.bareMs,
       callsPerSecond: Math.round(
         (WARM_UP_CALLS + CALLS) / (durationMs / 1_000),
       ),
