Count a backend server that refuses connections as absent

Cause: after a backend server crashed its announcement held for 5 s; holders in its failure domain chose it again and again and used up their retries. Change: a refused connection makes the backend server absent until it announces itself again, so members stop choosing it with the next gossip.

--- a/src/backend/backend_registry.ts
+++ b/src/backend/backend_registry.ts
@@ -25,6 +25,7 @@
   #firstSeenAtMs = 0;
   #leftAtMs: number | undefined;
   #isDrained = false;
+  #isUnreachable = false;
 
   constructor(clock: Clock) {
     this.#clock = clock;
@@ -44,7 +45,7 @@
       return BACKEND_STATES.leaving;
     }
     const ageMs = this.#clock.monotonicMs() - this.#renewedAtMs;
-    return ageMs <= ANNOUNCEMENT_TIMEOUT_MS
+    return ageMs <= ANNOUNCEMENT_TIMEOUT_MS && !this.#isUnreachable
       ? BACKEND_STATES.serving
       : BACKEND_STATES.absent;
   }
@@ -69,10 +70,19 @@
       this.#leftAtMs = undefined;
     }
     this.#announcement = announcement;
+    this.#isUnreachable = false;
     this.#renewedAtMs = this.#clock.monotonicMs();
     this.#notify();
   }
 
+  /** The backend server refuses connections; it counts as absent until it announces itself again. */
+  markUnreachable(): void {
+    if (!this.#isUnreachable) {
+      this.#isUnreachable = true;
+      this.#notify();
+    }
+  }
+
   /** The backend server takes no new work from now on. */
   leave(): void {
     this.#leftAtMs ??= this.#clock.monotonicMs();
--- a/src/backend/backend_registry_test.ts
+++ b/src/backend/backend_registry_test.ts
@@ -58,4 +58,23 @@
   assert.is(registry.state, "serving");
 });
 
+test("a backend server that refuses connections is absent until it announces itself again", () => {
+  const { registry } = createRegistry();
+  let changes = 0;
+  registry.subscribe(() => changes += 1);
+  registry.markUnreachable();
+  registry.markUnreachable();
+  assert.is(registry.state, "absent");
+  assert.is(changes, 1);
+  registry.announce(createAnnouncement());
+  assert.is(registry.state, "serving");
+});
+
+test("a backend server that leaves is leaving also when it refuses connections", () => {
+  const { registry } = createRegistry();
+  registry.leave();
+  registry.markUnreachable();
+  assert.is(registry.state, "leaving");
+});
+
 test.run();
--- a/src/request/run_call.ts
+++ b/src/request/run_call.ts
@@ -118,6 +118,9 @@
   activeCalls.end(active);
   cancelDeadline();
   call.signal.removeEventListener("abort", cancel);
+  if (result.isErr() && result.error.reason === REASONS.noBackendServer) {
+    backend.markUnreachable();
+  }
   if (result.isErr()) {
     controller.abort(result.error.reason);
   }
