--- a/src/cli/wait_until_in_force.ts
+++ b/src/cli/wait_until_in_force.ts
@@ -2,7 +2,13 @@
  * The wait until an accepted version is in force everywhere.
  */
 
-import type { DaemonVersion, FleetClient } from "./fleet_client.ts";
+import type { Result } from "neverthrow";
+import type VError from "verror";
+import type { AdminClientOptions } from "./admin_client.ts";
+import { readVersions } from "./read_versions.ts";
+import type { DaemonVersion } from "./read_versions.ts";
+import { surveyFleet } from "./survey_fleet.ts";
+import type { SurveyEntry } from "./survey_fleet.ts";
 
 /** How to wait. */
 export interface WaitOptions {
@@ -16,9 +22,9 @@
   readonly version: number;
   readonly inForceCount: number;
   readonly daemonCount: number;
-  /** Addresses of daemons that still have a lower version. */
+  /** Admin ports of daemons that still have a lower version. */
   readonly behind: readonly string[];
-  /** Addresses of daemons that could not be asked. */
+  /** Admin ports of daemons that could not be asked. */
   readonly unreachable: readonly string[];
   readonly waitedMs: number;
 }
@@ -28,24 +34,38 @@
 /**
  * Asks the daemons until all have a version or a higher one.
  *
- * @param fleet - The daemons
+ * @param first - A daemon to begin with
  * @param version - The version
  * @param options - Time limit and progress
- * @returns Where the version is in force at the end
+ * @returns Where the version is in force at the end, or the error of the first daemon
  *
  * @example
- * const report = await waitUntilInForce(fleet, 12, { timeoutMs: 30_000, report });
+ * const report = await waitUntilInForce({ adminUrl, fleetToken }, 12, { timeoutMs: 30_000, report });
  */
 export async function waitUntilInForce(
-  fleet: FleetClient,
+  first: AdminClientOptions,
   version: number,
   options: WaitOptions,
+): Promise<Result<InForceReport, VError>> {
+  const survey = await surveyFleet(first);
+  return await survey.asyncMap((entries) =>
+    pollVersions(entries, version, {
+      ...options,
+      fleetToken: first.fleetToken,
+    })
+  );
+}
+
+async function pollVersions(
+  entries: readonly SurveyEntry[],
+  version: number,
+  options: WaitOptions & { readonly fleetToken: string },
 ): Promise<InForceReport> {
   const startedAtMs = performance.now();
-  const daemons = await fleet.listDaemons();
+  const adminUrls = entries.map(({ adminUrl }) => adminUrl);
   let lastCount = -1;
   for (;;) {
-    const versions = await fleet.readVersions(daemons);
+    const versions = await readVersions(adminUrls, options.fleetToken);
     const waitedMs = Math.round(performance.now() - startedAtMs);
     const summary = summarize(versions, version, waitedMs);
     const { daemonCount, inForceCount } = summary;
@@ -75,8 +95,8 @@
     version,
     inForceCount: known.length - behind.length,
     daemonCount: versions.length,
-    behind: behind.map(({ daemon }) => daemon.address),
-    unreachable: unreachable.map(({ daemon }) => daemon.address),
+    behind: behind.map(({ adminUrl }) => adminUrl),
+    unreachable: unreachable.map(({ adminUrl }) => adminUrl),
     waitedMs,
   };
 }
--- a/src/daemon/create_admin_app.ts
+++ b/src/daemon/create_admin_app.ts
@@ -95,13 +95,14 @@
   return timingSafeEqual(digest(given), digest(`Bearer ${fleetToken}`));
 }
 
-function updateGauges(
-  { configuration, inboundAdmission, membership, metrics }: CallEnvironment,
-): void {
+function updateGauges(environment: CallEnvironment): void {
+  const { configuration, inboundAdmission, membership, metrics } = environment;
   const load = inboundAdmission.describeLoad("");
   metrics.inFlight.set(load.inFlight);
   metrics.limit.set(load.limit);
   metrics.configurationVersion.set(configuration.version);
+  metrics.keysRemembered.set({ role: "holder" }, environment.keys.size);
+  metrics.keysRemembered.set({ role: "runner" }, environment.runs.size);
   updateMembershipGauges(metrics, membership);
 }
 
--- a/src/daemon/daemon_configuration_peers.ts
+++ b/src/daemon/daemon_configuration_peers.ts
@@ -31,7 +31,7 @@
   }
 
   override announce(): void {
-    this.#membership.announceConfigurationVersion();
+    this.#membership.announce();
   }
 
   override fetch(
--- a/src/measure/experiments/once.ts
+++ b/src/measure/experiments/once.ts
@@ -15,6 +15,7 @@
 import { collectHistory } from "../once/collect_history.ts";
 import { compareLatency } from "../once/compare_latency.ts";
 import type { LatencyComparison } from "../once/compare_latency.ts";
+import { measureKeyBytes } from "../once/measure_key_bytes.ts";
 import { runPhase } from "../once/run_phase.ts";
 import type { OncePhase, PhaseOutcome, PhaseRun } from "../once/run_phase.ts";
 import { TimedHistory } from "../once/timed_history.ts";
@@ -23,6 +24,8 @@
 const IDLE_MS = 5_000;
 const OUTAGE_MS = 60_000;
 const FREEZE_MS = 8_000;
+/** Time for a new daemon to become known, in milliseconds. */
+const RESTART_SETTLE_MS = 2_000;
 /** A request that takes longer counts as not served, in milliseconds. */
 const SERVED_WITHIN_MS = 1_000;
 const MAX_ATTEMPTS_PER_INVOCATION = 5;
@@ -34,6 +37,7 @@
 };
 
 async function run(): Promise<ExperimentResult> {
+  const keyBytes = await measureKeyBytes();
   const fleet = new Fleet(createPlan(await claimNetwork()));
   await fleet.start();
   const phaseRun = {
@@ -47,7 +51,7 @@
   const results = new Map<string, PhaseOutcome[]>();
   let loadedWrites = 0;
   for (const createPhase of PHASES) {
-    const phase = createPhase(fleet);
+    const phase = await createPhase(fleet);
     const writes = await countWrites(fleet, async () => {
       results.set(phase.name, await runPhase(phaseRun, phase));
     });
@@ -57,10 +61,12 @@
   const violations = check(phaseRun, phaseRun.history);
   await phaseRun.caller.close();
   await fleet.stop();
-  return summarize({ results, violations, latency, idleWrites, loadedWrites });
+  return summarize({
+    ...{ results, violations, latency, idleWrites, loadedWrites, keyBytes },
+  });
 }
 
-const PHASES: readonly ((fleet: Fleet) => OncePhase)[] = [
+const PHASES: readonly ((fleet: Fleet) => OncePhase | Promise<OncePhase>)[] = [
   () => ({
     name: "calm",
     durationMs: 8_000,
@@ -85,8 +91,8 @@
       bringFault: () => void failing.daemon.kill("SIGKILL"),
     };
   },
-  (fleet) => {
-    fleet.relaunch(findLedger(fleet, 0));
+  async (fleet) => {
+    await restart(fleet, 0);
     const failing = findLedger(fleet, 1);
     return {
       ...createFaultPhase("plannedStop", failing),
@@ -96,8 +102,8 @@
       },
     };
   },
-  (fleet) => {
-    fleet.relaunch(findLedger(fleet, 1));
+  async (fleet) => {
+    await restart(fleet, 1);
     const failing = findLedger(fleet, 2);
     return {
       ...createFaultPhase("daemonFrozen", failing),
@@ -155,6 +161,11 @@
   };
 }
 
+async function restart(fleet: Fleet, index: number): Promise<void> {
+  await fleet.waitUntilReady(fleet.relaunch(findLedger(fleet, index)));
+  await sleep(RESTART_SETTLE_MS);
+}
+
 function findLedger(fleet: Fleet, index: number): RunningVm {
   const vm =
     fleet.vms.filter(({ plan }) => plan.service === "delivery-ledger")[index];
@@ -196,6 +207,7 @@
   readonly latency: LatencyComparison;
   readonly idleWrites: number;
   readonly loadedWrites: number;
+  readonly keyBytes: number;
 }
 
 function summarize(findings: Findings): ExperimentResult {
@@ -230,6 +242,7 @@
       storeWritesPerSecond: findings.loadedWrites,
       idleStoreWritesPerSecond: findings.idleWrites,
       ...latency,
+      keyBytes: findings.keyBytes,
       servedDuringStoreOutageRatio: share(of("storeOutage"), isServed),
       targetServedDuringStoreOutageRatio: 0.99,
       unavailableMs: measureUnavailableMs(of("holderCrash")),
--- a/src/request/forward_to_holder.ts
+++ b/src/request/forward_to_holder.ts
@@ -66,22 +66,38 @@
   return describeMissingHolder(call, isSent);
 }
 
-/** Finds the daemon that holds the keys; others are asked where it is outside the own view. */
+/** The member that holds the keys of a daemon process; undefined when it is gone or nobody knows it. */
 async function findHolder(
-  { membership, successors }: CallEnvironment,
+  environment: CallEnvironment,
   holder: string,
 ): Promise<MemberRecord | undefined> {
+  const { membership, successors } = environment;
   successors.learn(membership.listAll());
   const current = successors.findHolder(holder);
-  let record = membership.find(current) ?? await membership.lookUp(current);
-  if (record && record.successor !== "") {
-    successors.learn([record]);
-    const next = successors.findHolder(holder);
-    record = membership.find(next) ?? await membership.lookUp(next);
+  const record = await findMember(environment, current);
+  successors.learn(record ? [record] : []);
+  if (successors.findHolder(holder) !== current) {
+    return await findHolder(environment, holder);
   }
   return record?.state === "dead" ? undefined : record;
 }
 
+/** A daemon knows only the members it deals with; others are asked for. */
+async function findMember(
+  { membership, successors }: CallEnvironment,
+  incarnation: string,
+): Promise<MemberRecord | undefined> {
+  const known = membership.find(incarnation);
+  if (known || successors.isMissing(incarnation)) {
+    return known;
+  }
+  const found = await membership.lookUp(incarnation);
+  if (!found) {
+    successors.noteMissing(incarnation);
+  }
+  return found;
+}
+
 function describeMissingHolder(
   call: OutboundCall,
   isSent: boolean,
