--- a/src/measure/experiments/latency.ts
+++ b/src/measure/experiments/latency.ts
@@ -11,7 +11,7 @@
 import { HEADERS } from "../../constants/mod.ts";
 import { claimNetwork } from "../../testing/claim_network.ts";
 import { createMorningFleet } from "../create_morning_fleet.ts";
-import type { Experiment, ExperimentResult } from "../experiment.ts";
+import type { Experiment, ExperimentResult, Plot } from "../experiment.ts";
 import { Fleet, PORTS } from "../fleet.ts";
 
 const CALLS = 8_000;
@@ -19,6 +19,7 @@
 const INTERVAL_MS = 2;
 const MICROSECONDS_PER_MS = 1_000;
 const PERCENTILES = [50, 90, 99] as const;
+const PLOTTED_PERCENTILES = [1, 10, 25, 50, 75, 90, 95, 99] as const;
 
 /** Ways of a request that are timed in turn. */
 const WAYS = ["direct", "daemons", "bare"] as const;
@@ -122,6 +123,7 @@
   const [p50, p90, p99] = rows;
   return {
     rows,
+    plots: [createLatencyPlot({ direct, daemons, bare })],
     fields: {
       addedP50Ms: p50?.addedMs,
       addedP90Ms: p90?.addedMs,
@@ -136,3 +138,18 @@
     },
   };
 }
+
+function createLatencyPlot(histograms: LatencyHistograms): Plot {
+  return {
+    title: "Time of one call by percentile",
+    xTitle: "percentile",
+    yTitle: "milliseconds",
+    points: WAYS.flatMap((line) =>
+      PLOTTED_PERCENTILES.map((x) => ({
+        line,
+        x,
+        y: histograms[line].getValueAtPercentile(x) / MICROSECONDS_PER_MS,
+      }))
+    ),
+  };
+}
--- a/src/measure/overload/compare_overload.ts
+++ b/src/measure/overload/compare_overload.ts
@@ -3,7 +3,8 @@
  */
 
 import { claimNetwork } from "../../testing/claim_network.ts";
-import type { ExperimentResult, TableRow } from "../experiment.ts";
+import type { ExperimentResult, Plot, TableRow } from "../experiment.ts";
+import { createGoodputPlot } from "./create_goodput_plot.ts";
 import type { OverloadShape } from "./overload_shape.ts";
 import { createRondevaartShape } from "./rondevaart_shape.ts";
 import { runOverload } from "./run_overload.ts";
@@ -37,6 +38,7 @@
 ): Promise<ExperimentResult> {
   const rows: TableRow[] = [];
   const pairs: FigurePair[] = [];
+  const plots: Plot[] = [];
   for (const shape of [createRondevaartShape(), createVerrouShape()]) {
     const runOptions = { trigger, randomSeed: RANDOM_SEED };
     const runs = {
@@ -58,10 +60,11 @@
     pairs.push(pair);
     rows.push(createRow(shape, "on", pair.guarded));
     rows.push(createRow(shape, "off", pair.baseline));
+    plots.push(createGoodputPlot(`${shape.name}, ${trigger}`, runs));
     printTimeline(`${shape.name}, protection on`, runs.on);
     printTimeline(`${shape.name}, protection off`, runs.off);
   }
-  return { rows, fields: { ...combine(pairs), ...TARGETS } };
+  return { rows, plots, fields: { ...combine(pairs), ...TARGETS } };
 }
 
 interface FigurePair {
--- a/src/measure/run_measure.ts
+++ b/src/measure/run_measure.ts
@@ -2,38 +2,19 @@
  * Runs one experiment by name: a table for people, then one line of JSON.
  */
 
-import { readdir } from "node:fs/promises";
 import process from "node:process";
-import { fileURLToPath } from "node:url";
-import type { Experiment } from "./experiment.ts";
+import { listExperiments, loadExperiment } from "./list_experiments.ts";
 
-const EXPERIMENTS_FOLDER = new URL("./experiments/", import.meta.url);
 const WRONG_USE = 2;
-
-async function listExperiments(): Promise<string[]> {
-  const files = await readdir(fileURLToPath(EXPERIMENTS_FOLDER));
-  return files.filter((file) =>
-    file.endsWith(".js") && !file.endsWith("_test.js")
-  )
-    .map((file) => file.replace(".js", "").replaceAll("_", "-"))
-    .sort();
-}
-
-async function loadExperiment(name: string): Promise<Experiment> {
-  const module = await import(
-    new URL(`${name.replaceAll("-", "_")}.js`, EXPERIMENTS_FOLDER).href
-  );
-  return module.experiment;
-}
+const NAME_WIDTH = 16;
 
 async function main(): Promise<number> {
   const names = await listExperiments();
   const [name = ""] = process.argv.slice(2);
   if (name === "--list") {
     for (const each of names) {
-      console.log(
-        `${each.padEnd(16)} ${(await loadExperiment(each)).description}`,
-      );
+      const { description } = await loadExperiment(each);
+      console.log(`${each.padEnd(NAME_WIDTH)} ${description}`);
     }
     return 0;
   }
@@ -43,8 +24,7 @@
     );
     return WRONG_USE;
   }
-  const experiment = await loadExperiment(name);
-  const { rows, fields } = await experiment.run();
+  const { rows, fields } = await (await loadExperiment(name)).run();
   console.table(rows);
   console.log(JSON.stringify({ experiment: name, ...fields }));
   return 0;
