Aim at a queue of three calls where each takes long

Cause: with the deepest service ten times slower a queue of 80 ms is less than one call, so that slots ran idle between two. Change: the queue aimed at is 80 ms or three calls, whichever is longer, and is corrected over four times that; surge and slow-deep calm phases ask for 0.7 and 0.5 of the capacity.

--- a/src/admission/adaptive_admission.ts
+++ b/src/admission/adaptive_admission.ts
@@ -279,6 +279,7 @@
         this.#slots.estimateHoldMs(rank)
       ),
       queueDelayMs: this.#queueDelayMs,
+      msPerCall: this.#msPerCall,
       isIdle: () => this.#idle.read(nowMs),
       reservedRatios,
     });
--- a/src/admission/admit_level.ts
+++ b/src/admission/admit_level.ts
@@ -12,11 +12,14 @@
 /** Time between two computations, in milliseconds. */
 const TICK_MS = 50;
 
-/** Delay of the queue that keeps all slots in use, in milliseconds. */
-const TARGET_DELAY_MS = 80;
+/** Shortest delay of the queue that is aimed at, in milliseconds. */
+const MIN_TARGET_DELAY_MS = 80;
 
-/** Time in which a wrong delay is corrected, in milliseconds. */
-const CORRECTION_MS = 400;
+/** Waiting calls that keep all slots in use. */
+const MIN_TARGET_CALLS = 3;
+
+/** Time in which a wrong delay is corrected, as a multiple of the delay aimed at. */
+const CORRECTION_FACTOR = 4;
 
 /** Bounds of the correction, as a share of the capacity. */
 const MIN_CORRECTION = 0.1;
@@ -43,6 +46,8 @@
   /** Time for which a call of each class holds its slot, in milliseconds. */
   readonly holdsMs: readonly number[];
   readonly queueDelayMs: number;
+  /** Time after which a slot gets free, on average, in milliseconds. */
+  readonly msPerCall: number;
   /** Whether slots were free for a good part of the time since the last update. */
   readonly isIdle: () => boolean;
   readonly reservedRatios: readonly number[];
@@ -117,15 +122,16 @@
    * of the least important class, as far as that suffices.
    */
   #correctSlots(
-    { slots, holdsMs, queueDelayMs }: LevelInput,
+    input: LevelInput,
     demands: readonly ClassDemand[],
   ): number {
+    const { slots, holdsMs } = input;
     const wanted = demands.map(({ arrivingPerSecond }, rank) =>
       computeSlots(arrivingPerSecond, holdsMs[rank] ?? 1)
     );
     const lowest = wanted.filter((each) => each > 0).at(-1) ?? 0;
     const spared = wanted.reduce((sum, each) => sum + each, 0) - lowest;
-    const corrected = slots * this.#growth * computeCorrection(queueDelayMs);
+    const corrected = slots * this.#growth * computeCorrection(input);
     return Math.max(corrected, Math.min(spared, slots * MAX_SPARED_RATIO));
   }
 
@@ -150,7 +156,8 @@
   }
 }
 
-function computeCorrection(queueDelayMs: number): number {
-  const correction = 1 + (TARGET_DELAY_MS - queueDelayMs) / CORRECTION_MS;
-  return Math.max(MIN_CORRECTION, Math.min(MAX_CORRECTION, correction));
+function computeCorrection({ queueDelayMs, msPerCall }: LevelInput): number {
+  const targetMs = Math.max(MIN_TARGET_DELAY_MS, msPerCall * MIN_TARGET_CALLS);
+  const excess = (queueDelayMs - targetMs) / (targetMs * CORRECTION_FACTOR);
+  return Math.max(MIN_CORRECTION, Math.min(MAX_CORRECTION, 1 - excess));
 }
--- a/src/admission/admit_level_test.ts
+++ b/src/admission/admit_level_test.ts
@@ -22,6 +22,7 @@
     slots: 2,
     holdsMs: [20],
     queueDelayMs: 80,
+    msPerCall: 10,
     isIdle: () => false,
     reservedRatios: [0],
     ...changes,
--- a/src/measure/overload/run_overload.ts
+++ b/src/measure/overload/run_overload.ts
@@ -47,7 +47,11 @@
 const CAPACITY_MS = 1_500;
 const BUCKET_MS = 250;
 const MEMBERS = 1_000;
-const CALM_RATIO = 0.5;
+/** Share of the capacity that callers ask for before and after the trigger. */
+const CALM_RATIOS: Readonly<Record<Trigger, number>> = {
+  [TRIGGERS.surge]: 0.7,
+  [TRIGGERS.slowDeep]: 0.5,
+};
 const SURGE_RATIO = 3;
 const SLOWDOWN = 10;
 
@@ -90,7 +94,10 @@
   setSlowdown(1);
   let triggerAtMs = 0;
   const report = await driveLoad({
-    phases: createPhases(shape, { normalPerSecond, isSlow }),
+    phases: createPhases(shape, {
+      normalPerSecond,
+      trigger: options.trigger,
+    }),
     kinds: shape.kinds,
     behavior: CALLERS,
     entryUrls: fleet.entryUrls,
@@ -118,20 +125,22 @@
 
 function createPhases(
   shape: OverloadShape,
-  { normalPerSecond, isSlow }: { normalPerSecond: number; isSlow: boolean },
+  { normalPerSecond, trigger }: { normalPerSecond: number; trigger: Trigger },
 ): LoadPhase[] {
   const total = shape.kinds.reduce((sum, { weight }) => sum + weight, 0);
   const throughDeepest = shape.kinds
     .filter((kind) => reachesDeepest(shape, kind.pathPrefix))
     .reduce((sum, { weight }) => sum + weight, 0);
   const ratePerSecond = normalPerSecond * total / throughDeepest;
-  const calmPerSecond = ratePerSecond * CALM_RATIO;
+  const calmPerSecond = ratePerSecond * CALM_RATIOS[trigger];
   return [
     { name: "calm", durationMs: CALM_MS, requestsPerSecond: calmPerSecond },
     {
       name: "trigger",
       durationMs: TRIGGER_MS,
-      requestsPerSecond: isSlow ? calmPerSecond : ratePerSecond * SURGE_RATIO,
+      requestsPerSecond: trigger === TRIGGERS.slowDeep
+        ? calmPerSecond
+        : ratePerSecond * SURGE_RATIO,
     },
     {
       name: "recovery",
