End the fleet of the experiment also when it fails

Cause: a run that failed on a restarted daemon left 16 daemons behind; the next trial claimed the same network and hung. Change: try/finally.

--- a/src/measure/experiments/once.ts
+++ b/src/measure/experiments/once.ts
@@ -39,15 +39,24 @@
 async function run(): Promise<ExperimentResult> {
   const keyBytes = await measureKeyBytes();
   const fleet = new Fleet(createPlan(await claimNetwork()));
-  await fleet.start();
-  const phaseRun = {
-    fleet,
-    caller: new TestCaller(),
-    history: new TimedHistory(),
-  };
+  const caller = new TestCaller();
+  try {
+    await fleet.start();
+    const phaseRun = { fleet, caller, history: new TimedHistory() };
+    return summarize({ ...await runPhases(phaseRun), keyBytes });
+  } finally {
+    await caller.close();
+    await fleet.stop();
+  }
+}
+
+async function runPhases(
+  phaseRun: PhaseRun & { readonly history: TimedHistory },
+): Promise<Omit<Findings, "keyBytes">> {
+  const { fleet, caller, history } = phaseRun;
   const idleWrites = await countWrites(fleet, () => sleep(IDLE_MS));
   const [first = "", second = ""] = fleet.entryUrls;
-  const latency = await compareLatency(phaseRun.caller, [first, second]);
+  const latency = await compareLatency(caller, [first, second]);
   const results = new Map<string, PhaseOutcome[]>();
   let loadedWrites = 0;
   for (const createPhase of PHASES) {
@@ -58,12 +67,8 @@
     loadedWrites = phase.name === "calm" ? writes : loadedWrites;
     await sleep(MS_PER_SECOND);
   }
-  const violations = check(phaseRun, phaseRun.history);
-  await phaseRun.caller.close();
-  await fleet.stop();
-  return summarize({
-    ...{ results, violations, latency, idleWrites, loadedWrites, keyBytes },
-  });
+  const violations = check(phaseRun, history);
+  return { results, violations, latency, idleWrites, loadedWrites };
 }
 
 const PHASES: readonly ((fleet: Fleet) => OncePhase | Promise<OncePhase>)[] = [
