--- a/src/cli/changing_command.ts
+++ b/src/cli/changing_command.ts
@@ -8,7 +8,6 @@
 import { EXIT_CODES } from "./exit_codes.ts";
 import { ConfigurationCommand } from "./configuration_command.ts";
 import type { CommandOutput } from "./configuration_command.ts";
-import { FleetClient } from "./fleet_client.ts";
 import { waitUntilInForce } from "./wait_until_in_force.ts";
 
 const DEFAULT_WAIT_SECONDS = 30;
@@ -52,14 +51,19 @@
         ],
       };
     }
-    const report = await waitUntilInForce(
-      new FleetClient({ adminUrl, fleetToken }),
-      version,
-      {
-        timeoutMs: this.waitSeconds * MS_PER_SECOND,
-        report: (line) => this.report(line),
-      },
-    );
+    const waited = await waitUntilInForce({ adminUrl, fleetToken }, version, {
+      timeoutMs: this.waitSeconds * MS_PER_SECOND,
+      report: (line) => this.report(line),
+    });
+    if (waited.isErr()) {
+      const { message } = waited.error;
+      return {
+        json: { version, waited: false, error: message },
+        lines: [`accepted as version ${version}; ${message}`],
+        exitCode: EXIT_CODES.notInForce,
+      };
+    }
+    const report = waited.value;
     const { behind, daemonCount, inForceCount, unreachable } = report;
     const isEverywhere = daemonCount > 0 && inForceCount === daemonCount;
     return {
--- a/src/cli/wait_until_in_force_test.ts
+++ b/src/cli/wait_until_in_force_test.ts
@@ -3,7 +3,6 @@
 import { Hono } from "hono";
 import * as assert from "uvu/assert";
 import { suite } from "uvu";
-import { FleetClient } from "./fleet_client.ts";
 import { waitUntilInForce } from "./wait_until_in_force.ts";
 
 const ADMIN_PORT = 7103;
@@ -14,6 +13,10 @@
   return [1, 2, 3].map((host) => `127.81.${network}.${host}`);
 }
 
+function nameUrl(address: string): string {
+  return `http://${address}:${ADMIN_PORT}`;
+}
+
 /** Each daemon knows itself and the next one only. */
 function startDaemon(
   addresses: readonly string[],
@@ -26,7 +29,8 @@
     state: "alive",
   }));
   const app = new Hono();
-  app.get("/v1/status", (context) => context.json({ members }));
+  const self = { incarnation: addresses[index] };
+  app.get("/v1/status", (context) => context.json({ self, members }));
   app.get(
     "/v1/configuration",
     (context) => context.json({ version: readVersion() }),
@@ -41,11 +45,11 @@
   });
 }
 
-function createClient(addresses: readonly string[]): FleetClient {
-  return new FleetClient({
-    adminUrl: `http://${addresses[0]}:${ADMIN_PORT}`,
+function createClient(addresses: readonly string[]) {
+  return {
+    adminUrl: nameUrl(addresses[0]!),
     fleetToken: "test-token",
-  });
+  };
 }
 
 test("daemons of other failure domains are found and waited for", async () => {
@@ -65,7 +69,7 @@
     },
   });
   servers.forEach((server) => server.close());
-  assert.is(report.inForceCount, 3);
+  assert.is(report._unsafeUnwrap().inForceCount, 3);
   assert.equal(lines, [
     "version 5 in force at 2 of 3 daemons",
     "version 5 in force at 3 of 3 daemons",
@@ -84,9 +88,11 @@
     report: () => undefined,
   });
   servers.forEach((server) => server.close());
-  assert.is(report.inForceCount, 1);
-  assert.equal(report.behind, [addresses[1]]);
-  assert.equal(report.unreachable, [addresses[2]]);
+  assert.is(report._unsafeUnwrap().inForceCount, 1);
+  assert.equal(report._unsafeUnwrap().behind, [nameUrl(addresses[1]!)]);
+  assert.equal(report._unsafeUnwrap().unreachable, [
+    nameUrl(addresses[2]!),
+  ]);
 });
 
 test.run();
--- a/src/membership/rumor_spreader.ts
+++ b/src/membership/rumor_spreader.ts
@@ -33,7 +33,7 @@
   }
 
   /** Chooses members of the own failure domain at random. */
-  chooseTargets(fanout = FANOUT): string[] {
+  #chooseTargets(fanout: number): string[] {
     const { random, table } = this.#context;
     const others = table.listDomain(table.self.failureDomain).filter((
       { incarnation, state },
@@ -45,7 +45,7 @@
   spread(fanout = FANOUT): void {
     const { link, rumors } = this.#context;
     while (rumors.freshCount > 0 && this.#budget >= fanout) {
-      const targets = this.chooseTargets(fanout);
+      const targets = this.#chooseTargets(fanout);
       if (targets.length === 0) {
         return;
       }
@@ -57,4 +57,19 @@
       rumors.markPushed(records);
     }
   }
+
+  /** Tells a few members the configuration version, which every datagram carries. */
+  announce(): void {
+    for (const target of this.#chooseTargets(FANOUT)) {
+      if (this.#budget < 1) {
+        return;
+      }
+      this.#budget -= 1;
+      this.#context.link.send(target, {
+        kind: "push",
+        sequence: 0,
+        records: [],
+      });
+    }
+  }
 }
--- a/src/request/serve_entry_call.ts
+++ b/src/request/serve_entry_call.ts
@@ -15,7 +15,6 @@
 import { MAX_DEPTH } from "../constants/mod.ts";
 import { createRefusal, REASONS } from "../outcome/mod.ts";
 import type { CallResult, Refusal } from "../outcome/mod.ts";
-import { DECISIONS } from "../telemetry/mod.ts";
 import { createJoinKey } from "../retry/mod.ts";
 import type { ActiveCall } from "./active_calls.ts";
 import type { CallEnvironment } from "./call_environment.ts";
@@ -23,6 +22,7 @@
 import { dispatchChildOnce } from "./dispatch_child_once.ts";
 import { dispatchOnce } from "./dispatch_once.ts";
 import { isErrorAnswer } from "./is_error_answer.ts";
+import { recordOutcome } from "./record_outcome.ts";
 import { lendAllowance } from "./lend_allowance.ts";
 import type { OutboundCall } from "./outbound_call.ts";
 import { pickTarget } from "./pick_target.ts";
@@ -90,21 +90,33 @@
   if (entry.parent) {
     entry.parent.hasFailedBelow ||= result.isErr() || isErrorAnswer(result);
   }
-  const className = call.isOk() ? call.value.context.className : "none";
-  const tenant = call.isOk() ? call.value.context.tenant : "other";
-  const requestId = call.isOk()
-    ? call.value.context.requestId
-    : entry.requestId;
   recordOutcome(environment, result, {
-    className,
-    tenant,
-    requestId,
+    ...describeCall(environment, entry, call),
     startedAtMs,
     service: entry.service,
   });
   return result;
 }
 
+/** What logs, metrics and the journal call a request, also one that was refused at once. */
+function describeCall(
+  environment: CallEnvironment,
+  entry: EntryCall,
+  call: Result<OutboundCall, Refusal>,
+) {
+  if (call.isOk()) {
+    const { className, tenant, requestId } = call.value.context;
+    return { className, tenant, requestId };
+  }
+  const configuration = environment.configuration.current;
+  const request = configuration && findRequest(configuration, entry);
+  return {
+    className: entry.parent?.context.className ?? request?.className ?? "none",
+    tenant: "other",
+    requestId: entry.requestId,
+  };
+}
+
 interface SendCallOptions {
   readonly entry: EntryCall;
   readonly joinKey: string;
@@ -120,7 +132,10 @@
     return await sendNestedCall(environment, call, parent);
   }
   if (!call.context.isRepeatable) {
-    return await dispatchOnce(environment, call);
+    const result = await dispatchOnce(environment, call);
+    const { loads } = result.isOk() ? result.value : result.error;
+    environment.entryAdmission.observe(loads);
+    return result;
   }
   return await environment.joiner.start(
     joinKey,
@@ -135,9 +150,11 @@
   call: OutboundCall,
   parent: ActiveCall,
 ): Promise<CallResult> {
+  parent.nestedTime.begin();
   const result = call.context.isRepeatable
     ? await dispatchCall(environment, call)
     : await dispatchChildOnce(environment, call, parent);
+  parent.nestedTime.end();
   const { unusedAllowance } = result.isOk() ? result.value : result.error;
   parent.allowance.takeBack(call.context.retryAllowance, unusedAllowance);
   return result;
@@ -179,16 +196,18 @@
     request.deadlineMs,
     entry.deadlineMs ?? request.deadlineMs,
   );
+  const requestId = entry.requestId === "" ? randomUUID() : entry.requestId;
+  const { member } = entry;
   const admitted = isRepeatable
-    ? environment.entryAdmission.check({ request, member: entry.member })
-    : ok(undefined); // The holder of the key decides; only it knows what has run.
+    ? environment.entryAdmission.check({ request, member, requestId })
+    : ok({ mark: undefined }); // The holder of the key decides; only it knows what has run.
   if (admitted.isErr()) {
     return err(admitted.error);
   }
   return ok({
     ...pickTarget(entry),
     context: {
-      requestId: entry.requestId === "" ? randomUUID() : entry.requestId,
+      requestId,
       requestName: request.name,
       className: request.className,
       member: entry.member,
@@ -200,6 +219,7 @@
       depth: 0,
       isRepeatable,
       isBulk: request.isBulk,
+      ...admitted.value.mark && { admission: admitted.value.mark },
     },
     deadlineAtMs: environment.clock.monotonicMs() + remainingMs,
     classRank: request.classRank,
@@ -256,41 +276,3 @@
   }
   return request ? request.isRepeatable : isParentRepeatable;
 }
-
-interface OutcomeFacts {
-  readonly className: string;
-  readonly tenant: string;
-  readonly requestId: string;
-  readonly startedAtMs: number;
-  readonly service: string;
-}
-
-function recordOutcome(
-  environment: CallEnvironment,
-  result: CallResult,
-  facts: OutcomeFacts,
-): void {
-  const { clock, journal, log, metrics } = environment;
-  const { className, tenant, requestId, service } = facts;
-  const durationMs = clock.monotonicMs() - facts.startedAtMs;
-  const outcome = result.isOk() ? "answered" : result.error.kind;
-  metrics.callDuration.observe(
-    { class: className, tenant, outcome },
-    durationMs / 1_000,
-  );
-  if (result.isOk()) {
-    return;
-  }
-  const { reason } = result.error;
-  metrics.failures.inc({ class: className, outcome, reason });
-  const kind = outcome === "refused"
-    ? DECISIONS.refusal
-    : DECISIONS.unknownOutcome;
-  journal.record(kind, {
-    service,
-    reason,
-    class: className,
-    durationMs: Math.round(durationMs),
-  }, requestId);
-  log.debug({ requestId, service, reason, outcome }, "call-failed");
-}
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -82,6 +82,22 @@
     registers: [this.registry],
   });
 
+  /** Share of requests that this instance asks entries to admit, by class rank. */
+  readonly admitRatio = new Gauge({
+    name: "celeryhollow_admit_ratio",
+    help: "Share of requests that this instance asks entries to admit",
+    labelNames: ["rank"] as const,
+    registers: [this.registry],
+  });
+
+  /** Requests refused at this entry, by class and the service that is overloaded. */
+  readonly entryRefusals = new Counter({
+    name: "celeryhollow_entry_refusals_total",
+    help: "Requests refused at the entry before any work was done",
+    labelNames: ["class", "service"] as const,
+    registers: [this.registry],
+  });
+
   /** Used idempotency keys that are remembered, by the role of the memory. */
   readonly keysRemembered = new Gauge({
     name: "celeryhollow_keys_remembered",
@@ -96,4 +112,20 @@
     help: "Configuration version in force",
     registers: [this.registry],
   });
+
+  /** Members that this daemon knows, by state. */
+  readonly members = new Gauge({
+    name: "celeryhollow_members",
+    help: "Members that this daemon knows",
+    labelNames: ["state"] as const,
+    registers: [this.registry],
+  });
+
+  /** Bytes of membership messages since the start, by direction. */
+  readonly membershipBytes = new Gauge({
+    name: "celeryhollow_membership_bytes",
+    help: "Bytes of membership messages since the start, with headers",
+    labelNames: ["direction"] as const,
+    registers: [this.registry],
+  });
 }
