Retry without a token what reached no backend server; enter the routing experiment at a VM of its own

Cause: in a trial of the routing experiment 3 of 140 calls were refused with connect-failed when a failure domain was lost, since an edge starts with two retry tokens, and calls never met the impaired instance, since the entry VM preferred its own backend server. Change: an attempt that reached no backend server adds no load there, so its retry spends allowance but no token; calls enter at a VM of another service.

--- a/src/measure/routing/plan_stock_fleet.ts
+++ b/src/measure/routing/plan_stock_fleet.ts
@@ -1,5 +1,6 @@
 /**
- * The plan of a fleet of one service, two instances in each failure domain.
+ * The plan of a fleet of one service, two instances in each failure domain,
+ * and a VM of another service that calls enter at.
  */
 
 import {
@@ -25,6 +26,9 @@
   { region: "wallonie", failureDomain: "namur-b" },
 ] as const;
 
+/** Service of the VM that calls enter at; it takes no part otherwise. */
+export const ENTRY_SERVICE = "round-planning";
+
 const SLOTS = 16;
 const INSTANCES_PER_DOMAIN = 2;
 
@@ -54,10 +58,16 @@
       };
     })
   );
+  const entry: VmPlan = {
+    ...DOMAINS[0],
+    address: `127.${network}.0.9`,
+    service: ENTRY_SERVICE,
+    slots: SLOTS,
+  };
   return {
     configuration: createTestConfiguration(),
     chains: TEST_CHAINS,
-    vms,
+    vms: [...vms, entry],
     storeAddress: `127.${network}.255.1`,
     storePort: 7000,
     protection: "on",
--- a/src/measure/routing/run_routing_phases.ts
+++ b/src/measure/routing/run_routing_phases.ts
@@ -9,12 +9,14 @@
 import { countRequests, driveLoad } from "../load/mod.ts";
 import type { LoadReport } from "../load/mod.ts";
 import { LinkMesh } from "./link_mesh.ts";
-import { DOMAINS, planStockFleet } from "./plan_stock_fleet.ts";
+import { DOMAINS, ENTRY_SERVICE, planStockFleet } from "./plan_stock_fleet.ts";
 
 /** What one phase showed. */
 export interface RoutingPhaseResult extends TableRow {
   readonly routing: string;
   readonly phase: string;
+  /** Share of runs at the instance before it was impaired. */
+  readonly victimRatioBefore: number;
   readonly goodputRatio: number;
   readonly p99Ms: number;
   readonly crossRegionBytesPerSecond: number;
@@ -37,8 +39,8 @@
 
 interface Phase {
   readonly name: string;
-  /** Whether calls enter next to the victim, or in the other failure domain of its region. */
-  readonly entersNextToVictim: boolean;
+  /** Whether calm load goes before. */
+  readonly settles: boolean;
   /** Whether runs at the victim count as misrouted. */
   readonly avoidsVictim: boolean;
   begin(scene: Scene): void;
@@ -51,6 +53,9 @@
 const IMPAIRED_TIME_MS = 100;
 const COLD_START_MS = 10_000;
 const PHASE_MS = 6_000;
+
+/** Load without an impairment before a phase, so that the instance is in use again. */
+const SETTLE_MS = 8_000;
 const REQUESTS_PER_SECOND = 100;
 const REQUEST_TIMEOUT_MS = 1_000;
 const MICROSECONDS_PER_MS = 1_000;
@@ -64,28 +69,28 @@
 const PHASES: readonly Phase[] = [
   {
     name: "cold",
-    entersNextToVictim: true,
+    settles: false,
     avoidsVictim: true,
     begin: slowDown,
     end: speedUp,
   },
   {
     name: "none",
-    entersNextToVictim: true,
+    settles: false,
     avoidsVictim: false,
     begin: () => undefined,
     end: () => undefined,
   },
   {
     name: "slow",
-    entersNextToVictim: true,
+    settles: true,
     avoidsVictim: true,
     begin: slowDown,
     end: speedUp,
   },
   {
     name: "lying-idle",
-    entersNextToVictim: true,
+    settles: true,
     avoidsVictim: true,
     begin: (scene) => {
       slowDown(scene);
@@ -98,18 +103,19 @@
   },
   {
     name: "silent-connections",
-    entersNextToVictim: true,
+    settles: true,
     avoidsVictim: false,
     begin: ({ mesh, victim }) => mesh.silence(victim.plan.address),
     end: () => undefined,
   },
   {
     name: "lost-domain",
-    entersNextToVictim: false,
+    settles: true,
     avoidsVictim: true,
     begin: ({ fleet, mesh, victim }) =>
       fleet.vms.filter(({ plan }) =>
-        plan.failureDomain === victim.plan.failureDomain
+        plan.failureDomain === victim.plan.failureDomain &&
+        plan.service !== ENTRY_SERVICE
       ).forEach(({ plan, daemon }) => {
         mesh.cut(plan.address);
         daemon.kill("SIGKILL");
@@ -163,21 +169,29 @@
 
 async function runPhase(scene: Scene, phase: Phase) {
   const { fleet, mesh, victim } = scene;
+  const settling = { ...phase, name: `before-${phase.name}` };
+  if (phase.settles) {
+    await drive(scene, settling, SETTLE_MS);
+  }
   const crossedBefore = mesh.crossedBytes;
   phase.begin(scene);
-  const report = await drive(scene, phase);
+  const report = await drive(scene, phase, PHASE_MS);
   phase.end(scene);
   const crossedBytes = mesh.crossedBytes - crossedBefore;
   const { offered, answered } = countRequests(report, {
     fromMs: 0,
     untilMs: Infinity,
   });
-  const countRuns = (vms: readonly RunningVm[]) =>
+  const countRuns = (vms: readonly RunningVm[], { name } = phase) =>
     vms.flatMap(({ backendServer }) => backendServer.runs)
-      .filter(({ requestId }) => requestId.startsWith(`${phase.name}-`)).length;
+      .filter(({ requestId }) => requestId.startsWith(`${name}-`)).length;
   const far = fleet.vms.filter(({ plan }) => plan.region !== HOME);
   const avoided = phase.avoidsVictim ? [...far, victim] : far;
   return {
+    victimRatioBefore: round(
+      countRuns([victim], settling) /
+        Math.max(1, countRuns(fleet.vms, settling)),
+    ),
     goodputRatio: round(answered / offered),
     p99Ms: round(readP99Ms(report)),
     crossRegionBytesPerSecond: Math.round(crossedBytes / PHASE_MS * 1_000),
@@ -187,19 +201,19 @@
   };
 }
 
+/** Calls enter at a VM of another service in the victim's failure domain. */
 function drive(
-  { fleet, victim }: Scene,
-  { name, entersNextToVictim }: Phase,
+  { fleet }: Scene,
+  { name }: Phase,
+  durationMs: number,
 ): Promise<LoadReport> {
-  const { region, failureDomain } = victim.plan;
-  const entries = fleet.vms.filter((vm) =>
-    vm !== victim && vm.plan.region === region &&
-    (vm.plan.failureDomain === failureDomain) === entersNextToVictim
+  const entries = fleet.vms.filter(({ plan }) =>
+    plan.service === ENTRY_SERVICE
   );
   return driveLoad({
     phases: [{
       name,
-      durationMs: PHASE_MS,
+      durationMs,
       requestsPerSecond: REQUESTS_PER_SECOND,
     }],
     kinds: [{
--- a/src/retry/retry_policy.ts
+++ b/src/retry/retry_policy.ts
@@ -69,6 +69,13 @@
   REASONS.keyLedgerFull,
 ]);
 
+/** Reasons of attempts that reached no backend server, so that a retry is no extra load. */
+const UNREACHED_REASONS: ReadonlySet<string> = new Set([
+  REASONS.connectFailed,
+  REASONS.noBackendServer,
+  REASONS.leaving,
+]);
+
 /** Overloaded instances after which the whole service counts as overloaded. */
 const MAX_OVERLOADED_ATTEMPTS = 2;
 
@@ -91,7 +98,8 @@
     return isSafe && !failure.isGivenUp && allowance > 0 && remainingMs > 0 &&
       overloadedAttempts < MAX_OVERLOADED_ATTEMPTS &&
       RETRIABLE_REASONS.has(failure.reason) &&
-      this.#budget.spend(question.service);
+      (UNREACHED_REASONS.has(failure.reason) ||
+        this.#budget.spend(question.service));
   }
 
   override recordSuccess(service: string): void {
--- a/src/retry/retry_policy_test.ts
+++ b/src/retry/retry_policy_test.ts
@@ -93,6 +93,16 @@
   assert.not(policy.takeRetry(createQuestion()));
 });
 
+test("a retry after an attempt that reached nobody spends no token", () => {
+  const { policy, budget } = createPolicy();
+  const failure = createRefusal(REASONS.connectFailed);
+  for (let call = 0; call < 20; call += 1) {
+    assert.ok(policy.takeRetry(createQuestion({ failure })));
+  }
+  assert.is(budget.readTokens("stock"), 2);
+  assert.not(policy.takeRetry(createQuestion({ failure, allowance: 0 })));
+});
+
 test("a retry ratio of zero switches retries off", () => {
   const { policy } = createPolicy(0);
   assert.not(policy.takeRetry(createQuestion()));
--- a/src/routing/instance_stats.ts
+++ b/src/routing/instance_stats.ts
@@ -18,7 +18,7 @@
 const OVERLOAD_WEIGHT = 0.2;
 
 /** Age at which an observation counts for about a third, in milliseconds. */
-const LATENCY_LIFETIME_MS = 10_000;
+const LATENCY_LIFETIME_MS = 4_000;
 const OVERLOAD_LIFETIME_MS = 2_000;
 const HINT_LIFETIME_MS = 1_000;
 
