--- /dev/null
+++ b/src/cli/explain_command.ts
@@ -0,0 +1,143 @@
+/**
+ * The command that explains decisions from the daemons' journals.
+ */
+
+import { Command, Option } from "clipanion";
+import type { JournalEntry } from "../telemetry/mod.ts";
+import { DECISIONS } from "../telemetry/mod.ts";
+import { AdminClient } from "./admin_client.ts";
+import { EXIT_CODES } from "./exit_codes.ts";
+import { FleetCommand } from "./fleet_command.ts";
+import { formatTable } from "./format_table.ts";
+import { parseDuration } from "./parse_duration.ts";
+import { surveyFleet } from "./survey_fleet.ts";
+
+/** Subjects that are not request ids. */
+const SUBJECTS = { refusals: "refusals", changes: "changes" } as const;
+
+/** Decisions that concern one request rather than the fleet. */
+const REQUEST_DECISIONS: ReadonlySet<string> = new Set([
+  DECISIONS.refusal,
+  DECISIONS.entryRefusal,
+  DECISIONS.unknownOutcome,
+  DECISIONS.retryDenied,
+]);
+
+interface ExplainedEntry extends JournalEntry {
+  readonly daemon: string;
+}
+
+/** Explains one request, recent refusals, or recent changes. */
+export class ExplainCommand extends FleetCommand {
+  static override paths = [["explain"]];
+
+  static override usage = Command.Usage({
+    category: "Fleet",
+    description: "explain a request, recent refusals, or recent changes",
+    details:
+      "Asks every daemon for the decisions in its journal, with the numbers behind them. `refusals` are added up by reason, class and service; `changes` lists what daemons decided about limits, instances, members and configuration.",
+    examples: [
+      ["Why was this request refused?", "celeryhollow explain 7f3c-42"],
+      ["What is being refused?", "celeryhollow explain refusals --since 1m"],
+      ["What changed?", "celeryhollow explain changes --since 5m"],
+    ],
+  });
+
+  subject = Option.String({ name: "REQUEST-ID | refusals | changes" });
+
+  since = Option.String("--since", "5m", {
+    description: "How far back to look, such as 30s, 5m or 2h (default 5m)",
+  });
+
+  protected override async ask(): Promise<number> {
+    const durationMs = parseDuration(this.since);
+    if (durationMs === undefined) {
+      this.context.stderr.write(
+        `celeryhollow: --since ${this.since} is not a duration such as 30s, 5m or 2h\n`,
+      );
+      return EXIT_CODES.wrongUse;
+    }
+    const survey = await surveyFleet(this);
+    if (survey.isErr()) {
+      return this.fail(survey.error.message);
+    }
+    this.showProgress(`asking ${survey.value.length} daemons`);
+    const query = this.#createQuery(Date.now() - durationMs);
+    const journals = await Promise.all(
+      survey.value.map(({ adminUrl }) => this.#readJournal(adminUrl, query)),
+    );
+    const entries = journals.flat().filter((entry) => this.#concerns(entry))
+      .sort((one, other) => one.atMs - other.atMs);
+    return this.finish(entries, () => this.#format(entries));
+  }
+
+  #createQuery(sinceMs: number): string {
+    const isRequest = !(this.subject in SUBJECTS);
+    const requestId = isRequest
+      ? `&requestId=${encodeURIComponent(this.subject)}`
+      : "";
+    return `sinceMs=${sinceMs}${requestId}`;
+  }
+
+  async #readJournal(
+    adminUrl: string,
+    query: string,
+  ): Promise<ExplainedEntry[]> {
+    const client = new AdminClient({ ...this, adminUrl });
+    const entries = await client.get(`/v1/journal?${query}`);
+    if (entries.isErr()) {
+      this.showProgress(
+        `not explained by ${adminUrl}: ${entries.error.message}`,
+      );
+      return [];
+    }
+    const daemon = new URL(adminUrl).hostname;
+    return (entries.value as JournalEntry[])
+      .map((entry) => ({ ...entry, daemon }));
+  }
+
+  #concerns(entry: ExplainedEntry): boolean {
+    switch (this.subject) {
+      case SUBJECTS.refusals:
+        return entry.kind === DECISIONS.refusal;
+      case SUBJECTS.changes:
+        return !REQUEST_DECISIONS.has(entry.kind);
+      default:
+        return entry.requestId === this.subject;
+    }
+  }
+
+  #format(entries: readonly ExplainedEntry[]): string {
+    if (entries.length === 0) {
+      return `nothing in the journals of the last ${this.since}`;
+    }
+    return this.subject === SUBJECTS.refusals
+      ? formatRefusals(entries)
+      : formatTimeline(entries);
+  }
+}
+
+function formatTimeline(entries: readonly ExplainedEntry[]): string {
+  return formatTable(
+    ["time", "daemon", "decision", "facts"],
+    entries.map(({ atMs, daemon, kind, facts }) => [
+      new Date(atMs).toISOString(),
+      daemon,
+      kind,
+      Object.entries(facts).map(([name, value]) => `${name}=${value}`).join(
+        " ",
+      ),
+    ]),
+  );
+}
+
+function formatRefusals(entries: readonly ExplainedEntry[]): string {
+  const counts = new Map<string, number>();
+  for (const { facts } of entries) {
+    const key = [facts.reason, facts.class, facts.service].join("\t");
+    counts.set(key, (counts.get(key) ?? 0) + 1);
+  }
+  const rows = [...counts].sort(([, one], [, other]) => other - one)
+    .map(([key, count]) => [String(count), ...key.split("\t")]);
+  return formatTable(["count", "reason", "class", "service"], rows);
+}
--- a/src/daemon/create_admin_app.ts
+++ b/src/daemon/create_admin_app.ts
@@ -6,6 +6,7 @@
 import { createHash } from "node:crypto";
 import { Hono } from "hono";
 import type { Context } from "hono";
+import { updateMembershipGauges } from "../membership/mod.ts";
 import type { CallEnvironment } from "../request/mod.ts";
 
 /** What the interface needs beside the parts that serve requests. */
@@ -56,6 +57,10 @@
     "/v1/status",
     (context) => context.json(describeStatus(environment, options.isReady())),
   );
+  app.get("/v1/configuration", (context) => {
+    const { digest, version } = environment.configuration;
+    return context.json({ version, digest, isReady: options.isReady() });
+  });
   app.get("/v1/journal", (context) => {
     const sinceMs = context.req.query("sinceMs");
     const filter = {
@@ -70,7 +75,7 @@
     );
   });
   app.post("/v1/drain", (context) => {
-    backend.leave();
+    backend.drain();
     return context.json({ state: backend.state });
   });
   app.post("/v1/undrain", (context) => {
@@ -90,13 +95,15 @@
   return timingSafeEqual(digest(given), digest(`Bearer ${fleetToken}`));
 }
 
-function updateGauges(
-  { configuration, inboundAdmission, metrics }: CallEnvironment,
-): void {
+function updateGauges(environment: CallEnvironment): void {
+  const { configuration, inboundAdmission, membership, metrics } = environment;
   const load = inboundAdmission.describeLoad("");
   metrics.inFlight.set(load.inFlight);
   metrics.limit.set(load.limit);
   metrics.configurationVersion.set(configuration.version);
+  metrics.keysRemembered.set({ role: "holder" }, environment.keys.size);
+  metrics.keysRemembered.set({ role: "runner" }, environment.runs.size);
+  updateMembershipGauges(metrics, membership);
 }
 
 function describeStatus(environment: CallEnvironment, isReady: boolean) {
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -5,11 +5,6 @@
 import { serve } from "@hono/node-server";
 import type { ServerType } from "@hono/node-server";
 import type { Hono } from "hono";
-import {
-  LimitedAdmission,
-  OpenEntryAdmission,
-  UnprotectedAdmission,
-} from "../admission/mod.ts";
 import {
   BACKEND_STATES,
   BackendClient,
@@ -53,6 +48,7 @@
 } from "../telemetry/mod.ts";
 import { RandomSource, SystemClock } from "../time/mod.ts";
 import { createAdminApp } from "./create_admin_app.ts";
+import { createAdmission } from "./create_admission.ts";
 import { createOutboundParts } from "./create_outbound_parts.ts";
 import type { OutboundParts } from "./create_outbound_parts.ts";
 import { DaemonConfigurationPeers } from "./daemon_configuration_peers.ts";
@@ -66,6 +62,16 @@
 /** Interval at which a stopping daemon checks for requests in progress, in milliseconds. */
 const DRAIN_POLL_MS = 20;
 
+/** Quiet after which a stopping daemon closes its connections, and longest wait for it, in milliseconds. */
+const QUIET_MS = 250;
+const QUIET_TIMEOUT_MS = 2_000;
+
+/** Calls to the object API that one daemon may make at once. */
+const STORE_BURST_CALLS = 10;
+
+/** Calls to the object API that one daemon may make in the long run. */
+const STORE_CALLS_PER_SECOND = 1;
+
 /** Parts of a daemon that tests replace. */
 export interface DaemonParts {
   /** Opens sockets to other daemons. */
@@ -74,12 +80,6 @@
   readonly routing?: "adaptive" | "random";
 }
 
-/** Calls to the object API that one daemon may make at once. */
-const STORE_BURST_CALLS = 10;
-
-/** Calls to the object API that one daemon may make in the long run. */
-const STORE_CALLS_PER_SECOND = 1;
-
 /** A running daemon. */
 export class Daemon {
   readonly environment: CallEnvironment;
@@ -116,6 +116,7 @@
       ...parts.dial === undefined ? {} : { dial: parts.dial },
     };
     const journal = new DecisionJournal(clock);
+    const metrics = new DaemonMetrics();
     const seeds = settings.seeds.split(",").filter((seed) => seed !== "");
     const isProtected = settings.protection === "on";
     const { fleetToken } = settings;
@@ -143,9 +144,6 @@
           log.warn({ error: error.message }, "gossip-socket-error"),
       }),
     });
-    this.#membership.onPeerConfigurationVersion(({ incarnation, version }) =>
-      this.#configurationSpread.takePeerVersion(incarnation, version)
-    );
     this.#configurationSpread = new ConfigurationSpread({
       reader: new ConfigurationReader(store),
       holder: configuration,
@@ -164,7 +162,7 @@
       settings,
       clock,
       log,
-      metrics: new DaemonMetrics(),
+      metrics,
       journal,
       configuration,
       membership: this.#membership,
@@ -175,10 +173,13 @@
       }),
       backend: new BackendRegistry(clock),
       backendClient: new BackendClient(settings.address),
-      entryAdmission: new OpenEntryAdmission(),
-      inboundAdmission: isProtected
-        ? new LimitedAdmission()
-        : new UnprotectedAdmission(),
+      ...createAdmission(isProtected, {
+        clock,
+        journal,
+        metrics,
+        configuration,
+        incarnation,
+      }),
       chooser: outbound.chooser,
       retryPolicy: outbound.retryPolicy,
       joiner: outbound.joiner,
@@ -221,6 +222,9 @@
       createAdminApp(environment, { isReady, stop: () => this.stop() }),
       settings.adminPort,
     );
+    this.#membership.onPeerConfigurationVersion((notice) =>
+      this.#configurationSpread.takeNotice(notice)
+    );
     await this.#membership.start();
     void this.#configurationSpread.run(this.#stopSignal.signal);
     environment.backend.subscribe(() => this.#publishBackend());
@@ -250,27 +254,43 @@
       "daemon-stopping",
     );
     this.#membership.updateSelf({ state: "leaving" });
-    backend.leave();
+    backend.drain();
     const sendLateOutcomes = await handOverKeys(this.environment);
     await clock.sleep(LEAVE_NOTICE_MS);
     const deadlineMs = clock.monotonicMs() + settings.drainTimeoutMs;
-    while (this.#requestsInProgress > 0 && clock.monotonicMs() < deadlineMs) {
-      await clock.sleep(DRAIN_POLL_MS);
-    }
+    await this.#waitForQuiet(0, deadlineMs);
     await sendLateOutcomes();
+    this.#servers.forEach((server) => server.close());
+    await this.#waitForQuiet(
+      QUIET_MS,
+      Math.min(deadlineMs, clock.monotonicMs() + QUIET_TIMEOUT_MS),
+    );
     this.#stopHousekeeping();
     this.#stopSignal.abort();
     await this.#membership.stop();
-    this.#servers.forEach((server) => server.close());
     await this.#peerServer.close();
     peers.close();
     await this.#store.close();
     log.info({}, "daemon-stopped");
   }
 
+  /** Waits until no request has been in progress for some time. */
+  async #waitForQuiet(quietMs: number, deadlineMs: number): Promise<void> {
+    const { clock } = this.environment;
+    let busyAtMs = clock.monotonicMs();
+    while (clock.monotonicMs() < deadlineMs) {
+      if (this.#requestsInProgress > 0) {
+        busyAtMs = clock.monotonicMs();
+      } else if (clock.monotonicMs() - busyAtMs >= quietMs) {
+        return;
+      }
+      await clock.sleep(DRAIN_POLL_MS);
+    }
+  }
+
   #listen(app: Hono, port: number): Promise<void> {
     const fetch = (request: Request) =>
-      this.#track(() => Promise.resolve(app.fetch(request)));
+      this.#track(async () => this.#endConnection(await app.fetch(request)));
     return new Promise((resolve, reject) => {
       const server = serve({
         fetch,
@@ -282,6 +302,14 @@
     });
   }
 
+  /** Lets a caller's connection end after this response while the daemon stops. */
+  #endConnection(response: Response): Response {
+    if (this.#stopped) {
+      response.headers.set("connection", "close");
+    }
+    return response;
+  }
+
   async #track<T>(run: () => Promise<T>): Promise<T> {
     this.#requestsInProgress += 1;
     try {
--- a/src/daemon/daemon_configuration_peers.ts
+++ b/src/daemon/daemon_configuration_peers.ts
@@ -5,6 +5,7 @@
 import type { Result } from "neverthrow";
 import type VError from "verror";
 import { ConfigurationPeers } from "../configuration/mod.ts";
+import type { VersionNotice } from "../configuration/mod.ts";
 import type { MemberRecord } from "../generated/types.ts";
 import type { Membership } from "../membership/mod.ts";
 import { fetchConfiguration } from "../peer/mod.ts";
@@ -34,9 +35,9 @@
   }
 
   override fetch(
-    member: MemberRecord,
+    peer: VersionNotice,
     knownVersion: number,
   ): Promise<Result<Uint8Array, VError>> {
-    return fetchConfiguration(member, knownVersion, this.#linkOptions);
+    return fetchConfiguration(peer, knownVersion, this.#linkOptions);
   }
 }
--- a/src/membership/domain_exchange.ts
+++ b/src/membership/domain_exchange.ts
@@ -13,13 +13,13 @@
 import { divideIntoDatagrams } from "./take_within_bytes.ts";
 
 /** Failure domains probed by one delegate in each interval. */
-const DOMAINS_PER_INTERVAL = 4;
+const DOMAINS_PER_INTERVAL = 3;
 
 /** Silence after which a failure domain may count as unreachable, in milliseconds. */
 export const UNREACHABLE_AFTER_MS = 6_000;
 
 /** Probes without an answer after which a failure domain may count as unreachable. */
-const UNANSWERED_PROBES = 3;
+const UNANSWERED_PROBES = 2;
 
 /** Changes that wait to be passed on. */
 const MAX_OUTBOUND = 256;
@@ -86,6 +86,17 @@
     }
   }
 
+  /** Tells one daemon of each other failure domain the configuration version, as a delegate. */
+  announce(): void {
+    const { isDelegate, link } = this.#context;
+    for (const failureDomain of isDelegate() ? this.#listOthers() : []) {
+      const target = this.#chooseTarget(failureDomain);
+      if (target) {
+        link.send(target, { kind: "push", sequence: 0, records: [] });
+      }
+    }
+  }
+
   /** Probes the next failure domains and updates which of them are unreachable. */
   probeNext(): void {
     const { isDelegate, random, link } = this.#context;
--- a/src/membership/gossip_membership.ts
+++ b/src/membership/gossip_membership.ts
@@ -11,35 +11,33 @@
 import type { DecisionJournal, Logger } from "../telemetry/mod.ts";
 import type { Clock, RandomSource } from "../time/mod.ts";
 import { AntiEntropy } from "./anti_entropy.ts";
-import { chooseDelegates } from "./choose_delegates.ts";
 import type { DatagramTransport } from "./datagram_transport.ts";
 import { DomainExchange } from "./domain_exchange.ts";
 import { CappedEvictionGuard } from "./eviction_guard.ts";
 import type { EvictionGuard } from "./eviction_guard.ts";
-import { FailureDetector, PROBE_INTERVAL_MS } from "./failure_detector.ts";
+import { FailureDetector } from "./failure_detector.ts";
 import { nameTarget } from "./gossip_context.ts";
 import type { GossipContext } from "./gossip_context.ts";
 import { GossipLink } from "./gossip_link.ts";
 import type { GossipTraffic } from "./gossip_link.ts";
 import { InstanceView } from "./instance_view.ts";
-import { MemberTable, MERGE_OUTCOMES } from "./member_table.ts";
+import { MemberTable } from "./member_table.ts";
 import { Membership } from "./membership.ts";
 import type { OwnRecordChange } from "./membership.ts";
 import { RecordPuller } from "./record_puller.ts";
+import { parseTarget } from "./parse_target.ts";
+import { PeriodicDuties, TICK_INTERVAL_MS } from "./periodic_duties.ts";
+import { RecordIntake } from "./record_intake.ts";
 import { Rejoiner } from "./rejoiner.ts";
 import { RemoteContacts } from "./remote_contacts.ts";
+import { routeMessage } from "./route_message.ts";
+import type { MessageParts } from "./route_message.ts";
 import { RumorQueue } from "./rumor_queue.ts";
 import { RumorSpreader } from "./rumor_spreader.ts";
 import { SeedKeeper } from "./seed_keeper.ts";
 import { SeenRumors } from "./seen_rumors.ts";
 import { ServiceInterest } from "./service_interest.ts";
 
-/** Interval at which news is sent and short deadlines are checked, in milliseconds. */
-const TICK_INTERVAL_MS = 100;
-
-/** Gap between two ticks from which the daemon counts as having been paused, in milliseconds. */
-const PAUSE_MS = 1_000;
-
 /** Wait for the answer of peers that are asked for an incarnation, in milliseconds. */
 const LOOK_UP_TIMEOUT_MS = 300;
 
@@ -85,16 +83,15 @@
   readonly #seedKeeper: SeedKeeper;
   readonly #spreader: RumorSpreader;
   readonly #rejoiner: Rejoiner;
-  #isDelegate = false;
-  #isLearning = false;
-  #lastTickAtMs: number;
-  #nextProbeAtMs: number;
+  readonly #intake: RecordIntake;
+  readonly #parts: MessageParts;
+  readonly #duties: PeriodicDuties;
   #stopTimers: () => void = () => undefined;
 
   constructor(options: GossipMembershipOptions) {
     super();
     this.#options = options;
-    const { clock, configuration, random, self } = options;
+    const { clock, configuration, self } = options;
     this.#table = new MemberTable({
       self,
       clock,
@@ -113,7 +110,7 @@
       link: this.#link,
       rumors: this.#rumors,
       journal: options.journal,
-      isDelegate: () => this.#isDelegate,
+      isDelegate: () => this.#duties.isDelegate,
     };
     const context = this.#context;
     this.#interest = new ServiceInterest(configuration, clock);
@@ -129,9 +126,27 @@
       contacts: this.#contacts,
       join: (address) => this.#rejoiner.join(address),
     });
-    this.#lastTickAtMs = clock.monotonicMs();
-    this.#nextProbeAtMs = this.#lastTickAtMs +
-      random.nextRatio() * PROBE_INTERVAL_MS;
+    this.#intake = new RecordIntake(context, {
+      interest: this.#interest,
+      contacts: this.#contacts,
+      seen: this.#seen,
+    });
+    this.#parts = {
+      detector: this.#detector,
+      antiEntropy: this.#antiEntropy,
+      puller: this.#puller,
+      rejoiner: this.#rejoiner,
+    };
+    this.#duties = new PeriodicDuties(context, {
+      detector: this.#detector,
+      exchange: this.#exchange,
+      puller: this.#puller,
+      spreader: this.#spreader,
+      rejoiner: this.#rejoiner,
+      seedKeeper: this.#seedKeeper,
+      intake: this.#intake,
+      view: this.#view,
+    });
   }
 
   override get self(): MemberRecord {
@@ -139,18 +154,17 @@
   }
 
   override get isDelegate(): boolean {
-    return this.#isDelegate;
+    return this.#duties.isDelegate;
   }
 
-  /** Bytes and datagrams since the start. */
-  get traffic(): Readonly<GossipTraffic> {
+  override get traffic(): Readonly<GossipTraffic> {
     return this.#link.traffic;
   }
 
   override listInstances(service: string): readonly MemberRecord[] {
     const instances = this.#view.list(service);
     if (
-      instances.length === 0 && !this.#isDelegate &&
+      instances.length === 0 && !this.isDelegate &&
       this.#interest.noteAsked(service)
     ) {
       this.#puller.restartNamed();
@@ -180,7 +194,7 @@
     const deadlineMs = clock.monotonicMs() + LOOK_UP_TIMEOUT_MS;
     this.#seen.expect(incarnation);
     if (!this.find(incarnation)) {
-      this.#listOwnDelegates().forEach((delegate) =>
+      this.#duties.listDelegates().forEach((delegate) =>
         this.#link.send(nameTarget(delegate), {
           kind: "pull",
           sequence: 0,
@@ -203,6 +217,7 @@
 
   override announce(): void {
     this.#spreader.announce();
+    this.#exchange.announce();
   }
 
   override async start(): Promise<void> {
@@ -212,7 +227,7 @@
     const unsubscribe = configuration.subscribe(() => this.#puller.restart());
     const stopTicks = clock.scheduleEvery(
       TICK_INTERVAL_MS,
-      () => this.#tick(),
+      () => this.#duties.tick(),
     );
     this.#stopTimers = () => {
       stopTicks();
@@ -228,48 +243,6 @@
     await this.#link.close();
   }
 
-  #tick(): void {
-    const nowMs = this.#options.clock.monotonicMs();
-    if (nowMs - this.#lastTickAtMs > PAUSE_MS) {
-      this.#detector.restart();
-      this.#exchange.restart();
-    }
-    this.#lastTickAtMs = nowMs;
-    this.#spreader.refill(TICK_INTERVAL_MS);
-    this.#spreader.spread();
-    this.#exchange.flush();
-    this.#puller.pullDue();
-    if (nowMs >= this.#nextProbeAtMs) {
-      this.#nextProbeAtMs = Math.max(
-        this.#nextProbeAtMs + PROBE_INTERVAL_MS,
-        nowMs,
-      );
-      this.#tickSlowly();
-    }
-  }
-
-  #tickSlowly(): void {
-    this.#updateDelegates();
-    this.#detector.evictSuspects();
-    this.#detector.probeNext();
-    this.#exchange.probeNext();
-    this.#seedKeeper.tick();
-    this.#rejoiner.tick();
-    this.#table.forgetDead();
-  }
-
-  #updateDelegates(): void {
-    const delegates = this.#listOwnDelegates();
-    this.#isDelegate = delegates.some(({ incarnation }) =>
-      incarnation === this.self.incarnation
-    );
-    this.#view.updateUnreachable(delegates);
-  }
-
-  #listOwnDelegates(): MemberRecord[] {
-    return chooseDelegates(this.#table.listDomain(this.self.failureDomain));
-  }
-
   #createHead() {
     const { incarnation, failureDomain } = this.self;
     return {
@@ -282,42 +255,17 @@
 
   #handle(message: GossipMessage, source: string): void {
     this.#noteSender(message, source);
-    this.#takeRecords(message, source);
-    switch (message.kind) {
-      case "join":
-        this.#rejoiner.handleJoin(message, source);
-        break;
-      case "ping":
-        this.#detector.handlePing(message, source);
-        this.#rejoiner.greetStranger(message, source);
-        break;
-      case "ack":
-        this.#detector.handleAck(message);
-        break;
-      case "ping-request":
-        this.#detector.handlePingRequest(message, source);
-        break;
-      case "digest":
-        this.#antiEntropy.handleDigest(message, source);
-        break;
-      case "pull":
-        this.#puller.handlePull(message, source);
-        break;
-      case "push":
-        this.#puller.handleAnswer(message);
-    }
-    if (message.kind === "ping" || message.kind === "ack") {
-      this.#antiEntropy.noteDigest(message, source);
-    }
+    this.#intake.take(message, source);
+    routeMessage(this.#parts, message, source);
   }
 
   #noteSender(message: GossipMessage, source: string): void {
-    const separator = source.lastIndexOf(":");
+    const { address, port } = parseTarget(source);
     this.notifyConfigurationVersion({
       version: message.configurationVersion,
       incarnation: message.sender,
-      address: source.slice(0, separator),
-      peerPort: Number(source.slice(separator + 1)),
+      address,
+      peerPort: port,
     });
     if (message.failureDomain !== this.self.failureDomain) {
       this.#contacts.add(message.failureDomain, source);
@@ -325,51 +273,8 @@
     }
   }
 
-  #takeRecords(message: GossipMessage, source: string): void {
-    const newer: MemberRecord[] = [];
-    this.#isLearning = message.kind === "push" && message.isReply === true;
-    for (const record of message.records) {
-      const isStale = this.#takeRecord(record);
-      const known = this.#table.get(record.incarnation);
-      if (isStale && known) {
-        newer.push(known);
-      }
-    }
-    this.#isLearning = false;
-    const [first] = newer;
-    if (first) {
-      this.#link.send(source, {
-        kind: "push",
-        sequence: 0,
-        isReply: true,
-        records: [first],
-      });
-    }
-  }
-
-  /** Takes one record; tells whether the sender should hear of a newer one. */
-  #takeRecord(record: MemberRecord): boolean {
-    if (record.failureDomain !== this.self.failureDomain) {
-      this.#contacts.add(record.failureDomain, nameTarget(record));
-    }
-    if (this.#isKept(record)) {
-      return this.#table.merge(record) === MERGE_OUTCOMES.stale;
-    }
-    if (!this.#isLearning && this.#seen.isNews(record)) {
-      this.#rumors.add(record);
-    }
-    return false;
-  }
-
-  #isKept(record: MemberRecord): boolean {
-    return record.failureDomain === this.self.failureDomain ||
-      this.#isDelegate || this.#table.get(record.incarnation) !== undefined ||
-      this.#seen.isExpected(record.incarnation) ||
-      this.#interest.wants(record.service, this.self.service);
-  }
-
   #noteChange(record: MemberRecord, previous: MemberRecord | undefined): void {
-    if (!this.#isLearning || previous) {
+    if (!this.#intake.isLearning || previous) {
       this.#rumors.add(record);
     }
     this.#view.noteChange(record, previous);
--- /dev/null
+++ b/src/request/guarded_calls_test.ts
@@ -0,0 +1,251 @@
+import * as assert from "uvu/assert";
+import { suite } from "uvu";
+import { PLACEMENTS } from "../idempotency/mod.ts";
+import { claimNetwork } from "../testing/claim_network.ts";
+import { createPeerCall } from "../testing/create_peer_call.ts";
+import { GuardedFleet, sleep } from "../testing/guarded/guarded_fleet.ts";
+import { createEntry } from "../testing/guarded/guarded_node.ts";
+import type { GuardedNode } from "../testing/guarded/guarded_node.ts";
+import type { RunEvent } from "../testing/guarded/history.ts";
+import { handOverKeys } from "./hand_over_keys.ts";
+import type { EntryCall } from "./serve_entry_call.ts";
+
+interface Context {
+  fleet: GuardedFleet;
+}
+
+/** Longer than a successor has for its acknowledgement. */
+const LONG_DELAY_MS = 7_000;
+
+/** Long enough for a connection to be cut before a reply arrives. */
+const SHORT_DELAY_MS = 1_000;
+
+const network = await claimNetwork();
+let fleets = 0;
+
+const test = suite<Context>("calls under keys");
+
+test.before.each(async (context) => {
+  fleets += 1;
+  context.fleet = new GuardedFleet({
+    network: `127.${network}.${fleets}`,
+    randomSeed: 7,
+  });
+  await context.fleet.start();
+});
+
+test.after.each(({ fleet }) => fleet.close());
+
+function pick(fleet: GuardedFleet, index: number): GuardedNode {
+  const node = fleet.nodes[index];
+  assert.ok(node);
+  return node as GuardedNode;
+}
+
+async function send(
+  node: GuardedNode,
+  changes: Partial<EntryCall>,
+): Promise<string> {
+  const path = `/deliveries/${changes.requestId ?? ""}`;
+  const result = await node.serve({ ...createEntry(path), ...changes });
+  if (result === "lost") {
+    return result;
+  }
+  return result.isOk()
+    ? "answered"
+    : `${result.error.kind} ${result.error.reason}`;
+}
+
+function listRuns({ history }: GuardedFleet, service: string): string[] {
+  return history.events.filter((event): event is RunEvent =>
+    event.kind === "run" && event.service === service
+  ).map(({ requestId }) => requestId);
+}
+
+/** Opens a connection from a node to each other one. */
+async function openConnections(
+  node: GuardedNode,
+  fleet: GuardedFleet,
+): Promise<void> {
+  const others = fleet.nodes.filter((other) => other !== node);
+  const call = createPeerCall("/");
+  const signal = new AbortController().signal;
+  await Promise.all(
+    others.map(({ environment }) =>
+      node.environment.peers.get(environment.membership.self).call(
+        { ...call, purpose: "resolve" },
+        new Uint8Array(0),
+        { signal },
+      )
+    ),
+  );
+}
+
+test("after a planned stop the successor has used keys, unused keys and later ones", async ({ fleet }) => {
+  const [former, entry] = [pick(fleet, 0), pick(fleet, 1)];
+  const keys = [1, 2].map(() => former.environment.keys.issueKey());
+  const [used = "", unused = ""] = keys;
+  await send(former, { requestId: "used", idempotencyKey: used });
+  await former.stop();
+  const later = former.environment.keys.issueKey();
+  former.crash();
+  const outcomes = [
+    await send(entry, { requestId: "used", idempotencyKey: used, attempt: 2 }),
+    await send(entry, { requestId: "unused", idempotencyKey: unused }),
+    await send(entry, { requestId: "later", idempotencyKey: later }),
+  ];
+  assert.equal(outcomes, ["answered", "answered", "answered"]);
+  assert.equal(listRuns(fleet, "delivery-ledger"), ["used", "unused", "later"]);
+});
+
+test("keys handed over twice are held by the last successor", async ({ fleet }) => {
+  const former = pick(fleet, 0);
+  const idempotencyKey = former.environment.keys.issueKey();
+  await former.stop();
+  const successor = fleet.nodes.find(({ incarnation }) =>
+    incarnation === former.environment.keyPlacement.successor
+  );
+  await successor?.stop();
+  former.crash();
+  successor?.crash();
+  const entry = fleet.nodes.find((node) =>
+    node !== former && node !== successor
+  );
+  assert.ok(entry);
+  const request = { requestId: "chained", idempotencyKey };
+  assert.is(await send(entry as GuardedNode, request), "answered");
+});
+
+test("a lost acknowledgement is asked for again and nobody else gets the keys", async ({ fleet }) => {
+  const former = pick(fleet, 0);
+  const links = fleet.listLinksFrom(0);
+  await openConnections(former, fleet);
+  links.forEach((link) => link.backward.oneWayDelayMs = SHORT_DELAY_MS);
+  const handedOver = handOverKeys(former.environment);
+  await sleep(200);
+  links.forEach((link) => link.backward.oneWayDelayMs = 0);
+  links.forEach((link) => link.cut());
+  links.forEach((link) => link.restore());
+  await handedOver;
+  const holders = fleet.nodes.filter((node) =>
+    node !== former && node.environment.keys.holds(former.incarnation)
+  );
+  const { state, successor } = former.environment.keyPlacement;
+  assert.is(state, PLACEMENTS.handedOver);
+  assert.equal(holders.map(({ incarnation }) => incarnation), [successor]);
+});
+
+test("without any acknowledgement the keys are used by nobody here", async ({ fleet }) => {
+  const former = pick(fleet, 0);
+  const idempotencyKey = former.environment.keys.issueKey();
+  await openConnections(former, fleet);
+  fleet.listLinksFrom(0).forEach((link) =>
+    link.backward.oneWayDelayMs = LONG_DELAY_MS
+  );
+  await handOverKeys(former.environment);
+  const holders = fleet.nodes.filter((node) =>
+    node !== former && node.environment.keys.holds(former.incarnation)
+  );
+  assert.is(former.environment.keyPlacement.state, PLACEMENTS.lost);
+  assert.is(holders.length, 1);
+  const request = { requestId: "lost", idempotencyKey };
+  assert.is(await send(former, request), "unknown key-holder-gone");
+  assert.equal(listRuns(fleet, "delivery-ledger"), []);
+});
+
+test("a holder that the entry does not know is asked for", async ({ fleet }) => {
+  const [holder, entry] = [pick(fleet, 0), pick(fleet, 1)];
+  const idempotencyKey = holder.environment.keys.issueKey();
+  entry.environment.membership.find = () => undefined;
+  const request = { requestId: "one", idempotencyKey };
+  assert.is(await send(entry, request), "unknown key-holder-gone");
+  const known = holder.environment.membership.self;
+  const other = pick(fleet, 2);
+  other.environment.membership.find = () => undefined;
+  other.environment.membership.lookUp = () => Promise.resolve(known);
+  assert.is(await send(other, request), "answered");
+});
+
+test("another process at the holder's address is not taken for the holder", async ({ fleet }) => {
+  const idempotencyKey = pick(fleet, 0).environment.keys.issueKey();
+  await fleet.inject("crash", 0, 0);
+  const entry = pick(fleet, 1);
+  const request = { requestId: "one", idempotencyKey };
+  assert.is(
+    await send(entry, { ...request, attempt: 2 }),
+    "unknown key-holder-gone",
+  );
+  assert.is(
+    await send(entry, { ...request, attempt: 1 }),
+    "refused key-holder-gone",
+  );
+});
+
+test("a connection lost on the way to the holder costs neither a second run nor the answer", async ({ fleet }) => {
+  const [holder, entry] = [pick(fleet, 0), pick(fleet, 1)];
+  const idempotencyKey = holder.environment.keys.issueKey();
+  const outcome = send(entry, { requestId: "one", idempotencyKey });
+  while (listRuns(fleet, "delivery-ledger").length === 0) {
+    await sleep(1);
+  }
+  fleet.listLinksFrom(1).forEach((link) => link.cut());
+  fleet.listLinksFrom(1).forEach((link) => link.restore());
+  assert.is(await outcome, "answered");
+  assert.equal(listRuns(fleet, "delivery-ledger"), ["one"]);
+});
+
+test("an outcome that could not be told is told once the runner can be asked again", async ({ fleet }) => {
+  const holder = pick(fleet, 3);
+  const idempotencyKey = holder.environment.keys.issueKey();
+  const request = { requestId: "one", idempotencyKey };
+  const first = send(holder, { ...request, deadlineMs: 400 });
+  while (listRuns(fleet, "delivery-ledger").length === 0) {
+    await sleep(1);
+  }
+  fleet.listLinksFrom(3).forEach((link) => link.cut());
+  assert.is(await first, "unknown connection-lost");
+  fleet.listLinksFrom(3).forEach((link) => link.restore());
+  assert.is(await send(holder, { ...request, attempt: 2 }), "answered");
+  assert.equal(listRuns(fleet, "delivery-ledger"), ["one"]);
+});
+
+test("a caller that leaves does not stop the run that it will ask for", async ({ fleet }) => {
+  const [holder, entry] = [pick(fleet, 3), pick(fleet, 4)];
+  const idempotencyKey = holder.environment.keys.issueKey();
+  const controller = new AbortController();
+  const request = { requestId: "one", idempotencyKey };
+  const first = send(entry, { ...request, signal: controller.signal });
+  while (listRuns(fleet, "delivery-ledger").length === 0) {
+    await sleep(1);
+  }
+  controller.abort();
+  assert.is((await first).split(" ")[0], "unknown");
+  assert.is(await send(holder, { ...request, attempt: 2 }), "answered");
+  assert.equal(listRuns(fleet, "delivery-ledger"), ["one"]);
+});
+
+test("a deeper non-repeatable call that is sent twice runs once", async ({ fleet }) => {
+  const holder = pick(fleet, 0);
+  const idempotencyKey = holder.environment.keys.issueKey();
+  await send(holder, { requestId: "one", idempotencyKey });
+  assert.equal(listRuns(fleet, "stock"), ["one"]);
+});
+
+test("a non-repeatable call below a repeatable request is refused", async ({ fleet }) => {
+  const node = pick(fleet, 0);
+  const context = {
+    ...{ requestId: "one", requestName: "fetch-round", className: "rounds" },
+    ...{ member: "", tenant: "", remainingMs: 1_000, retryAllowance: 3 },
+    ...{ depth: 0, isRepeatable: true, isBulk: false },
+  };
+  const { signal } = new AbortController();
+  const parent = node.environment.activeCalls.begin(context, signal);
+  assert.is(
+    await send(node, { service: "stock", requestId: "one", parent }),
+    "refused parent-repeatable",
+  );
+  assert.is(parent.allowance.left, 3);
+  assert.equal(listRuns(fleet, "stock"), []);
+});
+
+test.run();
--- a/src/request/serve_entry_call.ts
+++ b/src/request/serve_entry_call.ts
@@ -25,6 +25,8 @@
 import { recordOutcome } from "./record_outcome.ts";
 import { lendAllowance } from "./lend_allowance.ts";
 import type { OutboundCall } from "./outbound_call.ts";
+import { pickTarget } from "./pick_target.ts";
+import { qualifyRefusal } from "./qualify_refusal.ts";
 
 /** A call as it came over HTTP. */
 export interface EntryCall {
@@ -83,26 +85,38 @@
   const startedAtMs = environment.clock.monotonicMs();
   const call = prepareCall(environment, entry);
   const result: CallResult = call.isErr()
-    ? err(call.error)
+    ? err(qualifyRefusal(entry, call.error))
     : await sendCall(environment, call.value, { entry, joinKey });
   if (entry.parent) {
     entry.parent.hasFailedBelow ||= result.isErr() || isErrorAnswer(result);
   }
-  const className = call.isOk() ? call.value.context.className : "none";
-  const tenant = call.isOk() ? call.value.context.tenant : "other";
-  const requestId = call.isOk()
-    ? call.value.context.requestId
-    : entry.requestId;
   recordOutcome(environment, result, {
-    className,
-    tenant,
-    requestId,
+    ...describeCall(environment, entry, call),
     startedAtMs,
     service: entry.service,
   });
   return result;
 }
 
+/** What logs, metrics and the journal call a request, also one that was refused at once. */
+function describeCall(
+  environment: CallEnvironment,
+  entry: EntryCall,
+  call: Result<OutboundCall, Refusal>,
+) {
+  if (call.isOk()) {
+    const { className, tenant, requestId } = call.value.context;
+    return { className, tenant, requestId };
+  }
+  const configuration = environment.configuration.current;
+  const request = configuration && findRequest(configuration, entry);
+  return {
+    className: entry.parent?.context.className ?? request?.className ?? "none",
+    tenant: "other",
+    requestId: entry.requestId,
+  };
+}
+
 interface SendCallOptions {
   readonly entry: EntryCall;
   readonly joinKey: string;
@@ -118,7 +132,10 @@
     return await sendNestedCall(environment, call, parent);
   }
   if (!call.context.isRepeatable) {
-    return await dispatchOnce(environment, call);
+    const result = await dispatchOnce(environment, call);
+    const { loads } = result.isOk() ? result.value : result.error;
+    environment.entryAdmission.observe(loads);
+    return result;
   }
   return await environment.joiner.start(
     joinKey,
@@ -133,9 +150,11 @@
   call: OutboundCall,
   parent: ActiveCall,
 ): Promise<CallResult> {
+  parent.nestedTime.begin();
   const result = call.context.isRepeatable
     ? await dispatchCall(environment, call)
     : await dispatchChildOnce(environment, call, parent);
+  parent.nestedTime.end();
   const { unusedAllowance } = result.isOk() ? result.value : result.error;
   parent.allowance.takeBack(call.context.retryAllowance, unusedAllowance);
   return result;
@@ -177,16 +196,18 @@
     request.deadlineMs,
     entry.deadlineMs ?? request.deadlineMs,
   );
+  const requestId = entry.requestId === "" ? randomUUID() : entry.requestId;
+  const { member } = entry;
   const admitted = isRepeatable
-    ? environment.entryAdmission.check({ request, member: entry.member })
-    : ok(undefined); // The holder of the key decides; only it knows what has run.
+    ? environment.entryAdmission.check({ request, member, requestId })
+    : ok({ mark: undefined }); // The holder of the key decides; only it knows what has run.
   if (admitted.isErr()) {
     return err(admitted.error);
   }
   return ok({
     ...pickTarget(entry),
     context: {
-      requestId: entry.requestId === "" ? randomUUID() : entry.requestId,
+      requestId,
       requestName: request.name,
       className: request.className,
       member: entry.member,
@@ -198,6 +219,7 @@
       depth: 0,
       isRepeatable,
       isBulk: request.isBulk,
+      ...admitted.value.mark && { admission: admitted.value.mark },
     },
     deadlineAtMs: environment.clock.monotonicMs() + remainingMs,
     classRank: request.classRank,
@@ -254,12 +276,3 @@
   }
   return request ? request.isRepeatable : isParentRepeatable;
 }
-
-function pickTarget(entry: EntryCall) {
-  const { service, method, path, contentType, body, signal } = entry;
-  const { idempotencyKey, attempt } = entry;
-  return {
-    ...{ service, method, path, contentType, body, signal },
-    ...{ idempotencyKey, attempt },
-  };
-}
--- a/src/testing/small_fleet.ts
+++ b/src/testing/small_fleet.ts
@@ -4,6 +4,7 @@
  */
 
 import { connect } from "node:net";
+import { writeConfiguration } from "./write_configuration.ts";
 import { Daemon } from "../daemon/daemon.ts";
 import type { Configuration, DaemonSettings } from "../generated/types.ts";
 import { HttpObjectStore } from "../store/mod.ts";
@@ -14,7 +15,6 @@
   TEST_CHAINS,
 } from "./create_test_configuration.ts";
 import { ObjectApiStandIn } from "./object_api_stand_in.ts";
-import { writeConfiguration } from "./write_configuration.ts";
 
 /** One VM of a small fleet. */
 export interface SmallVm {
@@ -32,6 +32,8 @@
   readonly storeAddress: string;
   readonly configuration?: Configuration;
   readonly protection?: "on" | "off";
+  /** Longest wait of a stopping daemon for requests in progress; next to none by default. */
+  readonly drainTimeoutMs?: number;
   /** Addresses of links to be used in place of a VM's own address. */
   readonly links?: Readonly<Record<string, string>>;
 }
@@ -133,7 +135,7 @@
       seeds: "",
       logLevel: "error",
       randomSeed: 7,
-      drainTimeoutMs: 1,
+      drainTimeoutMs: this.#plan.drainTimeoutMs ?? 1,
       maxBodyBytes: 1_048_576,
     };
     const links = this.#plan.links ?? {};
