--- a/src/peer/silent_connection_test.ts
+++ b/src/peer/silent_connection_test.ts
@@ -177,6 +177,7 @@
   link.silenceFlows();
   pass(clock, 6_000);
   assert.is(readText(await outcome), "unknown: connection-lost");
+  assert.is((await outcome)._unsafeUnwrapErr().unusedAllowance, 0);
 });
 
 test("an idle connection that is asked nothing is not replaced", async (context) => {
@@ -205,6 +206,19 @@
   await Promise.all(outcomes);
 });
 
+test("a cancelled call gives no allowance back, since some may have been spent", async (context) => {
+  const { client, held } = context;
+  const controller = new AbortController();
+  const outcome = client.call(createPeerCall("/first"), EMPTY_BODY, {
+    signal: controller.signal,
+  });
+  await settle(() => held.length === 1);
+  controller.abort();
+  await settle(() => held[0]?.signal.aborted ?? false);
+  const failure = (await outcome)._unsafeUnwrapErr();
+  assert.equal([failure.kind, failure.unusedAllowance], ["unknown", 0]);
+});
+
 test("a connection that cannot be opened refuses, since nothing was sent", async (context) => {
   context.link.cut();
   const result = await send(context, "/first");
--- a/src/routing/observed_instances.ts
+++ b/src/routing/observed_instances.ts
@@ -28,6 +28,12 @@
   REASONS.backendFailed,
 ]);
 
+/** Reasons that tell of more calls than the instance can run. */
+const OVERLOAD_REASONS: ReadonlySet<string> = new Set([
+  REASONS.overloadedInstance,
+  REASONS.queueExpired,
+]);
+
 /** Dependencies of the observations. */
 export interface ObservedInstancesOptions {
   readonly clock: Clock;
@@ -105,8 +111,7 @@
     if (hint) {
       stats.noteHint(hint, nowMs);
     }
-    const isOverloaded = report.reason === REASONS.overloadedInstance;
-    stats.noteOverload(isOverloaded, nowMs);
+    stats.noteOverload(OVERLOAD_REASONS.has(report.reason), nowMs);
     this.#noteLatency(instance, report, nowMs);
     this.#noteHealth(instance, report);
     this.#settleCharge(instance, report);
