Keep the region link's queue short enough for important calls

Change: bulk of unknown size crosses one body at a time; the burst is a quarter of a second; sizes are learnt apart for bulk and other bodies; daemons of domains known in part are counted by the size of the own one.

--- a/src/daemon/create_outbound_parts.ts
+++ b/src/daemon/create_outbound_parts.ts
@@ -12,7 +12,12 @@
   RetryBudget,
 } from "../retry/mod.ts";
 import type { RetryPolicy } from "../retry/mod.ts";
-import { AdaptiveChooser, LinkBudget, RandomChooser } from "../routing/mod.ts";
+import {
+  AdaptiveChooser,
+  countRegionDaemons,
+  LinkBudget,
+  RandomChooser,
+} from "../routing/mod.ts";
 import type { InstanceChooser } from "../routing/mod.ts";
 import type { DecisionJournal } from "../telemetry/mod.ts";
 import type { Clock, RandomSource } from "../time/mod.ts";
@@ -80,12 +85,11 @@
     joiner: new CallJoiner(MAX_JOINABLE_CALLS),
     maintain: (members) => {
       const alive = members.filter(({ state }) => state !== "dead");
-      const neighbors = alive.filter(({ region }) => region === self.region);
-      const linkBitsPerSecond =
-        configuration.current?.document.regionLinkBitsPerSecond ?? 0;
+      const document = configuration.current?.document;
+      const daemons = countRegionDaemons(alive, self, document?.regions ?? []);
+      const linkBitsPerSecond = document?.regionLinkBitsPerSecond ?? 0;
       linkBudget.setRate(
-        linkBitsPerSecond * PLANNED_LINK_RATIO / BITS_PER_BYTE /
-          Math.max(1, neighbors.length),
+        linkBitsPerSecond * PLANNED_LINK_RATIO / BITS_PER_BYTE / daemons,
       );
       chooser.retain(new Set(alive.map(({ incarnation }) => incarnation)));
     },
--- a/src/measure/experiments/region_link.ts
+++ b/src/measure/experiments/region_link.ts
@@ -25,7 +25,10 @@
 const SEED = 13;
 
 const HOME = { region: "vlaanderen", failureDomain: "gent-a" } as const;
-const AWAY = { region: "wallonie", failureDomain: "namur-a" } as const;
+const AWAY = [
+  { region: "wallonie", failureDomain: "namur-a" },
+  { region: "wallonie", failureDomain: "namur-b" },
+] as const;
 
 const VARIANTS = [
   { routing: "adaptive", hasLocalCopy: false, network: 57 },
@@ -119,22 +122,34 @@
 
 function createPlan({ network, hasLocalCopy }: Variant): FleetPlan {
   const base = createTestConfiguration();
-  const home = ["price-sheets", "price-sheets", "stock", "stock"];
-  const away = ["round-planning", "round-planning"];
-  const createVm = (place: typeof HOME | typeof AWAY, third: number) =>
-  (
+  const createVm = (
     service: string,
-    index: number,
+    place: Pick<VmPlan, "region" | "failureDomain" | "address">,
   ): VmPlan => ({
     ...place,
     service,
-    address: `127.${network}.${third}.${index + 1}`,
     slots: SLOTS,
     behavior: {
       serviceTimeMs: 5,
       answerBytes: service === "price-sheets" ? BULK_BYTES : 64,
     },
   });
+  const home = ["price-sheets", "price-sheets", "stock", "stock"]
+    .map((service, index) =>
+      createVm(service, { ...HOME, address: `127.${network}.0.${index + 1}` })
+    );
+  const entries = AWAY.map((place, index) =>
+    createVm("round-planning", {
+      ...place,
+      address: `127.${network}.${2 + index}.1`,
+    })
+  );
+  const copies = AWAY.map((place, index) =>
+    createVm("price-sheets", {
+      ...place,
+      address: `127.${network}.${2 + index}.2`,
+    })
+  );
   return {
     configuration: {
       ...base,
@@ -146,11 +161,7 @@
       ),
     },
     chains: TEST_CHAINS,
-    vms: [
-      ...home.map(createVm(HOME, 0)),
-      ...[...away, ...hasLocalCopy ? ["price-sheets"] : []]
-        .map(createVm(AWAY, 2)),
-    ],
+    vms: [...home, ...entries, ...hasLocalCopy ? copies : []],
     storeAddress: `127.${network}.255.1`,
     storePort: 7000,
     protection: "on",
--- a/src/request/dispatch_call.ts
+++ b/src/request/dispatch_call.ts
@@ -129,7 +129,7 @@
   excluded.add(instance.incarnation);
   metrics.attempts.inc({ service: call.service, retry: String(attempts > 1) });
   const startedAtMs = clock.monotonicMs();
-  chooser.begin(instance);
+  chooser.begin(instance, { isBulk });
   const failsWhenSilent = hasKept && call.context.isRepeatable;
   const result = await sendToInstance(environment, call, {
     instance,
--- a/src/request/report_attempt.ts
+++ b/src/request/report_attempt.ts
@@ -23,10 +23,12 @@
   result: CallResult,
   durationMs: number,
 ): AttemptReport {
+  const { isBulk } = call.context;
   if (result.isOk()) {
     const { loads, body, isGivenUp } = result.value;
     return {
       durationMs,
+      isBulk,
       outcome: "answered",
       reason: "",
       isErrorAnswer: isErrorAnswer(result) && !isGivenUp,
@@ -37,6 +39,7 @@
   const { kind, reason, loads } = result.error;
   return {
     durationMs,
+    isBulk,
     outcome: kind,
     reason,
     isErrorAnswer: false,
--- a/src/routing/adaptive_chooser.ts
+++ b/src/routing/adaptive_chooser.ts
@@ -14,6 +14,7 @@
 import { InstanceChooser, NO_INSTANCE } from "./instance_chooser.ts";
 import type {
   AttemptReport,
+  BodySize,
   ChoiceOptions,
   ChoiceRefusal,
 } from "./instance_chooser.ts";
@@ -84,8 +85,8 @@
     );
   }
 
-  override begin(instance: MemberRecord): void {
-    this.#observed.begin(instance);
+  override begin(instance: MemberRecord, body: BodySize): void {
+    this.#observed.begin(instance, body);
   }
 
   override end(instance: MemberRecord, report: AttemptReport): void {
--- a/src/routing/adaptive_chooser_test.ts
+++ b/src/routing/adaptive_chooser_test.ts
@@ -11,7 +11,8 @@
 
 const SEED = 5;
 const CALL_MS = 5;
-const LINK_BYTES_PER_SECOND = 100_000;
+const LINK_BYTES_PER_SECOND = 400_000;
+const SMALL = { isBulk: false };
 
 const NEAR = createMemberRecord("near");
 const SECOND_NEAR = createMemberRecord("second-near");
@@ -56,6 +57,7 @@
 
 function createReport(changes: Partial<AttemptReport> = {}): AttemptReport {
   return {
+    ...SMALL,
     durationMs: CALL_MS,
     outcome: "answered",
     reason: "",
@@ -80,7 +82,7 @@
   for (let call = 0; call < calls; call += 1) {
     const chosen = bench.choose()._unsafeUnwrap();
     const report = createReport(answer(chosen));
-    bench.chooser.begin(chosen);
+    bench.chooser.begin(chosen, SMALL);
     bench.clock.advance(report.durationMs);
     bench.chooser.end(chosen, report);
     counts[chosen.incarnation] = (counts[chosen.incarnation] ?? 0) + 1;
@@ -132,7 +134,7 @@
   const bench = createBench([NEAR, SECOND_NEAR]);
   run(bench, 20, () => ({ loads: [createLoad(0)] }));
   for (let call = 0; call < 12; call += 1) {
-    bench.chooser.begin(NEAR);
+    bench.chooser.begin(NEAR, SMALL);
   }
   assert.equal(run(bench, 50), { "second-near": 50 });
 });
@@ -140,7 +142,7 @@
 test("a load report counts for less the older it is", () => {
   const bench = createBench([NEAR, SECOND_NEAR]);
   const observe = (record: MemberRecord, inFlight: number) => {
-    bench.chooser.begin(record);
+    bench.chooser.begin(record, SMALL);
     bench.chooser.end(record, createReport({ loads: [createLoad(inFlight)] }));
   };
   observe(NEAR, 16);
@@ -165,7 +167,7 @@
       { length: 200 },
       () => bench.choose()._unsafeUnwrap(),
     );
-    choices.forEach((each) => bench.chooser.begin(each));
+    choices.forEach((each) => bench.chooser.begin(each, SMALL));
     choices.forEach((each) => bench.chooser.end(each, createReport()));
     return choices.filter(({ incarnation }) => incarnation === "cold").length;
   };
@@ -188,7 +190,7 @@
   const probe = bench.choose()._unsafeUnwrap();
   assert.is(probe.incarnation, "near");
   assert.is.not(bench.choose()._unsafeUnwrap().incarnation, "near");
-  bench.chooser.begin(probe);
+  bench.chooser.begin(probe, SMALL);
   bench.chooser.end(probe, createReport());
   assert.equal(bench.decisions, ["ejection near", "readmission near"]);
 });
@@ -202,7 +204,7 @@
     bench.clock.advance(1_000 * 2 ** probes);
     const probe = bench.choose()._unsafeUnwrap();
     assert.is(probe.incarnation, "near");
-    bench.chooser.begin(probe);
+    bench.chooser.begin(probe, SMALL);
     bench.chooser.end(probe, createReport({ isErrorAnswer: true }));
     bench.clock.advance(1_000);
     assert.is.not(bench.choose()._unsafeUnwrap().incarnation, "near");
@@ -214,7 +216,7 @@
   const bench = createBench([NEAR, FAR]);
   bench.choose();
   for (let call = 0; call < 10; call += 1) {
-    bench.chooser.begin(FAR);
+    bench.chooser.begin(FAR, SMALL);
     bench.chooser.end(FAR, createReport({ isErrorAnswer: true }));
   }
   assert.equal(bench.decisions, ["ejection far"]);
@@ -228,7 +230,7 @@
   for (let call = 0; call < 300; call += 1) {
     const record = bench.records[call % 3] ?? NEAR;
     bench.choose();
-    bench.chooser.begin(record);
+    bench.chooser.begin(record, SMALL);
     bench.chooser.end(record, createReport({ isErrorAnswer: true }));
   }
   assert.ok(decisions() <= 1, `${decisions()} ejections`);
@@ -278,15 +280,18 @@
   let crossed = 0;
   let choice = bench.choose({ isBulk });
   for (; choice.isOk(); choice = bench.choose({ isBulk })) {
-    bench.chooser.begin(choice.value);
-    bench.chooser.end(choice.value, createReport({ bodyBytes: 10_000 }));
+    bench.chooser.begin(choice.value, { isBulk });
+    bench.chooser.end(
+      choice.value,
+      createReport({ isBulk, bodyBytes: 10_000 }),
+    );
     crossed += 1;
   }
   assert.ok(crossed > 3 && crossed < 10, `${crossed} downloads`);
   assert.is(choice.error.reason, REASONS.linkBudget);
   assert.ok(choice.error.retryAfterMs > 0);
   while (bench.linkBudget.tokens > 0) {
-    bench.linkBudget.begin("stock");
+    bench.linkBudget.begin({ service: "stock", isBulk: false });
   }
   assert.ok(bench.choose({ classRank: 1 }).isErr());
   assert.ok(bench.choose({ classRank: 0 }).isOk());
--- a/src/routing/instance_chooser.ts
+++ b/src/routing/instance_chooser.ts
@@ -26,8 +26,14 @@
   readonly retryAfterMs: number;
 }
 
+/** What is known of a call's bodies before it has ended. */
+export interface BodySize {
+  /** Whether the answer is large. */
+  readonly isBulk: boolean;
+}
+
 /** How an attempt at an instance ended. */
-export interface AttemptReport {
+export interface AttemptReport extends BodySize {
   readonly durationMs: number;
   readonly outcome: "answered" | "refused" | "unknown";
   /** Reason of a refusal or unknown outcome; empty for an answer. */
@@ -48,7 +54,7 @@
   ): Result<MemberRecord, ChoiceRefusal>;
 
   /** An attempt at the instance begins. */
-  abstract begin(instance: MemberRecord): void;
+  abstract begin(instance: MemberRecord, body: BodySize): void;
 
   /** An attempt at the instance has ended. */
   abstract end(instance: MemberRecord, report: AttemptReport): void;
--- a/src/routing/link_budget.ts
+++ b/src/routing/link_budget.ts
@@ -10,10 +10,10 @@
 import type { Clock } from "../time/mod.ts";
 
 /** Time for which an unused budget is saved up, in milliseconds. */
-const BURST_MS = 1_000;
+const BURST_MS = 250;
 
 /** Smallest budget that is saved up, in bytes. */
-const MIN_BURST_BYTES = 65_536;
+const MIN_BURST_BYTES = 16_384;
 
 /** Share of the burst that is kept for calls that are not bulk. */
 const RESERVED_RATIO = 0.25;
@@ -30,10 +30,14 @@
 /** Services whose usual size is remembered. */
 const MAX_SERVICES = 256;
 
-/** What the budget is told about a call. */
-export interface CrossingCall {
+/** What bodies of the same usual size have in common. */
+export interface CrossingBody {
   readonly service: string;
   readonly isBulk: boolean;
+}
+
+/** What the budget is told about a call. */
+export interface CrossingCall extends CrossingBody {
   readonly classRank: number;
 }
 
@@ -66,7 +70,7 @@
 
   /** Whether a call may cross now. */
   mayCross(call: CrossingCall): boolean {
-    const usualBytes = this.#readUsualBytes(call.service);
+    const usualBytes = this.#readUsualBytes(call);
     if (call.isBulk) {
       return this.tokens >= this.#neededForBulk(usualBytes);
     }
@@ -76,7 +80,7 @@
 
   /** Time until a call may cross, in milliseconds. */
   estimateDelayMs(call: CrossingCall): number {
-    const usualBytes = this.#readUsualBytes(call.service);
+    const usualBytes = this.#readUsualBytes(call);
     const needed = call.isBulk ? this.#neededForBulk(usualBytes) : 1;
     const missing = Math.max(0, needed - this.tokens);
     return this.#bytesPerSecond === 0
@@ -85,23 +89,23 @@
   }
 
   /** Charges a call that begins to cross; gives the bytes that were charged. */
-  begin(service: string): number {
-    const charged = this.#readUsualBytes(service);
+  begin(body: CrossingBody): number {
+    const charged = this.#readUsualBytes(body);
     this.#refresh();
     this.#tokens -= charged;
     return charged;
   }
 
   /** Corrects the charge of a call that has crossed. */
-  end(service: string, charge: { charged: number; actual: number }): void {
+  end(body: CrossingBody, charge: { charged: number; actual: number }): void {
     this.#refresh();
     this.#tokens += charge.charged - charge.actual;
-    const usual = this.#usualBytes.get(service) ?? charge.actual;
+    const usual = this.#usualBytes.get(createKey(body)) ?? charge.actual;
     if (this.#usualBytes.size >= MAX_SERVICES) {
       this.#usualBytes.clear();
     }
     this.#usualBytes.set(
-      service,
+      createKey(body),
       usual + SIZE_WEIGHT * (charge.actual - usual),
     );
   }
@@ -115,8 +119,12 @@
     return Math.min(this.#burstBytes, reserved + usualBytes);
   }
 
-  #readUsualBytes(service: string): number {
-    return this.#usualBytes.get(service) ?? UNKNOWN_BODY_BYTES;
+  /** Of bulk not yet seen, one body at a time fits. */
+  #readUsualBytes(body: CrossingBody): number {
+    const unknownBytes = body.isBulk
+      ? this.#burstBytes * (1 - RESERVED_RATIO)
+      : UNKNOWN_BODY_BYTES;
+    return this.#usualBytes.get(createKey(body)) ?? unknownBytes;
   }
 
   #refresh(): void {
@@ -126,3 +134,7 @@
     this.#updatedAtMs = nowMs;
   }
 }
+
+function createKey({ service, isBulk }: CrossingBody): string {
+  return `${service}/${isBulk ? "bulk" : "small"}`;
+}
--- a/src/routing/mod.ts
+++ b/src/routing/mod.ts
@@ -4,9 +4,11 @@
 
 export { AdaptiveChooser } from "./adaptive_chooser.ts";
 export type { AdaptiveChooserOptions } from "./adaptive_chooser.ts";
+export { countRegionDaemons } from "./count_region_daemons.ts";
 export { InstanceChooser } from "./instance_chooser.ts";
 export type {
   AttemptReport,
+  BodySize,
   ChoiceOptions,
   ChoiceRefusal,
 } from "./instance_chooser.ts";
--- a/src/routing/observed_instances.ts
+++ b/src/routing/observed_instances.ts
@@ -5,7 +5,7 @@
 import type { MemberRecord } from "../generated/types.ts";
 import { REASONS } from "../outcome/mod.ts";
 import type { Clock } from "../time/mod.ts";
-import type { AttemptReport } from "./instance_chooser.ts";
+import type { AttemptReport, BodySize } from "./instance_chooser.ts";
 import { InstanceStats } from "./instance_stats.ts";
 import type { LinkBudget } from "./link_budget.ts";
 import type { Locality, LocalityTier } from "./locality_tiers.ts";
@@ -92,12 +92,13 @@
   }
 
   /** An attempt begins. */
-  begin(instance: MemberRecord): void {
+  begin(instance: MemberRecord, { isBulk }: BodySize): void {
     const { clock, linkBudget } = this.#options;
     this.read(instance).begin(clock.monotonicMs());
     if (this.#isFar(instance)) {
       const charges = this.#charges.get(instance.incarnation) ?? [];
-      charges.push(linkBudget.begin(instance.service));
+      const { service } = instance;
+      charges.push(linkBudget.begin({ service, isBulk }));
       this.#charges.set(instance.incarnation, charges);
     }
   }
@@ -168,10 +169,14 @@
     }
   }
 
-  #settleCharge(instance: MemberRecord, { bodyBytes }: AttemptReport): void {
+  #settleCharge(
+    instance: MemberRecord,
+    { bodyBytes, isBulk }: AttemptReport,
+  ): void {
+    const { service } = instance;
     const charged = this.#charges.get(instance.incarnation)?.pop();
     if (charged !== undefined) {
-      this.#options.linkBudget.end(instance.service, {
+      this.#options.linkBudget.end({ service, isBulk }, {
         charged,
         actual: bodyBytes,
       });
--- a/src/routing/random_chooser.ts
+++ b/src/routing/random_chooser.ts
@@ -9,6 +9,7 @@
 import { InstanceChooser, NO_INSTANCE } from "./instance_chooser.ts";
 import type {
   AttemptReport,
+  BodySize,
   ChoiceOptions,
   ChoiceRefusal,
 } from "./instance_chooser.ts";
@@ -34,7 +35,7 @@
     return chosen ? ok(chosen) : err(NO_INSTANCE);
   }
 
-  override begin(_instance: MemberRecord): void {
+  override begin(_instance: MemberRecord, _body: BodySize): void {
     // Nothing is counted.
   }
 
