Start daemons bundled and with a small young generation

Cause: a daemon under load held 123 MB resident, twice the 64 MB target for control. Change: experiments start the bundled program, and the daemon runs with semi-spaces of 2 MB. Conclusion: kept; the target is still missed.

--- a/src/measure/fleet.ts
+++ b/src/measure/fleet.ts
@@ -10,7 +10,9 @@
 import process from "node:process";
 import { fileURLToPath } from "node:url";
 import { request } from "undici";
+import { DAEMON_NODE_FLAGS } from "../constants/node_flags.ts";
 import type { Configuration } from "../generated/types.ts";
+import { chooseDaemonProgram } from "./choose_daemon_program.ts";
 import { HttpObjectStore } from "../store/mod.ts";
 import { BackendServerStandIn } from "../testing/backend_server_stand_in.ts";
 import type { BackendBehavior } from "../testing/backend_server_stand_in.ts";
@@ -64,9 +66,6 @@
   readonly entryUrl: string;
 }
 
-const DAEMON_PROGRAM = fileURLToPath(
-  new URL("../daemon/main.js", import.meta.url),
-);
 const LINKED_DAEMON_PROGRAM = fileURLToPath(
   new URL("../testing/linked_daemon.js", import.meta.url),
 );
@@ -199,12 +198,16 @@
       "--random-seed": String(this.plan.randomSeed + this.vms.length + 1),
       "--log-level": "error",
     };
-    const program = plan.links ? LINKED_DAEMON_PROGRAM : DAEMON_PROGRAM;
+    const program = plan.links ? LINKED_DAEMON_PROGRAM : chooseDaemonProgram();
     const variables = plan.links && {
       [LINKS_VARIABLE]: JSON.stringify(plan.links),
       [ROUTING_VARIABLE]: this.plan.routing ?? "adaptive",
     };
-    return spawn("node", [program, ...Object.entries(settings).flat()], {
+    return spawn("node", [
+      ...DAEMON_NODE_FLAGS,
+      program,
+      ...Object.entries(settings).flat(),
+    ], {
       stdio: ["ignore", "inherit", "inherit"],
       env: { ...process.env, ...variables },
     });
--- a/src/tools/build_programs.ts
+++ b/src/tools/build_programs.ts
@@ -4,20 +4,26 @@
 
 import { chmod, mkdir } from "node:fs/promises";
 import { build } from "esbuild";
+import { DAEMON_NODE_FLAGS } from "../constants/node_flags.ts";
 
 const PROGRAMS = [
-  { source: "build/daemon/main.js", target: "dist/celeryhollowd.js" },
-  { source: "build/cli/main.js", target: "dist/celeryhollow.js" },
+  {
+    source: "build/daemon/main.js",
+    target: "dist/celeryhollowd.js",
+    flags: DAEMON_NODE_FLAGS,
+  },
+  { source: "build/cli/main.js", target: "dist/celeryhollow.js", flags: [] },
 ] as const;
 
 const EXECUTABLE_MODE = 0o755;
 
 /** Gives bundled CommonJS modules the `require` that they expect. */
-const BANNER =
-  `#!/usr/bin/env node\nimport { createRequire as createRequireHere } from "node:module";\nconst require = createRequireHere(import.meta.url);`;
+const REQUIRE_BANNER =
+  `import { createRequire as createRequireHere } from "node:module";
+const require = createRequireHere(import.meta.url);`;
 
 await mkdir("dist", { recursive: true });
-for (const { source, target } of PROGRAMS) {
+for (const { source, target, flags } of PROGRAMS) {
   await build({
     entryPoints: [source],
     outfile: target,
@@ -28,8 +34,12 @@
     minify: true,
     keepNames: true,
     legalComments: "none",
-    banner: { js: BANNER },
+    banner: { js: `${createShebang(flags)}\n${REQUIRE_BANNER}` },
   });
   await chmod(target, EXECUTABLE_MODE);
   console.log(`built ${target}`);
 }
+
+function createShebang(flags: readonly string[]): string {
+  return ["#!/usr/bin/env -S node", ...flags].join(" ");
+}
