End the daemon's process when an operator stops it

Cause: POST /v1/stop stopped every part, yet the process waited for a signal that never came and ended with code 13 (unsettled top-level await). Change: the command waits until the daemon has stopped, whoever asked. The new test failed before (exit 13) and passes now.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -83,6 +83,11 @@
 /** A running daemon. */
 export class Daemon {
   readonly environment: CallEnvironment;
+  #settleStopped: () => void = () => undefined;
+  /** Resolves when the daemon has stopped, whoever asked it to. */
+  readonly stopped = new Promise<void>((resolve) => {
+    this.#settleStopped = resolve;
+  });
   readonly #store: HttpObjectStore;
   readonly #membership: GossipMembership;
   readonly #configurationSpread: ConfigurationSpread;
@@ -91,7 +96,7 @@
   readonly #stopSignal = new AbortController();
   #servers: ServerType[] = [];
   #stopHousekeeping: () => void = () => undefined;
-  #stopped: Promise<void> | undefined;
+  #stopping: Promise<void> | undefined;
   #requestsInProgress = 0;
 
   constructor(settings: DaemonSettings, parts: DaemonParts = {}) {
@@ -207,7 +212,7 @@
 
   /** Whether the daemon can serve callers. */
   get isReady(): boolean {
-    return this.#configurationSpread.isConfirmed && !this.#stopped;
+    return this.#configurationSpread.isConfirmed && !this.#stopping;
   }
 
   /** Starts the listeners and joins the fleet. */
@@ -240,8 +245,8 @@
 
   /** Stops gracefully: takes no new work, finishes what is in progress, leaves the fleet. */
   stop(): Promise<void> {
-    this.#stopped ??= this.#stop();
-    return this.#stopped;
+    this.#stopping ??= this.#stop().then(this.#settleStopped);
+    return this.#stopping;
   }
 
   async #stop(): Promise<void> {
@@ -304,7 +309,7 @@
 
   /** Lets a caller's connection end after this response while the daemon stops. */
   #endConnection(response: Response): Response {
-    if (this.#stopped) {
+    if (this.#stopping) {
       response.headers.set("connection", "close");
     }
     return response;
@@ -327,7 +332,7 @@
       : announcement?.service ?? "";
     const slots = announcement?.slots ?? 0;
     const own = this.#membership.self;
-    const memberState = state === BACKEND_STATES.leaving || this.#stopped
+    const memberState = state === BACKEND_STATES.leaving || this.#stopping
       ? "leaving"
       : "alive";
     inboundAdmission.setCapacity(slots, warmAtMs);
--- a/src/daemon/daemon_command.ts
+++ b/src/daemon/daemon_command.ts
@@ -79,10 +79,8 @@
 
 async function runDaemon(settings: DaemonSettings): Promise<number> {
   const daemon = new Daemon(settings);
-  const stopRequested = new Promise<void>((resolve) => {
-    process.once("SIGTERM", () => resolve());
-    process.once("SIGINT", () => resolve());
-  });
+  process.once("SIGTERM", () => void daemon.stop());
+  process.once("SIGINT", () => void daemon.stop());
   try {
     await daemon.start();
   } catch (cause) {
@@ -92,7 +90,6 @@
     );
     return EXIT_CODES.failed;
   }
-  await stopRequested;
-  await daemon.stop();
+  await daemon.stopped;
   return EXIT_CODES.stopped;
 }
--- a/src/measure/fleet_test.ts
+++ b/src/measure/fleet_test.ts
@@ -1,10 +1,12 @@
+import { once } from "node:events";
+import { request } from "undici";
 import * as assert from "uvu/assert";
 import { suite } from "uvu";
 import { claimNetwork } from "../testing/claim_network.ts";
 import { TestCaller } from "../testing/test_caller.ts";
 import type { TestCall } from "../testing/test_caller.ts";
 import { createMorningFleet } from "./create_morning_fleet.ts";
-import { Fleet } from "./fleet.ts";
+import { Fleet, FLEET_TOKEN, PORTS } from "./fleet.ts";
 
 interface Context {
   fleet: Fleet;
@@ -116,6 +118,30 @@
   });
 });
 
+test("a daemon that an operator stops ends well, and the others serve on", async (context) => {
+  const { fleet, caller } = context;
+  const [stopping, entry] = [fleet.vms.at(-1), fleet.vms[0]];
+  assert.ok(stopping && entry);
+  const exited = once(stopping.daemon, "exit");
+  const response = await request(
+    `http://${stopping.plan.address}:${PORTS.admin}/v1/stop`,
+    { method: "POST", headers: { authorization: `Bearer ${FLEET_TOKEN}` } },
+  );
+  await response.body.dump();
+  assert.equal(await exited, [0, null]);
+  const { outcome } = await caller.send(createCall(context, {}));
+  assert.is(outcome, "answered");
+});
+
+test("the operators' interface asks for the fleet token", async ({ fleet }) => {
+  const response = await request(
+    `http://${fleet.vms[0]?.plan.address}:${PORTS.admin}/v1/status`,
+    { headers: { authorization: "Bearer guess" } },
+  );
+  await response.body.dump();
+  assert.is(response.statusCode, 401);
+});
+
 function listServices(
   answer: { service: string; nested: typeof answer | null },
 ): string[] {
