--- a/src/admission/adaptive_admission.ts
+++ b/src/admission/adaptive_admission.ts
@@ -101,7 +101,8 @@
       instance: this.#options.instance,
       sequence: Math.floor(this.#options.clock.nowMs()),
       demandPerSecond: Math.round(demandPerSecond),
-      admitPermille: ratios.map((ratio) => Math.ceil(ratio * PERMILLE)),
+      ...lowestRatio < 1 &&
+        { admitPermille: ratios.map((ratio) => Math.ceil(ratio * PERMILLE)) },
     };
   }
 
--- a/src/admission/service_levels.ts
+++ b/src/admission/service_levels.ts
@@ -48,8 +48,8 @@
 
   /** Takes a signal, unless a later one of the same instance is known. */
   observe(signal: LoadSignal): void {
-    const { service, instance, sequence, admitPermille } = signal;
-    if (instance === undefined || sequence === undefined || !admitPermille) {
+    const { service, instance, sequence } = signal;
+    if (instance === undefined || sequence === undefined) {
       return;
     }
     const known = this.#findService(service);
