Probe a silent failure domain again before calling it unreachable

Cause: at 16 failure domains with 1% loss, plain members sent and received 3,679 bytes/s at rest and delegates 6,226 (target 4,096). A delegate judged right after it had sent its second probe, five seconds after the first, so that one lost datagram made a domain unreachable, and each verdict is news to the fleet. Loss of the rumors' budget and the pulls were ruled out by their counts at 4 and 8 domains (580 and 583 bytes/s). Now a delegate judges before it sends, after four unanswered probes, and probes doubtful domains every second.

--- a/src/membership/domain_exchange.ts
+++ b/src/membership/domain_exchange.ts
@@ -7,7 +7,7 @@
 import type { MemberRecord } from "../generated/types.ts";
 import { DECISIONS } from "../telemetry/mod.ts";
 import { chooseDelegates } from "./choose_delegates.ts";
-import { nameTarget } from "./gossip_context.ts";
+import { chooseSeveral, nameTarget } from "./gossip_context.ts";
 import type { GossipContext } from "./gossip_context.ts";
 import type { RemoteContacts } from "./remote_contacts.ts";
 import { divideIntoDatagrams } from "./take_within_bytes.ts";
@@ -19,7 +19,10 @@
 export const UNREACHABLE_AFTER_MS = 6_000;
 
 /** Probes without an answer after which a failure domain may count as unreachable. */
-const UNANSWERED_PROBES = 2;
+const UNANSWERED_PROBES = 4;
+
+/** Failure domains with an unanswered probe that are probed again at once, in each interval. */
+const REPEATS_PER_INTERVAL = 2;
 
 /** Changes that wait to be passed on. */
 const MAX_OUTBOUND = 256;
@@ -106,10 +109,8 @@
     }
     this.#wasDelegate = true;
     const others = this.#listOthers();
-    const count = Math.min(DOMAINS_PER_INTERVAL, others.length);
-    for (let index = 0; index < count; index += 1) {
-      const failureDomain = others[this.#nextDomain % others.length] ?? "";
-      this.#nextDomain += 1;
+    this.#updateUnreachable(others);
+    for (const failureDomain of this.#chooseDomains(others)) {
       const target = this.#chooseTarget(failureDomain);
       if (target) {
         this.#findContact(failureDomain).unansweredProbes += 1;
@@ -117,7 +118,24 @@
         link.send(target, { kind: "ping", sequence, records: [] });
       }
     }
-    this.#updateUnreachable(others);
+  }
+
+  /** Those with an unanswered probe first, so that a lost datagram is soon made good. */
+  #chooseDomains(others: readonly string[]): ReadonlySet<string> {
+    const doubtful = others.filter((failureDomain) => {
+      const unanswered = this.#domains.get(failureDomain)?.unansweredProbes ??
+        0;
+      return unanswered > 0 && unanswered < UNANSWERED_PROBES;
+    });
+    const chosen = new Set(
+      chooseSeveral(this.#context.random, doubtful, REPEATS_PER_INTERVAL),
+    );
+    const count = Math.min(DOMAINS_PER_INTERVAL, others.length);
+    for (let tries = 0; chosen.size < count && tries < count; tries += 1) {
+      chosen.add(others[this.#nextDomain % others.length] ?? "");
+      this.#nextDomain += 1;
+    }
+    return chosen;
   }
 
   /** Starts to count silence anew, after this daemon itself was paused. */
--- a/src/membership/gossip_membership_test.ts
+++ b/src/membership/gossip_membership_test.ts
@@ -249,6 +249,19 @@
   assert.is(listRemote().length, 2);
 });
 
+test("lost datagrams do not make a failure domain unreachable", async () => {
+  const fleet = await startFleet({ domains: 16, membersPerDomain: 3 });
+  fleet.network.faults.lossRatio = 0.02;
+  let reports = 0;
+  for (let second = 0; second < 120; second += 1) {
+    await fleet.run(1_000);
+    reports += fleet.members.filter(({ membership }) =>
+      (membership.self.unreachableDomains ?? []).length > 0
+    ).length;
+  }
+  assert.is(reports, 0);
+});
+
 test("after everything restarted, domains whose store is down are found by the others", async () => {
   const fleet = await startFleet({ domains: 3 }, {
     isStoreDown: (failureDomain) => failureDomain === "domain-2",
