Count ejections and replaced connections; keep test variables out of the settings' prefix

Cause: daemons now refuse unknown variables that begin like settings, and the fleet of the experiments set one, so no daemon started. Change: the variables of linked daemons have a prefix of their own.

--- a/src/daemon/create_outbound_parts.ts
+++ b/src/daemon/create_outbound_parts.ts
@@ -4,6 +4,7 @@
 
 import type { ConfigurationHolder } from "../configuration/mod.ts";
 import type { DaemonSettings, MemberRecord } from "../generated/types.ts";
+import type { LinkReplacement } from "../peer/mod.ts";
 import {
   AllowanceRetryPolicy,
   CallJoiner,
@@ -19,7 +20,8 @@
   RandomChooser,
 } from "../routing/mod.ts";
 import type { InstanceChooser } from "../routing/mod.ts";
-import type { DecisionJournal } from "../telemetry/mod.ts";
+import { DECISIONS } from "../telemetry/mod.ts";
+import type { DaemonMetrics, DecisionJournal } from "../telemetry/mod.ts";
 import type { Clock, RandomSource } from "../time/mod.ts";
 
 const BITS_PER_BYTE = 8;
@@ -34,6 +36,7 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly journal: DecisionJournal;
+  readonly metrics: DaemonMetrics;
   readonly configuration: ConfigurationHolder;
   readonly routing: "adaptive" | "random";
 }
@@ -43,6 +46,8 @@
   readonly chooser: InstanceChooser;
   readonly retryPolicy: RetryPolicy;
   readonly joiner: CallJoiner;
+  /** Records that a silent connection is replaced. */
+  reportReplacement(replacement: LinkReplacement): void;
   /** Adapts the parts to the members that are known; called at intervals. */
   maintain(members: readonly MemberRecord[]): void;
 }
@@ -59,25 +64,35 @@
 export function createOutboundParts(
   options: OutboundPartsOptions,
 ): OutboundParts {
+  const { journal, metrics } = options;
+  const reportReplacement = (replacement: LinkReplacement) => {
+    metrics.replacedConnections.inc();
+    journal.record(DECISIONS.connectionReplaced, { ...replacement });
+  };
   if (options.settings.protection === "off") {
     return {
+      reportReplacement,
       chooser: new RandomChooser(options.random),
       retryPolicy: new EveryHopRetryPolicy(),
       joiner: new CallJoiner(0),
       maintain: () => undefined,
     };
   }
-  const { clock, random, self, journal, configuration } = options;
+  const { clock, random, self, configuration } = options;
   const linkBudget = new LinkBudget(clock);
   const chooser = new AdaptiveChooser({
     clock,
     random,
     locality: self,
     linkBudget,
-    reportOutlier: (kind, facts) => journal.record(kind, facts),
+    reportOutlier: (kind, facts) => {
+      metrics.outlierDecisions.inc({ decision: kind });
+      journal.record(kind, facts);
+    },
   });
   const readRetryRatio = () => configuration.current?.document.retryRatio ?? 0;
   return {
+    reportReplacement,
     chooser: options.routing === "random" ? new RandomChooser(random) : chooser,
     retryPolicy: new AllowanceRetryPolicy(
       new RetryBudget(clock, readRetryRatio),
@@ -91,6 +106,7 @@
       linkBudget.setRate(
         linkBitsPerSecond * PLANNED_LINK_RATIO / BITS_PER_BYTE / daemons,
       );
+      metrics.linkBudget.set(linkBudget.tokens);
       chooser.retain(new Set(alive.map(({ incarnation }) => incarnation)));
     },
   };
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -154,7 +154,7 @@
       journal,
     });
     const outbound = createOutboundParts({
-      ...{ settings, self, clock, random, journal, configuration },
+      ...{ settings, self, clock, random, journal, metrics, configuration },
       routing: parts.routing ?? "adaptive",
     });
     this.#outbound = outbound;
@@ -168,8 +168,7 @@
       membership: this.#membership,
       peers: new PeerClients({
         ...linkOptions,
-        reportReplacement: (replacement) =>
-          journal.record(DECISIONS.connectionReplaced, { ...replacement }),
+        reportReplacement: outbound.reportReplacement,
       }),
       backend: new BackendRegistry(clock),
       backendClient: new BackendClient(settings.address),
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -61,6 +61,28 @@
     registers: [this.registry],
   });
 
+  /** Ejections and re-admissions of instances. */
+  readonly outlierDecisions = new Counter({
+    name: "celeryhollow_outlier_decisions_total",
+    help: "Ejections and re-admissions of instances",
+    labelNames: ["decision"] as const,
+    registers: [this.registry],
+  });
+
+  /** Silent connections beside which a new one was opened. */
+  readonly replacedConnections = new Counter({
+    name: "celeryhollow_replaced_connections_total",
+    help: "Silent connections that were replaced",
+    registers: [this.registry],
+  });
+
+  /** Bytes that may cross between regions now; negative when overdrawn. */
+  readonly linkBudget = new Gauge({
+    name: "celeryhollow_link_budget_bytes",
+    help: "Bytes that this daemon may send and receive across regions now",
+    registers: [this.registry],
+  });
+
   /** Duplicates that were joined to a call in progress. */
   readonly joinedCalls = new Counter({
     name: "celeryhollow_joined_calls_total",
--- a/src/testing/links_variable.ts
+++ b/src/testing/links_variable.ts
@@ -3,7 +3,7 @@
  */
 
 /** Environment variable with a JSON object of link addresses by VM address. */
-export const LINKS_VARIABLE = "CELERYHOLLOW_TEST_LINKS";
+export const LINKS_VARIABLE = "TEST_FLEET_LINKS";
 
 /** Environment variable that is `random` for the baseline of routing alone. */
-export const ROUTING_VARIABLE = "CELERYHOLLOW_TEST_ROUTING";
+export const ROUTING_VARIABLE = "TEST_FLEET_ROUTING";
