--- a/src/routing/adaptive_chooser.ts
+++ b/src/routing/adaptive_chooser.ts
@@ -27,6 +27,9 @@
 /** Share of the near wait below which a far wait is worth the way. */
 const SPILL_RATIO = 0.7;
 
+/** Costs whose ratio is smaller count as equal, so that no instance is left unused for little. */
+const TIE_RATIO = 1.5;
+
 /** Dependencies of the choice. */
 export interface AdaptiveChooserOptions {
   readonly clock: Clock;
@@ -144,7 +147,7 @@
     const oneStats = this.#observed.read(one);
     const otherStats = this.#observed.read(other);
     const isOneBetter = estimateCost(oneStats, oneContext) <=
-      estimateCost(otherStats, otherContext);
+      estimateCost(otherStats, otherContext) * TIE_RATIO;
     return isOneBetter
       ? { record: one, waitMs: estimateWaitMs(oneStats, oneContext) }
       : { record: other, waitMs: estimateWaitMs(otherStats, otherContext) };
--- a/src/routing/adaptive_chooser_test.ts
+++ b/src/routing/adaptive_chooser_test.ts
@@ -139,6 +139,14 @@
   assert.equal(run(bench, 50), { "second-near": 50 });
 });
 
+test("instances that cost nearly the same are all used", () => {
+  const bench = createBench([NEAR, SECOND_NEAR]);
+  const counts = run(bench, 200, ({ incarnation }) => ({
+    durationMs: incarnation === "near" ? CALL_MS : CALL_MS * 1.2,
+  }));
+  assert.ok((counts["second-near"] ?? 0) > 60, JSON.stringify(counts));
+});
+
 test("a load report counts for less the older it is", () => {
   const bench = createBench([NEAR, SECOND_NEAR]);
   const observe = (record: MemberRecord, inFlight: number) => {
