Let an instance that has recovered get its share back

Cause: an average that had drifted back towards the usual latency was put back to its old height by the next sample, since the sample was added to the stored value; and slow samples raised the usual latency for hundreds of calls. Change: a sample is added to the average as it has drifted; the usual latency falls faster than it rises; observations fade within 3 s. Tests: routing/ green, with a test of the recovered instance.

--- a/src/routing/adaptive_chooser_test.ts
+++ b/src/routing/adaptive_chooser_test.ts
@@ -147,6 +147,21 @@
   assert.ok((counts["second-near"] ?? 0) > 60, JSON.stringify(counts));
 });
 
+test("an instance that was slow gets its share back after it has recovered", () => {
+  const bench = createBench([NEAR, SECOND_NEAR]);
+  run(bench, 200);
+  for (let call = 0; call < 50; call += 1) {
+    bench.chooser.begin(NEAR, SMALL);
+    bench.clock.advance(100);
+    bench.chooser.end(NEAR, createReport({ durationMs: 100 }));
+  }
+  assert.equal(run(bench, 50), { "second-near": 50 });
+  bench.clock.advance(12_000);
+  run(bench, 100);
+  const counts = run(bench, 100);
+  assert.ok((counts["near"] ?? 0) > 30, JSON.stringify(counts));
+});
+
 test("a load report counts for less the older it is", () => {
   const bench = createBench([NEAR, SECOND_NEAR]);
   const observe = (record: MemberRecord, inFlight: number) => {
--- a/src/routing/instance_stats.ts
+++ b/src/routing/instance_stats.ts
@@ -18,7 +18,7 @@
 const OVERLOAD_WEIGHT = 0.2;
 
 /** Age at which an observation counts for about a third, in milliseconds. */
-const LATENCY_LIFETIME_MS = 4_000;
+const LATENCY_LIFETIME_MS = 3_000;
 const OVERLOAD_LIFETIME_MS = 2_000;
 const HINT_LIFETIME_MS = 1_000;
 
@@ -55,9 +55,14 @@
     this.#lastUsedAtMs = nowMs;
   }
 
-  /** Takes the latency of an answer, or the time after which one was given up. */
-  noteLatency(durationMs: number, nowMs: number): void {
-    const average = this.#latencyMs ?? durationMs;
+  /** Takes the latency of an answer, or the time after which one was given up, into the average as it has drifted. */
+  noteLatency(
+    durationMs: number,
+    { usualMs, nowMs }: { usualMs: number; nowMs: number },
+  ): void {
+    const average = this.#latencyMs === undefined
+      ? durationMs
+      : this.readLatencyMs(usualMs, nowMs);
     const weight = durationMs > average ? RISE_WEIGHT : FALL_WEIGHT;
     this.#latencyMs = average + weight * (durationMs - average);
     this.#latencyAtMs = nowMs;
--- a/src/routing/observed_instances.ts
+++ b/src/routing/observed_instances.ts
@@ -15,8 +15,9 @@
 /** Latency assumed before any was observed, in milliseconds. */
 const FIRST_LATENCY_MS = 1;
 
-/** Weight of a sample in the usual latency of a service. */
-const USUAL_WEIGHT = 0.02;
+/** Weights of samples above and below the usual latency of a service. */
+const USUAL_RISE_WEIGHT = 0.02;
+const USUAL_FALL_WEIGHT = 0.1;
 
 /** Services that are remembered. */
 const MAX_SERVICES = 256;
@@ -143,14 +144,15 @@
     ) {
       return;
     }
-    stats.noteLatency(durationMs, nowMs);
+    stats.noteLatency(durationMs, { usualMs, nowMs });
     const known = this.#usualLatencies.get(instance.service) ?? durationMs;
     if (this.#usualLatencies.size >= MAX_SERVICES) {
       this.#usualLatencies.clear();
     }
+    const weight = durationMs > known ? USUAL_RISE_WEIGHT : USUAL_FALL_WEIGHT;
     this.#usualLatencies.set(
       instance.service,
-      known + USUAL_WEIGHT * (durationMs - known),
+      known + weight * (durationMs - known),
     );
   }
 
