--- a/src/routing/instance_stats.ts
+++ b/src/routing/instance_stats.ts
@@ -31,28 +31,20 @@
   #overloadAtMs = 0;
   #hint: LoadSignal | undefined;
   #hintAtMs = 0;
-  #lastUsedAtMs = 0;
 
   /** Own calls in flight to the instance. */
   get inFlight(): number {
     return this.#inFlight;
   }
 
-  /** When the instance was last used, in monotonic milliseconds. */
-  get lastUsedAtMs(): number {
-    return this.#lastUsedAtMs;
-  }
-
   /** A call begins. */
-  begin(nowMs: number): void {
+  begin(): void {
     this.#inFlight += 1;
-    this.#lastUsedAtMs = nowMs;
   }
 
   /** A call has ended. */
-  end(nowMs: number): void {
+  end(): void {
     this.#inFlight -= 1;
-    this.#lastUsedAtMs = nowMs;
   }
 
   /** Takes the latency of an answer, or the time after which one was given up, into the average as it has drifted. */
--- a/src/routing/observed_instances.ts
+++ b/src/routing/observed_instances.ts
@@ -94,8 +94,8 @@
 
   /** An attempt begins. */
   begin(instance: MemberRecord, { isBulk }: BodySize): void {
-    const { clock, linkBudget } = this.#options;
-    this.read(instance).begin(clock.monotonicMs());
+    const { linkBudget } = this.#options;
+    this.read(instance).begin();
     if (this.#isFar(instance)) {
       const charges = this.#charges.get(instance.incarnation) ?? [];
       const { service } = instance;
@@ -108,7 +108,7 @@
   end(instance: MemberRecord, report: AttemptReport): void {
     const nowMs = this.#options.clock.monotonicMs();
     const stats = this.read(instance);
-    stats.end(nowMs);
+    stats.end();
     const [hint] = report.loads;
     if (hint) {
       stats.noteHint(hint, nowMs);
