--- a/src/cli/configuration_commands_test.ts
+++ b/src/cli/configuration_commands_test.ts
@@ -227,6 +227,8 @@
     ]),
     [[3, "rollback to version 1"], [2, "more retries"], [1, ""]],
   );
+  const shown = await runWithStore(["show", "--version", "2"]);
+  assert.is(JSON.parse(shown.stdout).retryRatio, 0.2);
   const unknown = await runWithStore(["rollback", "9"]);
   assert.is(unknown.exitCode, EXIT_CODES.failed);
 });
--- a/src/cli/create_cli.ts
+++ b/src/cli/create_cli.ts
@@ -10,6 +10,7 @@
 import { HistoryCommand } from "./history_command.ts";
 import { InitCommand } from "./init_command.ts";
 import { RollbackCommand } from "./rollback_command.ts";
+import { ShowCommand } from "./show_command.ts";
 import { StatusCommand } from "./status_command.ts";
 import { ValidateCommand } from "./validate_command.ts";
 
@@ -38,6 +39,7 @@
   cli.register(DiffCommand);
   cli.register(ApplyCommand);
   cli.register(HistoryCommand);
+  cli.register(ShowCommand);
   cli.register(RollbackCommand);
   return cli;
 }
--- /dev/null
+++ b/src/cli/show_command.ts
@@ -0,0 +1,50 @@
+/**
+ * The command that prints an accepted configuration.
+ */
+
+import { Command, Option } from "clipanion";
+import { err } from "neverthrow";
+import type { Result } from "neverthrow";
+import * as t from "typanion";
+import type VError from "verror";
+import type { ConfigurationWriter } from "../configuration/mod.ts";
+import { ConfigurationCommand, readRequired } from "./configuration_command.ts";
+import type { CommandOutput } from "./configuration_command.ts";
+import { EXIT_CODE_HELP } from "./exit_codes.ts";
+
+/** Prints a configuration as the file that `apply` takes. */
+export class ShowCommand extends ConfigurationCommand {
+  static override paths = [["show"]];
+
+  static override usage = Command.Usage({
+    category: "Configuration",
+    description: "print the accepted configuration, for editing by hand",
+    details:
+      `With --json the version and the answers are printed too. ${EXIT_CODE_HELP}`,
+    examples: [
+      ["Write it to a file", "celeryhollow show > configuration.json"],
+      ["Print what version 11 was", "celeryhollow show --version 11"],
+    ],
+  });
+
+  version = Option.String("--version", {
+    validator: t.cascade(t.isNumber(), [t.isInteger(), t.isAtLeast(1)]),
+    description: "An earlier version",
+  });
+
+  protected override async runWith(
+    writer: ConfigurationWriter,
+  ): Promise<Result<CommandOutput, VError>> {
+    const accepted = await readRequired(writer);
+    if (accepted.isErr()) {
+      return err(accepted.error);
+    }
+    const { head } = accepted.value;
+    const version = this.version ?? head.version;
+    const state = await writer.history.readVersion(head, version);
+    return state.map(({ answers, configuration }) => ({
+      json: { version, configuration, answers },
+      lines: [JSON.stringify(configuration, null, 2)],
+    }));
+  }
+}
--- a/src/measure/configuration/light_run.ts
+++ b/src/measure/configuration/light_run.ts
@@ -5,7 +5,6 @@
 
 import { ConfigurationWriter } from "../../configuration/mod.ts";
 import type { Configuration } from "../../generated/types.ts";
-import { findReversions } from "../../testing/check_configuration_history.ts";
 import { ConfigurationFleet } from "../../testing/configuration_fleet.ts";
 import type { LightConfigurationDaemon } from "../../testing/light_configuration_daemon.ts";
 import { MemoryObjectStore } from "../../testing/memory_object_store.ts";
@@ -36,23 +35,8 @@
   readonly storeCallsPerChange: number;
 }
 
-/** What a run found. */
-export interface LightRunResult extends ChangeTraffic {
-  readonly daemonCount: number;
-  readonly changes: number;
-  /** Time from acceptance to force, of each change at each daemon that could be reached. */
-  readonly inForceMs: readonly number[];
-  /** The same for the change accepted just before the outage. */
-  readonly outageInForceMs: readonly number[];
-  /** Time from the end of the partition until the cut-off domain was up to date. */
-  readonly catchUpMs: number;
-  readonly reversions: number;
-  readonly lostChanges: number;
-  /** Restarted daemons that became ready with less than was in force before. */
-  readonly earlyReady: number;
-}
-
-interface Acceptance {
+/** A change that was accepted. */
+export interface Acceptance {
   readonly version: number;
   readonly atMs: number;
   readonly reachable: ReadonlySet<string>;
@@ -73,7 +57,7 @@
 }
 
 /** One run over a light fleet. */
-class LightRun {
+export class LightRun {
   readonly fleet: ConfigurationFleet;
   readonly acceptances: Acceptance[] = [];
   readonly #clock = new SystemClock();
@@ -106,6 +90,7 @@
     });
   }
 
+  /** Starts the fleet with a first configuration. */
   async start(): Promise<void> {
     await writeConfiguration(this.#store, this.#configuration);
     this.fleet.start();
@@ -128,6 +113,7 @@
     return acceptance;
   }
 
+  /** Has several changes accepted, one after the other. */
   async changeSeveral(): Promise<void> {
     for (let index = 0; index < CHANGES_PER_PHASE; index += 1) {
       await this.change();
@@ -202,6 +188,7 @@
     return early;
   }
 
+  /** Times from acceptance to force, of each change at each daemon that could be reached. */
   listInForceMs(acceptances: readonly Acceptance[]): number[] {
     return acceptances.flatMap(({ atMs, reachable, version }) =>
       [...reachable].map((incarnation) =>
@@ -210,6 +197,7 @@
     );
   }
 
+  /** Counts changes missing from the history and daemons without the last one. */
   async countLostChanges(): Promise<number> {
     const writer = new ConfigurationWriter({
       store: this.#store,
@@ -254,60 +242,6 @@
   return early.size + unready.length;
 }
 
-/**
- * Runs the changes and faults one after the other.
- *
- * @param options - Size of the fleet and of the configuration
- * @returns Times, violations and traffic
- *
- * @example
- * const { inForceMs } = await runLightFleet({ domainCount: 16, daemonsPerDomain: 15, serviceCount: 40, randomSeed: 1 });
- */
-export async function runLightFleet(
-  options: LightRunOptions,
-): Promise<LightRunResult> {
-  const run = new LightRun(options);
-  await run.start();
-  const traffic = await run.measureTraffic();
-  const outage = await run.changeBeforeOutage();
-  await run.changeSeveral();
-  const catchUpMs = await run.changeDuringPartition();
-  const earlyReady = await run.restartDuringStaleness();
-  await run.changeSeveral();
-  const lostChanges = await run.countLostChanges();
-  run.fleet.stop();
-  return {
-    ...traffic,
-    daemonCount: run.fleet.daemons.length,
-    changes: run.acceptances.length,
-    inForceMs: run.listInForceMs(run.acceptances),
-    outageInForceMs: run.listInForceMs([outage]),
-    catchUpMs,
-    reversions: findReversions(run.fleet.events).length,
-    lostChanges,
-    earlyReady,
-  };
-}
-
-/**
- * Measures what changes cost a fleet while nothing is wrong.
- *
- * @param options - Size of the fleet and of the configuration
- * @returns Bytes and store calls of one change
- *
- * @example
- * const { storeCallsPerChange } = await measureLightTraffic(options);
- */
-export async function measureLightTraffic(
-  options: LightRunOptions,
-): Promise<ChangeTraffic> {
-  const run = new LightRun(options);
-  await run.start();
-  const traffic = await run.measureTraffic();
-  run.fleet.stop();
-  return traffic;
-}
-
 function sumTraffic(daemons: readonly LightConfigurationDaemon[]) {
   return daemons.reduce(
     (sum, { peerBytes, store }) => ({
