--- a/src/measure/experiments/configuration.ts
+++ b/src/measure/experiments/configuration.ts
@@ -7,8 +7,8 @@
 import {
   measureLightTraffic,
   runLightFleet,
-} from "../configuration/light_run.ts";
-import type { LightRunResult } from "../configuration/light_run.ts";
+} from "../configuration/run_light_fleet.ts";
+import type { LightRunResult } from "../configuration/run_light_fleet.ts";
 import { runProcessFleet } from "../configuration/process_run.ts";
 import type { Experiment, ExperimentResult, TableRow } from "../experiment.ts";
 
