--- a/src/admission/adaptive_admission.ts
+++ b/src/admission/adaptive_admission.ts
@@ -14,19 +14,23 @@
 import { AdmissionJournal } from "./admission_journal.ts";
 import type { AdmissionRecords } from "./admission_journal.ts";
 import { AdmitLevel } from "./admit_level.ts";
+import { computePatienceMs } from "./compute_patience_ms.ts";
 import { ConcurrencyLimit } from "./concurrency_limit.ts";
+import { countReservedSlots } from "./count_reserved_slots.ts";
 import { DemandWindow } from "./demand_window.ts";
-import { HoldTime } from "./hold_time.ts";
 import { IdleMeter } from "./idle_meter.ts";
 import { InboundAdmission } from "./inbound_admission.ts";
-import type { InboundCall, Permit, PermitUse } from "./inbound_admission.ts";
+import type { InboundCall, Permit } from "./inbound_admission.ts";
 import { MemberUsage } from "./member_usage.ts";
-import { RunningCalls } from "./running_calls.ts";
+import { SlotUse } from "./slot_use.ts";
 import { WaitingQueue } from "./waiting_queue.ts";
-import type { Waiter } from "./waiting_queue.ts";
+import type { OrderOptions, Waiter } from "./waiting_queue.ts";
 
-/** Share of its remaining time that a new chain may wait for its first slot. */
-const NEW_CHAIN_PATIENCE = 0.25;
+/** Share of the time that a call may wait which the calls ahead of it may take. */
+const PROMISED_WAIT_RATIO = 0.8;
+
+/** Share of the time that a call may wait from which the calls ahead of it leave no hope. */
+const HOPELESS_WAIT_RATIO = 1.25;
 
 /** Most calls that wait, whatever their time left. */
 const MAX_WAITING = 2_000;
@@ -60,8 +64,7 @@
   readonly #options: AdaptiveAdmissionOptions;
   readonly #limit: ConcurrencyLimit;
   readonly #queue = new WaitingQueue<WaitingCall>();
-  readonly #running = new RunningCalls();
-  readonly #holdTime = new HoldTime();
+  readonly #slots: SlotUse;
   readonly #demand = new DemandWindow();
   readonly #level = new AdmitLevel();
   readonly #usage = new MemberUsage();
@@ -72,16 +75,17 @@
     super();
     this.#options = options;
     this.#limit = new ConcurrencyLimit(options.clock);
+    this.#slots = new SlotUse(options.clock);
     this.#journal = new AdmissionJournal(options);
   }
 
   override get pendingCalls(): number {
-    return this.#running.count + this.#queue.length;
+    return this.#slots.running.count + this.#queue.length;
   }
 
   override setCapacity(slots: number, warmAtMs: number): void {
     this.#limit.setCeiling(slots, warmAtMs);
-    this.#journal.recordLimit(this.#limit.value, this.#holdMs);
+    this.#journal.recordLimit(this.#limit.value, this.#slots.holdMs);
     this.#grantNext();
   }
 
@@ -90,7 +94,7 @@
     const { ratios, demandPerSecond, lowestRatio } = this.#level;
     return {
       service,
-      inFlight: this.#running.count,
+      inFlight: this.#slots.running.count,
       queued: this.#queue.length,
       limit: this.#limit.value,
       admitLevel: lowestRatio,
@@ -122,47 +126,65 @@
     return this.#options.clock.monotonicMs();
   }
 
-  get #holdMs(): number {
-    return this.#holdTime.estimateMs(this.#running.listAgesMs(this.#nowMs));
-  }
-
   get #msPerCall(): number {
-    return this.#holdMs / Math.max(1, this.#limit.value);
+    return this.#slots.holdMs / Math.max(1, this.#limit.value);
   }
 
   get #queueDelayMs(): number {
     return this.#queue.length * this.#msPerCall;
   }
 
+  get #order(): OrderOptions {
+    return {
+      nowMs: this.#nowMs,
+      usage: this.#usage,
+      isNewestFirst: this.#queueDelayMs > NEWEST_FIRST_DELAY_MS,
+    };
+  }
+
   #wait(call: InboundCall): Promise<Entrance> {
     return new Promise((resolve) => {
       const waiter = this.#createWaiter(call, resolve);
-      const delayMs = (this.#queue.countAhead(waiter) + 1) * this.#msPerCall;
-      const isInTime = this.#nowMs + delayMs <= waiter.expiresAtMs &&
-        this.#queue.length < MAX_WAITING;
-      if (!isInTime) {
-        const victim = this.#queue.findVictim(waiter);
-        if (!victim) {
-          waiter.settle(this.#refuse(REASONS.overloadedInstance));
-          return;
-        }
-        this.#dismiss(victim, REASONS.overloadedInstance);
+      if (!this.#canRunInTime(waiter)) {
+        waiter.settle(this.#refuse(REASONS.overloadedInstance));
+        return;
       }
       this.#queue.add(waiter);
       this.#markIdle();
     });
   }
 
+  /** Refuses waiting calls that more important ones have pushed back too far. */
+  #dismissHopeless(): void {
+    const msPerCall = this.#msPerCall;
+    let delayMs = 0;
+    for (const waiter of this.#queue.listInOrder(this.#order)) {
+      delayMs += msPerCall;
+      const patienceMs = waiter.expiresAtMs - this.#nowMs;
+      if (delayMs > patienceMs * HOPELESS_WAIT_RATIO) {
+        delayMs -= msPerCall;
+        this.#dismiss(waiter, REASONS.overloadedInstance);
+      }
+    }
+  }
+
+  #canRunInTime(waiter: WaitingCall): boolean {
+    const patienceMs = waiter.expiresAtMs - this.#nowMs;
+    const delayMs = (this.#queue.countAhead(waiter) + 1) * this.#msPerCall;
+    return delayMs <= patienceMs * PROMISED_WAIT_RATIO &&
+      this.#queue.length < MAX_WAITING;
+  }
+
   #createWaiter(
     call: InboundCall,
     resolve: (entrance: Entrance) => void,
   ): WaitingCall {
     const nowMs = this.#nowMs;
     const isNested = call.context.depth > 0;
-    const leftMs = Math.max(0, call.deadlineAtMs - nowMs);
-    const patienceMs = isNested
-      ? Math.max(0, leftMs - this.#holdMs)
-      : leftMs * NEW_CHAIN_PATIENCE;
+    const patienceMs = computePatienceMs(call.deadlineAtMs - nowMs, {
+      isNested,
+      holdMs: this.#slots.holdMs,
+    });
     const cancelExpiry = this.#options.clock.schedule(
       patienceMs,
       () => this.#dismiss(waiter, REASONS.queueExpired),
@@ -192,66 +214,43 @@
   }
 
   #refuse(reason: Reason): Entrance {
-    const waitMs = this.#queueDelayMs + this.#holdMs;
+    const waitMs = this.#queueDelayMs + this.#slots.holdMs;
     const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, Math.ceil(waitMs));
     return err(createRefusal(reason, { retryAfterMs }));
   }
 
   #mayRun(classRank: number): boolean {
-    const free = this.#limit.value - this.#running.count;
-    return free > 0 && free > this.#countReservedForOthers(classRank);
-  }
-
-  /** Slots kept free for other classes, no more than these have calls for. */
-  #countReservedForOthers(classRank: number): number {
-    const ratios = this.#options.listReservedRatios();
-    if (ratios.every((ratio) => ratio === 0)) {
-      return 0;
-    }
-    const limit = this.#limit.value;
-    return ratios.reduce((sum, ratio, rank) => {
-      const slots = Math.floor(limit * ratio);
-      const kept = Math.min(slots, this.#level.countWanted(rank, this.#holdMs));
-      const isOther = rank !== classRank;
-      const unused = kept - this.#running.countClass(rank);
-      return sum + (isOther ? Math.max(0, unused) : 0);
-    }, 0);
+    const free = this.#limit.value - this.#slots.running.count;
+    return free > 0 && free > countReservedSlots(this.#slots.running, {
+          classRank,
+          limit: this.#limit.value,
+          reservedRatios: this.#options.listReservedRatios(),
+          countWanted: (rank) =>
+            this.#level.countWanted(rank, this.#slots.estimateHoldMs(rank)),
+        });
   }
 
   #grant(classRank: number, member: string): Permit {
-    const startedAtMs = this.#nowMs;
-    const running = { classRank, startedAtMs };
-    this.#running.add(running);
-    this.#usage.record(member, startedAtMs);
+    const running = this.#slots.begin(classRank);
+    this.#usage.record(member, running.startedAtMs);
     this.#markIdle();
     return {
       release: (use) => {
-        this.#running.remove(running);
-        this.#learn(use);
+        this.#slots.end(running, use);
+        this.#limit.observe({
+          ownDurationMs: use.ownDurationMs,
+          isShed: use.isShed,
+          isSaturated: this.#queue.length > 0,
+        });
+        this.#journal.recordLimit(this.#limit.value, this.#slots.holdMs);
         this.#grantNext();
         this.#updateLevel();
       },
     };
   }
 
-  #learn(use: PermitUse): void {
-    if (use.isAnswered) {
-      this.#holdTime.observe(use.durationMs);
-    }
-    this.#limit.observe({
-      ownDurationMs: use.ownDurationMs,
-      isShed: use.isShed,
-      isSaturated: this.#queue.length > 0,
-    });
-    this.#journal.recordLimit(this.#limit.value, this.#holdMs);
-  }
-
   #grantNext(): void {
-    const order = {
-      nowMs: this.#nowMs,
-      usage: this.#usage,
-      isNewestFirst: this.#queueDelayMs > NEWEST_FIRST_DELAY_MS,
-    };
+    const order = this.#order;
     for (;;) {
       const next = this.#queue.findNext(order, (rank) => this.#mayRun(rank));
       if (!next) {
@@ -265,7 +264,7 @@
 
   #markIdle(): void {
     const isIdle = this.#queue.length === 0 &&
-      this.#running.count < this.#limit.value;
+      this.#slots.running.count < this.#limit.value;
     this.#idle.set(isIdle, this.#nowMs);
   }
 
@@ -275,17 +274,22 @@
     const isUpdated = this.#level.update({
       nowMs,
       demands: () => this.#demand.estimate(nowMs, reservedRatios.length),
-      capacityPerSecond: MS_PER_SECOND / this.#msPerCall,
+      slots: this.#limit.value,
+      holdsMs: reservedRatios.map((_, rank) =>
+        this.#slots.estimateHoldMs(rank)
+      ),
       queueDelayMs: this.#queueDelayMs,
+      msPerCall: this.#msPerCall,
       isIdle: () => this.#idle.read(nowMs),
       reservedRatios,
     });
     if (isUpdated) {
+      this.#dismissHopeless();
       this.#journal.recordLevel(this.#level.ratios, {
         demandPerSecond: this.#level.demandPerSecond,
         capacityPerSecond: MS_PER_SECOND / this.#msPerCall,
         queueDelayMs: this.#queueDelayMs,
-        holdMs: this.#holdMs,
+        holdMs: this.#slots.holdMs,
       });
     }
   }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -39,14 +39,6 @@
   servePeerCall,
 } from "../request/mod.ts";
 import type { CallEnvironment } from "../request/mod.ts";
-import {
-  AllowanceRetryPolicy,
-  CallJoiner,
-  EveryHopRetryPolicy,
-  MAX_JOINABLE_CALLS,
-  RetryBudget,
-} from "../retry/mod.ts";
-import { LocalFirstChooser, RandomChooser } from "../routing/mod.ts";
 import { BudgetedObjectStore, HttpObjectStore } from "../store/mod.ts";
 import {
   createLogger,
@@ -57,6 +49,8 @@
 import { RandomSource, SystemClock } from "../time/mod.ts";
 import { createAdminApp } from "./create_admin_app.ts";
 import { createAdmission } from "./create_admission.ts";
+import { createOutboundParts } from "./create_outbound_parts.ts";
+import type { OutboundParts } from "./create_outbound_parts.ts";
 import { DaemonConfigurationPeers } from "./daemon_configuration_peers.ts";
 
 /** Interval at which the daemon tidies up, in milliseconds. */
@@ -82,6 +76,8 @@
 export interface DaemonParts {
   /** Opens sockets to other daemons. */
   readonly dial?: DialPeer;
+  /** Routing alone may be that of the baseline. */
+  readonly routing?: "adaptive" | "random";
 }
 
 /** A running daemon. */
@@ -91,6 +87,7 @@
   readonly #membership: GossipMembership;
   readonly #configurationSpread: ConfigurationSpread;
   readonly #peerServer: PeerServer;
+  readonly #outbound: OutboundParts;
   readonly #stopSignal = new AbortController();
   #servers: ServerType[] = [];
   #stopHousekeeping: () => void = () => undefined;
@@ -121,8 +118,6 @@
     const journal = new DecisionJournal(clock);
     const metrics = new DaemonMetrics();
     const seeds = settings.seeds.split(",").filter((seed) => seed !== "");
-    const readRetryRatio = () =>
-      configuration.current?.document.retryRatio ?? 0;
     const isProtected = settings.protection === "on";
     const { fleetToken } = settings;
     this.#store = new HttpObjectStore(settings.storeUrl);
@@ -158,6 +153,11 @@
       log,
       journal,
     });
+    const outbound = createOutboundParts({
+      ...{ settings, self, clock, random, journal, configuration },
+      routing: parts.routing ?? "adaptive",
+    });
+    this.#outbound = outbound;
     this.environment = {
       settings,
       clock,
@@ -180,13 +180,9 @@
         configuration,
         incarnation,
       }),
-      chooser: isProtected
-        ? new LocalFirstChooser(random, self)
-        : new RandomChooser(random),
-      retryPolicy: isProtected
-        ? new AllowanceRetryPolicy(new RetryBudget(clock, readRetryRatio))
-        : new EveryHopRetryPolicy(),
-      joiner: new CallJoiner(isProtected ? MAX_JOINABLE_CALLS : 0),
+      chooser: outbound.chooser,
+      retryPolicy: outbound.retryPolicy,
+      joiner: outbound.joiner,
       keys: new KeyLedger({ incarnation, fleetToken, clock }),
       keyPlacement: new KeyPlacement(),
       successors: new SuccessorTable(clock),
@@ -351,10 +347,12 @@
   #keepHouse(): void {
     const { membership, peers, successors } = this.environment;
     this.#publishBackend();
-    successors.learn(membership.listAll());
+    const members = membership.listAll();
+    successors.learn(members);
+    this.#outbound.maintain(members);
     peers.retain(
       new Set(
-        membership.listAll().filter(({ state }) => state !== "dead").map((
+        members.filter(({ state }) => state !== "dead").map((
           record,
         ) => record.incarnation),
       ),
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -22,6 +22,12 @@
   notice: PeerConfigurationNotice,
 ) => void;
 
+/** Bytes of control messages. */
+export interface MembershipTraffic {
+  readonly sentBytes: number;
+  readonly receivedBytes: number;
+}
+
 /** Knowledge of the fleet. */
 export abstract class Membership {
   readonly #configurationListeners = new Set<PeerConfigurationListener>();
@@ -41,11 +47,6 @@
   /** Changes the own record and spreads it. */
   abstract updateSelf(change: OwnRecordChange): void;
 
-  /** Tells a few members at once which configuration version is in force here. */
-  announceConfigurationVersion(): void {
-    // Without gossip nobody is told.
-  }
-
   /** Whether this daemon is one of the few of its failure domain that speak for it. */
   get isDelegate(): boolean {
     return true;
@@ -56,6 +57,11 @@
     // Without gossip the next record of the instance tells.
   }
 
+  /** Bytes of control messages since the start, with their headers. */
+  get traffic(): MembershipTraffic {
+    return { sentBytes: 0, receivedBytes: 0 };
+  }
+
   /** The record of one incarnation; peers are asked where it is not known here. */
   lookUp(incarnation: string): Promise<MemberRecord | undefined> {
     return Promise.resolve(this.find(incarnation));
@@ -74,6 +80,9 @@
     }
   }
 
+  /** Tells a few members at once what gossip carries, the configuration version included. */
+  abstract announce(): void;
+
   /** Joins the fleet. */
   abstract start(): Promise<void>;
 
--- a/src/peer/silent_connection_test.ts
+++ b/src/peer/silent_connection_test.ts
@@ -6,6 +6,7 @@
 import { HEARTBEAT_INTERVAL_MS } from "../constants/mod.ts";
 import type { CallMessage } from "../generated/types.ts";
 import type { CallResult } from "../outcome/mod.ts";
+import { claimNetwork } from "../testing/claim_network.ts";
 import { createPeerCall } from "../testing/create_peer_call.ts";
 import { LinkStandIn } from "../testing/link_stand_in.ts";
 import { ManualClock } from "../testing/manual_clock.ts";
@@ -28,8 +29,9 @@
   replacements: LinkReplacement[];
 }
 
-const SERVER_ADDRESS = "127.50.2.1";
-const LINK_ADDRESS = "127.50.2.2";
+const NETWORK = await claimNetwork();
+const SERVER_ADDRESS = `127.${NETWORK}.2.1`;
+const LINK_ADDRESS = `127.${NETWORK}.2.2`;
 const PEER_PORT = 7302;
 const SILENCE_MS = 1_250;
 const EMPTY_BODY = new Uint8Array(0);
@@ -175,6 +177,7 @@
   link.silenceFlows();
   pass(clock, 6_000);
   assert.is(readText(await outcome), "unknown: connection-lost");
+  assert.is((await outcome)._unsafeUnwrapErr().unusedAllowance, 0);
 });
 
 test("an idle connection that is asked nothing is not replaced", async (context) => {
@@ -203,6 +206,19 @@
   await Promise.all(outcomes);
 });
 
+test("a cancelled call gives no allowance back, since some may have been spent", async (context) => {
+  const { client, held } = context;
+  const controller = new AbortController();
+  const outcome = client.call(createPeerCall("/first"), EMPTY_BODY, {
+    signal: controller.signal,
+  });
+  await settle(() => held.length === 1);
+  controller.abort();
+  await settle(() => held[0]?.signal.aborted ?? false);
+  const failure = (await outcome)._unsafeUnwrapErr();
+  assert.equal([failure.kind, failure.unusedAllowance], ["unknown", 0]);
+});
+
 test("a connection that cannot be opened refuses, since nothing was sent", async (context) => {
   context.link.cut();
   const result = await send(context, "/first");
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -98,10 +98,34 @@
     registers: [this.registry],
   });
 
+  /** Used idempotency keys that are remembered, by the role of the memory. */
+  readonly keysRemembered = new Gauge({
+    name: "celeryhollow_keys_remembered",
+    help: "Used idempotency keys that are remembered",
+    labelNames: ["role"] as const,
+    registers: [this.registry],
+  });
+
   /** Configuration version in force. */
   readonly configurationVersion = new Gauge({
     name: "celeryhollow_configuration_version",
     help: "Configuration version in force",
     registers: [this.registry],
   });
+
+  /** Members that this daemon knows, by state. */
+  readonly members = new Gauge({
+    name: "celeryhollow_members",
+    help: "Members that this daemon knows",
+    labelNames: ["state"] as const,
+    registers: [this.registry],
+  });
+
+  /** Bytes of membership messages since the start, by direction. */
+  readonly membershipBytes = new Gauge({
+    name: "celeryhollow_membership_bytes",
+    help: "Bytes of membership messages since the start, with headers",
+    labelNames: ["direction"] as const,
+    registers: [this.registry],
+  });
 }
--- a/src/testing/backend_server_stand_in.ts
+++ b/src/testing/backend_server_stand_in.ts
@@ -47,7 +47,7 @@
   readonly service: string;
   readonly member: string;
   /** Time left that the daemon announced, in milliseconds. */
-  readonly deadlineMs: number;
+  readonly deadlineMs?: number;
   readonly atMs: number;
   readonly isFinished: boolean;
 }
