--- /dev/null
+++ b/src/configuration/spread_history_test.ts
@@ -0,0 +1,144 @@
+import * as assert from "uvu/assert";
+import fc from "fast-check";
+import { suite } from "uvu";
+import { findReversions } from "../testing/check_configuration_history.ts";
+import { SPREAD_DOMAINS, SpreadBench } from "../testing/spread_bench.ts";
+import { ConfigurationHolder } from "./configuration_holder.ts";
+
+const SETTLE_MS = 40_000;
+
+const test = suite("history of configurations under faults");
+
+/** Puts whatever it is offered in force. */
+class ForgetfulHolder extends ConfigurationHolder {
+  protected override isNewer(): boolean {
+    return true;
+  }
+}
+
+const FAULT_STEPS = [
+  "accept",
+  "store-down",
+  "store-up",
+  "store-past",
+  "cut",
+  "heal",
+  "restart",
+] as const;
+
+interface Step {
+  readonly kind: (typeof FAULT_STEPS)[number];
+  readonly target: number;
+  readonly waitMs: number;
+}
+
+const stepsArbitrary = fc.array(
+  fc.record({
+    kind: fc.constantFrom(...FAULT_STEPS),
+    target: fc.nat(100),
+    waitMs: fc.integer({ min: 5, max: 6_000 }),
+  }),
+  { minLength: 3, maxLength: 14 },
+);
+
+async function applyStep(bench: SpreadBench, step: Step): Promise<void> {
+  const { fleet } = bench;
+  const domain = SPREAD_DOMAINS[step.target % SPREAD_DOMAINS.length]!.name;
+  const daemon = fleet.daemons[step.target % fleet.daemons.length]!;
+  switch (step.kind) {
+    case "accept":
+      await bench.accept(2_000 + fleet.events.length);
+      break;
+    case "store-down":
+      fleet.setFaults({ isDown: true });
+      break;
+    case "store-up":
+      fleet.setFaults({ isDown: false, answersFromPast: false });
+      break;
+    case "store-past":
+      fleet.setFaults({ answersFromPast: true });
+      break;
+    case "cut":
+    case "heal":
+      fleet.setCut(domain, step.kind === "cut");
+      break;
+    case "restart":
+      daemon.kill();
+      fleet.restart(daemon);
+  }
+  await bench.advance(step.waitMs);
+}
+
+/** Notes what ready daemons serve with; gives those that serve with less than their predecessors. */
+function findEarlyReadiness(
+  { fleet }: SpreadBench,
+  served: Map<string, number>,
+): string[] {
+  return fleet.daemons.filter(({ spread }) => spread.isConfirmed).flatMap(
+    ({ holder, self }) => {
+      const before = served.get(self.address) ?? 0;
+      served.set(self.address, Math.max(before, holder.version));
+      return holder.version < before
+        ? [
+          `${self.incarnation} is ready with ${holder.version} after ${before}`,
+        ]
+        : [];
+    },
+  );
+}
+
+/** Runs steps, heals everything, and gives what is wrong in the history. */
+async function runSchedule(
+  steps: readonly Step[],
+  createHolder = () => new ConfigurationHolder(),
+): Promise<string[]> {
+  const bench = new SpreadBench(17, createHolder);
+  const { fleet } = bench;
+  await bench.start();
+  const served = new Map<string, number>();
+  const early: string[] = [];
+  for (const step of steps) {
+    await applyStep(bench, step);
+    early.push(...findEarlyReadiness(bench, served));
+  }
+  fleet.setFaults({ isDown: false, answersFromPast: false });
+  SPREAD_DOMAINS.forEach(({ name }) => fleet.setCut(name, false));
+  await bench.advance(SETTLE_MS);
+  const last = await bench.accept(9_999);
+  await bench.advance(SETTLE_MS);
+  const behind = fleet.daemons.filter(({ holder }) => holder.version !== last);
+  const unready = fleet.daemons.filter(({ spread }) => !spread.isConfirmed);
+  fleet.stop();
+  return [
+    ...early,
+    ...findReversions(fleet.events),
+    ...behind.map(({ holder, self }) =>
+      `${self.incarnation} stayed at ${holder.version} of ${last}`
+    ),
+    ...unready.map(({ self }) => `${self.incarnation} did not become ready`),
+  ];
+}
+
+test("whatever is cut, down or restarted, versions only rise and all end at the last accepted one", async () => {
+  await fc.assert(
+    fc.asyncProperty(stepsArbitrary, async (steps) => {
+      assert.equal(await runSchedule(steps), []);
+    }),
+    { seed: 602, numRuns: 40 },
+  );
+});
+
+test("the check catches a holder that does not compare versions", async () => {
+  const details = await fc.check(
+    fc.asyncProperty(stepsArbitrary, async (steps) => {
+      const createHolder = () => new ForgetfulHolder();
+      assert.equal(await runSchedule(steps, createHolder), []);
+    }),
+    { seed: 602, numRuns: 40, endOnFailure: true },
+  );
+  assert.ok(details.failed);
+  const { actual } = details.errorInstance as { actual: string[] };
+  assert.match(actual.join("\n"), /went from/);
+});
+
+test.run();
--- /dev/null
+++ b/src/testing/run_command.ts
@@ -0,0 +1,41 @@
+/**
+ * Commands of the operator tool, run within the test process.
+ */
+
+import { PassThrough, Readable } from "node:stream";
+import { Cli } from "clipanion";
+import { createCli } from "../cli/create_cli.ts";
+import { runCli } from "../cli/run_cli.ts";
+
+/** What a command ended with. */
+export interface RanCommand {
+  readonly exitCode: number;
+  readonly stdout: string;
+  readonly stderr: string;
+}
+
+/**
+ * Runs one command.
+ *
+ * @param args - Arguments without the program's name
+ * @param input - What the operator types
+ * @returns Exit code and output
+ *
+ * @example
+ * const { exitCode } = await runCommand(["validate", "configuration.json"]);
+ */
+export async function runCommand(
+  args: readonly string[],
+  input = "",
+): Promise<RanCommand> {
+  const stdout = new PassThrough();
+  const stderr = new PassThrough();
+  const exitCode = await runCli(createCli(), [...args], {
+    ...Cli.defaultContext,
+    stdin: Readable.from(input === "" ? [] : [input]),
+    stdout,
+    stderr,
+  });
+  const read = (stream: PassThrough) => String(stream.read() ?? "");
+  return { exitCode, stdout: read(stdout), stderr: read(stderr) };
+}
--- /dev/null
+++ b/src/testing/spread_bench.ts
@@ -0,0 +1,73 @@
+/**
+ * A fleet of light daemons on a manual clock, with changes accepted by its store.
+ */
+
+import { ConfigurationHolder } from "../configuration/mod.ts";
+import { RandomSource } from "../time/mod.ts";
+import { advanceInSteps, advanceUntil } from "./advance_in_steps.ts";
+import { ConfigurationFleet } from "./configuration_fleet.ts";
+import { withDeadline } from "./configuration_writer_bench.ts";
+import { ManualClock } from "./manual_clock.ts";
+import { MemoryObjectStore } from "./memory_object_store.ts";
+import { writeConfiguration } from "./write_configuration.ts";
+
+/** Movement of the clock between two rounds of tasks, in milliseconds. */
+export const SPREAD_STEP_MS = 10;
+
+/** Failure domains of the fleet. */
+export const SPREAD_DOMAINS = [
+  { name: "gent-a", region: "vlaanderen" },
+  { name: "gent-b", region: "vlaanderen" },
+  { name: "namur-a", region: "wallonie" },
+  { name: "namur-b", region: "wallonie" },
+] as const;
+
+const DAEMONS_PER_DOMAIN = 5;
+const START_MS = 5_000;
+const FIRST_DEADLINE_MS = 1_001;
+
+/** A fleet and a way to have changes accepted. */
+export class SpreadBench {
+  readonly clock = new ManualClock();
+  readonly fleet: ConfigurationFleet;
+  readonly #store: MemoryObjectStore;
+
+  constructor(seed: number, createHolder = () => new ConfigurationHolder()) {
+    const { clock } = this;
+    this.fleet = new ConfigurationFleet({
+      clock,
+      random: new RandomSource(seed),
+      domains: SPREAD_DOMAINS,
+      daemonsPerDomain: DAEMONS_PER_DOMAIN,
+      createHolder,
+    });
+    this.#store = new MemoryObjectStore({
+      table: this.fleet.table,
+      clock,
+      faults: {
+        isDown: false,
+        losesAnswers: false,
+        answersFromPast: false,
+        delayMs: 0,
+      },
+    });
+  }
+
+  /** Starts the fleet with a first configuration. */
+  async start(): Promise<void> {
+    await this.accept(FIRST_DEADLINE_MS);
+    this.fleet.start();
+    await this.advance(START_MS);
+  }
+
+  /** Has a change accepted; gives its version. */
+  accept(deadlineMs: number): Promise<number> {
+    const writing = writeConfiguration(this.#store, withDeadline(deadlineMs));
+    return advanceUntil(this.clock, writing, SPREAD_STEP_MS);
+  }
+
+  /** Moves time on. */
+  advance(durationMs: number): Promise<void> {
+    return advanceInSteps(this.clock, durationMs, SPREAD_STEP_MS);
+  }
+}
