--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -5,53 +5,22 @@
 import { serve } from "@hono/node-server";
 import type { ServerType } from "@hono/node-server";
 import type { Hono } from "hono";
-import {
-  BACKEND_STATES,
-  BackendClient,
-  BackendRegistry,
-} from "../backend/mod.ts";
+import { BACKEND_STATES } from "../backend/mod.ts";
 import { createBackendApp } from "../backend/create_backend_app.ts";
 import { createCallerApp } from "../caller/mod.ts";
-import {
-  ConfigurationHolder,
-  ConfigurationReader,
-  ConfigurationSpread,
-  createConfigurationTransfer,
-} from "../configuration/mod.ts";
-import type { DaemonSettings, MemberRecord } from "../generated/types.ts";
-import {
-  KeyLedger,
-  KeyPlacement,
-  RunLedger,
-  SuccessorTable,
-} from "../idempotency/mod.ts";
-import {
-  createIncarnation,
-  GossipMembership,
-  UdpTransport,
-} from "../membership/mod.ts";
+import { createConfigurationTransfer } from "../configuration/mod.ts";
+import type { ConfigurationSpread } from "../configuration/mod.ts";
+import type { DaemonSettings } from "../generated/types.ts";
+import type { GossipMembership } from "../membership/mod.ts";
 import { PeerServer } from "../peer/mod.ts";
-import type { DialPeer } from "../peer/mod.ts";
-import {
-  ActiveCalls,
-  handOverKeys,
-  PeerClients,
-  servePeerCall,
-} from "../request/mod.ts";
+import { handOverKeys, servePeerCall } from "../request/mod.ts";
 import type { CallEnvironment } from "../request/mod.ts";
-import { BudgetedObjectStore, HttpObjectStore } from "../store/mod.ts";
-import {
-  createLogger,
-  DaemonMetrics,
-  DecisionJournal,
-  DECISIONS,
-} from "../telemetry/mod.ts";
-import { RandomSource, SystemClock } from "../time/mod.ts";
+import type { HttpObjectStore } from "../store/mod.ts";
+import { DECISIONS } from "../telemetry/mod.ts";
 import { createAdminApp } from "./create_admin_app.ts";
-import { createAdmission } from "./create_admission.ts";
-import { createOutboundParts } from "./create_outbound_parts.ts";
+import { createDaemonParts } from "./create_daemon_parts.ts";
+import type { DaemonOverrides } from "./create_daemon_parts.ts";
 import type { OutboundParts } from "./create_outbound_parts.ts";
-import { DaemonConfigurationPeers } from "./daemon_configuration_peers.ts";
 
 /** Interval at which the daemon tidies up, in milliseconds. */
 const HOUSEKEEPING_INTERVAL_MS = 500;
@@ -66,20 +35,6 @@
 const QUIET_MS = 250;
 const QUIET_TIMEOUT_MS = 2_000;
 
-/** Calls to the object API that one daemon may make at once. */
-const STORE_BURST_CALLS = 10;
-
-/** Calls to the object API that one daemon may make in the long run. */
-const STORE_CALLS_PER_SECOND = 1;
-
-/** Parts of a daemon that tests replace. */
-export interface DaemonParts {
-  /** Opens sockets to other daemons. */
-  readonly dial?: DialPeer;
-  /** Routing alone may be that of the baseline. */
-  readonly routing?: "adaptive" | "random";
-}
-
 /** A running daemon. */
 export class Daemon {
   readonly environment: CallEnvironment;
@@ -99,102 +54,16 @@
   #stopping: Promise<void> | undefined;
   #requestsInProgress = 0;
 
-  constructor(settings: DaemonSettings, parts: DaemonParts = {}) {
-    const clock = new SystemClock();
-    const random = new RandomSource(settings.randomSeed);
-    const self = createOwnRecord(settings, clock.nowMs());
-    const { incarnation } = self;
-    const log = createLogger(settings.logLevel, {
-      program: "celeryhollowd",
-      incarnation,
-    });
-    const configuration = new ConfigurationHolder();
-    const identity = {
-      incarnation,
-      failureDomain: settings.failureDomain,
-      fleetToken: settings.fleetToken,
-    };
-    const linkOptions = {
-      identity,
-      clock,
-      maxBodyBytes: settings.maxBodyBytes,
-      ...parts.dial === undefined ? {} : { dial: parts.dial },
-    };
-    const journal = new DecisionJournal(clock);
-    const metrics = new DaemonMetrics();
-    const seeds = settings.seeds.split(",").filter((seed) => seed !== "");
-    const isProtected = settings.protection === "on";
-    const { fleetToken } = settings;
-    this.#store = new HttpObjectStore(settings.storeUrl);
-    const store = new BudgetedObjectStore({
-      store: this.#store,
-      clock,
-      burstCalls: STORE_BURST_CALLS,
-      callsPerSecond: STORE_CALLS_PER_SECOND,
-    });
-    this.#membership = new GossipMembership({
-      self,
-      fleetToken,
-      seeds,
-      store,
-      clock,
-      random,
-      log,
-      configuration,
-      journal,
-      transport: new UdpTransport({
-        address: settings.address,
-        port: settings.peerPort,
-        reportError: (error) =>
-          log.warn({ error: error.message }, "gossip-socket-error"),
-      }),
-    });
-    this.#configurationSpread = new ConfigurationSpread({
-      reader: new ConfigurationReader(store),
-      holder: configuration,
-      peers: new DaemonConfigurationPeers(this.#membership, linkOptions),
-      clock,
-      random,
-      log,
-      journal,
-    });
-    const outbound = createOutboundParts({
-      ...{ settings, self, clock, random, journal, metrics, configuration },
-      routing: parts.routing ?? "adaptive",
-    });
-    this.#outbound = outbound;
-    this.environment = {
-      settings,
-      clock,
-      log,
-      metrics,
-      journal,
-      configuration,
-      membership: this.#membership,
-      peers: new PeerClients({
-        ...linkOptions,
-        reportReplacement: outbound.reportReplacement,
-      }),
-      backend: new BackendRegistry(clock),
-      backendClient: new BackendClient(settings.address),
-      ...createAdmission(isProtected, {
-        clock,
-        journal,
-        metrics,
-        configuration,
-        incarnation,
-      }),
-      chooser: outbound.chooser,
-      retryPolicy: outbound.retryPolicy,
-      joiner: outbound.joiner,
-      keys: new KeyLedger({ incarnation, fleetToken, clock }),
-      keyPlacement: new KeyPlacement(),
-      successors: new SuccessorTable(clock),
-      runs: new RunLedger(clock),
-      activeCalls: new ActiveCalls(clock),
-    };
+  constructor(settings: DaemonSettings, overrides: DaemonOverrides = {}) {
+    const parts = createDaemonParts(settings, overrides);
+    const { configuration, log } = parts.environment;
+    this.environment = parts.environment;
+    this.#store = parts.store;
+    this.#membership = parts.membership;
+    this.#configurationSpread = parts.configurationSpread;
+    this.#outbound = parts.outbound;
     this.#peerServer = new PeerServer({
-      ...linkOptions,
+      ...parts.linkOptions,
       handleCall: (call, body, signal) =>
         this.#track(() =>
           servePeerCall(this.environment, call, { body, signal })
@@ -231,6 +100,7 @@
     );
     await this.#membership.start();
     void this.#configurationSpread.run(this.#stopSignal.signal);
+    environment.configuration.subscribe(() => this.#checkFailureDomain());
     environment.backend.subscribe(() => this.#publishBackend());
     this.#stopHousekeeping = clock.scheduleEvery(
       HOUSEKEEPING_INTERVAL_MS,
@@ -323,6 +193,16 @@
     }
   }
 
+  /** Members of a failure domain that the configuration does not name find no others. */
+  #checkFailureDomain(): void {
+    const { configuration, log, settings } = this.environment;
+    const { failureDomain } = settings;
+    if (!configuration.current?.regionByFailureDomain.has(failureDomain)) {
+      const { version } = configuration;
+      log.warn({ failureDomain, version }, "failure-domain-not-configured");
+    }
+  }
+
   #publishBackend(): void {
     const { backend, inboundAdmission } = this.environment;
     const { announcement, state, warmAtMs } = backend;
@@ -363,25 +243,3 @@
     );
   }
 }
-
-function createOwnRecord(
-  settings: DaemonSettings,
-  startedAtMs: number,
-): MemberRecord {
-  const { address, peerPort, region, failureDomain } = settings;
-  return {
-    incarnation: createIncarnation({ address, peerPort, startedAtMs }),
-    address,
-    peerPort,
-    region,
-    failureDomain,
-    startedAtMs,
-    version: 1,
-    state: "alive",
-    service: "",
-    slots: 0,
-    inFlight: 0,
-    warmAtMs: 0,
-    successor: "",
-  };
-}
