--- a/src/admission/level_entry_admission.ts
+++ b/src/admission/level_entry_admission.ts
@@ -18,7 +18,7 @@
 import type { Clock } from "../time/mod.ts";
 import { EntryAdmission } from "./entry_admission.ts";
 import type { EntryGrant, EntryRequest } from "./entry_admission.ts";
-import { hashText } from "./hash_text.ts";
+import { hashText } from "../hashing/mod.ts";
 import { ServiceLevels } from "./service_levels.ts";
 
 /** Time for which a Member keeps its place, in milliseconds. */
--- a/src/admission/member_usage.ts
+++ b/src/admission/member_usage.ts
@@ -2,7 +2,7 @@
  * Recent use by Member, in a fixed amount of memory.
  */
 
-import { hashText } from "./hash_text.ts";
+import { hashText } from "../hashing/mod.ts";
 
 /** Counters; Members whose hashes meet share one. */
 const COUNTERS = 512;
--- a/src/admission/mod.ts
+++ b/src/admission/mod.ts
@@ -6,7 +6,7 @@
 export type { AdaptiveAdmissionOptions } from "./adaptive_admission.ts";
 export { EntryAdmission, OpenEntryAdmission } from "./entry_admission.ts";
 export type { EntryGrant, EntryRequest } from "./entry_admission.ts";
-export { hashText } from "./hash_text.ts";
+export { hashText } from "../hashing/mod.ts";
 export { InboundAdmission } from "./inbound_admission.ts";
 export type { InboundCall, Permit, PermitUse } from "./inbound_admission.ts";
 export { LevelEntryAdmission } from "./level_entry_admission.ts";
--- a/src/membership/choose_delegates.ts
+++ b/src/membership/choose_delegates.ts
@@ -3,7 +3,7 @@
  */
 
 import type { MemberRecord } from "../generated/types.ts";
-import { hashText } from "./hash_text.ts";
+import { hashText } from "../hashing/mod.ts";
 
 /** Delegates of each failure domain. */
 export const DELEGATES_PER_DOMAIN = 3;
--- a/src/membership/member_digests.ts
+++ b/src/membership/member_digests.ts
@@ -4,7 +4,7 @@
  */
 
 import type { MemberRecord } from "../generated/types.ts";
-import { hashText } from "./hash_text.ts";
+import { hashText } from "../hashing/mod.ts";
 
 /** Parts into which the records of a failure domain are divided. */
 export const DIGEST_BUCKETS = 64;
--- a/src/membership/record_puller.ts
+++ b/src/membership/record_puller.ts
@@ -10,7 +10,7 @@
 import { chooseDelegates } from "./choose_delegates.ts";
 import { nameTarget } from "./gossip_context.ts";
 import type { GossipContext } from "./gossip_context.ts";
-import { hashText } from "./hash_text.ts";
+import { hashText } from "../hashing/mod.ts";
 import { chooseSubset, NAMED_PULL_LIMIT } from "./service_interest.ts";
 import type { ServiceInterest } from "./service_interest.ts";
 import { takeWithinBytes } from "./take_within_bytes.ts";
--- a/src/membership/service_interest.ts
+++ b/src/membership/service_interest.ts
@@ -5,7 +5,7 @@
 import type { ConfigurationHolder } from "../configuration/mod.ts";
 import type { MemberRecord } from "../generated/types.ts";
 import type { Clock } from "../time/mod.ts";
-import { hashText } from "./hash_text.ts";
+import { hashText } from "../hashing/mod.ts";
 
 /** Remote instances known of a service that the own backend server calls or that was asked for. */
 const NAMED_LIMIT = 32;
--- a/src/routing/choose_subset.ts
+++ b/src/routing/choose_subset.ts
@@ -3,9 +3,7 @@
  * product of callers and instances.
  */
 
-/** Start value and factor of the 32-bit FNV-1a hash. */
-const FNV_OFFSET = 0x811c9dc5;
-const FNV_PRIME = 0x01000193;
+import { hashText } from "../hashing/mod.ts";
 
 /**
  * Chooses the instances that this daemon uses, by rendezvous hashing: of each
@@ -31,19 +29,9 @@
   return instances
     .map((instance) => ({
       instance,
-      weight: hash(`${own}|${instance.incarnation}`),
+      weight: hashText(`${own}|${instance.incarnation}`),
     }))
     .sort((one, other) => other.weight - one.weight)
     .slice(0, size)
     .map(({ instance }) => instance);
 }
-
-function hash(text: string): number {
-  let value = FNV_OFFSET;
-  for (let index = 0; index < text.length; index += 1) {
-    value = Math.imul(value ^ text.charCodeAt(index), FNV_PRIME);
-  }
-  value = Math.imul(value ^ (value >>> 16), 0x85ebca6b);
-  value = Math.imul(value ^ (value >>> 13), 0xc2b2ae35);
-  return (value ^ (value >>> 16)) >>> 0;
-}
