Claim the networks of the leaving and transport tests

Cause: with fixed addresses the leaving test failed to start once while the same test ran in another work tree. Each run now claims its own network.

--- a/src/daemon/leaving_test.ts
+++ b/src/daemon/leaving_test.ts
@@ -1,5 +1,6 @@
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
+import { claimNetwork } from "../testing/claim_network.ts";
 import { createTestConfiguration } from "../testing/create_test_configuration.ts";
 import { SmallFleet, waitUntil } from "../testing/small_fleet.ts";
 import { TestCaller } from "../testing/test_caller.ts";
@@ -24,13 +25,14 @@
 
 test.before.each(async (context) => {
   const configuration = createTestConfiguration();
+  const network = await claimNetwork();
   context.caller = new TestCaller();
   context.fleet = new SmallFleet({
     vms: SERVICES.map((service, index) => ({
       service,
-      address: `127.70.1.${index + 1}`,
+      address: `127.${network}.1.${index + 1}`,
     })),
-    storeAddress: "127.70.1.200",
+    storeAddress: `127.${network}.1.200`,
     drainTimeoutMs: LONG_MS,
     configuration: {
       ...configuration,
--- a/src/membership/udp_transport_test.ts
+++ b/src/membership/udp_transport_test.ts
@@ -1,5 +1,6 @@
 import * as assert from "uvu/assert";
 import { test } from "uvu";
+import { claimNetwork } from "../testing/claim_network.ts";
 import { UdpTransport } from "./udp_transport.ts";
 
 const PORT = 7102;
@@ -10,31 +11,35 @@
 }
 
 test("what was sent before the close arrives, with its source", async () => {
-  const receiver = createTransport("127.71.0.1");
-  const sender = createTransport("127.71.0.2");
+  const network = await claimNetwork();
+  const receiver = createTransport(`127.${network}.0.1`);
+  const sender = createTransport(`127.${network}.0.2`);
   const arrived = new Promise<{ text: string; source: string }>((resolve) =>
     void receiver.open((bytes, source) =>
       resolve({ text: new TextDecoder().decode(bytes), source })
     )
   );
   await sender.open(() => undefined);
-  sender.send(new TextEncoder().encode("last words"), `127.71.0.1:${PORT}`);
+  sender.send(
+    new TextEncoder().encode("last words"),
+    `127.${network}.0.1:${PORT}`,
+  );
   await sender.close();
   assert.equal(await arrived, {
     text: "last words",
-    source: `127.71.0.2:${PORT}`,
+    source: `127.${network}.0.2:${PORT}`,
   });
   await receiver.close();
 });
 
 test("targets that are no address with a port are ignored", async () => {
-  const transport = createTransport("127.71.0.3");
+  const transport = createTransport(`127.${await claimNetwork()}.0.3`);
   await transport.open(() => undefined);
   for (const target of ["", "nowhere", "127.0.0.1:0", "127.0.0.1:70000"]) {
     transport.send(new Uint8Array(1), target);
   }
   await transport.close();
-  transport.send(new Uint8Array(1), "127.71.0.1:7102");
+  transport.send(new Uint8Array(1), "127.0.0.1:7102");
 });
 
 test.run();
