Prove that the allowance check of histories bites; drop it where no attempts are recorded

Cause: once checked attempts against the allowance on histories without attempt events, so that check could not fail; in process no test showed that it can. Change: the bound is left out where a history has no attempts, and a test adds attempts over the bound to a real history and expects the violation. Nothing that could fail was removed. Conclusion: a seeded defect in the retries themselves is still missing.

--- a/src/idempotency/history_test.ts
+++ b/src/idempotency/history_test.ts
@@ -123,6 +123,28 @@
   }
 }
 
+/** A schedule's history in which one invocation asked for some runs too many. */
+async function checkWithExtraAttempts(count: number): Promise<Violation[]> {
+  const events = await runSchedule(createImpatientSchedule(), {
+    network: `127.${network}.251`,
+    randomSeed: SEED,
+    parts: {},
+  });
+  const invoked = events.find(({ kind }) => kind === "invoke");
+  const requestId = invoked?.requestId ?? "";
+  const extra = Array.from(
+    { length: count },
+    () => ({ kind: "attempt", requestId }) as const,
+  );
+  return checkHistory([...events, ...extra], RULES);
+}
+
+test("attempts over the allowance are found", async () => {
+  const invocations = 3;
+  const tooMany = RULES.maxAttemptsPerInvocation * invocations + 1;
+  assert.equal(listRules(await checkWithExtraAttempts(tooMany)), ["allowance"]);
+});
+
 test("the schedules of the seeded defects find nothing without a defect", async () => {
   assert.equal(await check(createImpatientSchedule()), []);
   assert.equal(await check(createImpatientSchedule(CUTS)), []);
--- a/src/measure/experiments/once.ts
+++ b/src/measure/experiments/once.ts
@@ -28,7 +28,6 @@
 const RESTART_SETTLE_MS = 2_000;
 /** A request that takes longer counts as not served, in milliseconds. */
 const SERVED_WITHIN_MS = 1_000;
-const MAX_ATTEMPTS_PER_INVOCATION = 5;
 
 /** The experiment. */
 export const experiment: Experiment = {
@@ -197,9 +196,7 @@
   const isCounted = ({ requestId }: { requestId: string }) =>
     /^[a-zA-Z]+-\d+$/.test(requestId) && !isLatencyRequest(requestId);
   const events = collectHistory(history.timed, fleet.vms).filter(isCounted);
-  return checkHistory(events, {
-    maxAttemptsPerInvocation: MAX_ATTEMPTS_PER_INVOCATION,
-  });
+  return checkHistory(events, {});
 }
 
 function isLatencyRequest(requestId: string): boolean {
--- a/src/testing/guarded/check_history.ts
+++ b/src/testing/guarded/check_history.ts
@@ -6,8 +6,8 @@
 
 /** What a history is checked against. */
 export interface HistoryRules {
-  /** Runs by a daemon that one invocation may ask for, retries included. */
-  readonly maxAttemptsPerInvocation: number;
+  /** Runs by a daemon that one invocation may ask for, retries included; left out where the history has no attempts. */
+  readonly maxAttemptsPerInvocation?: number;
 }
 
 /** A broken rule. */
@@ -95,6 +95,9 @@
   events: readonly HistoryEvent[],
   { maxAttemptsPerInvocation }: HistoryRules,
 ): Violation[] {
+  if (maxAttemptsPerInvocation === undefined) {
+    return [];
+  }
   const invocations = countByRequest(events, "invoke");
   const attempts = countByRequest(events, "attempt");
   return [...attempts].filter(([requestId, count]) =>
