--- /dev/null
+++ b/src/backend/backend_connection.ts
@@ -0,0 +1,230 @@
+/**
+ * One connection to the backend server on this VM, used by one call at a time.
+ *
+ * A body without a length ends with its connection. Whether the connection was
+ * closed or reset decides whether such a body is whole, so the socket is
+ * watched beside the HTTP client.
+ */
+
+import { Buffer } from "node:buffer";
+import type { Socket } from "node:net";
+import { err, ok } from "neverthrow";
+import type { Result } from "neverthrow";
+import { buildConnector, Client } from "undici";
+import type { Dispatcher } from "undici";
+
+/** Time allowed for opening a connection on this VM, in milliseconds. */
+const CONNECT_TIMEOUT_MS = 1_000;
+
+/** Idle time after which a connection closes where the backend server states none, in milliseconds. */
+const IDLE_TIMEOUT_MS = 4_000;
+
+/** Statuses whose responses have no body. */
+const EMPTY_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
+const FIRST_FINAL_STATUS = 200;
+
+/** Code of the error when nothing listens at the address. */
+const REFUSED_CODE = "ECONNREFUSED";
+
+/** One request to the backend server. */
+export interface BackendExchange {
+  readonly method: string;
+  /** Path with its query. */
+  readonly path: string;
+  /** Header fields, names and values by turns. */
+  readonly headers: readonly string[];
+  readonly body: Uint8Array;
+  readonly signal: AbortSignal;
+  /** Largest body taken, in bytes. */
+  readonly maxBodyBytes: number;
+}
+
+/** A whole response. */
+export interface BackendResponse {
+  readonly status: number;
+  /** Header fields with lower-case names, names and values by turns. */
+  readonly headers: readonly string[];
+  readonly body: Uint8Array;
+}
+
+/** Why there is no whole response. */
+export interface ExchangeFailure {
+  /**
+   * - `unconnected`: the backend server does not accept connections.
+   * - `not-sent`: no byte was handed to the connection.
+   * - `too-large`: the body exceeds what is taken.
+   * - `mismatched`: the response answers another request; this one may have run.
+   * - `broken`: the request may have run.
+   */
+  readonly kind:
+    | "unconnected"
+    | "not-sent"
+    | "too-large"
+    | "mismatched"
+    | "broken";
+  readonly message: string;
+}
+
+type Settle = (result: Result<BackendResponse, ExchangeFailure>) => void;
+
+/** Collects one response. */
+class ResponseCollector {
+  isSent = false;
+  readonly #settle: Settle;
+  readonly #connection: BackendConnection;
+  readonly #maxBodyBytes: number;
+  readonly #parts: Buffer[] = [];
+  #lengthBytes = 0;
+  #status = 0;
+  #headers: readonly string[] = [];
+  #isDelimited = false;
+
+  constructor(
+    connection: BackendConnection,
+    maxBodyBytes: number,
+    settle: Settle,
+  ) {
+    this.#connection = connection;
+    this.#maxBodyBytes = maxBodyBytes;
+    this.#settle = settle;
+  }
+
+  onRequestStart(): void {
+    this.isSent = true;
+  }
+
+  onResponseStart(
+    _controller: Dispatcher.DispatchController,
+    status: number,
+    headers: Record<string, string | string[] | undefined>,
+  ): void {
+    if (status < FIRST_FINAL_STATUS) {
+      return;
+    }
+    this.#status = status;
+    this.#headers = flattenHeaders(headers);
+    this.#isDelimited = EMPTY_STATUSES.has(status) ||
+      headers["content-length"] !== undefined ||
+      headers["transfer-encoding"] !== undefined;
+  }
+
+  onResponseData(
+    controller: Dispatcher.DispatchController,
+    chunk: Buffer,
+  ): void {
+    this.#lengthBytes += chunk.length;
+    if (this.#lengthBytes > this.#maxBodyBytes) {
+      const message = `response of more than ${this.#maxBodyBytes} bytes`;
+      this.#settle(err({ kind: "too-large", message }));
+      controller.abort(new Error(message));
+      return;
+    }
+    this.#parts.push(chunk);
+  }
+
+  onResponseEnd(): void {
+    if (!this.#isDelimited && this.#connection.isReset) {
+      const message = "connection was reset within a body without a length";
+      this.#settle(err({ kind: "broken", message }));
+      return;
+    }
+    this.#settle(ok({
+      status: this.#status,
+      headers: this.#headers,
+      body: Buffer.concat(this.#parts),
+    }));
+  }
+
+  onResponseError(
+    _controller: Dispatcher.DispatchController,
+    error: Error & { code?: string },
+  ): void {
+    const unsent = error.code === REFUSED_CODE ? "unconnected" : "not-sent";
+    const kind = this.isSent ? "broken" : unsent;
+    this.#settle(err({ kind, message: error.message }));
+  }
+}
+
+/** A connection that is opened when first used, and again after it closed while idle. */
+export class BackendConnection {
+  readonly #client: Client;
+  #isReset = false;
+  /** When the last exchange ended, in monotonic milliseconds. */
+  usedAtMs = Number.NEGATIVE_INFINITY;
+
+  constructor(origin: string) {
+    const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+    this.#client = new Client(origin, {
+      pipelining: 1,
+      keepAliveTimeout: IDLE_TIMEOUT_MS,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      connect: (options, callback) =>
+        connect(options, (...opened) => {
+          const [error, socket] = opened;
+          if (!error) {
+            this.#watch(socket);
+          }
+          callback(...opened);
+        }),
+    });
+  }
+
+  /** Whether the connection ended in an error. */
+  get isReset(): boolean {
+    return this.#isReset;
+  }
+
+  /** Sends one request and collects its response. */
+  exchange(
+    request: BackendExchange,
+  ): Promise<Result<BackendResponse, ExchangeFailure>> {
+    const { method, path, headers, body, signal, maxBodyBytes } = request;
+    return new Promise((resolve) => {
+      const abort = () => void this.close(new Error("the call has ended"));
+      const collector = new ResponseCollector(this, maxBodyBytes, (result) => {
+        signal.removeEventListener("abort", abort);
+        resolve(result);
+      });
+      signal.addEventListener("abort", abort);
+      try {
+        this.#client.dispatch({
+          method: method as Dispatcher.HttpMethod,
+          path,
+          headers: [...headers],
+          body: body.length > 0 ? body : null,
+        }, collector);
+      } catch (cause) {
+        const kind = collector.isSent ? "broken" : "not-sent";
+        resolve(err({ kind, message: (cause as Error).message }));
+      }
+    });
+  }
+
+  /** Ends the connection and the exchange on it. */
+  async close(
+    error = new Error("the connection is not needed"),
+  ): Promise<void> {
+    await this.#client.destroy(error);
+  }
+
+  #watch(socket: Socket): void {
+    this.#isReset = false;
+    socket.once("error", () => {
+      this.#isReset = true;
+    });
+  }
+}
+
+function flattenHeaders(
+  headers: Record<string, string | string[] | undefined>,
+): string[] {
+  return Object.entries(headers).flatMap(([name, value]) =>
+    Array.isArray(value)
+      ? value.flatMap((each) => [name, each])
+      : value === undefined
+      ? []
+      : [name, value]
+  );
+}
--- a/src/backend/backend_registry.ts
+++ b/src/backend/backend_registry.ts
@@ -19,16 +19,18 @@
 /** Remembers the latest announcement and whether it still holds. */
 export class BackendRegistry {
   readonly #clock: Clock;
+  readonly #timeoutMs: number;
   readonly #listeners = new Set<() => void>();
   #announcement: Announcement | undefined;
   #renewedAtMs = 0;
-  #firstSeenAtMs = 0;
+  #warmAtMs = 0;
   #leftAtMs: number | undefined;
   #isDrained = false;
   #isUnreachable = false;
 
-  constructor(clock: Clock) {
+  constructor(clock: Clock, timeoutMs = ANNOUNCEMENT_TIMEOUT_MS) {
     this.#clock = clock;
+    this.#timeoutMs = timeoutMs;
   }
 
   /** The latest announcement, also while the backend server is leaving. */
@@ -45,14 +47,14 @@
       return BACKEND_STATES.leaving;
     }
     const ageMs = this.#clock.monotonicMs() - this.#renewedAtMs;
-    return ageMs <= ANNOUNCEMENT_TIMEOUT_MS && !this.#isUnreachable
+    return ageMs <= this.#timeoutMs && !this.#isUnreachable
       ? BACKEND_STATES.serving
       : BACKEND_STATES.absent;
   }
 
   /** When the backend server serves at full speed, in milliseconds since the epoch. */
   get warmAtMs(): number {
-    return this.#firstSeenAtMs + (this.#announcement?.coldStartMs ?? 0);
+    return this.#warmAtMs;
   }
 
   /**
@@ -61,12 +63,16 @@
    * that of its replacement.
    */
   announce(announcement: Announcement): void {
+    if (this.#isOutdated(announcement)) {
+      return;
+    }
     const isNew = this.#isFromNewServer(announcement);
     if (this.#leftAtMs !== undefined && !isNew) {
       return;
     }
+    const warmAtMs = this.#clock.nowMs() + announcement.coldStartMs;
+    this.#warmAtMs = isNew ? warmAtMs : Math.min(this.#warmAtMs, warmAtMs);
     if (isNew) {
-      this.#firstSeenAtMs = this.#clock.nowMs();
       this.#leftAtMs = undefined;
     }
     this.#announcement = announcement;
@@ -83,8 +89,11 @@
     }
   }
 
-  /** The backend server takes no new work from now on. */
-  leave(): void {
+  /** The backend server takes no new work from now on; a farewell of one that was replaced is ignored. */
+  leave(instanceId = this.#announcement?.instanceId): void {
+    if (instanceId !== this.#announcement?.instanceId) {
+      return;
+    }
     this.#leftAtMs ??= this.#clock.monotonicMs();
     this.#notify();
   }
@@ -108,12 +117,31 @@
     return () => this.#listeners.delete(listener);
   }
 
-  #isFromNewServer({ port }: Announcement): boolean {
+  /** Whether an announcement was overtaken by one of the same lifetime, or comes from an earlier lifetime. */
+  #isOutdated({ instanceId, startedAtMs, sequence }: Announcement): boolean {
+    const known = this.#announcement;
+    if (!known || startedAtMs === undefined || sequence === undefined) {
+      return false;
+    }
+    const knownStartMs = known.startedAtMs ?? 0;
+    const isSame = known.instanceId === instanceId &&
+      knownStartMs === startedAtMs;
+    return isSame
+      ? sequence <= (known.sequence ?? -1)
+      : startedAtMs < knownStartMs;
+  }
+
+  #isFromNewServer(announced: Announcement): boolean {
+    const { port, instanceId, startedAtMs } = announced;
     if (!this.#announcement || this.#announcement.port !== port) {
       return true;
     }
+    if (startedAtMs !== undefined) {
+      return this.#announcement.startedAtMs !== startedAtMs ||
+        this.#announcement.instanceId !== instanceId;
+    }
     const sinceMs = this.#leftAtMs ?? this.#renewedAtMs;
-    return this.#clock.monotonicMs() - sinceMs > ANNOUNCEMENT_TIMEOUT_MS;
+    return this.#clock.monotonicMs() - sinceMs > this.#timeoutMs;
   }
 
   #notify(): void {
--- /dev/null
+++ b/src/backend/http_backend_client.ts
@@ -0,0 +1,135 @@
+/**
+ * Calls to the backend server on this VM over the product's own HTTP interface.
+ */
+
+import { err, ok } from "neverthrow";
+import { Pool } from "undici";
+import type { Dispatcher } from "undici";
+import { HEADERS } from "../constants/mod.ts";
+import type { Announcement } from "../generated/types.ts";
+import {
+  createRefusal,
+  createUncertainty,
+  REASONS,
+  selectAbortReason,
+} from "../outcome/mod.ts";
+import type { CallResult } from "../outcome/mod.ts";
+import { BackendClient } from "./backend_client.ts";
+import type { BackendCall, BackendCallOptions } from "./backend_client.ts";
+
+/** Codes of errors that occur before any byte was written. */
+const NOT_SENT_CODES: ReadonlySet<string> = new Set([
+  "ECONNREFUSED",
+  "UND_ERR_CONNECT_TIMEOUT",
+  "EADDRNOTAVAIL",
+]);
+
+/** Sends calls to a backend server that announces itself. */
+export class HttpBackendClient extends BackendClient {
+  readonly #address: string;
+  #pool: Pool | undefined;
+  #origin = "";
+
+  constructor(address: string) {
+    super();
+    this.#address = address;
+  }
+
+  override async call(
+    announcement: Announcement,
+    call: BackendCall,
+    options: BackendCallOptions,
+  ): Promise<CallResult> {
+    if (options.signal.aborted) {
+      return err(
+        createRefusal(REASONS.cancelled, {
+          unusedAllowance: call.context.retryAllowance,
+        }),
+      );
+    }
+    try {
+      const response = await this.#connect(announcement).request({
+        method: call.method as "GET",
+        path: call.path,
+        headers: createHeaders(call),
+        body: call.body.length > 0 ? call.body : null,
+        signal: options.signal,
+        headersTimeout: Math.max(1, call.context.remainingMs),
+        bodyTimeout: Math.max(1, call.context.remainingMs),
+      });
+      const body = new Uint8Array(await response.body.arrayBuffer());
+      if (!hasDelimitedBody(response)) {
+        return err(createUncertainty(REASONS.answerTruncated));
+      }
+      if (body.length > options.maxBodyBytes) {
+        return err(createUncertainty(REASONS.bodyTooLarge));
+      }
+      const contentType = String(response.headers["content-type"] ?? "");
+      return ok({
+        status: response.statusCode,
+        contentType,
+        body,
+        unusedAllowance: 0,
+        loads: [],
+      });
+    } catch (cause) {
+      return err(
+        classifyError(cause as Error & { code?: string }, options.signal),
+      );
+    }
+  }
+
+  override async close(): Promise<void> {
+    await this.#pool?.close();
+  }
+
+  #connect(announcement: Announcement): Pool {
+    const origin = `http://${this.#address}:${announcement.port}`;
+    if (!this.#pool || this.#origin !== origin) {
+      void this.#pool?.close();
+      this.#pool = new Pool(origin, {
+        connections: announcement.connections,
+        pipelining: 1,
+      });
+      this.#origin = origin;
+    }
+    return this.#pool;
+  }
+}
+
+function createHeaders(call: BackendCall): Record<string, string> {
+  const { context } = call;
+  const headers: Record<string, string> = {
+    [HEADERS.call]: call.callToken,
+    [HEADERS.requestId]: context.requestId,
+    [HEADERS.className]: context.className,
+    [HEADERS.member]: context.member,
+    [HEADERS.tenant]: context.tenant,
+    [HEADERS.deadlineMs]: String(Math.max(0, Math.floor(context.remainingMs))),
+  };
+  if (call.contentType !== "") {
+    headers["content-type"] = call.contentType;
+  }
+  if (call.idempotencyKey !== "") {
+    headers[HEADERS.idempotencyKey] = call.idempotencyKey;
+  }
+  return headers;
+}
+
+/** Whether the end of the body can be told from a connection that ended early. */
+function hasDelimitedBody(
+  { statusCode, headers }: Dispatcher.ResponseData,
+): boolean {
+  return statusCode === 204 || statusCode === 304 ||
+    headers["content-length"] !== undefined ||
+    headers["transfer-encoding"] !== undefined;
+}
+
+function classifyError(cause: Error & { code?: string }, signal: AbortSignal) {
+  if (NOT_SENT_CODES.has(cause.code ?? "")) {
+    return createRefusal(REASONS.noBackendServer);
+  }
+  return createUncertainty(
+    signal.aborted ? selectAbortReason(signal) : REASONS.backendFailed,
+  );
+}
--- a/src/backend/backend_client_test.ts
+++ b/src/backend/http_backend_client_test.ts
@@ -5,7 +5,7 @@
 import { test } from "uvu";
 import type { Announcement } from "../generated/types.ts";
 import type { CallResult } from "../outcome/mod.ts";
-import { BackendClient } from "./backend_client.ts";
+import { HttpBackendClient } from "./http_backend_client.ts";
 import type { BackendCall } from "./backend_client.ts";
 
 const ADDRESS = "127.60.1.1";
@@ -57,7 +57,7 @@
   server.listen(0, ADDRESS);
   await once(server, "listening");
   const { port } = server.address() as AddressInfo;
-  const client = new BackendClient(ADDRESS);
+  const client = new HttpBackendClient(ADDRESS);
   const result = await client.call(createAnnouncement(port), createCall(), {
     signal,
     maxBodyBytes: 1_024,
@@ -122,7 +122,7 @@
 });
 
 test("a backend server that does not listen has run nothing", async () => {
-  const client = new BackendClient(ADDRESS);
+  const client = new HttpBackendClient(ADDRESS);
   const result = await client.call(createAnnouncement(9), createCall(), {
     signal: new AbortController().signal,
     maxBodyBytes: 1_024,
--- a/src/configuration/compile_configuration.ts
+++ b/src/configuration/compile_configuration.ts
@@ -42,6 +42,7 @@
     version,
     document,
     requestsByService: groupByService(requests),
+    routesByHost: groupByHost(requests),
     requestsByName: new Map(requests.map((request) => [request.name, request])),
     classRanks,
     callsByService,
@@ -62,6 +63,19 @@
   return groups;
 }
 
+function groupByHost(
+  requests: readonly CompiledRequest[],
+): Map<string, Map<string, CompiledRequest>> {
+  const groups = new Map<string, Map<string, CompiledRequest>>();
+  for (const request of requests) {
+    if (request.host !== undefined) {
+      const routes = groups.get(request.host) ?? new Map();
+      groups.set(request.host, routes.set(request.pathPrefix, request));
+    }
+  }
+  return groups;
+}
+
 function mapRegions(document: Configuration): Map<string, string> {
   return new Map(
     document.regions.flatMap(({ name, failureDomains }) =>
@@ -88,5 +102,12 @@
     reaches: request.reaches,
     classRank: derived.classRank,
     path: derived.path,
+    ...request.host !== undefined && {
+      host: request.host,
+      targetLatencyMs: request.targetLatencyMs ?? request.deadlineMs,
+    },
+    ...request.weightedServices && {
+      weightedServices: request.weightedServices,
+    },
   };
 }
--- a/src/configuration/compiled_configuration.ts
+++ b/src/configuration/compiled_configuration.ts
@@ -20,6 +20,11 @@
   readonly version: number;
   readonly document: Configuration;
   readonly requestsByService: ReadonlyMap<string, readonly CompiledRequest[]>;
+  /** Request kinds that callers reach by host, by path prefix. */
+  readonly routesByHost: ReadonlyMap<
+    string,
+    ReadonlyMap<string, CompiledRequest>
+  >;
   readonly requestsByName: ReadonlyMap<string, CompiledRequest>;
   readonly classRanks: ReadonlyMap<string, number>;
   readonly callsByService: ReadonlyMap<string, readonly string[]>;
--- /dev/null
+++ b/src/configuration/configuration_source.ts
@@ -0,0 +1,68 @@
+/**
+ * Where accepted configurations are read from.
+ */
+
+import type { Result } from "neverthrow";
+import type VError from "verror";
+import type { ConfigurationChange } from "../generated/types.ts";
+import type {
+  ConfigurationReader,
+  StoredHead,
+} from "./configuration_reader.ts";
+import type { VersionedState } from "./configuration_state.ts";
+
+/** The latest accepted version, and how to get its state. */
+export interface SourcedHead {
+  /** Version that the store gave the object. */
+  readonly storeVersion: number;
+  /** Version of the configuration. */
+  readonly version: number;
+  /** Latest changes with the patches that lead to them, where they are kept. */
+  readonly changes: readonly ConfigurationChange[];
+  /** Gives the whole state, from `known` where that saves reads. */
+  readState(known?: VersionedState): Promise<Result<VersionedState, VError>>;
+}
+
+/** Reads and watches the accepted configuration. */
+export abstract class ConfigurationSource {
+  /** Reads the latest head; undefined before the first configuration. */
+  abstract read(): Promise<Result<SourcedHead | undefined, VError>>;
+
+  /** Waits for a head above a store version; undefined when none came in time. */
+  abstract watch(
+    afterStoreVersion: number,
+    timeoutMs: number,
+  ): Promise<Result<SourcedHead | undefined, VError>>;
+}
+
+/** The configuration as the operator tool writes it. */
+export class StoredConfigurationSource extends ConfigurationSource {
+  readonly #reader: ConfigurationReader;
+
+  constructor(reader: ConfigurationReader) {
+    super();
+    this.#reader = reader;
+  }
+
+  override async read(): Promise<Result<SourcedHead | undefined, VError>> {
+    const stored = await this.#reader.readHead();
+    return stored.map((each) => this.#convert(each));
+  }
+
+  override async watch(
+    afterStoreVersion: number,
+    timeoutMs: number,
+  ): Promise<Result<SourcedHead | undefined, VError>> {
+    const stored = await this.#reader.watchHead(afterStoreVersion, timeoutMs);
+    return stored.map((each) => this.#convert(each));
+  }
+
+  #convert(stored: StoredHead | undefined): SourcedHead | undefined {
+    return stored && {
+      storeVersion: stored.storeVersion,
+      version: stored.head.version,
+      changes: stored.head.changes,
+      readState: (known) => this.#reader.readState(stored.head, known),
+    };
+  }
+}
--- a/src/configuration/configuration_spread.ts
+++ b/src/configuration/configuration_spread.ts
@@ -16,9 +16,9 @@
 import { ConfigurationIntake } from "./configuration_intake.ts";
 import type { ConfigurationPeers } from "./configuration_peers.ts";
 import type {
-  ConfigurationReader,
-  StoredHead,
-} from "./configuration_reader.ts";
+  ConfigurationSource,
+  SourcedHead,
+} from "./configuration_source.ts";
 import { isVersionConfirmed } from "./confirmation.ts";
 import { PeerFetcher } from "./peer_fetcher.ts";
 import { PeerVersions } from "./peer_versions.ts";
@@ -26,7 +26,7 @@
 
 /** Dependencies of the spread. */
 export interface ConfigurationSpreadOptions {
-  readonly reader: ConfigurationReader;
+  readonly source: ConfigurationSource;
   readonly holder: ConfigurationHolder;
   readonly peers: ConfigurationPeers;
   readonly clock: Clock;
@@ -50,7 +50,10 @@
 const MAX_START_DELAY_MS = 250;
 
 /** Pauses after failed store calls. */
-const STORE_BACKOFF = { firstDelayMs: 500, maxDelayMs: 15_000 } as const;
+const STORE_BACKOFF = { firstDelayMs: 250, maxDelayMs: 2_000 } as const;
+
+/** Pause after a change, in which further ones are waited for, in milliseconds. */
+const COALESCING_MS = 200;
 
 /** Keeps the holder of one daemon at the highest accepted version it can reach. */
 export class ConfigurationSpread {
@@ -145,11 +148,11 @@
   }
 
   async #askStore(): Promise<void> {
-    const { clock, log, reader } = this.#options;
+    const { clock, log, source } = this.#options;
     const startedAtMs = clock.monotonicMs();
     const stored = this.#storeVersion === 0
-      ? await reader.readHead()
-      : await reader.watchHead(this.#storeVersion, WATCH_TIMEOUT_MS);
+      ? await source.read()
+      : await source.watch(this.#storeVersion, WATCH_TIMEOUT_MS);
     if (stored.isErr()) {
       log.warn({ error: stored.error.message }, "store-unavailable");
       await clock.sleep(this.#storeBackoff.nextDelayMs());
@@ -157,6 +160,7 @@
     }
     if (stored.value && await this.#takeHead(stored.value)) {
       this.#storeBackoff.reset();
+      await clock.sleep(COALESCING_MS);
       return;
     }
     if (clock.monotonicMs() - startedAtMs < SHORT_WATCH_MS) {
@@ -165,12 +169,12 @@
   }
 
   /** Puts the state of a head in force; false where the store has to be asked again. */
-  async #takeHead({ head, storeVersion }: StoredHead): Promise<boolean> {
-    const { holder, reader } = this.#options;
+  async #takeHead(head: SourcedHead): Promise<boolean> {
+    const { holder } = this.#options;
+    const { storeVersion } = head;
     if (this.#intake.isNews(head.version)) {
       const { current } = holder;
-      const state = await reader.readState(
-        head,
+      const state = await head.readState(
         current && {
           version: current.version,
           configuration: current.document,
--- a/src/configuration/mod.ts
+++ b/src/configuration/mod.ts
@@ -13,6 +13,11 @@
 export { CONFIGURATION_KEY } from "./configuration_objects.ts";
 export { ConfigurationPeers } from "./configuration_peers.ts";
 export { ConfigurationReader } from "./configuration_reader.ts";
+export {
+  ConfigurationSource,
+  StoredConfigurationSource,
+} from "./configuration_source.ts";
+export type { SourcedHead } from "./configuration_source.ts";
 export { ConfigurationSpread } from "./configuration_spread.ts";
 export type { ConfigurationSpreadOptions } from "./configuration_spread.ts";
 export type {
@@ -35,4 +40,6 @@
 export type { VersionNotice } from "./peer_versions.ts";
 export { findRequest } from "./find_request.ts";
 export type { CallTarget } from "./find_request.ts";
+export { findRoute } from "./find_route.ts";
+export type { RouteTarget } from "./find_route.ts";
 export { validateConfigurationDocument } from "./validate_configuration_document.ts";
--- a/src/daemon/create_daemon_parts.ts
+++ b/src/daemon/create_daemon_parts.ts
@@ -2,12 +2,16 @@
  * Creation of the parts of one daemon.
  */
 
-import { BackendClient, BackendRegistry } from "../backend/mod.ts";
+import { LearntPaths } from "../admission/mod.ts";
+import { BackendRegistry, HttpBackendClient } from "../backend/mod.ts";
+import type { BackendClient } from "../backend/mod.ts";
 import {
   ConfigurationHolder,
   ConfigurationReader,
   ConfigurationSpread,
+  StoredConfigurationSource,
 } from "../configuration/mod.ts";
+import type { ConfigurationSource } from "../configuration/mod.ts";
 import type { DaemonSettings, MemberRecord } from "../generated/types.ts";
 import {
   KeyLedger,
@@ -23,16 +27,20 @@
 import type { DialPeer, PeerLinkOptions } from "../peer/mod.ts";
 import { ActiveCalls, PeerClients } from "../request/mod.ts";
 import type { CallEnvironment } from "../request/mod.ts";
+import { WeightedSplit } from "../routing/mod.ts";
 import { BudgetedObjectStore, HttpObjectStore } from "../store/mod.ts";
+import type { ObjectStore, StoreDialect } from "../store/mod.ts";
 import {
   createLogger,
   DaemonMetrics,
   DecisionJournal,
 } from "../telemetry/mod.ts";
 import { RandomSource, SystemClock } from "../time/mod.ts";
+import type { Clock } from "../time/mod.ts";
 import { createAdmission } from "./create_admission.ts";
 import { createOutboundParts } from "./create_outbound_parts.ts";
 import type { OutboundParts } from "./create_outbound_parts.ts";
+import type { Listener, ListenerContext } from "./listener.ts";
 import { DaemonConfigurationPeers } from "./daemon_configuration_peers.ts";
 
 /** Calls to the object API that one daemon may make at once. */
@@ -41,8 +49,24 @@
 /** Calls to the object API that one daemon may make in the long run. */
 const STORE_CALLS_PER_SECOND = 1;
 
-/** Parts of a daemon that tests replace. */
+/** Parts of a daemon that tests and deployments replace. */
 export interface DaemonOverrides {
+  /** Form in which the object API is spoken to. */
+  readonly storeDialect?: StoreDialect;
+  /** Where accepted configurations are read from. */
+  readonly createConfigurationSource?: (
+    store: ObjectStore,
+  ) => ConfigurationSource;
+  /** Daemons of a failure domain that watch the object API. */
+  readonly watchersPerDomain?: number;
+  /** Calls to this VM's backend server. */
+  readonly createBackendClient?: (clock: Clock) => BackendClient;
+  /** Age after which an announcement that was not renewed lapses, in milliseconds. */
+  readonly announcementTimeoutMs?: number;
+  /** Whether callers are given keys, so that these are handed over at a stop; true unless given. */
+  readonly issuesKeys?: boolean;
+  /** Listeners that take the place of the product's own interfaces. */
+  readonly createListeners?: (context: ListenerContext) => readonly Listener[];
   /** Opens sockets to other daemons. */
   readonly dial?: DialPeer;
   /** Routing alone may be that of the baseline. */
@@ -98,7 +122,10 @@
   const seeds = settings.seeds.split(",").filter((seed) => seed !== "");
   const isProtected = settings.protection === "on";
   const { fleetToken } = settings;
-  const store = new HttpObjectStore(settings.storeUrl);
+  const store = new HttpObjectStore(
+    settings.storeUrl,
+    overrides.storeDialect,
+  );
   const budgetedStore = new BudgetedObjectStore({
     store,
     clock,
@@ -123,7 +150,10 @@
     }),
   });
   const configurationSpread = new ConfigurationSpread({
-    reader: new ConfigurationReader(budgetedStore),
+    source: overrides.createConfigurationSource?.(budgetedStore) ??
+      new StoredConfigurationSource(new ConfigurationReader(budgetedStore)),
+    ...overrides.watchersPerDomain !== undefined &&
+      { watchersPerDomain: overrides.watchersPerDomain },
     holder: configuration,
     peers: new DaemonConfigurationPeers(membership, linkOptions),
     clock,
@@ -147,8 +177,9 @@
       ...linkOptions,
       reportReplacement: outbound.reportReplacement,
     }),
-    backend: new BackendRegistry(clock),
-    backendClient: new BackendClient(settings.address),
+    backend: new BackendRegistry(clock, overrides.announcementTimeoutMs),
+    backendClient: overrides.createBackendClient?.(clock) ??
+      new HttpBackendClient(settings.address),
     ...createAdmission(isProtected, {
       clock,
       journal,
@@ -156,6 +187,8 @@
       configuration,
       incarnation,
     }),
+    paths: new LearntPaths(clock),
+    split: new WeightedSplit(random),
     chooser: outbound.chooser,
     retryPolicy: outbound.retryPolicy,
     joiner: outbound.joiner,
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -2,9 +2,6 @@
  * One daemon: its parts, its listeners, its start and its graceful stop.
  */
 
-import { serve } from "@hono/node-server";
-import type { ServerType } from "@hono/node-server";
-import type { Hono } from "hono";
 import { BACKEND_STATES } from "../backend/mod.ts";
 import { createBackendApp } from "../backend/create_backend_app.ts";
 import { createCallerApp } from "../caller/mod.ts";
@@ -21,13 +18,12 @@
 import { createDaemonParts } from "./create_daemon_parts.ts";
 import type { DaemonOverrides } from "./create_daemon_parts.ts";
 import type { OutboundParts } from "./create_outbound_parts.ts";
+import { HonoListener } from "./listener.ts";
+import type { Listener, ListenerContext } from "./listener.ts";
 
 /** Interval at which the daemon tidies up, in milliseconds. */
 const HOUSEKEEPING_INTERVAL_MS = 500;
 
-/** Time for which a leaving daemon still accepts calls, so that peers learn of it, in milliseconds. */
-const LEAVE_NOTICE_MS = 1_000;
-
 /** Interval at which a stopping daemon checks for requests in progress, in milliseconds. */
 const DRAIN_POLL_MS = 20;
 
@@ -49,7 +45,8 @@
   readonly #peerServer: PeerServer;
   readonly #outbound: OutboundParts;
   readonly #stopSignal = new AbortController();
-  #servers: ServerType[] = [];
+  readonly #listeners: readonly Listener[];
+  readonly #issuesKeys: boolean;
   #stopHousekeeping: () => void = () => undefined;
   #stopping: Promise<void> | undefined;
   #requestsInProgress = 0;
@@ -62,6 +59,10 @@
     this.#membership = parts.membership;
     this.#configurationSpread = parts.configurationSpread;
     this.#outbound = parts.outbound;
+    this.#issuesKeys = overrides.issuesKeys ?? true;
+    const context = this.#createListenerContext();
+    this.#listeners = overrides.createListeners?.(context) ??
+      createOwnListeners(context);
     this.#peerServer = new PeerServer({
       ...parts.linkOptions,
       handleCall: (call, body, signal) =>
@@ -88,13 +89,9 @@
     const { environment } = this;
     const { settings, clock, log } = environment;
     await this.#peerServer.listen(settings.address, settings.peerPort);
-    await this.#listen(createCallerApp(environment), settings.callerPort);
-    await this.#listen(createBackendApp(environment), settings.backendPort);
-    const isReady = () => this.isReady;
-    await this.#listen(
-      createAdminApp(environment, { isReady, stop: () => this.stop() }),
-      settings.adminPort,
-    );
+    for (const listener of this.#listeners) {
+      await listener.start();
+    }
     this.#membership.onPeerConfigurationVersion((notice) =>
       this.#configurationSpread.takeNotice(notice)
     );
@@ -129,12 +126,14 @@
     );
     this.#membership.updateSelf({ state: "leaving" });
     backend.drain();
-    const sendLateOutcomes = await handOverKeys(this.environment);
-    await clock.sleep(LEAVE_NOTICE_MS);
+    const sendLateOutcomes = this.#issuesKeys
+      ? await handOverKeys(this.environment)
+      : () => Promise.resolve();
+    await clock.sleep(settings.leaveNoticeMs);
     const deadlineMs = clock.monotonicMs() + settings.drainTimeoutMs;
     await this.#waitForQuiet(0, deadlineMs);
     await sendLateOutcomes();
-    this.#servers.forEach((server) => server.close());
+    this.#listeners.forEach((listener) => listener.close());
     await this.#waitForQuiet(
       QUIET_MS,
       Math.min(deadlineMs, clock.monotonicMs() + QUIET_TIMEOUT_MS),
@@ -162,26 +161,14 @@
     }
   }
 
-  #listen(app: Hono, port: number): Promise<void> {
-    const fetch = (request: Request) =>
-      this.#track(async () => this.#endConnection(await app.fetch(request)));
-    return new Promise((resolve, reject) => {
-      const server = serve({
-        fetch,
-        hostname: this.environment.settings.address,
-        port,
-      }, () => resolve());
-      server.once("error", reject);
-      this.#servers.push(server);
-    });
-  }
-
-  /** Lets a caller's connection end after this response while the daemon stops. */
-  #endConnection(response: Response): Response {
-    if (this.#stopping) {
-      response.headers.set("connection", "close");
-    }
-    return response;
+  #createListenerContext(): ListenerContext {
+    return {
+      environment: this.environment,
+      isReady: () => this.isReady,
+      isStopping: () => this.#stopping !== undefined,
+      track: (run) => this.#track(run),
+      stop: () => this.stop(),
+    };
   }
 
   async #track<T>(run: () => Promise<T>): Promise<T> {
@@ -243,3 +230,13 @@
     );
   }
 }
+
+function createOwnListeners(context: ListenerContext): Listener[] {
+  const { environment, isReady, stop } = context;
+  const { address, callerPort, backendPort, adminPort } = environment.settings;
+  return [
+    { app: createCallerApp(environment), port: callerPort },
+    { app: createBackendApp(environment), port: backendPort },
+    { app: createAdminApp(environment, { isReady, stop }), port: adminPort },
+  ].map(({ app, port }) => new HonoListener(context, { app, address, port }));
+}
--- a/src/daemon/read_settings.ts
+++ b/src/daemon/read_settings.ts
@@ -149,5 +149,6 @@
   logLevel: "info",
   randomSeed: 0,
   drainTimeoutMs: 0,
+  leaveNoticeMs: 0,
   maxBodyBytes: 1024,
 };
--- a/src/outcome/outcome.ts
+++ b/src/outcome/outcome.ts
@@ -25,6 +25,7 @@
   unknownRequest: "unknown-request",
   invalidRequest: "invalid-request",
   bodyTooLarge: "body-too-large",
+  headersTooLarge: "headers-too-large",
   tooDeep: "too-deep",
   keyRequired: "key-required",
   keyInvalid: "key-invalid",
@@ -37,6 +38,8 @@
   parentRepeatable: "parent-repeatable",
   parentEnded: "parent-ended",
   answerTruncated: "answer-truncated",
+  answerMismatched: "answer-mismatched",
+  backendRefused: "backend-refused",
   linkBudget: "link-budget",
   notReady: "not-ready",
 } as const;
@@ -48,6 +51,8 @@
 export interface Answer {
   readonly status: number;
   readonly contentType: string;
+  /** End-to-end header fields, names and values by turns, where callers get them all. */
+  readonly headers?: readonly string[];
   readonly body: Uint8Array;
   readonly unusedAllowance: number;
   /** Whether a hop further down has already given up retrying. */
--- a/src/peer/convert_reply.ts
+++ b/src/peer/convert_reply.ts
@@ -31,7 +31,7 @@
 ): ReplyWithBody {
   if (result.isOk()) {
     const { status, contentType, body, unusedAllowance, loads } = result.value;
-    const { isGivenUp = false } = result.value;
+    const { headers, isGivenUp = false } = result.value;
     const head = createReply(callId, {
       outcome: "answered",
       status,
@@ -39,6 +39,7 @@
       unusedAllowance,
       isGivenUp,
       loads: [...loads],
+      ...headers && { headers: [...headers] },
     });
     return { head: { ...head, bodyLengthBytes: body.length }, body };
   }
@@ -70,12 +71,18 @@
   body: Uint8Array,
 ): CallResult {
   const { status, contentType, unusedAllowance, loads, retryAfterMs } = reply;
-  const { isGivenUp = false } = reply;
+  const { headers, isGivenUp = false } = reply;
   const shared = { unusedAllowance, loads, isGivenUp };
   const reason = reply.reason as Reason;
   switch (reply.outcome) {
     case "answered":
-      return ok({ status, contentType, body, ...shared });
+      return ok({
+        status,
+        contentType,
+        body,
+        ...shared,
+        ...headers && { headers },
+      });
     case "refused":
       return err(
         createRefusal(reason, { retryAfterMs, ...shared }),
--- a/src/request/active_calls.ts
+++ b/src/request/active_calls.ts
@@ -50,10 +50,12 @@
     return this.#calls.size;
   }
 
-  /** Adds a call that starts to run. */
-  begin(context: CallContext, signal: AbortSignal): ActiveCall {
-    const token = `${this.#prefix}.${this.#nextToken}`;
-    this.#nextToken += 1;
+  /** Adds a call that starts to run, under the given token or one of its own. */
+  begin(
+    context: CallContext,
+    signal: AbortSignal,
+    token = this.#createToken(),
+  ): ActiveCall {
     const deadlineAtMs = this.#clock.monotonicMs() + context.remainingMs;
     const call = {
       token,
@@ -72,11 +74,19 @@
 
   /** Removes a call that has ended. */
   end(call: ActiveCall): void {
-    this.#calls.delete(call.token);
+    if (this.#calls.get(call.token) === call) {
+      this.#calls.delete(call.token);
+    }
   }
 
   /** Finds a running call. */
   find(token: string): ActiveCall | undefined {
     return this.#calls.get(token);
   }
+
+  #createToken(): string {
+    const number = this.#nextToken;
+    this.#nextToken += 1;
+    return `${this.#prefix}.${number}`;
+  }
 }
--- a/src/request/call_environment.ts
+++ b/src/request/call_environment.ts
@@ -2,7 +2,11 @@
  * What the way of a request through one daemon depends on.
  */
 
-import type { EntryAdmission, InboundAdmission } from "../admission/mod.ts";
+import type {
+  EntryAdmission,
+  InboundAdmission,
+  LearntPaths,
+} from "../admission/mod.ts";
 import type { BackendClient, BackendRegistry } from "../backend/mod.ts";
 import type { ConfigurationHolder } from "../configuration/mod.ts";
 import type { DaemonSettings } from "../generated/types.ts";
@@ -14,7 +18,7 @@
 } from "../idempotency/mod.ts";
 import type { Membership } from "../membership/mod.ts";
 import type { CallJoiner, RetryPolicy } from "../retry/mod.ts";
-import type { InstanceChooser } from "../routing/mod.ts";
+import type { InstanceChooser, WeightedSplit } from "../routing/mod.ts";
 import type {
   DaemonMetrics,
   DecisionJournal,
@@ -38,7 +42,9 @@
   readonly backendClient: BackendClient;
   readonly entryAdmission: EntryAdmission;
   readonly inboundAdmission: InboundAdmission;
+  readonly paths: LearntPaths;
   readonly chooser: InstanceChooser;
+  readonly split: WeightedSplit;
   readonly retryPolicy: RetryPolicy;
   readonly joiner: CallJoiner;
   readonly keys: KeyLedger;
--- a/src/request/create_call_message.ts
+++ b/src/request/create_call_message.ts
@@ -21,11 +21,14 @@
   purpose: CallMessage["purpose"],
 ): UnnumberedCall {
   const { context, idempotencyKey, service, method, path, contentType } = call;
+  const { headers, callerService } = call;
   const bodyLengthBytes = call.body.length;
   return {
     kind: "call",
     purpose,
     ...{ context, idempotencyKey, service, method, path, contentType },
     bodyLengthBytes,
+    ...headers && { headers: [...headers] },
+    ...callerService !== undefined && { callerService },
   };
 }
--- a/src/request/dispatch_call.ts
+++ b/src/request/dispatch_call.ts
@@ -17,7 +17,7 @@
 import { runCall } from "./run_call.ts";
 import { sendOnce } from "./send_once.ts";
 
-/** Refusals by leaving instances that a call is sent on after, free of its allowance. */
+/** Refusals by instances that cannot run it that a call is sent on after, free of its allowance. */
 const MAX_REDIRECTS = 8;
 
 /**
@@ -43,7 +43,9 @@
   const excluded = new Set<string>();
   let allowance = call.context.retryAllowance;
   let redirects = 0;
-  for (let attempts = 1;; attempts += 1) {
+  let attempts = 0;
+  for (;;) {
+    attempts += 1;
     const handedDown = retryPolicy.handDown(allowance);
     const remainingMs = call.deadlineAtMs - clock.monotonicMs();
     const result = await tryOneInstance(
@@ -65,6 +67,7 @@
     }
     if (mayRedirect(failure) && redirects < MAX_REDIRECTS) {
       redirects += 1;
+      attempts -= 1;
       continue;
     }
     const question = {
@@ -76,7 +79,9 @@
       isRepeatable,
       remainingMs: call.deadlineAtMs - clock.monotonicMs(),
     };
-    if (call.signal.aborted || !retryPolicy.takeRetry(question)) {
+    const isExhausted = call.signal.aborted ||
+      attempts >= (call.maxAttempts ?? Number.POSITIVE_INFINITY);
+    if (isExhausted || !retryPolicy.takeRetry(question)) {
       const { reason } = failure;
       const facts = { service, reason, attempts, allowance };
       journal.record(DECISIONS.retryDenied, facts, requestId);
@@ -91,9 +96,16 @@
   return Math.min(handedDown, unusedAllowance);
 }
 
-/** A leaving instance has run nothing, so that another may be asked as if it had been the first. */
+/** Reasons of refusals by which a call has reached no backend server and another instance may be asked instead. */
+const UNREACHED_REASONS: ReadonlySet<string> = new Set([
+  REASONS.connectFailed,
+  REASONS.leaving,
+  REASONS.noBackendServer,
+]);
+
+/** The backend server has not seen the call, so that another may be asked as if it had been the first. */
 function mayRedirect({ kind, reason }: CallFailure): boolean {
-  return kind === "refused" && reason === REASONS.leaving;
+  return kind === "refused" && UNREACHED_REASONS.has(reason);
 }
 
 interface AttemptOptions {
@@ -108,7 +120,8 @@
   call: OutboundCall,
   { excluded, attempts, hasKept }: AttemptOptions,
 ): Promise<CallResult> {
-  const { chooser, clock, membership, metrics, entryAdmission } = environment;
+  const { chooser, clock, membership, metrics, entryAdmission, paths } =
+    environment;
   const unusedAllowance = call.context.retryAllowance;
   if (call.context.remainingMs <= 0) {
     return err(createRefusal(REASONS.deadlineExpired, { unusedAllowance }));
@@ -139,12 +152,12 @@
     instance,
     reportAttempt(call, result, clock.monotonicMs() - startedAtMs),
   );
-  if (result.isErr() && mayRedirect(result.error)) {
+  if (result.isErr() && result.error.reason === REASONS.leaving) {
     membership.noteLeaving(instance.incarnation);
   }
-  entryAdmission.observe(
-    result.isOk() ? result.value.loads : result.error.loads,
-  );
+  const { loads } = result.isOk() ? result.value : result.error;
+  entryAdmission.observe(loads);
+  paths.noteLoads(call.context.requestName, loads);
   return result;
 }
 
--- a/src/request/mod.ts
+++ b/src/request/mod.ts
@@ -9,4 +9,6 @@
 export { PeerClients } from "./peer_clients.ts";
 export { serveEntryCall } from "./serve_entry_call.ts";
 export type { EntryCall } from "./serve_entry_call.ts";
+export { serveRoutedCall } from "./serve_routed_call.ts";
+export type { RoutedCall } from "./serve_routed_call.ts";
 export { servePeerCall } from "./serve_peer_call.ts";
--- a/src/request/outbound_call.ts
+++ b/src/request/outbound_call.ts
@@ -15,6 +15,12 @@
   readonly method: string;
   readonly path: string;
   readonly contentType: string;
+  /** End-to-end header fields of the caller, names and values by turns, where they travel on. */
+  readonly headers?: readonly string[] | undefined;
+  /** Service of the VM on which the call began, where backend servers are told. */
+  readonly callerService?: string | undefined;
+  /** Instances that may be asked to run the call; bounded by the allowance alone where absent. */
+  readonly maxAttempts?: number | undefined;
   readonly body: Uint8Array;
   /** Key of a non-repeatable call; empty for others. */
   readonly idempotencyKey: string;
--- a/src/request/run_call.ts
+++ b/src/request/run_call.ts
@@ -9,7 +9,7 @@
 import { BACKEND_STATES } from "../backend/mod.ts";
 import type { LoadSignal } from "../generated/types.ts";
 import { createRefusal, REASONS } from "../outcome/mod.ts";
-import type { CallResult } from "../outcome/mod.ts";
+import type { CallResult, Reason } from "../outcome/mod.ts";
 import type { CallEnvironment } from "./call_environment.ts";
 import type { OutboundCall } from "./outbound_call.ts";
 
@@ -19,6 +19,9 @@
 /** Statuses by which a backend server refuses a call as too much. */
 const SHED_STATUSES: ReadonlySet<number> = new Set([429, 503]);
 
+/** Reasons by which a backend server itself refuses a call. */
+const SHED_REASON = REASONS.backendRefused;
+
 /**
  * Admits a call to the backend server, runs it and reports the load on its outcome.
  *
@@ -45,10 +48,13 @@
   environment: CallEnvironment,
   call: OutboundCall,
 ): LoadSignal[] {
-  const { configuration, entryAdmission, inboundAdmission } = environment;
+  const { configuration, entryAdmission, inboundAdmission, paths } =
+    environment;
   const { requestName } = call.context;
-  const path = configuration.current?.requestsByName.get(requestName)?.path ??
-    [];
+  const path = paths.list(
+    requestName,
+    configuration.current?.requestsByName.get(requestName),
+  );
   const deeper = entryAdmission.listOverloaded(
     path.filter((service) => service !== call.service),
   );
@@ -81,26 +87,32 @@
   }
   const startedAtMs = clock.monotonicMs();
   const announcement = backend.announcement;
-  const { result, nestedMs } = announcement && startedAtMs < call.deadlineAtMs
+  const lateRefusal = refuseBeforeQueue(environment, call);
+  const { result, nestedMs } = announcement && !lateRefusal
     ? await callBackend(environment, call)
-    : { result: refuseExpired(call), nestedMs: 0 };
+    : { result: refuse(call, lateRefusal), nestedMs: 0 };
   const durationMs = clock.monotonicMs() - startedAtMs;
   permit.value.release({
     durationMs,
     ownDurationMs: durationMs - nestedMs,
     isAnswered: result.isOk(),
-    isShed: result.isOk() && nestedMs === 0 &&
-      SHED_STATUSES.has(result.value.status),
+    isShed: nestedMs === 0 && isShed(result),
   });
   return result;
 }
 
-function refuseExpired(call: OutboundCall): CallResult {
-  return err(
-    createRefusal(REASONS.deadlineExpired, {
-      unusedAllowance: call.context.retryAllowance,
-    }),
-  );
+function refuse(
+  call: OutboundCall,
+  reason: Reason = REASONS.noBackendServer,
+): CallResult {
+  const unusedAllowance = call.context.retryAllowance;
+  return err(createRefusal(reason, { unusedAllowance }));
+}
+
+function isShed(result: CallResult): boolean {
+  return result.isOk()
+    ? SHED_STATUSES.has(result.value.status)
+    : result.error.reason === SHED_REASON;
 }
 
 function refuseBeforeQueue(environment: CallEnvironment, call: OutboundCall) {
@@ -143,7 +155,11 @@
     remainingMs,
     () => controller.abort(REASONS.deadlineExpired),
   );
-  const active = activeCalls.begin(context, controller.signal);
+  const active = activeCalls.begin(
+    context,
+    controller.signal,
+    backendClient.chooseToken(context),
+  );
   const result = await backendClient.call(announcement, {
     ...call,
     context,
--- a/src/request/serve_peer_call.ts
+++ b/src/request/serve_peer_call.ts
@@ -38,6 +38,8 @@
   const call: OutboundCall = {
     ...{ context, idempotencyKey, service, method, path, contentType },
     ...options,
+    headers: message.headers,
+    callerService: message.callerService,
     attempt: message.attempt ?? 0,
     deadlineAtMs: clock.monotonicMs() + context.remainingMs,
     classRank: classRanks?.get(context.className) ?? classRanks?.size ?? 0,
--- a/src/routing/mod.ts
+++ b/src/routing/mod.ts
@@ -14,4 +14,6 @@
 } from "./instance_chooser.ts";
 export { LinkBudget } from "./link_budget.ts";
 export type { Locality } from "./locality_tiers.ts";
+export { WeightedSplit } from "./weighted_split.ts";
+export type { WeightedTarget } from "./weighted_split.ts";
 export { RandomChooser } from "./random_chooser.ts";
--- a/src/store/http_object_store.ts
+++ b/src/store/http_object_store.ts
@@ -1,68 +1,56 @@
 /**
- * Client of the object API over HTTP.
+ * Client of the object API over HTTP, in whichever form it is spoken to.
  */
 
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
 import { Pool } from "undici";
-import type { Dispatcher } from "undici";
 import { ObjectStore } from "./object_store.ts";
 import type { StoredObject, StoreFailure } from "./object_store.ts";
+import type {
+  StoreDialect,
+  StoreRequest,
+  StoreResponse,
+} from "./store_dialect.ts";
+import { VersionHeaderDialect } from "./version_header_dialect.ts";
 
 /** Time after which a read or write counts as failed, in milliseconds. */
 const REQUEST_TIMEOUT_MS = 2_000;
 
+/** Time allowed for opening a connection, in milliseconds. */
+const CONNECT_TIMEOUT_MS = 1_000;
+
 /** Added to a watch's own timeout before it counts as failed, in milliseconds. */
 const WATCH_GRACE_MS = 1_000;
 
 /** Connections that one process keeps to the store. */
 const MAX_CONNECTIONS = 4;
 
-const STATUS = {
-  ok: 200,
-  noChange: 204,
-  notFound: 404,
-  preconditionFailed: 412,
-} as const;
-
-interface StoreRequest {
-  readonly method: "GET" | "PUT";
-  readonly path: string;
-  readonly headers?: Record<string, string>;
-  readonly body?: string;
-  readonly timeoutMs: number;
-}
-
-interface StoreResponse {
-  readonly status: number;
-  readonly body: unknown;
-}
-
 /** Object API reached over HTTP. */
 export class HttpObjectStore extends ObjectStore {
   readonly #pool: Pool;
+  readonly #dialect: StoreDialect;
 
-  constructor(baseUrl: string) {
+  constructor(
+    baseUrl: string,
+    dialect: StoreDialect = new VersionHeaderDialect(),
+  ) {
     super();
-    this.#pool = new Pool(baseUrl, { connections: MAX_CONNECTIONS });
+    this.#dialect = dialect;
+    this.#pool = new Pool(baseUrl, {
+      connections: MAX_CONNECTIONS,
+      connect: { timeout: CONNECT_TIMEOUT_MS },
+    });
   }
 
   override async read(
     key: string,
   ): Promise<Result<StoredObject | undefined, StoreFailure>> {
-    const response = await this.#request({
-      method: "GET",
-      path: objectPath(key),
-      timeoutMs: REQUEST_TIMEOUT_MS,
-    });
-    return response.andThen(({ status, body }) => {
-      if (status === STATUS.notFound) {
-        return ok(undefined);
-      }
-      return status === STATUS.ok
-        ? ok(body as StoredObject)
-        : err(unavailable(`status ${status}`));
-    });
+    const response = await this.#send(
+      this.#dialect.encodeRead(key),
+      REQUEST_TIMEOUT_MS,
+    );
+    return response.andThen((each) => this.#dialect.decodeRead(key, each));
   }
 
   override async write(
@@ -70,32 +58,13 @@
     value: unknown,
     expectedVersion: number,
   ): Promise<Result<number, StoreFailure>> {
-    const response = await this.#request({
-      method: "PUT",
-      path: objectPath(key),
-      headers: {
-        "content-type": "application/json",
-        "if-match": String(expectedVersion),
-      },
-      body: JSON.stringify(value),
-      timeoutMs: REQUEST_TIMEOUT_MS,
-    });
-    if (response.isErr()) {
-      return err({ kind: "unsure", message: response.error.message });
-    }
-    const { status, body } = response.value;
-    switch (status) {
-      case STATUS.ok:
-        return ok((body as StoredObject).version);
-      case STATUS.preconditionFailed:
-        return err({
-          kind: "conflict",
-          message: "the object has changed",
-          current: body as StoredObject,
-        });
-      default:
-        return err({ kind: "unsure", message: `status ${status}` });
-    }
+    const response = await this.#send(
+      this.#dialect.encodeWrite(key, value, expectedVersion),
+      REQUEST_TIMEOUT_MS,
+    );
+    return response
+      .mapErr(({ message }): StoreFailure => ({ kind: "unsure", message }))
+      .andThen((each) => this.#dialect.decodeWrite(key, each));
   }
 
   override async watch(
@@ -103,22 +72,11 @@
     afterVersion: number,
     timeoutMs: number,
   ): Promise<Result<StoredObject | undefined, StoreFailure>> {
-    const path = `${
-      objectPath(key)
-    }?after=${afterVersion}&timeoutMs=${timeoutMs}`;
-    const response = await this.#request({
-      method: "GET",
-      path,
-      timeoutMs: timeoutMs + WATCH_GRACE_MS,
-    });
-    return response.andThen(({ status, body }) => {
-      if (status === STATUS.noChange || status === STATUS.notFound) {
-        return ok(undefined);
-      }
-      return status === STATUS.ok
-        ? ok(body as StoredObject)
-        : err(unavailable(`status ${status}`));
-    });
+    const first = await this.#watchOnce(key, afterVersion, timeoutMs);
+    const progress = first.isOk() && first.value.isPositioned
+      ? await this.#watchOnce(key, afterVersion, timeoutMs)
+      : first;
+    return progress.map(({ object }) => object);
   }
 
   /** Ends every connection. */
@@ -126,36 +84,29 @@
     await this.#pool.destroy();
   }
 
-  async #request(
+  async #watchOnce(key: string, afterVersion: number, timeoutMs: number) {
+    const response = await this.#send(
+      this.#dialect.encodeWatch(key, afterVersion, timeoutMs),
+      timeoutMs + WATCH_GRACE_MS,
+    );
+    return response.andThen((each) =>
+      this.#dialect.decodeWatch(key, afterVersion, each)
+    );
+  }
+
+  async #send(
     request: StoreRequest,
+    timeoutMs: number,
   ): Promise<Result<StoreResponse, StoreFailure>> {
-    const { timeoutMs, ...rest } = request;
-    const options: Dispatcher.RequestOptions = {
-      ...rest,
-      signal: AbortSignal.timeout(timeoutMs),
-    };
     try {
-      const response = await this.#pool.request(options);
-      const text = await response.body.text();
-      return ok({
-        status: response.statusCode,
-        body: hasObject(response.statusCode) ? JSON.parse(text) : undefined,
+      const response = await this.#pool.request({
+        ...request,
+        signal: AbortSignal.timeout(timeoutMs),
       });
+      const text = await response.body.text();
+      return ok({ status: response.statusCode, text });
     } catch (cause) {
-      return err(unavailable((cause as Error).message));
+      return err({ kind: "unavailable", message: (cause as Error).message });
     }
   }
 }
-
-/** Other answers carry no object; what stands between may answer in plain text. */
-function hasObject(status: number): boolean {
-  return status === STATUS.ok || status === STATUS.preconditionFailed;
-}
-
-function objectPath(key: string): string {
-  return `/objects/${encodeURIComponent(key)}`;
-}
-
-function unavailable(message: string): StoreFailure {
-  return { kind: "unavailable", message };
-}
--- /dev/null
+++ b/src/store/version_header_dialect.ts
@@ -0,0 +1,111 @@
+/**
+ * The object API in its plain form: one path an object, versions in `if-match`.
+ */
+
+import { err, ok } from "neverthrow";
+import type { Result } from "neverthrow";
+import type { StoredObject, StoreFailure } from "./object_store.ts";
+import {
+  describeAnswer,
+  parseStoreBody,
+  StoreDialect,
+} from "./store_dialect.ts";
+import type {
+  StoreRequest,
+  StoreResponse,
+  WatchProgress,
+} from "./store_dialect.ts";
+
+const STATUS = {
+  ok: 200,
+  noChange: 204,
+  notFound: 404,
+  preconditionFailed: 412,
+} as const;
+
+/** Speaks the plain form. */
+export class VersionHeaderDialect extends StoreDialect {
+  override encodeRead(key: string): StoreRequest {
+    return { method: "GET", path: nameObjectPath(key) };
+  }
+
+  override decodeRead(
+    _key: string,
+    response: StoreResponse,
+  ): Result<StoredObject | undefined, StoreFailure> {
+    if (response.status === STATUS.notFound) {
+      return ok(undefined);
+    }
+    return decodeObject(response);
+  }
+
+  override encodeWrite(
+    key: string,
+    value: unknown,
+    expectedVersion: number,
+  ): StoreRequest {
+    return {
+      method: "PUT",
+      path: nameObjectPath(key),
+      headers: {
+        "content-type": "application/json",
+        "if-match": String(expectedVersion),
+      },
+      body: JSON.stringify(value),
+    };
+  }
+
+  override decodeWrite(
+    _key: string,
+    response: StoreResponse,
+  ): Result<number, StoreFailure> {
+    const object = parseStoreBody(response) as StoredObject | undefined;
+    if (response.status === STATUS.ok && object) {
+      return ok(object.version);
+    }
+    return response.status === STATUS.preconditionFailed
+      ? err({
+        kind: "conflict",
+        message: "the object has changed",
+        current: object,
+      })
+      : err(describeAnswer("unsure", response));
+  }
+
+  override encodeWatch(
+    key: string,
+    afterVersion: number,
+    timeoutMs: number,
+  ): StoreRequest {
+    const query = `after=${afterVersion}&timeoutMs=${timeoutMs}`;
+    return { method: "GET", path: `${nameObjectPath(key)}?${query}` };
+  }
+
+  override decodeWatch(
+    _key: string,
+    _afterVersion: number,
+    response: StoreResponse,
+  ): Result<WatchProgress, StoreFailure> {
+    const { status } = response;
+    if (status === STATUS.noChange || status === STATUS.notFound) {
+      return ok({ object: undefined, isPositioned: false });
+    }
+    return decodeObject(response).map((object) => ({
+      object,
+      isPositioned: false,
+    }));
+  }
+}
+
+function decodeObject(
+  response: StoreResponse,
+): Result<StoredObject, StoreFailure> {
+  const object = parseStoreBody(response) as StoredObject | undefined;
+  return response.status === STATUS.ok && object
+    ? ok(object)
+    : err(describeAnswer("unavailable", response));
+}
+
+function nameObjectPath(key: string): string {
+  return `/objects/${encodeURIComponent(key)}`;
+}
--- a/src/testing/guarded/guarded_node.ts
+++ b/src/testing/guarded/guarded_node.ts
@@ -5,6 +5,7 @@
 
 import { Socket } from "node:net";
 import {
+  LearntPaths,
   OpenEntryAdmission,
   UnprotectedAdmission,
 } from "../../admission/mod.ts";
@@ -35,7 +36,7 @@
   MAX_JOINABLE_CALLS,
   RetryBudget,
 } from "../../retry/mod.ts";
-import { RandomChooser } from "../../routing/mod.ts";
+import { RandomChooser, WeightedSplit } from "../../routing/mod.ts";
 import {
   createSilentLogger,
   DaemonMetrics,
@@ -217,7 +218,9 @@
       backend: registry,
       backendClient: this.backend,
       entryAdmission: new OpenEntryAdmission(),
+      paths: new LearntPaths(clock),
       chooser: new RandomChooser(random),
+      split: new WeightedSplit(random),
       retryPolicy: new AllowanceRetryPolicy(
         new RetryBudget(clock, () => 1),
       ),
--- a/src/testing/guarded/recording_backend.ts
+++ b/src/testing/guarded/recording_backend.ts
@@ -36,10 +36,14 @@
   #runs = 0;
 
   constructor(options: RecordingBackendOptions) {
-    super("127.0.0.1");
+    super();
     this.#options = options;
   }
 
+  override close(): Promise<void> {
+    return Promise.resolve();
+  }
+
   override async call(
     _announcement: Announcement,
     call: BackendCall,
--- a/src/testing/light_configuration_daemon.ts
+++ b/src/testing/light_configuration_daemon.ts
@@ -12,6 +12,7 @@
   ConfigurationReader,
   ConfigurationSpread,
   createConfigurationTransfer,
+  StoredConfigurationSource,
 } from "../configuration/mod.ts";
 import type { VersionNotice } from "../configuration/mod.ts";
 import type { MemberRecord } from "../generated/types.ts";
@@ -61,7 +62,9 @@
     this.store = new MemoryObjectStore({ table: fleet.table, clock, faults });
     this.journal = new DecisionJournal(clock);
     this.spread = new ConfigurationSpread({
-      reader: new ConfigurationReader(this.store),
+      source: new StoredConfigurationSource(
+        new ConfigurationReader(this.store),
+      ),
       holder: this.holder,
       peers: this,
       clock,
--- a/src/testing/small_fleet.ts
+++ b/src/testing/small_fleet.ts
@@ -136,6 +136,7 @@
       logLevel: "error",
       randomSeed: 7,
       drainTimeoutMs: this.#plan.drainTimeoutMs ?? 1,
+      leaveNoticeMs: 1_000,
       maxBodyBytes: 1_048_576,
     };
     const links = this.#plan.links ?? {};
--- a/src/tools/build_programs.ts
+++ b/src/tools/build_programs.ts
@@ -8,11 +8,20 @@
 
 const PROGRAMS = [
   {
-    source: "build/daemon/main.js",
+    source: "build/src/daemon/main.js",
     target: "dist/celeryhollowd.js",
     flags: DAEMON_NODE_FLAGS,
   },
-  { source: "build/cli/main.js", target: "dist/celeryhollow.js", flags: [] },
+  {
+    source: "build/platform/main.js",
+    target: "target/celeryhollowd.js",
+    flags: [],
+  },
+  {
+    source: "build/src/cli/main.js",
+    target: "dist/celeryhollow.js",
+    flags: [],
+  },
 ] as const;
 
 const EXECUTABLE_MODE = 0o755;
@@ -22,7 +31,9 @@
   `import { createRequire as createRequireHere } from "node:module";
 const require = createRequireHere(import.meta.url);`;
 
-await mkdir("dist", { recursive: true });
+await Promise.all(
+  ["dist", "target"].map((folder) => mkdir(folder, { recursive: true })),
+);
 for (const { source, target, flags } of PROGRAMS) {
   await build({
     entryPoints: [source],
