Write decisions to standard output, bounded and without waiting; share the retry slack among daemons

Cause: the log library is silent unless a variable is set when it loads, so no line was ever written; a budget of ten retries an edge lets a large fleet exceed any slack. Retries beyond the ratio are a share of the fleet's slack. Frames of one turn leave in one write. The farewell of another lifetime is ignored (the test failed before).

--- /dev/null
+++ b/src/admission/learnt_paths_test.ts
@@ -0,0 +1,21 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { ManualClock } from "../testing/manual_clock.ts";
+import { LearntPaths } from "./learnt_paths.ts";
+
+test("a path is what was met lately", () => {
+  const clock = new ManualClock();
+  const paths = new LearntPaths(clock);
+  paths.note("rounds", "ledger");
+  clock.advance(50_000);
+  paths.noteLoads("rounds", [{
+    service: "stock",
+    ...{ inFlight: 1, queued: 0, limit: 4, admitLevel: 0.5 },
+  }]);
+  assert.equal(paths.list("rounds", undefined), ["ledger", "stock"]);
+  assert.equal(paths.list("other", undefined), []);
+  clock.advance(20_000);
+  assert.equal(paths.list("rounds", undefined), ["stock"]);
+});
+
+test.run();
--- a/src/backend/backend_registry.ts
+++ b/src/backend/backend_registry.ts
@@ -16,6 +16,11 @@
 /** One of {@link BACKEND_STATES}. */
 export type BackendState = (typeof BACKEND_STATES)[keyof typeof BACKEND_STATES];
 
+/** Which backend server says farewell; the present one where nothing is given. */
+export type LeavingServer = Partial<
+  Pick<Announcement, "instanceId" | "startedAtMs">
+>;
+
 /** Remembers the latest announcement and whether it still holds. */
 export class BackendRegistry {
   readonly #clock: Clock;
@@ -89,9 +94,13 @@
     }
   }
 
-  /** The backend server takes no new work from now on; a farewell of one that was replaced is ignored. */
-  leave(instanceId = this.#announcement?.instanceId): void {
-    if (instanceId !== this.#announcement?.instanceId) {
+  /** The backend server takes no new work from now on; a farewell of another lifetime is ignored. */
+  leave({ instanceId, startedAtMs }: LeavingServer = {}): void {
+    const known = this.#announcement;
+    const isOther =
+      (instanceId !== undefined && instanceId !== known?.instanceId) ||
+      (startedAtMs !== undefined && startedAtMs !== known?.startedAtMs);
+    if (isOther) {
       return;
     }
     this.#leftAtMs ??= this.#clock.monotonicMs();
--- a/src/daemon/create_daemon_parts.ts
+++ b/src/daemon/create_daemon_parts.ts
@@ -117,7 +117,7 @@
     maxBodyBytes: settings.maxBodyBytes,
     ...overrides.dial === undefined ? {} : { dial: overrides.dial },
   };
-  const journal = new DecisionJournal(clock);
+  const journal = new DecisionJournal(clock, log);
   const metrics = new DaemonMetrics();
   const seeds = settings.seeds.split(",").filter((seed) => seed !== "");
   const isProtected = settings.protection === "on";
--- a/src/daemon/create_outbound_parts.ts
+++ b/src/daemon/create_outbound_parts.ts
@@ -8,9 +8,11 @@
 import {
   AllowanceRetryPolicy,
   CallJoiner,
+  DEFAULT_EDGE_BOUNDS,
   EveryHopRetryPolicy,
   MAX_JOINABLE_CALLS,
   RetryBudget,
+  shareRetrySlack,
 } from "../retry/mod.ts";
 import type { RetryPolicy } from "../retry/mod.ts";
 import {
@@ -91,15 +93,23 @@
     },
   });
   const readRetryRatio = () => configuration.current?.document.retryRatio ?? 0;
+  let knownDaemons = 1;
+  const readEdgeBounds = () => {
+    const retrySlack = configuration.current?.document.retrySlack;
+    return retrySlack === undefined
+      ? DEFAULT_EDGE_BOUNDS
+      : shareRetrySlack(retrySlack, knownDaemons);
+  };
   return {
     reportReplacement,
     chooser: options.routing === "random" ? new RandomChooser(random) : chooser,
     retryPolicy: new AllowanceRetryPolicy(
-      new RetryBudget(clock, readRetryRatio),
+      new RetryBudget(clock, readRetryRatio, readEdgeBounds),
     ),
     joiner: new CallJoiner(MAX_JOINABLE_CALLS),
     maintain: (members) => {
       const alive = members.filter(({ state }) => state !== "dead");
+      knownDaemons = alive.length;
       const document = configuration.current?.document;
       const daemons = countRegionDaemons(alive, self, document?.regions ?? []);
       const linkBitsPerSecond = document?.regionLinkBitsPerSecond ?? 0;
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -4,6 +4,7 @@
 
 import process from "node:process";
 import { Cli } from "clipanion";
+import { flushLogs } from "../telemetry/mod.ts";
 import { DaemonCommand } from "./daemon_command.ts";
 
 const cli = new Cli({
@@ -12,4 +13,6 @@
   binaryVersion: "0.1.0",
 });
 cli.register(DaemonCommand);
-process.exit(await cli.run(process.argv.slice(2)));
+const exitCode = await cli.run(process.argv.slice(2));
+await flushLogs();
+process.exit(exitCode);
--- a/src/peer/frame_writer.ts
+++ b/src/peer/frame_writer.ts
@@ -5,6 +5,7 @@
  */
 
 import type { Socket } from "node:net";
+import process from "node:process";
 import { CHUNK_BYTES } from "../constants/mod.ts";
 import type {
   CallMessage,
@@ -20,6 +21,7 @@
 export class FrameWriter {
   readonly #socket: Socket;
   #waitingBodyBytes = 0;
+  #isCorked = false;
   #drained: Promise<void> | undefined;
 
   constructor(socket: Socket) {
@@ -39,9 +41,15 @@
 
   /** Writes one message. */
   send(message: PeerMessage): void {
-    if (!this.#socket.destroyed) {
-      this.#socket.write(encodeFrame(message));
+    if (this.#socket.destroyed) {
+      return;
+    }
+    if (!this.#isCorked) {
+      this.#isCorked = true;
+      this.#socket.cork();
+      process.nextTick(() => this.#uncork());
     }
+    this.#socket.write(encodeFrame(message));
   }
 
   /** Writes a message with its body, in one frame or in chunks. */
@@ -54,6 +62,12 @@
     void this.#sendChunks(head, body);
   }
 
+  /** Frames of one turn leave together. */
+  #uncork(): void {
+    this.#isCorked = false;
+    this.#socket.uncork();
+  }
+
   async #sendChunks(
     head: CallMessage | ReplyMessage,
     body: Uint8Array,
--- a/src/request/dispatch_call.ts
+++ b/src/request/dispatch_call.ts
@@ -59,7 +59,9 @@
     allowance += readUnused(result, handedDown) - handedDown;
     const failure = history.note(result);
     if (!failure) {
-      retryPolicy.recordSuccess(service);
+      if (call.context.depth === 0 || call.maxAttempts === undefined) {
+        retryPolicy.recordSuccess(service);
+      }
       return result.map((answer) => ({
         ...answer,
         unusedAllowance: allowance,
--- a/src/retry/retry_budget.ts
+++ b/src/retry/retry_budget.ts
@@ -7,14 +7,22 @@
 
 import type { Clock } from "../time/mod.ts";
 
-/** Tokens that one edge can hold. */
-const MAX_TOKENS = 10;
-
-/** Tokens of an edge that has not been used. */
-const INITIAL_TOKENS = 2;
+/** What one edge holds and gains. */
+export interface EdgeBounds {
+  /** Tokens that it can hold. */
+  readonly maxTokens: number;
+  /** Tokens of an edge that has not been used. */
+  readonly initialTokens: number;
+  /** Tokens that it gains each second without successes. */
+  readonly tricklePerSecond: number;
+}
 
-/** Tokens that an edge gains each second without successes. */
-const TRICKLE_PER_SECOND = 0.2;
+/** Bounds where the fleet as a whole has none. */
+export const DEFAULT_EDGE_BOUNDS: EdgeBounds = {
+  maxTokens: 10,
+  initialTokens: 2,
+  tricklePerSecond: 0.2,
+};
 
 /** Edges that are remembered; the one used longest ago is forgotten first. */
 const MAX_EDGES = 2_000;
@@ -28,10 +36,16 @@
 export class RetryBudget {
   readonly #clock: Clock;
   readonly #readRetryRatio: () => number;
+  readonly #readBounds: () => EdgeBounds;
   readonly #buckets = new Map<string, Bucket>();
 
-  constructor(clock: Clock, readRetryRatio: () => number) {
+  constructor(
+    clock: Clock,
+    readRetryRatio: () => number,
+    readBounds: () => EdgeBounds = () => DEFAULT_EDGE_BOUNDS,
+  ) {
     this.#clock = clock;
+    this.#readBounds = readBounds;
     this.#readRetryRatio = readRetryRatio;
   }
 
@@ -39,7 +53,7 @@
   earn(service: string): void {
     const bucket = this.#refresh(service);
     bucket.tokens = Math.min(
-      MAX_TOKENS,
+      this.#readBounds().maxTokens,
       bucket.tokens + this.#readRetryRatio(),
     );
   }
@@ -61,10 +75,11 @@
 
   #refresh(service: string): Bucket {
     const nowMs = this.#clock.monotonicMs();
+    const { initialTokens, maxTokens, tricklePerSecond } = this.#readBounds();
     const bucket = this.#buckets.get(service) ??
-      { tokens: INITIAL_TOKENS, updatedAtMs: nowMs };
-    const gained = (nowMs - bucket.updatedAtMs) / 1_000 * TRICKLE_PER_SECOND;
-    bucket.tokens = Math.min(MAX_TOKENS, bucket.tokens + gained);
+      { tokens: initialTokens, updatedAtMs: nowMs };
+    const gained = (nowMs - bucket.updatedAtMs) / 1_000 * tricklePerSecond;
+    bucket.tokens = Math.min(maxTokens, bucket.tokens + gained);
     bucket.updatedAtMs = nowMs;
     this.#buckets.delete(service);
     this.#buckets.set(service, bucket);
--- /dev/null
+++ b/src/retry/share_retry_slack_test.ts
@@ -0,0 +1,44 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { ManualClock } from "../testing/manual_clock.ts";
+import { RetryBudget } from "./retry_budget.ts";
+import { shareRetrySlack } from "./share_retry_slack.ts";
+
+const WINDOW_MS = 10_000;
+const STEP_MS = 100;
+
+/** Pattern: every daemon retries as often as it may, in every window from the start. */
+test("what all daemons spend without successes stays within the fleet's slack in any window", () => {
+  for (const [daemons, slack] of [[17, 48], [88, 117], [300, 112], [5, 3]]) {
+    const clock = new ManualClock();
+    const bounds = shareRetrySlack(slack ?? 0, daemons ?? 1);
+    const budgets = Array.from(
+      { length: daemons ?? 1 },
+      () => new RetryBudget(clock, () => 0.1, () => bounds),
+    );
+    const spentAtMs: number[] = [];
+    for (let atMs = 0; atMs < 4 * WINDOW_MS; atMs += STEP_MS) {
+      for (const budget of budgets) {
+        while (budget.spend("stock")) {
+          spentAtMs.push(atMs);
+        }
+      }
+      const inWindow = spentAtMs.filter((each) => each > atMs - WINDOW_MS);
+      assert.ok(inWindow.length <= (slack ?? 0), `${daemons} daemons`);
+      clock.advance(STEP_MS);
+    }
+  }
+});
+
+test("a daemon with a small share can still save up one retry by successes", () => {
+  const budget = new RetryBudget(
+    new ManualClock(),
+    () => 0.1,
+    () => shareRetrySlack(10, 1_000),
+  );
+  assert.not(budget.spend("stock"));
+  Array.from({ length: 11 }, () => budget.earn("stock"));
+  assert.ok(budget.spend("stock"));
+});
+
+test.run();
--- /dev/null
+++ b/src/routing/weighted_split_test.ts
@@ -0,0 +1,60 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { RandomSource } from "../time/mod.ts";
+import { WeightedSplit } from "./weighted_split.ts";
+import type { WeightedTarget } from "./weighted_split.ts";
+
+function count(
+  split: WeightedSplit,
+  targets: readonly WeightedTarget[],
+  requests: number,
+): Record<string, number> {
+  const counts: Record<string, number> = {};
+  for (let index = 0; index < requests; index += 1) {
+    const service = split.choose("rounds", targets) ?? "none";
+    counts[service] = (counts[service] ?? 0) + 1;
+  }
+  return counts;
+}
+
+test("any stretch of requests is divided in proportion to the weights", () => {
+  const targets = [
+    { service: "one", weight: 90 },
+    { service: "other", weight: 10 },
+  ];
+  for (let seed = 1; seed <= 20; seed += 1) {
+    const split = new WeightedSplit(new RandomSource(seed));
+    count(split, targets, seed * 7);
+    assert.equal(count(split, targets, 100), { one: 90, other: 10 });
+  }
+});
+
+test("daemons do not all begin with the same service", () => {
+  const targets = [
+    { service: "one", weight: 50 },
+    { service: "other", weight: 50 },
+  ];
+  const random = new RandomSource(7);
+  const first = Array.from(
+    { length: 20 },
+    () => new WeightedSplit(random).choose("rounds", targets),
+  );
+  assert.equal([...new Set(first)].sort(), ["one", "other"]);
+});
+
+test("a service without weight gets nothing, and new weights hold at once", () => {
+  const split = new WeightedSplit(new RandomSource(1));
+  const closed = [
+    { service: "one", weight: 1 },
+    { service: "other", weight: 0 },
+  ];
+  assert.equal(count(split, closed, 10), { one: 10 });
+  const moved = [
+    { service: "one", weight: 0 },
+    { service: "other", weight: 1 },
+  ];
+  assert.equal(count(split, moved, 10), { other: 10 });
+  assert.is(split.choose("rounds", []), undefined);
+});
+
+test.run();
--- a/src/telemetry/decision_journal.ts
+++ b/src/telemetry/decision_journal.ts
@@ -3,6 +3,9 @@
  */
 
 import type { Clock } from "../time/mod.ts";
+import { createSilentLogger } from "./logger.ts";
+import type { Logger } from "./logger.ts";
+import { LogLimiter } from "./log_limiter.ts";
 
 /** Entries of one kind kept by one daemon. */
 const ENTRIES_PER_KIND = 500;
@@ -64,20 +67,32 @@
  */
 export class DecisionJournal {
   readonly #clock: Clock;
+  readonly #log: Logger;
+  readonly #limiter: LogLimiter;
   readonly #rings = new Map<DecisionKind, Ring>();
   #count = 0;
 
-  constructor(clock: Clock) {
+  constructor(clock: Clock, log: Logger = createSilentLogger()) {
     this.#clock = clock;
+    this.#log = log;
+    this.#limiter = new LogLimiter(clock);
   }
 
-  /** Records a decision; `requestId` is empty where it concerns no single request. */
+  /** Records and logs a decision; `requestId` is empty where it concerns no single request. */
   record(kind: DecisionKind, facts: DecisionFacts, requestId = ""): void {
     const ring = this.#findRing(kind);
     const entry = { atMs: this.#clock.nowMs(), kind, requestId, facts };
     ring.entries[ring.next] = { number: this.#count, entry };
     ring.next = (ring.next + 1) % ENTRIES_PER_KIND;
     this.#count += 1;
+    const suppressed = this.#limiter.take(kind);
+    if (suppressed !== undefined) {
+      this.#log.info({
+        ...facts,
+        ...requestId !== "" && { requestId },
+        ...suppressed > 0 && { suppressed },
+      }, kind);
+    }
   }
 
   /** Lists matching entries, the oldest first. */
--- /dev/null
+++ b/src/telemetry/line_writer_test.ts
@@ -0,0 +1,58 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { LineWriter } from "./line_writer.ts";
+import type { WriteBytes } from "./line_writer.ts";
+
+function createSink() {
+  let text = "";
+  const waiting: (() => void)[] = [];
+  const write: WriteBytes = (bytes, done) => {
+    waiting.push(() => {
+      const part = bytes.subarray(0, 7);
+      text += new TextDecoder().decode(part);
+      done(null, part.length);
+    });
+  };
+  return {
+    write,
+    readText: () => text,
+    async drain() {
+      for (let step = waiting.shift(); step; step = waiting.shift()) {
+        step();
+        await Promise.resolve();
+      }
+    },
+  };
+}
+
+test("lines are written whole and in order, also when a write takes only a part", async () => {
+  const sink = createSink();
+  const writer = new LineWriter(sink.write);
+  ["first line", "second", "third one"].forEach((line) => writer.add(line));
+  const finished = writer.finish();
+  await sink.drain();
+  await finished;
+  assert.is(sink.readText(), "first line\nsecond\nthird one\n");
+});
+
+test("a reader that stands still costs lines, not memory", () => {
+  const writer = new LineWriter(() => undefined);
+  Array.from({ length: 10_000 }, () => writer.add("x".repeat(100)));
+  assert.ok(writer.droppedLines > 5_000);
+});
+
+test("a write that would block is tried again", async () => {
+  let attempts = 0;
+  const writer = new LineWriter((bytes, done) => {
+    attempts += 1;
+    const blocked = Object.assign(new Error("blocked"), { code: "EAGAIN" });
+    done(attempts === 1 ? blocked : null, bytes.length);
+  });
+  const keepAlive = setInterval(() => undefined, 1_000);
+  writer.add("line");
+  await writer.finish();
+  clearInterval(keepAlive);
+  assert.is(attempts, 2);
+});
+
+test.run();
--- /dev/null
+++ b/src/telemetry/log_limiter_test.ts
@@ -0,0 +1,18 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { ManualClock } from "../testing/manual_clock.ts";
+import { LogLimiter } from "./log_limiter.ts";
+
+test("a flood of one event is bounded and counted, and hides no other event", () => {
+  const clock = new ManualClock();
+  const limiter = new LogLimiter(clock);
+  const taken = Array.from({ length: 1_000 }, () => limiter.take("refusal"))
+    .filter((suppressed) => suppressed !== undefined);
+  assert.ok(taken.length < 50);
+  assert.is(limiter.take("ejection"), 0);
+  clock.advance(1_000);
+  assert.is(limiter.take("refusal"), 1_000 - taken.length);
+  assert.is(limiter.take("refusal"), 0);
+});
+
+test.run();
--- a/src/telemetry/logger.ts
+++ b/src/telemetry/logger.ts
@@ -2,9 +2,12 @@
  * Structured logs: one JSON object a line, with a stable event name.
  */
 
-import process from "node:process";
+import "./enable_roarr.ts";
 import { Roarr } from "roarr";
 import type { Logger as RoarrLogger } from "roarr";
+import { LineWriter } from "./line_writer.ts";
+
+const standardOutput = new LineWriter();
 
 /** Writer of log lines. The second argument of each method names the event. */
 export interface Logger {
@@ -43,7 +46,7 @@
 ): Logger {
   const roarr = Roarr.child({ ...context }) as RoarrLogger;
   if (globalThis.ROARR) {
-    globalThis.ROARR.write = (message) => process.stdout.write(`${message}\n`);
+    globalThis.ROARR.write = (message) => standardOutput.add(message);
   }
   const minimum = LOG_LEVELS.indexOf(minimumLevel);
   function write(level: LogLevel, fields: LogContext, event: string): void {
@@ -71,3 +74,15 @@
   const drop = () => undefined;
   return { debug: drop, info: drop, warn: drop, error: drop };
 }
+
+/**
+ * Writes the lines that still wait, before the process ends.
+ *
+ * @returns When they are written
+ *
+ * @example
+ * await flushLogs();
+ */
+export function flushLogs(): Promise<void> {
+  return standardOutput.finish();
+}
--- a/src/telemetry/mod.ts
+++ b/src/telemetry/mod.ts
@@ -9,6 +9,7 @@
   JournalEntry,
   JournalFilter,
 } from "./decision_journal.ts";
+export { flushLogs } from "./logger.ts";
 export { createLogger, createSilentLogger, LOG_LEVELS } from "./logger.ts";
 export type { LogContext, Logger, LogLevel } from "./logger.ts";
 export { DaemonMetrics } from "./metrics.ts";
