--- /dev/null
+++ b/src/admission/acceptance_throttle.ts
@@ -0,0 +1,78 @@
+/**
+ * How much of the demand for one kind of request an entry lets through.
+ *
+ * Answers the pattern of a service deep in the path that fails or sheds a part
+ * of its calls: a request which needs several of them is lost with any one, so
+ * that running all of them serves nobody. The throttle admits a little more
+ * than what was served lately, whatever the cause, and so finds both the limit
+ * and the recovery without a word from the service (adaptive throttling).
+ */
+
+import type { Clock } from "../time/mod.ts";
+
+/** Time in which earlier requests lose most of their weight, in milliseconds. */
+const MEMORY_MS = 1_500;
+
+/** Requests below which nothing is concluded. */
+const MIN_REQUESTS = 6;
+
+/** Least share that is admitted, so that a recovery is noticed. */
+const MIN_ADMIT_RATIO = 0.05;
+
+/** Share of the admitted requests that are served from which the throttle opens. */
+const HEALTHY_RATIO = 0.9;
+
+/** Headroom while it opens; from the least share all is admitted again within about five seconds. */
+const OPENING_HEADROOM = 2.2;
+
+/** Requests and served ones of one kind, weighted by age. */
+export class AcceptanceThrottle {
+  readonly #clock: Clock;
+  #requests = 0;
+  #admitted = 0;
+  #served = 0;
+  #updatedAtMs: number;
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+    this.#updatedAtMs = clock.monotonicMs();
+  }
+
+  /** A request has come, whether it is admitted or not. */
+  noteRequest(): void {
+    this.#age();
+    this.#requests += 1;
+  }
+
+  /** An admitted request has ended. */
+  noteEnd(isServed: boolean): void {
+    this.#age();
+    this.#admitted += 1;
+    this.#served += Number(isServed);
+  }
+
+  /**
+   * Share of the requests to admit.
+   *
+   * @param headroom - How many times the served requests may be let through; above 1
+   */
+  computeAdmitRatio(headroom: number): number {
+    this.#age();
+    if (this.#requests < MIN_REQUESTS) {
+      return 1;
+    }
+    const isHealthy = this.#served >= this.#admitted * HEALTHY_RATIO;
+    const factor = isHealthy ? Math.max(OPENING_HEADROOM, headroom) : headroom;
+    const ratio = factor * (this.#served + 1) / this.#requests;
+    return Math.min(1, Math.max(MIN_ADMIT_RATIO, ratio));
+  }
+
+  #age(): void {
+    const nowMs = this.#clock.monotonicMs();
+    const weight = Math.exp(-(nowMs - this.#updatedAtMs) / MEMORY_MS);
+    this.#updatedAtMs = nowMs;
+    this.#requests *= weight;
+    this.#admitted *= weight;
+    this.#served *= weight;
+  }
+}
--- a/src/admission/entry_admission.ts
+++ b/src/admission/entry_admission.ts
@@ -29,6 +29,11 @@
   /** Learns from the load signals of a reply. */
   abstract observe(loads: readonly LoadSignal[]): void;
 
+  /** Learns how an admitted request ended: whether callers got what they asked for. */
+  noteOutcome(_request: CompiledRequest, _isServed: boolean): void {
+    // Only what learns from outcomes needs them.
+  }
+
   /** Signals of overloaded services to pass on to those who call through this daemon. */
   abstract listOverloaded(services: readonly string[]): LoadSignal[];
 }
--- a/src/admission/mod.ts
+++ b/src/admission/mod.ts
@@ -9,6 +9,7 @@
 export { hashText } from "../hashing/mod.ts";
 export { InboundAdmission } from "./inbound_admission.ts";
 export type { InboundCall, Permit, PermitUse } from "./inbound_admission.ts";
+export { ThrottledEntryAdmission } from "./throttled_entry_admission.ts";
 export { LearntPaths } from "./learnt_paths.ts";
 export { LevelEntryAdmission } from "./level_entry_admission.ts";
 export type { LevelEntryOptions } from "./level_entry_admission.ts";
--- /dev/null
+++ b/src/admission/throttled_entry_admission_test.ts
@@ -0,0 +1,148 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import type { CompiledRequest } from "../configuration/mod.ts";
+import { DaemonMetrics, DecisionJournal } from "../telemetry/mod.ts";
+import { ManualClock } from "../testing/manual_clock.ts";
+import { RandomSource } from "../time/mod.ts";
+import type { EntryAdmission } from "./entry_admission.ts";
+import { OpenEntryAdmission } from "./entry_admission.ts";
+import { ThrottledEntryAdmission } from "./throttled_entry_admission.ts";
+
+/** Slots of the deep service and time for which a call holds one. */
+const DEEP_SLOTS = 20;
+const HOLD_MS = 20;
+
+/** Calls of the deep service that one request needs. */
+const FAN_OUT = 4;
+
+const STEP_MS = 100;
+const CAPACITY_PER_STEP = DEEP_SLOTS * STEP_MS / HOLD_MS;
+
+interface Load {
+  /** Requests in each step, the important kind first. */
+  readonly requests: readonly [number, number];
+  /** Share of the deep service's calls that it sheds whatever its load. */
+  readonly shedRatio: number;
+}
+
+function createRequest(name: string, classRank: number): CompiledRequest {
+  return {
+    name,
+    classRank,
+    className: name,
+    service: "deep",
+  } as CompiledRequest;
+}
+
+const KINDS = [createRequest("delivery", 0), createRequest("rounds", 2)];
+
+function createAdmission(clock: ManualClock): EntryAdmission {
+  return new ThrottledEntryAdmission({
+    clock,
+    random: new RandomSource(11),
+    journal: new DecisionJournal(clock),
+    metrics: new DaemonMetrics(),
+    readLowestRank: () => 2,
+  });
+}
+
+/** Runs a load on a service that serves important calls first and drops what does not fit; gives the served share by kind. */
+function runLoad(
+  admission: EntryAdmission,
+  clock: ManualClock,
+  { load, steps }: { readonly load: Load; readonly steps: number },
+): number[] {
+  const random = new RandomSource(5);
+  const asked = [0, 0];
+  const served = [0, 0];
+  for (let step = 0; step < steps; step += 1) {
+    let room = CAPACITY_PER_STEP;
+    for (const [kind, request] of KINDS.entries()) {
+      for (let each = 0; each < (load.requests[kind] ?? 0); each += 1) {
+        asked[kind] = (asked[kind] ?? 0) + 1;
+        const grant = admission.check({ request, member: "", requestId: "" });
+        if (grant.isErr()) {
+          continue;
+        }
+        const calls = Math.min(FAN_OUT, room);
+        room -= calls;
+        const isWhole = calls === FAN_OUT &&
+          random.nextRatio() < (1 - load.shedRatio) ** FAN_OUT;
+        admission.noteOutcome(request, isWhole);
+        served[kind] = (served[kind] ?? 0) + Number(isWhole);
+      }
+    }
+    clock.advance(STEP_MS);
+  }
+  return served.map((count, kind) => count / Math.max(1, asked[kind] ?? 0));
+}
+
+function countCalls(admission: EntryAdmission, shedRatio: number): number {
+  const random = new RandomSource(3);
+  const [, request] = KINDS;
+  let admitted = 0;
+  for (let each = 0; each < 400 && request; each += 1) {
+    if (admission.check({ request, member: "", requestId: "" }).isOk()) {
+      admitted += 1;
+      const isServed = random.nextRatio() < (1 - shedRatio) ** FAN_OUT;
+      admission.noteOutcome(request, isServed);
+    }
+  }
+  return admitted;
+}
+
+test("nothing is refused while the path carries the load", () => {
+  const clock = new ManualClock();
+  const load: Load = { requests: [10, 10], shedRatio: 0 };
+  const shares = runLoad(createAdmission(clock), clock, { load, steps: 50 });
+  assert.equal(shares, [1, 1]);
+});
+
+/** Pattern: a deep service sheds half of its calls, and each request needs four. */
+test("a kind of request that is mostly lost on the way is mostly refused before it starts", () => {
+  const clock = new ManualClock();
+  const open = countCalls(new OpenEntryAdmission(), 0.55);
+  const throttled = countCalls(createAdmission(clock), 0.55);
+  assert.is(open, 400);
+  assert.ok(throttled < 100, `${throttled} started`);
+});
+
+test("the important kind is served whole while the other one is refused", () => {
+  const clock = new ManualClock();
+  const load: Load = { requests: [10, 30], shedRatio: 0 };
+  const [important = 0, other = 0] = runLoad(createAdmission(clock), clock, {
+    load,
+    steps: 200,
+  });
+  assert.is(important, 1);
+  assert.ok(other > 0.4, `${other} of the others, of which half fit`);
+});
+
+test("all is admitted again within seconds of the recovery", () => {
+  const clock = new ManualClock();
+  const admission = createAdmission(clock);
+  const steps = 50;
+  runLoad(admission, clock, {
+    load: { requests: [10, 10], shedRatio: 0.6 },
+    steps,
+  });
+  const calm: Load = { requests: [10, 10], shedRatio: 0 };
+  runLoad(admission, clock, { load: calm, steps });
+  const shares = runLoad(admission, clock, { load: calm, steps: 20 });
+  assert.ok(shares.every((share) => share > 0.98), shares.join());
+});
+
+test("callers are asked to return at different moments, later where fewer are admitted", () => {
+  const clock = new ManualClock();
+  const admission = createAdmission(clock);
+  const [, request] = KINDS;
+  const waits = Array.from({ length: 200 }, () => {
+    const grant = request &&
+      admission.check({ request, member: "", requestId: "" });
+    return grant?.isErr() ? grant.error.retryAfterMs : 0;
+  }).filter((waitMs) => waitMs > 0);
+  assert.ok(new Set(waits).size > waits.length / 2);
+  assert.ok(Math.max(...waits) > 1_000);
+});
+
+test.run();
--- a/src/daemon/create_daemon_parts.ts
+++ b/src/daemon/create_daemon_parts.ts
@@ -2,7 +2,7 @@
  * Creation of the parts of one daemon.
  */
 
-import { LearntPaths } from "../admission/mod.ts";
+import { LearntPaths, ThrottledEntryAdmission } from "../admission/mod.ts";
 import { BackendRegistry, HttpBackendClient } from "../backend/mod.ts";
 import type { BackendClient } from "../backend/mod.ts";
 import {
@@ -60,6 +60,8 @@
   ) => ConfigurationSource;
   /** Daemons of a failure domain that watch the object API. */
   readonly watchersPerDomain?: number;
+  /** Decides at the entry by what was served instead of by what services report. */
+  readonly throttlesByOutcome?: boolean;
   /** Calls to this VM's backend server. */
   readonly createBackendClient?: (clock: Clock) => BackendClient;
   /** Age after which an announcement that was not renewed lapses, in milliseconds. */
@@ -189,6 +191,12 @@
       configuration,
       incarnation,
     }),
+    ...overrides.throttlesByOutcome && {
+      entryAdmission: new ThrottledEntryAdmission({
+        ...{ clock, random, journal, metrics },
+        readLowestRank: () => (configuration.current?.classRanks.size ?? 1) - 1,
+      }),
+    },
     paths: new LearntPaths(clock),
     split: new WeightedSplit(random),
     chooser: outbound.chooser,
--- a/src/request/serve_routed_call.ts
+++ b/src/request/serve_routed_call.ts
@@ -90,7 +90,9 @@
   parent: ActiveCall | undefined,
 ): Promise<CallResult> {
   if (!parent) {
-    return await dispatchCall(environment, call);
+    const result = await dispatchCall(environment, call);
+    noteOutcome(environment, call, result);
+    return result;
   }
   parent.nestedTime.begin();
   const result = await dispatchCall(environment, call);
@@ -101,6 +103,21 @@
   return result;
 }
 
+/** Tells the entry whether its caller was served; one that has left tells nothing. */
+function noteOutcome(
+  { configuration, entryAdmission }: CallEnvironment,
+  { context, signal }: OutboundCall,
+  result: CallResult,
+): void {
+  const request = configuration.current?.requestsByName.get(
+    context.requestName,
+  );
+  if (request) {
+    const isServed = result.isOk() && !isErrorAnswer(result);
+    entryAdmission.noteOutcome(request, isServed || signal.aborted);
+  }
+}
+
 function prepareCall(
   environment: CallEnvironment,
   routed: RoutedCall,
