--- a/src/backend/backend_registry_test.ts
+++ b/src/backend/backend_registry_test.ts
@@ -77,4 +77,40 @@
   assert.is(registry.state, "leaving");
 });
 
+function createLifetime(startedAtMs: number, sequence: number): Announcement {
+  return {
+    ...createAnnouncement(),
+    ...{ instanceId: "instance-1", startedAtMs, sequence },
+  };
+}
+
+test("a delayed announcement of an earlier lifetime revives nothing", () => {
+  const { registry } = createRegistry();
+  registry.announce(createLifetime(2_000, 1));
+  registry.leave({ instanceId: "instance-1", startedAtMs: 2_000 });
+  registry.announce(createLifetime(1_000, 99));
+  assert.is(registry.state, "leaving");
+  assert.is(registry.announcement?.startedAtMs, 2_000);
+});
+
+test("an announcement that was overtaken changes nothing, and a new lifetime under the same id starts anew", () => {
+  const { registry } = createRegistry();
+  registry.announce(createLifetime(2_000, 5));
+  registry.announce({ ...createLifetime(2_000, 4), slots: 1 });
+  assert.is.not(registry.announcement?.slots, 1);
+  registry.leave({ instanceId: "instance-1" });
+  registry.announce(createLifetime(2_000, 6));
+  assert.is(registry.state, "leaving");
+  registry.announce(createLifetime(3_000, 1));
+  assert.is(registry.state, "serving");
+});
+
+test("a farewell of another lifetime is ignored", () => {
+  const { registry } = createRegistry();
+  registry.announce(createLifetime(2_000, 1));
+  registry.leave({ instanceId: "instance-2" });
+  registry.leave({ instanceId: "instance-1", startedAtMs: 1_000 });
+  assert.is(registry.state, "serving");
+});
+
 test.run();
--- a/src/request/send_once.ts
+++ b/src/request/send_once.ts
@@ -97,7 +97,9 @@
     }
     await clock.sleep(RESOLVE_INTERVAL_MS);
   }
-  return err(createUncertainty(REASONS.connectionLost));
+  const isExpired = clock.monotonicMs() >= call.deadlineAtMs;
+  const { deadlineExpired, connectionLost } = REASONS;
+  return err(createUncertainty(isExpired ? deadlineExpired : connectionLost));
 }
 
 interface StartOptions {
