--- a/src/request/dispatch_call.ts
+++ b/src/request/dispatch_call.ts
@@ -59,7 +59,7 @@
     allowance += readUnused(result, handedDown) - handedDown;
     const failure = history.note(result);
     if (!failure) {
-      if (call.context.depth === 0 || call.maxAttempts === undefined) {
+      if (earnsRetries(call)) {
         retryPolicy.recordSuccess(service);
       }
       return result.map((answer) => ({
@@ -93,6 +93,11 @@
   }
 }
 
+/** Where the whole fleet has one budget, it grows with the requests of callers, not with the calls below them. */
+function earnsRetries({ context, maxAttempts }: OutboundCall): boolean {
+  return maxAttempts === undefined || context.depth === 0;
+}
+
 function readUnused(result: CallResult, handedDown: number): number {
   const { unusedAllowance } = result.isOk() ? result.value : result.error;
   return Math.min(handedDown, unusedAllowance);
