--- a/src/peer/peer_link.ts
+++ b/src/peer/peer_link.ts
@@ -25,7 +25,8 @@
 import { FrameWriter } from "./frame_writer.ts";
 import { SilenceDetector } from "./silence_detector.ts";
 import type { PeerLinkOptions, PeerLinkOwner } from "./peer_link_owner.ts";
-import { isIdentityProven, proveIdentity } from "./prove_identity.ts";
+import { checkHello } from "./check_hello.ts";
+import { proveIdentity } from "./prove_identity.ts";
 
 type Headed = CallMessage | ReplyMessage;
 
@@ -226,26 +227,13 @@
   }
 
   #takeHello(message: PeerMessage): boolean {
-    if (message.kind !== "hello") {
-      return this.#fail("MessageInvalid", "first message is not hello");
-    }
-    if (message.protocolVersion !== PROTOCOL_VERSION) {
-      return this.#fail(
-        "ProtocolMismatch",
-        `peer speaks protocol ${message.protocolVersion}, not ${PROTOCOL_VERSION}`,
-      );
-    }
-    if (
-      !isIdentityProven(
-        this.#options.identity.fleetToken,
-        message.incarnation,
-        message.proof,
-      )
-    ) {
-      return this.#fail("PeerUnproven", "peer does not know the fleet token");
+    const hello = checkHello(message, this.#options.identity.fleetToken);
+    if (hello.isErr()) {
+      this.#error = hello.error;
+      return false;
     }
     this.#isGreeted = true;
-    this.#owner.onHello(message);
+    this.#owner.onHello(hello.value);
     return true;
   }
 
