--- a/src/request/send_once.ts
+++ b/src/request/send_once.ts
@@ -97,9 +97,7 @@
     }
     await clock.sleep(RESOLVE_INTERVAL_MS);
   }
-  const isExpired = clock.monotonicMs() >= call.deadlineAtMs;
-  const { deadlineExpired, connectionLost } = REASONS;
-  return err(createUncertainty(isExpired ? deadlineExpired : connectionLost));
+  return err(createUncertainty(REASONS.connectionLost));
 }
 
 interface StartOptions {
@@ -128,6 +126,9 @@
     return result;
   }
   guard.openRun = run;
+  if (result.isErr() && result.error.reason === REASONS.deadlineExpired) {
+    return result;
+  }
   const settled = await settleRun(environment, call, run);
   if (settled.isOk() || settled.error.kind === "refused") {
     guard.openRun = undefined;
