Stay near while no caller notices, and use the backend server of this VM first

Instances of a service differ in speed by up to three times, and a call went to another domain for any wait below seven tenths of the near one, though callers aim at latencies many times as long. Calls for the service of a daemon's own VM were sent to others in the domain half of the time.

Change: a call goes further only for a gain of more than a tenth of the latency that its route aims at, or where the near instance is nearly full or refuses calls; the own VM is a tier of its own. A backend server that sheds calls counts as crowded, which it did not: calls kept going to one that shed half of them. Without a target in the configuration nothing changes but the own VM.

--- a/src/request/dispatch_call.ts
+++ b/src/request/dispatch_call.ts
@@ -140,6 +140,7 @@
     isBulk,
     isRepeatable,
     classRank,
+    targetLatencyMs: call.targetLatencyMs,
   });
   if (choice.isErr()) {
     const { reason, retryAfterMs } = choice.error;
--- a/src/request/outbound_call.ts
+++ b/src/request/outbound_call.ts
@@ -22,6 +22,8 @@
   readonly callerService?: string | undefined;
   /** Instances that may be asked to run the call; bounded by the allowance alone where absent. */
   readonly maxAttempts?: number | undefined;
+  /** Latency that its caller aims at, in milliseconds, where it is known. */
+  readonly targetLatencyMs?: number | undefined;
   readonly body: Uint8Array;
   /** Key of a non-repeatable call; empty for others. */
   readonly idempotencyKey: string;
--- a/src/request/serve_peer_call.ts
+++ b/src/request/serve_peer_call.ts
@@ -47,6 +47,7 @@
     headers: message.headers,
     callerService: message.callerService,
     maxAttempts: undefined,
+    targetLatencyMs: undefined,
     body: options.body,
     idempotencyKey: message.idempotencyKey,
     attempt: message.attempt ?? 0,
--- a/src/request/serve_routed_call.ts
+++ b/src/request/serve_routed_call.ts
@@ -216,6 +216,7 @@
     headers: routed.headers,
     callerService: routed.callerService,
     maxAttempts: route.retryAllowance + 1,
+    targetLatencyMs: route.targetLatencyMs,
     body: routed.body,
     idempotencyKey: routed.requestId,
     attempt: 0,
--- a/src/routing/adaptive_chooser.ts
+++ b/src/routing/adaptive_chooser.ts
@@ -18,15 +18,15 @@
   ChoiceOptions,
   ChoiceRefusal,
 } from "./instance_chooser.ts";
+import type { InstanceStats } from "./instance_stats.ts";
+import { isWorthTheWay } from "./is_worth_the_way.ts";
+import type { Prospect } from "./is_worth_the_way.ts";
 import type { LinkBudget } from "./link_budget.ts";
 import { LocalityTiers } from "./locality_tiers.ts";
 import type { Locality, LocalityTier } from "./locality_tiers.ts";
 import { ObservedInstances } from "./observed_instances.ts";
 import type { OutlierListener } from "./outlier_detector.ts";
 
-/** Share of the near wait below which a far wait is worth the way. */
-const SPILL_RATIO = 0.7;
-
 /** Costs whose ratio is smaller count as equal, so that no instance is left unused for little. */
 const TIE_RATIO = 1.5;
 
@@ -39,9 +39,8 @@
   readonly reportOutlier: OutlierListener;
 }
 
-interface Candidate {
+interface Candidate extends Prospect {
   readonly record: MemberRecord;
-  readonly waitMs: number;
 }
 
 /** Chooses by locality, own observations, aged load hints and the budget of the region link. */
@@ -66,6 +65,7 @@
     const usable = tiers.map((tier) => this.#filterUsable(tier, options));
     const near = this.#compareTiers(
       usable.filter(({ isOwnRegion }) => isOwnRegion),
+      options,
     );
     const probe = this.#chooseProbe(
       tiers.filter(({ isOwnRegion }) => isOwnRegion || !near),
@@ -106,8 +106,8 @@
     farTiers: readonly LocalityTier[],
     options: ChoiceOptions,
   ): Result<MemberRecord, ChoiceRefusal> {
-    const far = this.#compareTiers(farTiers);
-    if (!far || (near && !isWorthTheWay(near, far))) {
+    const far = this.#compareTiers(farTiers, options);
+    if (!far || (near && !isWorthTheWay(near, far, options))) {
       return near ? ok(near.record) : err(NO_INSTANCE);
     }
     if (this.#options.linkBudget.mayCross(options)) {
@@ -121,11 +121,16 @@
     return { reason: REASONS.linkBudget, retryAfterMs };
   }
 
-  #compareTiers(tiers: readonly LocalityTier[]): Candidate | undefined {
+  #compareTiers(
+    tiers: readonly LocalityTier[],
+    options: ChoiceOptions,
+  ): Candidate | undefined {
     let best: Candidate | undefined;
     for (const tier of tiers) {
       const candidate = this.#chooseOfTwo(tier);
-      if (candidate && (!best || isWorthTheWay(best, candidate))) {
+      if (
+        candidate && (!best || isWorthTheWay(best, candidate, options))
+      ) {
         best = candidate;
       }
     }
@@ -149,8 +154,8 @@
     const isOneBetter = estimateCost(oneStats, oneContext) <=
       estimateCost(otherStats, otherContext) * TIE_RATIO;
     return isOneBetter
-      ? { record: one, waitMs: estimateWaitMs(oneStats, oneContext) }
-      : { record: other, waitMs: estimateWaitMs(otherStats, otherContext) };
+      ? createCandidate(one, oneStats, oneContext)
+      : createCandidate(other, otherStats, otherContext);
   }
 
   #createContext(record: MemberRecord, tier: LocalityTier): EstimateContext {
@@ -195,6 +200,16 @@
   }
 }
 
-function isWorthTheWay(near: Candidate, far: Candidate): boolean {
-  return far.waitMs < near.waitMs * SPILL_RATIO;
+function createCandidate(
+  record: MemberRecord,
+  stats: InstanceStats,
+  context: EstimateContext,
+): Candidate {
+  const { nowMs, slots } = context;
+  return {
+    record,
+    waitMs: estimateWaitMs(stats, context),
+    utilization: stats.readLoad(nowMs) / stats.readLimit(slots),
+    overloadRatio: stats.readOverloadRatio(nowMs),
+  };
 }
--- a/src/routing/adaptive_chooser_test.ts
+++ b/src/routing/adaptive_chooser_test.ts
@@ -13,6 +13,7 @@
 const CALL_MS = 5;
 const LINK_BYTES_PER_SECOND = 400_000;
 const SMALL = { isBulk: false };
+const AIMED = { targetLatencyMs: 300 };
 
 const NEAR = createMemberRecord("near");
 const SECOND_NEAR = createMemberRecord("second-near");
@@ -24,7 +25,10 @@
 
 const test = suite("adaptive chooser");
 
-function createBench(records: readonly MemberRecord[]) {
+function createBench(
+  records: readonly MemberRecord[],
+  usual: Partial<ChoiceOptions> = {},
+) {
   const clock = new ManualClock();
   const linkBudget = new LinkBudget(clock);
   linkBudget.setRate(LINK_BYTES_PER_SECOND);
@@ -38,7 +42,7 @@
       decisions.push(`${kind} ${incarnation}`),
   });
   const choose = (changes: Partial<ChoiceOptions> = {}) =>
-    chooser.choose(records, createOptions(changes));
+    chooser.choose(records, createOptions({ ...usual, ...changes }));
   return { clock, chooser, linkBudget, decisions, choose, records };
 }
 
@@ -104,6 +108,42 @@
   assert.is(counts["far"], undefined);
 });
 
+test("calls stay with a slower instance nearby while their target allows", () => {
+  const bench = createBench([FAR, NEXT_DOOR, NEAR], AIMED);
+  const answer = ({ incarnation }: MemberRecord) => ({
+    durationMs: incarnation === "near" ? 20 : CALL_MS,
+  });
+  const counts = run(bench, 300, answer);
+  assert.equal(counts, { near: 300 });
+});
+
+test("calls for the service of this VM need no way until it is crowded", () => {
+  const own = createMemberRecord("self", { slots: 4 });
+  const bench = createBench([NEAR, SECOND_NEAR, own], AIMED);
+  assert.equal(run(bench, 100), { self: 100 });
+  const waiting = Array.from({ length: 4 }, () => {
+    bench.chooser.begin(own, SMALL);
+    return bench.choose()._unsafeUnwrap().incarnation;
+  });
+  assert.is(waiting[0], "self");
+  assert.is.not(waiting[3], "self");
+});
+
+test("calls leave an instance that sheds them, whatever their target", () => {
+  const bench = createBench([NEXT_DOOR, NEAR], AIMED);
+  const shed = {
+    outcome: "refused",
+    reason: REASONS.backendRefused,
+    durationMs: 1,
+  } as const;
+  let call = 0;
+  const counts = run(bench, 400, ({ incarnation }) => {
+    call += 1;
+    return incarnation === "near" && call % 2 === 0 ? shed : {};
+  });
+  assert.ok((counts["near"] ?? 0) < 100, `${counts["near"]} to the shedding`);
+});
+
 test("calls leave an instance that refuses for overload", () => {
   const bench = createBench([NEXT_DOOR, NEAR]);
   const counts = run(bench, 500, ({ incarnation }) =>
--- a/src/routing/instance_chooser.ts
+++ b/src/routing/instance_chooser.ts
@@ -17,6 +17,8 @@
   readonly isRepeatable: boolean;
   /** Rank of the call's class; 0 is the most important. */
   readonly classRank: number;
+  /** Latency that the call aims at, in milliseconds; every gain counts where absent. */
+  readonly targetLatencyMs?: number | undefined;
 }
 
 /** Why no instance was chosen. */
--- a/src/routing/locality_tiers.ts
+++ b/src/routing/locality_tiers.ts
@@ -59,15 +59,21 @@
   }
 
   #sort(records: readonly MemberRecord[]): LocalityTier[] {
+    const isHere = (record: MemberRecord) =>
+      record.incarnation === this.#own.incarnation;
     const isNear = (record: MemberRecord) =>
       record.failureDomain === this.#own.failureDomain;
     const isOwnRegion = (record: MemberRecord) =>
       record.region === this.#own.region;
     return [
-      this.#createTier(records.filter(isNear), {
+      this.#createTier(records.filter(isHere), {
         isOwnRegion: true,
         distanceMs: 0,
       }),
+      this.#createTier(
+        records.filter((record) => isNear(record) && !isHere(record)),
+        { isOwnRegion: true, distanceMs: 0 },
+      ),
       this.#createTier(
         records.filter((record) => isOwnRegion(record) && !isNear(record)),
         { isOwnRegion: true, distanceMs: SAME_REGION_DISTANCE_MS },
--- a/src/routing/observed_instances.ts
+++ b/src/routing/observed_instances.ts
@@ -33,6 +33,7 @@
 const OVERLOAD_REASONS: ReadonlySet<string> = new Set([
   REASONS.overloadedInstance,
   REASONS.queueExpired,
+  REASONS.backendRefused,
 ]);
 
 /** Dependencies of the observations. */
