--- a/src/testing/link_stand_in.ts
+++ b/src/testing/link_stand_in.ts
@@ -37,6 +37,7 @@
   readonly #servers: Server[] = [];
   readonly #flows = new Set<Flow>();
   #isCut = false;
+  #losesForward = false;
 
   /** Creates a link; given directions are shared with other links. */
   constructor(character: LinkCharacter = {}, shared?: SharedDirections) {
@@ -75,6 +76,26 @@
     }
   }
 
+  /** What is sent towards the targets is lost, though flows stay open. */
+  loseForward(): void {
+    this.#losesForward = true;
+  }
+
+  /** Nothing is lost any more; flows that have lost something end. */
+  endLoss(): void {
+    this.#losesForward = false;
+    this.#endFlows();
+  }
+
+  /** Ends all flows; new ones work. */
+  resetFlows(): void {
+    for (const { near, far } of this.#flows) {
+      near.resetAndDestroy();
+      far.resetAndDestroy();
+    }
+    this.#flows.clear();
+  }
+
   /** Ends all flows and takes no new ones. */
   cut(): void {
     this.#isCut = true;
@@ -125,6 +146,9 @@
         from.unshift(bytes);
         return;
       }
+      if (this.#losesForward && from === flow.near) {
+        return;
+      }
       const isCrowded = direction.carry(bytes, () => {
         if (!flow.isSilent) {
           to.write(bytes);
