Open the entry sooner after a fault, and not close it for instances not met yet

Requests that found no instance in the first second closed the throttle. It opened slowly, since it called service healthy only once old failures had faded from a memory of 1.5 s, while a daemon admits one or two of its requests a second.

Ruled out: daemons without a configuration (137 refusals, all within a second of the start), missing instances (60, until second 34).

Change: requests that reached no instance leave no trace in the throttle; whether service is healthy follows from the last half second; while it is, the entry opens with a headroom of 3 in place of 2.2.

--- a/src/admission/acceptance_throttle.ts
+++ b/src/admission/acceptance_throttle.ts
@@ -13,6 +13,9 @@
 /** Time in which earlier requests lose most of their weight, in milliseconds. */
 const MEMORY_MS = 1_500;
 
+/** Time in which the ends of requests lose most of their weight for whether they are served now, in milliseconds. */
+const HEALTH_MEMORY_MS = 500;
+
 /** Requests below which nothing is concluded. */
 const MIN_REQUESTS = 6;
 
@@ -22,15 +25,16 @@
 /** Share of the admitted requests that are served from which the throttle opens. */
 const HEALTHY_RATIO = 0.9;
 
-/** Headroom while it opens; from the least share all is admitted again within about five seconds. */
-const OPENING_HEADROOM = 2.2;
+/** Headroom while it opens; from the least share all is admitted again within about three seconds. */
+const OPENING_HEADROOM = 3;
 
 /** Requests and served ones of one kind, weighted by age. */
 export class AcceptanceThrottle {
   readonly #clock: Clock;
   #requests = 0;
-  #admitted = 0;
   #served = 0;
+  #recentlyEnded = 0;
+  #recentlyServed = 0;
   #updatedAtMs: number;
 
   constructor(clock: Clock) {
@@ -44,11 +48,18 @@
     this.#requests += 1;
   }
 
+  /** A request tells nothing after all. */
+  forgetRequest(): void {
+    this.#age();
+    this.#requests = Math.max(0, this.#requests - 1);
+  }
+
   /** An admitted request has ended. */
   noteEnd(isServed: boolean): void {
     this.#age();
-    this.#admitted += 1;
     this.#served += Number(isServed);
+    this.#recentlyEnded += 1;
+    this.#recentlyServed += Number(isServed);
   }
 
   /**
@@ -61,7 +72,8 @@
     if (this.#requests < MIN_REQUESTS) {
       return 1;
     }
-    const isHealthy = this.#served >= this.#admitted * HEALTHY_RATIO;
+    const isHealthy =
+      this.#recentlyServed >= this.#recentlyEnded * HEALTHY_RATIO;
     const factor = isHealthy ? Math.max(OPENING_HEADROOM, headroom) : headroom;
     const ratio = factor * (this.#served + 1) / this.#requests;
     return Math.min(1, Math.max(MIN_ADMIT_RATIO, ratio));
@@ -69,10 +81,13 @@
 
   #age(): void {
     const nowMs = this.#clock.monotonicMs();
-    const weight = Math.exp(-(nowMs - this.#updatedAtMs) / MEMORY_MS);
+    const ageMs = nowMs - this.#updatedAtMs;
     this.#updatedAtMs = nowMs;
+    const weight = Math.exp(-ageMs / MEMORY_MS);
     this.#requests *= weight;
-    this.#admitted *= weight;
     this.#served *= weight;
+    const healthWeight = Math.exp(-ageMs / HEALTH_MEMORY_MS);
+    this.#recentlyEnded *= healthWeight;
+    this.#recentlyServed *= healthWeight;
   }
 }
--- a/src/admission/entry_admission.ts
+++ b/src/admission/entry_admission.ts
@@ -34,6 +34,11 @@
     // Only what learns from outcomes needs them.
   }
 
+  /** An admitted request reached no instance, which tells nothing of what the fleet can serve. */
+  noteUnreached(_request: CompiledRequest): void {
+    // Only what learns from outcomes needs to know.
+  }
+
   /** Signals of overloaded services to pass on to those who call through this daemon. */
   abstract listOverloaded(services: readonly string[]): LoadSignal[];
 }
--- a/src/admission/throttled_entry_admission.ts
+++ b/src/admission/throttled_entry_admission.ts
@@ -71,6 +71,10 @@
     this.#find(name).noteEnd(isServed);
   }
 
+  override noteUnreached({ name }: CompiledRequest): void {
+    this.#find(name).forgetRequest();
+  }
+
   override observe(_loads: readonly LoadSignal[]): void {
     // Outcomes tell more than the load of single instances.
   }
--- a/src/admission/throttled_entry_admission_test.ts
+++ b/src/admission/throttled_entry_admission_test.ts
@@ -132,6 +132,60 @@
   assert.ok(shares.every((share) => share > 0.98), shares.join());
 });
 
+/** Pattern: everything restarts at once, and each daemon has few callers by which to notice that service is back. */
+test("a daemon with few callers opens within three seconds of the recovery", () => {
+  const clock = new ManualClock();
+  const admission = createAdmission(clock);
+  const [, request] = KINDS;
+  const latencySteps = 6;
+  const pending: { readonly dueStep: number; readonly isServed: boolean }[] =
+    [];
+  const admitted: boolean[] = [];
+  for (let step = 0; step < 200 && request; step += 1) {
+    for (const { isServed } of takeDue(pending, step)) {
+      admission.noteOutcome(request, isServed);
+    }
+    const isOk = admission.check({ request, member: "", requestId: "" }).isOk();
+    admitted.push(isOk);
+    if (isOk) {
+      const isServed = step >= 80;
+      pending.push({ dueStep: step + latencySteps, isServed });
+    }
+    clock.advance(40);
+  }
+  const afterThreeSeconds = admitted.slice(155);
+  assert.ok(admitted.slice(50, 80).filter(Boolean).length < 8);
+  assert.is(
+    afterThreeSeconds.filter(Boolean).length,
+    afterThreeSeconds.length,
+  );
+});
+
+function takeDue<T extends { readonly dueStep: number }>(
+  pending: T[],
+  step: number,
+): T[] {
+  const count = pending.filter(({ dueStep }) => dueStep <= step).length;
+  return pending.splice(0, count);
+}
+
+/** Pattern: a daemon has just started and has not met the instances yet. */
+test("requests that reached no instance do not close the entry", () => {
+  const clock = new ManualClock();
+  const admission = createAdmission(clock);
+  const [, request] = KINDS;
+  let refused = 0;
+  for (let each = 0; each < 100 && request; each += 1) {
+    const grant = admission.check({ request, member: "", requestId: "" });
+    refused += Number(grant.isErr());
+    if (grant.isOk()) {
+      admission.noteUnreached(request);
+    }
+    clock.advance(20);
+  }
+  assert.is(refused, 0);
+});
+
 test("callers are asked to return at different moments, later where fewer are admitted", () => {
   const clock = new ManualClock();
   const admission = createAdmission(clock);
--- a/src/request/serve_routed_call.ts
+++ b/src/request/serve_routed_call.ts
@@ -104,6 +104,14 @@
   return result;
 }
 
+/** Reasons of refusals before any instance was reached. */
+const UNREACHED_REASONS: ReadonlySet<string> = new Set([
+  REASONS.noInstance,
+  REASONS.connectFailed,
+  REASONS.noBackendServer,
+  REASONS.leaving,
+]);
+
 /** Tells the entry whether its caller was served; one that has left tells nothing. */
 function noteOutcome(
   { configuration, entryAdmission }: CallEnvironment,
@@ -113,10 +121,15 @@
   const request = configuration.current?.requestsByName.get(
     context.requestName,
   );
-  if (request) {
-    const isServed = result.isOk() && !isErrorAnswer(result);
-    entryAdmission.noteOutcome(request, isServed || signal.aborted);
+  if (!request) {
+    return;
+  }
+  if (result.isErr() && UNREACHED_REASONS.has(result.error.reason)) {
+    entryAdmission.noteUnreached(request);
+    return;
   }
+  const isServed = result.isOk() && !isErrorAnswer(result);
+  entryAdmission.noteOutcome(request, isServed || signal.aborted);
 }
 
 function prepareCall(
