Leave a cold backend server its slots

A cold server is slow, not small: with all of them cold there is nobody else to take what one refuses.

Change: the limit no longer knows the cold time.

--- a/src/admission/adaptive_admission.ts
+++ b/src/admission/adaptive_admission.ts
@@ -83,8 +83,8 @@
     return this.#slots.running.count + this.#queue.length;
   }
 
-  override setCapacity(slots: number, warmAtMs: number): void {
-    this.#limit.setCeiling(slots, warmAtMs);
+  override setCapacity(slots: number): void {
+    this.#limit.setCeiling(slots);
     this.#journal.recordLimit(this.#limit.value, this.#slots.holdMs);
     this.#grantNext();
   }
--- a/src/admission/concurrency_limit.ts
+++ b/src/admission/concurrency_limit.ts
@@ -5,15 +5,14 @@
  * daemon sees itself: sheds of a full backend server lower it, and where calls
  * slow down under a full load, a lower limit is tried and kept only if the
  * throughput does not suffer. A backend server that is merely slow therefore
- * keeps its slots, and so does one that sheds whatever its load.
+ * keeps its slots, and so do one that sheds whatever its load and one that has
+ * just started: what a cold one lacks is speed, which the choice of instances
+ * weighs, and after a restart of everything there are no others.
  */
 
 import type { Clock } from "../time/mod.ts";
 import { ShedLimit } from "./shed_limit.ts";
 
-/** Share of the ceiling that a cold backend server starts with. */
-const COLD_RATIO = 0.25;
-
 /** Limits below this are not tried lower: one slot less would cost too much. */
 const MIN_TRIED_LIMIT = 8;
 const TRY_FACTOR = 0.85;
@@ -65,8 +64,6 @@
   readonly #clock: Clock;
   #ceiling = 1;
   #learnt = Number.POSITIVE_INFINITY;
-  #coldAtMs = 0;
-  #warmAtMs = 0;
   #shedLimit: ShedLimit;
   #isLowerNext = true;
   #bestMs = Number.POSITIVE_INFINITY;
@@ -85,20 +82,16 @@
     if (this.#ceiling === 0) {
       return 0;
     }
-    const warm = Math.max(1, Math.floor(this.#ceiling * this.#warmth()));
-    const learnt = Math.floor(Math.min(this.#learnt, this.#shedLimit.value));
-    return Math.max(1, Math.min(warm, learnt));
+    const learnt = Math.min(this.#learnt, this.#shedLimit.value);
+    return Math.max(1, Math.min(this.#ceiling, Math.floor(learnt)));
   }
 
-  /** Takes the announced slots and the time at which they are fully usable. */
-  setCeiling(slots: number, warmAtMs: number): void {
-    const isNew = this.#ceiling !== slots || this.#warmAtMs !== warmAtMs;
-    if (!isNew) {
+  /** Takes the announced slots. */
+  setCeiling(slots: number): void {
+    if (this.#ceiling === slots) {
       return;
     }
     this.#ceiling = slots;
-    this.#warmAtMs = warmAtMs;
-    this.#coldAtMs = this.#clock.nowMs();
     this.#learnt = slots;
     this.#shedLimit = new ShedLimit(this.#clock, slots);
     this.#bestMs = Number.POSITIVE_INFINITY;
@@ -120,15 +113,6 @@
     this.#count(sample.ownDurationMs);
   }
 
-  #warmth(): number {
-    const leftMs = this.#warmAtMs - this.#clock.nowMs();
-    if (leftMs <= 0) {
-      return 1;
-    }
-    const wholeMs = Math.max(1, this.#warmAtMs - this.#coldAtMs);
-    return COLD_RATIO + (1 - COLD_RATIO) * Math.max(0, 1 - leftMs / wholeMs);
-  }
-
   #count(ownDurationMs: number): void {
     const nowMs = this.#clock.monotonicMs();
     const period = this.#period ??= {
--- a/src/admission/inbound_admission.ts
+++ b/src/admission/inbound_admission.ts
@@ -46,7 +46,7 @@
   abstract describeLoad(service: string): LoadSignal;
 
   /** Takes the slots that the backend server announced. */
-  abstract setCapacity(slots: number, warmAtMs: number): void;
+  abstract setCapacity(slots: number): void;
 
   /** Calls running or waiting. */
   abstract get pendingCalls(): number;
--- a/src/admission/unprotected_admission.ts
+++ b/src/admission/unprotected_admission.ts
@@ -22,7 +22,7 @@
     return this.#running + this.#waiting.length;
   }
 
-  override setCapacity(slots: number, _warmAtMs: number): void {
+  override setCapacity(slots: number): void {
     this.#slots = slots;
     this.#grantNext();
   }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -201,7 +201,7 @@
     const memberState = state === BACKEND_STATES.leaving || this.#stopping
       ? "leaving"
       : "alive";
-    inboundAdmission.setCapacity(slots, warmAtMs);
+    inboundAdmission.setCapacity(slots);
     if (
       own.service !== service || own.slots !== slots ||
       own.warmAtMs !== warmAtMs || own.state !== memberState
--- a/src/testing/guarded/guarded_node.ts
+++ b/src/testing/guarded/guarded_node.ts
@@ -202,7 +202,7 @@
       ...{ reportsLoad: true, coldStartMs: 0, inFlight: 0 },
     });
     const inboundAdmission = new UnprotectedAdmission();
-    inboundAdmission.setCapacity(16, 0);
+    inboundAdmission.setCapacity(16);
     const { incarnation } = self;
     const keyOptions = { incarnation, fleetToken: GUARDED_TOKEN, clock };
     return {
