Keep time for requests in progress at a planned stop

Cause: a daemon that stops under steady requests took new ones until its time was up, since there was never a moment without any; then it closed its listeners and ended with what it had just passed on.

Change: the last part of the time, at most 1.5 s, is for requests in progress; listeners and idle connections close before it.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -27,6 +27,12 @@
 /** Interval at which a stopping daemon checks for requests in progress, in milliseconds. */
 const DRAIN_POLL_MS = 20;
 
+/** Part of the time for a stop that is kept for requests in progress, during which no new ones are taken. */
+const FINISHING_RATIO = 0.5;
+
+/** Longest such part, in milliseconds; what nearly all requests need. */
+const MAX_FINISHING_MS = 1_500;
+
 /** Quiet after which a stopping daemon closes its connections, and longest wait for it, in milliseconds. */
 const QUIET_MS = 250;
 const QUIET_TIMEOUT_MS = 2_000;
@@ -131,7 +137,11 @@
       : () => Promise.resolve();
     await clock.sleep(settings.leaveNoticeMs);
     const deadlineMs = clock.monotonicMs() + settings.drainTimeoutMs;
-    await this.#waitForQuiet(0, deadlineMs);
+    const finishingMs = Math.min(
+      MAX_FINISHING_MS,
+      settings.drainTimeoutMs * FINISHING_RATIO,
+    );
+    await this.#waitForQuiet(0, deadlineMs - finishingMs);
     await sendLateOutcomes();
     this.#listeners.forEach((listener) => listener.close());
     await this.#waitForQuiet(
