Count what is in progress at the entry, so that slow is not taken for lost

Cause: the entry compared the requests that had come with those that had been served, so that what was in progress counted as lost. With answers after 2 s, or as traffic begins, it refused requests though every one was served.

Ruled out: overload (no limit was reached, no queue refused).

Change: requests in progress count as those that ended within the last half second did.

The test of the suggested waits relied on requests that never end; it lets them fail now, and asserts the same.

--- a/src/admission/acceptance_throttle.ts
+++ b/src/admission/acceptance_throttle.ts
@@ -5,7 +5,9 @@
  * of its calls: a request which needs several of them is lost with any one, so
  * that running all of them serves nobody. The throttle admits a little more
  * than what was served lately, whatever the cause, and so finds both the limit
- * and the recovery without a word from the service (adaptive throttling).
+ * and the recovery without a word from the service (adaptive throttling). What
+ * is in progress counts as the requests that ended lately did, so that slow
+ * answers are not taken for lost ones.
  */
 
 import type { Clock } from "../time/mod.ts";
@@ -35,6 +37,7 @@
   #served = 0;
   #recentlyEnded = 0;
   #recentlyServed = 0;
+  #inProgress = 0;
   #updatedAtMs: number;
 
   constructor(clock: Clock) {
@@ -48,15 +51,22 @@
     this.#requests += 1;
   }
 
-  /** A request tells nothing after all. */
+  /** The request is admitted. */
+  noteStart(): void {
+    this.#inProgress += 1;
+  }
+
+  /** An admitted request tells nothing after all. */
   forgetRequest(): void {
     this.#age();
+    this.#inProgress -= 1;
     this.#requests = Math.max(0, this.#requests - 1);
   }
 
   /** An admitted request has ended. */
   noteEnd(isServed: boolean): void {
     this.#age();
+    this.#inProgress -= 1;
     this.#served += Number(isServed);
     this.#recentlyEnded += 1;
     this.#recentlyServed += Number(isServed);
@@ -72,10 +82,12 @@
     if (this.#requests < MIN_REQUESTS) {
       return 1;
     }
-    const isHealthy =
-      this.#recentlyServed >= this.#recentlyEnded * HEALTHY_RATIO;
-    const factor = isHealthy ? Math.max(OPENING_HEADROOM, headroom) : headroom;
-    const ratio = factor * (this.#served + 1) / this.#requests;
+    const health = (this.#recentlyServed + 1) / (this.#recentlyEnded + 1);
+    const factor = health >= HEALTHY_RATIO
+      ? Math.max(OPENING_HEADROOM, headroom)
+      : headroom;
+    const expected = this.#served + this.#inProgress * health + 1;
+    const ratio = factor * expected / this.#requests;
     return Math.min(1, Math.max(MIN_ADMIT_RATIO, ratio));
   }
 
--- a/src/admission/throttled_entry_admission.ts
+++ b/src/admission/throttled_entry_admission.ts
@@ -62,9 +62,11 @@
     const steps = Math.max(0, readLowestRank() - request.classRank);
     const headroom = LEAST_HEADROOM * HEADROOM_STEP ** steps;
     const ratio = throttle.computeAdmitRatio(headroom);
-    return ratio >= 1 || random.nextRatio() < ratio
-      ? ok({ mark: undefined })
-      : err(this.#refuse(request, requestId, ratio));
+    if (ratio < 1 && random.nextRatio() >= ratio) {
+      return err(this.#refuse(request, requestId, ratio));
+    }
+    throttle.noteStart();
+    return ok({ mark: undefined });
   }
 
   override noteOutcome({ name }: CompiledRequest, isServed: boolean): void {
--- a/src/admission/throttled_entry_admission_test.ts
+++ b/src/admission/throttled_entry_admission_test.ts
@@ -169,6 +169,23 @@
   return pending.splice(0, count);
 }
 
+/** Pattern: traffic begins, or answers get slow, while all of them still come. */
+test("slow answers are not taken for lost ones", () => {
+  const clock = new ManualClock();
+  const admission = createAdmission(clock);
+  const [, request] = KINDS;
+  const pending: { readonly dueStep: number }[] = [];
+  let refused = 0;
+  for (let step = 0; step < 200 && request; step += 1) {
+    takeDue(pending, step).forEach(() => admission.noteOutcome(request, true));
+    const grant = admission.check({ request, member: "", requestId: "" });
+    refused += Number(grant.isErr());
+    pending.push({ dueStep: step + 50 });
+    clock.advance(40);
+  }
+  assert.is(refused, 0);
+});
+
 /** Pattern: a daemon has just started and has not met the instances yet. */
 test("requests that reached no instance do not close the entry", () => {
   const clock = new ManualClock();
@@ -193,6 +210,9 @@
   const waits = Array.from({ length: 200 }, () => {
     const grant = request &&
       admission.check({ request, member: "", requestId: "" });
+    if (request && grant?.isOk()) {
+      admission.noteOutcome(request, false);
+    }
     return grant?.isErr() ? grant.error.retryAfterMs : 0;
   }).filter((waitMs) => waitMs > 0);
   assert.ok(new Set(waits).size > waits.length / 2);
