--- a/src/request/run_call.ts
+++ b/src/request/run_call.ts
@@ -11,6 +11,7 @@
 import type { LoadSignal } from "../generated/types.ts";
 import { createRefusal, REASONS } from "../outcome/mod.ts";
 import type { CallResult, Reason } from "../outcome/mod.ts";
+import { DECISIONS } from "../telemetry/mod.ts";
 import type { CallEnvironment } from "./call_environment.ts";
 import type { OutboundCall } from "./outbound_call.ts";
 
@@ -142,7 +143,8 @@
   environment: CallEnvironment,
   call: OutboundCall,
 ): Promise<BackendRun> {
-  const { activeCalls, backend, backendClient, clock, settings } = environment;
+  const { activeCalls, backend, backendClient, clock, journal, settings } =
+    environment;
   const announcement = backend.announcement;
   if (!announcement) {
     return { result: err(createRefusal(REASONS.noBackendServer)), nestedMs: 0 };
@@ -181,7 +183,16 @@
     backend.markUnreachable();
   }
   if (result.isErr()) {
-    controller.abort(result.error.reason);
+    const { kind, reason } = result.error;
+    const spentMs = Math.round(
+      remainingMs - (call.deadlineAtMs - clock.monotonicMs()),
+    );
+    journal.record(
+      DECISIONS.runFailed,
+      { service: call.service, outcome: kind, reason, spentMs },
+      context.requestId,
+    );
+    controller.abort(reason);
   }
   const settled = {
     unusedAllowance: active.allowance.close(),
--- a/src/telemetry/decision_journal.ts
+++ b/src/telemetry/decision_journal.ts
@@ -28,6 +28,7 @@
   membershipChange: "membership-change",
   leaving: "leaving",
   unknownOutcome: "unknown-outcome",
+  runFailed: "run-failed",
 } as const;
 
 /** One of {@link DECISIONS}. */
