Distrust idle connections once one was dropped without notice

Cause: on the grown deployments instances forget connections that rested for two to three tenths of a second; what is sent next is reset, and for a request that must not run twice that is an unknown outcome. Requests of that kind used connections that had rested for up to a second, all others for up to eight.

--- a/src/backend/backend_connection.ts
+++ b/src/backend/backend_connection.ts
@@ -69,6 +69,8 @@
     | "mismatched"
     | "broken";
   readonly message: string;
+  /** Whether a response had begun. */
+  readonly hasResponse?: boolean;
 }
 
 type Settle = (result: Result<BackendResponse, ExchangeFailure>) => void;
@@ -150,7 +152,8 @@
   ): void {
     const unsent = error.code === REFUSED_CODE ? "unconnected" : "not-sent";
     const kind = this.isSent ? "broken" : unsent;
-    this.#settle(err({ kind, message: error.message }));
+    const hasResponse = this.#status !== 0;
+    this.#settle(err({ kind, message: error.message, hasResponse }));
   }
 }
 
--- a/src/backend/backend_connections.ts
+++ b/src/backend/backend_connections.ts
@@ -15,6 +15,7 @@
   BackendResponse,
   ExchangeFailure,
 } from "./backend_connection.ts";
+import { IdleTrust } from "./idle_trust.ts";
 
 export type {
   BackendExchange,
@@ -42,10 +43,12 @@
 export class BackendConnections {
   readonly #clock: Clock;
   readonly #idle: BackendConnection[] = [];
+  readonly #trust: IdleTrust;
   #origin = "";
 
   constructor(clock: Clock) {
     this.#clock = clock;
+    this.#trust = new IdleTrust(clock);
   }
 
   /** Sends one request on a connection of its own. */
@@ -55,12 +58,16 @@
     { maxIdleMs = MAX_IDLE_MS, isOwn = () => true }: ExchangeOptions = {},
   ): Promise<Result<BackendResponse, ExchangeFailure>> {
     this.#use(origin);
-    const connection = this.#take(maxIdleMs);
+    const connection = this.#take(Math.min(maxIdleMs, this.#trust.trustedMs));
+    const idleMs = this.#clock.monotonicMs() - connection.usedAtMs;
     const exchanged = await connection.exchange(request);
     const result = exchanged.andThen((response) =>
       isOwn(response) ? ok(response) : err(MISMATCH)
     );
     this.#keep(connection, origin, result);
+    if (isDropped(result, request) && Number.isFinite(idleMs)) {
+      this.#trust.noteDropped(idleMs);
+    }
     return result;
   }
 
@@ -103,3 +110,12 @@
     }
   }
 }
+
+/** Whether the connection ended by itself before anything came back. */
+function isDropped(
+  result: Result<BackendResponse, ExchangeFailure>,
+  { signal }: BackendExchange,
+): boolean {
+  return result.isErr() && result.error.kind === "broken" &&
+    result.error.hasResponse === false && !signal.aborted;
+}
