--- a/src/backend/http_backend_client_test.ts
+++ b/src/backend/http_backend_client_test.ts
@@ -7,8 +7,9 @@
 import type { CallResult } from "../outcome/mod.ts";
 import { HttpBackendClient } from "./http_backend_client.ts";
 import type { BackendCall } from "./backend_client.ts";
+import { claimNetwork } from "../testing/claim_network.ts";
 
-const ADDRESS = "127.60.1.1";
+const ADDRESS = `127.${await claimNetwork()}.1.1`;
 
 function createCall(): BackendCall {
   return {
--- a/src/cli/configuration_commands_test.ts
+++ b/src/cli/configuration_commands_test.ts
@@ -8,8 +8,9 @@
 import type { RanCommand } from "../testing/run_command.ts";
 import { ObjectApiStandIn } from "../testing/object_api_stand_in.ts";
 import { EXIT_CODES } from "./exit_codes.ts";
+import { claimNetwork } from "../testing/claim_network.ts";
 
-const STORE_ADDRESS = "127.81.1.1";
+const STORE_ADDRESS = `127.${await claimNetwork()}.1.1`;
 const STORE_PORT = 7000;
 const RONDEVAART = "examples/rondevaart.answers.json";
 
--- a/src/cli/wait_until_in_force_test.ts
+++ b/src/cli/wait_until_in_force_test.ts
@@ -3,14 +3,17 @@
 import { Hono } from "hono";
 import * as assert from "uvu/assert";
 import { suite } from "uvu";
+import { claimNetwork } from "../testing/claim_network.ts";
 import { waitUntilInForce } from "./wait_until_in_force.ts";
 
 const ADMIN_PORT = 7103;
 
 const test = suite("wait until a version is in force");
 
-function listAddresses(network: number): string[] {
-  return [1, 2, 3].map((host) => `127.81.${network}.${host}`);
+const NETWORK = await claimNetwork();
+
+function listAddresses(subnet: number): string[] {
+  return [1, 2, 3].map((host) => `127.${NETWORK}.${subnet}.${host}`);
 }
 
 function nameUrl(address: string): string {
--- a/src/peer/fetch_configuration_test.ts
+++ b/src/peer/fetch_configuration_test.ts
@@ -3,8 +3,9 @@
 import { SystemClock } from "../time/mod.ts";
 import { fetchConfiguration } from "./fetch_configuration.ts";
 import { PeerServer } from "./peer_server.ts";
+import { claimNetwork } from "../testing/claim_network.ts";
 
-const ADDRESS = "127.80.1.1";
+const ADDRESS = `127.${await claimNetwork()}.1.1`;
 const PEER_PORT = 7102;
 
 const test = suite("fetching of configurations between daemons");
