Keep a standing queue short

Cause: calls of running requests waited for a slot for as long as they could still run in time. Under more load than a small deep service carries, its queue therefore stayed as long as the calls' time limit, and requests that need four calls one after the other came after their target or not at all; what had run of them was wasted.

--- a/src/admission/adaptive_admission.ts
+++ b/src/admission/adaptive_admission.ts
@@ -70,6 +70,8 @@
   readonly #usage = new MemberUsage();
   readonly #idle = new IdleMeter();
   readonly #journal: AdmissionJournal;
+  /** When the first of the calls that wait now found the queue empty. */
+  #queuedSinceMs = 0;
 
   constructor(options: AdaptiveAdmissionOptions) {
     super();
@@ -150,6 +152,9 @@
         waiter.settle(this.#refuse(REASONS.overloadedInstance));
         return;
       }
+      if (this.#queue.length === 0) {
+        this.#queuedSinceMs = this.#nowMs;
+      }
       this.#queue.add(waiter);
       this.#markIdle();
     });
@@ -185,6 +190,7 @@
     const patienceMs = computePatienceMs(call.deadlineAtMs - nowMs, {
       isNested,
       holdMs: this.#slots.holdMs,
+      queuedForMs: this.#queue.length === 0 ? 0 : nowMs - this.#queuedSinceMs,
     });
     const cancelExpiry = this.#options.clock.schedule(
       patienceMs,
