--- a/src/admission/concurrency_limit.ts
+++ b/src/admission/concurrency_limit.ts
@@ -147,12 +147,12 @@
     if (meanMs <= this.#bestMs * SLOW_FACTOR) {
       this.#learnt = Math.min(this.#ceiling, this.#learnt + 1);
     } else if (nowMs >= this.#pausedUntilMs) {
-      this.#begin(perMs);
+      this.#beginTrial(perMs);
     }
   }
 
   /** Slow calls tell nothing by themselves, so that lower and higher limits are tried by turns. */
-  #begin(perMs: number): void {
+  #beginTrial(perMs: number): void {
     const limit = this.value;
     if (this.#isLowerNext && limit >= MIN_TRIED_LIMIT) {
       this.#trial = { limit, perMs, keptRatio: KEPT_THROUGHPUT_RATIO };
--- a/src/outcome/mod.ts
+++ b/src/outcome/mod.ts
@@ -15,4 +15,5 @@
   Refusal,
   Uncertainty,
 } from "./outcome.ts";
+export { UNREACHED_REASONS } from "./unreached_reasons.ts";
 export { selectAbortReason } from "./select_abort_reason.ts";
--- a/src/request/dispatch_call.ts
+++ b/src/request/dispatch_call.ts
@@ -5,7 +5,7 @@
 
 import { err } from "neverthrow";
 import type { MemberRecord } from "../generated/types.ts";
-import { createRefusal, REASONS } from "../outcome/mod.ts";
+import { createRefusal, REASONS, UNREACHED_REASONS } from "../outcome/mod.ts";
 import type { CallFailure, CallResult } from "../outcome/mod.ts";
 import { DECISIONS } from "../telemetry/mod.ts";
 import { AttemptHistory } from "./attempt_history.ts";
@@ -103,13 +103,6 @@
   return Math.min(handedDown, unusedAllowance);
 }
 
-/** Reasons of refusals by which a call has reached no backend server and another instance may be asked instead. */
-const UNREACHED_REASONS: ReadonlySet<string> = new Set([
-  REASONS.connectFailed,
-  REASONS.leaving,
-  REASONS.noBackendServer,
-]);
-
 /** The backend server has not seen the call, so that another may be asked as if it had been the first. */
 function mayRedirect({ kind, reason }: CallFailure): boolean {
   return kind === "refused" && UNREACHED_REASONS.has(reason);
--- a/src/request/serve_routed_call.ts
+++ b/src/request/serve_routed_call.ts
@@ -16,8 +16,8 @@
   CompiledRequest,
 } from "../configuration/mod.ts";
 import type { CallContext } from "../generated/types.ts";
-import { createRefusal, REASONS } from "../outcome/mod.ts";
-import type { CallResult, Refusal } from "../outcome/mod.ts";
+import { createRefusal, REASONS, UNREACHED_REASONS } from "../outcome/mod.ts";
+import type { CallFailure, CallResult, Refusal } from "../outcome/mod.ts";
 import type { ActiveCall } from "./active_calls.ts";
 import type { CallEnvironment } from "./call_environment.ts";
 import { dispatchCall } from "./dispatch_call.ts";
@@ -104,14 +104,6 @@
   return result;
 }
 
-/** Reasons of refusals before any instance was reached. */
-const UNREACHED_REASONS: ReadonlySet<string> = new Set([
-  REASONS.noInstance,
-  REASONS.connectFailed,
-  REASONS.noBackendServer,
-  REASONS.leaving,
-]);
-
 /** Tells the entry whether its caller was served; one that has left tells nothing. */
 function noteOutcome(
   { configuration, entryAdmission }: CallEnvironment,
@@ -124,7 +116,7 @@
   if (!request) {
     return;
   }
-  if (result.isErr() && UNREACHED_REASONS.has(result.error.reason)) {
+  if (result.isErr() && hasMetNobody(result.error)) {
     entryAdmission.noteUnreached(request);
     return;
   }
@@ -132,6 +124,10 @@
   entryAdmission.noteOutcome(request, isServed || signal.aborted);
 }
 
+function hasMetNobody({ reason }: CallFailure): boolean {
+  return reason === REASONS.noInstance || UNREACHED_REASONS.has(reason);
+}
+
 function prepareCall(
   environment: CallEnvironment,
   routed: RoutedCall,
--- a/src/retry/retry_policy.ts
+++ b/src/retry/retry_policy.ts
@@ -3,7 +3,7 @@
  */
 
 import type { CallFailure } from "../outcome/mod.ts";
-import { REASONS } from "../outcome/mod.ts";
+import { REASONS, UNREACHED_REASONS } from "../outcome/mod.ts";
 import type { RetryBudget } from "./retry_budget.ts";
 
 /** What a decision about a further attempt is based on. */
@@ -72,13 +72,6 @@
   REASONS.keyLedgerFull,
 ]);
 
-/** Reasons of attempts that reached no backend server, so that a retry is no extra load. */
-const UNREACHED_REASONS: ReadonlySet<string> = new Set([
-  REASONS.connectFailed,
-  REASONS.noBackendServer,
-  REASONS.leaving,
-]);
-
 /** Overloaded instances after which the whole service counts as overloaded. */
 const MAX_OVERLOADED_ATTEMPTS = 2;
 
