Find examples and bundles from the project's root, and test the README's commands

Cause: compiled files moved from build/ to build/src/, so that two paths relative to a module ended in build/: `npm run demo` and `npm run local-fleet` failed with ENOENT on a fresh clone, and experiments never found the bundled daemon. Both paths now start from one constant for the project's root.

The new test runs each command of the README's first two sections in a clean copy of the sources. It takes 160 s on an idle machine and starts whole fleets, so the test runner runs it alone, after the other files.

--- a/src/measure/choose_daemon_program.ts
+++ b/src/measure/choose_daemon_program.ts
@@ -4,12 +4,13 @@
 
 import { statSync } from "node:fs";
 import { fileURLToPath } from "node:url";
+import { PROJECT_ROOT } from "./project_root.ts";
 
 const COMPILED_PROGRAM = fileURLToPath(
   new URL("../daemon/main.js", import.meta.url),
 );
 const BUNDLED_PROGRAM = fileURLToPath(
-  new URL("../../dist/celeryhollowd.js", import.meta.url),
+  new URL("dist/celeryhollowd.js", PROJECT_ROOT),
 );
 
 /**
--- a/src/measure/create_example_fleet_plan.ts
+++ b/src/measure/create_example_fleet_plan.ts
@@ -13,6 +13,7 @@
 } from "../questionnaire/mod.ts";
 import type { BackendBehavior } from "../testing/backend_server_stand_in.ts";
 import type { FleetPlan, VmPlan } from "./fleet.ts";
+import { PROJECT_ROOT } from "./project_root.ts";
 
 /** Example users, named after their answers files in `examples/`. */
 export type ExampleName = "rondevaart" | "verrou_boreal";
@@ -66,7 +67,7 @@
 }
 
 async function readAnswers(name: ExampleName): Promise<QuestionnaireAnswers> {
-  const file = new URL(`../../examples/${name}.answers.json`, import.meta.url);
+  const file = new URL(`examples/${name}.answers.json`, PROJECT_ROOT);
   const answers: unknown = JSON.parse(await readFile(file, "utf8"));
   return validateAnswers(answers)._unsafeUnwrap();
 }
--- a/src/tools/run_tests.ts
+++ b/src/tools/run_tests.ts
@@ -14,6 +14,10 @@
 const PARALLEL_FILES = 4;
 /** Timeout after which a hanging test file is killed; the slowest takes 35 s on an idle machine and 90 s at a load average of 20. */
 const FILE_TIMEOUT_MS = 240_000;
+/** Ending of test files that start whole fleets; they run one at a time after the others. */
+const EXCLUSIVE_FILE_SUFFIX = "readme_commands_test.js";
+/** Timeout of an exclusive test file; it takes 160 s on an idle machine. */
+const EXCLUSIVE_FILE_TIMEOUT_MS = 900_000;
 
 interface FileReport {
   readonly file: string;
@@ -31,11 +35,15 @@
     .sort();
 }
 
+function isExclusive(file: string): boolean {
+  return file.endsWith(EXCLUSIVE_FILE_SUFFIX);
+}
+
 function runFile(file: string): Promise<FileReport> {
   return new Promise((resolve) => {
     const child = spawn("node", [`${BUILD_FOLDER}/${file}`], {
       env: { ...process.env, NO_COLOR: "1", FORCE_COLOR: "0" },
-      timeout: FILE_TIMEOUT_MS,
+      timeout: isExclusive(file) ? EXCLUSIVE_FILE_TIMEOUT_MS : FILE_TIMEOUT_MS,
       killSignal: "SIGKILL",
     });
     let output = "";
@@ -70,9 +78,8 @@
 }
 
 async function runAll(files: readonly string[]): Promise<FileReport[]> {
-  const pending = [...files];
   const reports: FileReport[] = [];
-  async function runPending(): Promise<void> {
+  async function runPending(pending: string[]): Promise<void> {
     for (
       let file = pending.shift();
       file !== undefined;
@@ -87,7 +94,11 @@
       reports.push(report);
     }
   }
-  await Promise.all(Array.from({ length: PARALLEL_FILES }, runPending));
+  const parallel = files.filter((file) => !isExclusive(file));
+  await Promise.all(
+    Array.from({ length: PARALLEL_FILES }, () => runPending(parallel)),
+  );
+  await runPending(files.filter(isExclusive));
   return reports;
 }
 
