--- a/src/backend/backend_registry.ts
+++ b/src/backend/backend_registry.ts
@@ -113,10 +113,9 @@
     this.#notify();
   }
 
-  /** Reverts a drain, and also the leaving state of the backend server. */
+  /** Reverts a drain; a backend server that announced that it is leaving stays leaving. */
   undrain(): void {
     this.#isDrained = false;
-    this.#leavingSinceMs = undefined;
     this.#notify();
   }
 
--- a/src/backend/backend_registry_test.ts
+++ b/src/backend/backend_registry_test.ts
@@ -58,6 +58,14 @@
   assert.is(registry.state, "serving");
 });
 
+test("the end of a drain does not revert the leaving of the backend server", () => {
+  const { registry } = createRegistry();
+  registry.drain();
+  registry.leave();
+  registry.undrain();
+  assert.is(registry.state, "leaving");
+});
+
 test("a backend server that refuses connections is absent until it announces itself again", () => {
   const { registry } = createRegistry();
   let changes = 0;
--- a/src/backend/http_backend_client.ts
+++ b/src/backend/http_backend_client.ts
@@ -8,6 +8,7 @@
 import type { CallSignal } from "../cancellation/mod.ts";
 import { HEADERS } from "../constants/mod.ts";
 import type { Announcement } from "../generated/types.ts";
+import { collectBody } from "../http/collect_body.ts";
 import {
   createRefusal,
   createUnknownOutcome,
@@ -58,13 +59,13 @@
         headersTimeout: Math.max(1, call.context.remainingMs),
         bodyTimeout: Math.max(1, call.context.remainingMs),
       });
-      const body = new Uint8Array(await response.body.arrayBuffer());
+      const body = await collectBody(response.body, options.maxBodyBytes);
+      if (!body) {
+        return err(createUnknownOutcome(REASONS.bodyTooLarge));
+      }
       if (!hasDelimitedBody(response)) {
         return err(createUnknownOutcome(REASONS.answerTruncated));
       }
-      if (body.length > options.maxBodyBytes) {
-        return err(createUnknownOutcome(REASONS.bodyTooLarge));
-      }
       const contentType = String(response.headers["content-type"] ?? "");
       return ok({
         status: response.statusCode,
--- a/src/backend/http_backend_client_test.ts
+++ b/src/backend/http_backend_client_test.ts
@@ -103,6 +103,14 @@
   assert.is(readFailure(result), "unknown backend-failed");
 });
 
+test("a response over the size limit is abandoned without waiting for its end", async () => {
+  const result = await callServer((socket) => {
+    socket.write("HTTP/1.1 200 OK\r\ncontent-length: 1000000\r\n\r\n");
+    socket.write("x".repeat(4_096));
+  });
+  assert.is(readFailure(result), "unknown body-too-large");
+});
+
 test("a connection reset after the request was sent is an unknown outcome", async () => {
   const result = await callServer((socket) => socket.resetAndDestroy());
   assert.is(readFailure(result), "unknown backend-failed");
--- a/src/caller/read_body.ts
+++ b/src/caller/read_body.ts
@@ -2,9 +2,9 @@
  * Reading of request bodies with a size limit.
  */
 
-import { Buffer } from "node:buffer";
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
+import { collectBody } from "../http/collect_body.ts";
 import { REASONS } from "../outcome/mod.ts";
 import type { Reason } from "../outcome/mod.ts";
 
@@ -30,18 +30,10 @@
   if (request.method === "GET" || !request.body) {
     return ok(EMPTY_BODY);
   }
-  const parts: Uint8Array[] = [];
-  let lengthBytes = 0;
   try {
-    for await (const part of request.body) {
-      lengthBytes += part.length;
-      if (lengthBytes > maxBodyBytes) {
-        return err(REASONS.bodyTooLarge);
-      }
-      parts.push(part);
-    }
+    const body = await collectBody(request.body, maxBodyBytes);
+    return body ? ok(body) : err(REASONS.bodyTooLarge);
   } catch {
     return err(REASONS.cancelled);
   }
-  return ok(Buffer.concat(parts));
 }
--- a/src/cli/configuration_command.ts
+++ b/src/cli/configuration_command.ts
@@ -50,8 +50,12 @@
       random: new RandomSource(0),
       outcomeTimeoutMs: OUTCOME_TIMEOUT_MS,
     });
-    const output = await this.runWith(writer);
-    await store.close();
+    let output: Result<CommandOutput, VError>;
+    try {
+      output = await this.runWith(writer);
+    } finally {
+      await store.close();
+    }
     return output.isOk()
       ? this.#printOutput(output.value)
       : this.#printError(output.error);
--- a/src/routing/adaptive_load_balancer_test.ts
+++ b/src/routing/adaptive_load_balancer_test.ts
@@ -303,6 +303,28 @@
   assert.is(fixture.decisions.length, 3);
 });
 
+test("an instance that worked for longer than its last ejection is ejected for the initial time again", () => {
+  const fixture = createFixture([NEAR, SECOND_NEAR]);
+  const failNear = () =>
+    run(fixture, 100, ({ incarnation }) => ({
+      isErrorAnswer: incarnation === "near",
+    }));
+  const probe = () => {
+    const picked = fixture.pick()._unsafeUnwrap();
+    fixture.loadBalancer.startAttempt(picked, SMALL);
+    fixture.loadBalancer.finishAttempt(picked, createReport());
+    return picked.incarnation;
+  };
+  for (let round = 0; round < 3; round += 1) {
+    failNear();
+    assert.is(fixture.decisions.at(-1), "ejection near");
+    fixture.clock.advance(1_000);
+    assert.is(probe(), "near");
+    assert.is(fixture.decisions.at(-1), "readmission near");
+    fixture.clock.advance(60_000);
+  }
+});
+
 test("does not probe across regions while a nearby instance works", () => {
   const fixture = createFixture([NEAR, FAR]);
   fixture.pick();
--- a/src/routing/outlier_detector.ts
+++ b/src/routing/outlier_detector.ts
@@ -31,7 +31,10 @@
 /** Maximum share of a service's instances used by this daemon that may be ejected at the same time. */
 const MAX_EJECTED_RATIO = 0.5;
 
-/** Initial and maximum time between ejection and probe, in milliseconds; it doubles with each ejection. */
+/**
+ * Initial and maximum time between ejection and probe, in milliseconds. It doubles
+ * with each ejection, unless the instance has worked for longer than it was ejected.
+ */
 const BASE_EJECTION_MS = 1_000;
 const MAX_EJECTION_MS = 30_000;
 
@@ -40,11 +43,12 @@
   failuresInARow: number;
   failureRatio: number;
   samples: number;
-  ejections: number;
   /** When a probe is due, in monotonic milliseconds; undefined while the instance is not ejected. */
   probeAtMs: number | undefined;
   isProbing: boolean;
   readmittedAtMs: number | undefined;
+  /** Duration of the last ejection, in milliseconds; 0 before the first. */
+  ejectionMs: number;
 }
 
 /** Called for each ejection and readmission, with the figures that led to it. */
@@ -165,13 +169,15 @@
   }
 
   #eject(incarnation: string, health: Health): void {
-    const ejectionMs = Math.min(
-      MAX_EJECTION_MS,
-      BASE_EJECTION_MS * 2 ** health.ejections,
-    );
-    health.ejections += 1;
+    const nowMs = this.#clock.monotonicMs();
+    const workedMs = nowMs - (health.readmittedAtMs ?? nowMs);
+    const hasRecovered = !health.isProbing && workedMs > health.ejectionMs;
+    const ejectionMs = health.ejectionMs === 0 || hasRecovered
+      ? BASE_EJECTION_MS
+      : Math.min(MAX_EJECTION_MS, health.ejectionMs * 2);
+    health.ejectionMs = ejectionMs;
     health.isProbing = false;
-    health.probeAtMs = this.#clock.monotonicMs() + ejectionMs;
+    health.probeAtMs = nowMs + ejectionMs;
     const { service, failuresInARow, failureRatio, samples } = health;
     this.#listener("ejection", {
       incarnation,
@@ -207,10 +213,10 @@
       failuresInARow: 0,
       failureRatio: 0,
       samples: 0,
-      ejections: 0,
       probeAtMs: undefined,
       isProbing: false,
       readmittedAtMs: undefined,
+      ejectionMs: 0,
     };
     this.#health.set(incarnation, health);
     return health;
--- a/src/telemetry/line_writer.ts
+++ b/src/telemetry/line_writer.ts
@@ -34,6 +34,8 @@
   #bufferedLength = 0;
   #droppedLines = 0;
   #isFlushPending = false;
+  #isWriting = false;
+  readonly #flushWaiters: (() => void)[] = [];
 
   constructor(writeBytes: WriteBytes = writeToStandardOutput) {
     this.#write = writeBytes;
@@ -58,15 +60,21 @@
     }
   }
 
-  /** Writes all buffered lines without waiting for the batch delay. */
+  /** Writes all buffered lines without waiting for the batch delay, after the batch in progress. */
   async flush(): Promise<void> {
-    await new Promise<void>((resolve) => this.#flush(resolve));
+    await new Promise<void>((resolve) => {
+      this.#flushWaiters.push(resolve);
+      this.#flush();
+    });
   }
 
-  #flush(done: () => void = () => undefined): void {
+  #flush(): void {
+    if (this.#isWriting) {
+      return;
+    }
     if (this.#lines.length === 0) {
       this.#isFlushPending = false;
-      done();
+      this.#flushWaiters.splice(0).forEach((resolve) => resolve());
       return;
     }
     if (this.#droppedLines > 0) {
@@ -77,7 +85,11 @@
     const bytes = new TextEncoder().encode(`${this.#lines.join("\n")}\n`);
     this.#lines = [];
     this.#bufferedLength = 0;
-    this.#writeAll(bytes, () => this.#flush(done));
+    this.#isWriting = true;
+    this.#writeAll(bytes, () => {
+      this.#isWriting = false;
+      this.#flush();
+    });
   }
 
   #writeAll(bytes: Uint8Array, done: () => void): void {
--- a/src/telemetry/line_writer_test.ts
+++ b/src/telemetry/line_writer_test.ts
@@ -35,6 +35,29 @@
   assert.is(sink.readText(), "first line\nsecond\nthird one\n");
 });
 
+test("a flush waits for the batch being written and starts no second write", async () => {
+  const pending: (() => void)[] = [];
+  const writer = new LineWriter((bytes, done) => {
+    pending.push(() => done(null, bytes.length));
+  });
+  writer.add("first");
+  let flushes = 0;
+  const finished = [writer.flush(), writer.flush()].map((flush) =>
+    flush.then(() => flushes += 1)
+  );
+  writer.add("second");
+  await Promise.resolve();
+  assert.is(pending.length, 1);
+  assert.is(flushes, 0);
+  pending[0]?.();
+  await Promise.resolve();
+  assert.is(pending.length, 2);
+  assert.is(flushes, 0);
+  pending[1]?.();
+  await Promise.all(finished);
+  assert.is(flushes, 2);
+});
+
 test("a stalled reader causes dropped lines, not unbounded memory", () => {
   const writer = new LineWriter(() => undefined);
   Array.from({ length: 10_000 }, () => writer.add("x".repeat(100)));
--- a/src/telemetry/log_rate_limiter.ts
+++ b/src/telemetry/log_rate_limiter.ts
@@ -10,9 +10,12 @@
 /** Sustained number of lines per second of an event. */
 const LINES_PER_SECOND = 4;
 
-/** Maximum number of events with a token bucket; further events are not limited. */
+/** Maximum number of events with a token bucket of their own. */
 const MAX_EVENTS = 256;
 
+/** Name of the token bucket that all further events share. */
+const SHARED_BUCKET = "";
+
 interface Bucket {
   tokens: number;
   updatedAtMs: number;
@@ -35,15 +38,16 @@
    */
   take(event: string): number | undefined {
     const nowMs = this.#clock.monotonicMs();
-    const bucket = this.#buckets.get(event) ??
+    const hasOwnBucket = this.#buckets.has(event) ||
+      this.#buckets.size < MAX_EVENTS;
+    const name = hasOwnBucket ? event : SHARED_BUCKET;
+    const bucket = this.#buckets.get(name) ??
       { tokens: BURST_LINES, updatedAtMs: nowMs, suppressed: 0 };
     const refilledTokens = (nowMs - bucket.updatedAtMs) / 1_000 *
       LINES_PER_SECOND;
     bucket.tokens = Math.min(BURST_LINES, bucket.tokens + refilledTokens);
     bucket.updatedAtMs = nowMs;
-    if (this.#buckets.size < MAX_EVENTS) {
-      this.#buckets.set(event, bucket);
-    }
+    this.#buckets.set(name, bucket);
     if (bucket.tokens < 1) {
       bucket.suppressed += 1;
       return undefined;
--- a/src/telemetry/log_rate_limiter_test.ts
+++ b/src/telemetry/log_rate_limiter_test.ts
@@ -15,4 +15,14 @@
   assert.is(limiter.take("refusal"), 0);
 });
 
+test("events beyond the number of token buckets are limited together", () => {
+  const limiter = new LogRateLimiter(new ManualClock());
+  Array.from({ length: 256 }, (_, index) => limiter.take(`event-${index}`));
+  const taken = Array.from(
+    { length: 1_000 },
+    (_, index) => limiter.take(`other-${index}`),
+  ).filter((suppressed) => suppressed !== undefined);
+  assert.ok(taken.length < 50, `${taken.length} lines`);
+});
+
 test.run();
