--- a/src/configuration/choose_watchers.ts
+++ b/src/configuration/choose_watchers.ts
@@ -7,6 +7,9 @@
 /** Number of watchers in each failure domain. */
 export const WATCHERS_PER_DOMAIN = 2;
 
+/** Minimum number of watchers in the whole fleet, in case the store refuses some of them. */
+const MIN_FLEET_WATCHERS = 4;
+
 /**
  * Chooses the watchers of one failure domain by rendezvous hashing. Members with
  * the same view of the live members choose the same watchers, and when a watcher
@@ -30,3 +33,22 @@
   ranked.sort((left, right) => left.rank < right.rank ? -1 : 1);
   return ranked.slice(0, count).map(({ incarnation }) => incarnation);
 }
+
+/**
+ * Counts the watchers of each failure domain: more than usual in a fleet with few
+ * failure domains.
+ *
+ * @param perDomain - Usual number of watchers in a failure domain
+ * @param domainCount - Number of failure domains with live members
+ * @returns Number of watchers to choose in each failure domain
+ *
+ * @example
+ * countWatchersPerDomain(1, 2); // 2
+ */
+export function countWatchersPerDomain(
+  perDomain: number,
+  domainCount: number,
+): number {
+  const minPerDomain = Math.ceil(MIN_FLEET_WATCHERS / Math.max(1, domainCount));
+  return Math.max(perDomain, minPerDomain);
+}
--- a/src/configuration/configuration_distributor.ts
+++ b/src/configuration/configuration_distributor.ts
@@ -11,7 +11,11 @@
 import { DECISIONS } from "../telemetry/mod.ts";
 import type { DecisionJournal, Logger } from "../telemetry/mod.ts";
 import type { Clock, RandomSource } from "../time/mod.ts";
-import { chooseWatchers, WATCHERS_PER_DOMAIN } from "./choose_watchers.ts";
+import {
+  chooseWatchers,
+  countWatchersPerDomain,
+  WATCHERS_PER_DOMAIN,
+} from "./choose_watchers.ts";
 import type { ConfigurationHolder } from "./configuration_holder.ts";
 import { ConfigurationUpdater } from "./configuration_updater.ts";
 import type { ConfigurationPeers } from "./configuration_peers.ts";
@@ -150,7 +154,10 @@
     );
     const watchers = chooseWatchers(
       domainMembers.map((member) => member.incarnation),
-      this.#options.watchersPerDomain ?? WATCHERS_PER_DOMAIN,
+      countWatchersPerDomain(
+        this.#options.watchersPerDomain ?? WATCHERS_PER_DOMAIN,
+        new Set(live.map((member) => member.failureDomain)).size,
+      ),
     );
     const isWatcher = watchers.includes(incarnation);
     if (isWatcher !== this.#isWatcher) {
--- a/src/configuration/configuration_distributor_test.ts
+++ b/src/configuration/configuration_distributor_test.ts
@@ -6,6 +6,7 @@
   DISTRIBUTION_STEP_MS,
   DistributionBench,
 } from "../testing/distribution_bench.ts";
+import { CONFIGURATION_KEY } from "./configuration_objects.ts";
 
 const test = suite("configuration distribution");
 
@@ -36,6 +37,38 @@
   assert.ok(running.every(({ holder }) => holder.version === version));
 });
 
+test("with one watcher per failure domain, a series of changes crosses the region link from the store once per failure domain", async () => {
+  const bench = new DistributionBench(17, undefined, { watchersPerDomain: 1 });
+  await bench.start();
+  const far = bench.fleet.daemons.filter(({ self }) =>
+    self.region === "wallonie"
+  );
+  const sumBytes = () =>
+    far.reduce((sum, { store }) => sum + store.traffic.bytes, 0);
+  const startBytes = sumBytes();
+  let version = 0;
+  const changes = 6;
+  for (let change = 0; change < changes; change += 1) {
+    version = await bench.accept(2_000 + change);
+    await bench.advance(300);
+  }
+  await bench.advance(2_000);
+  assert.equal(listVersions(bench), [version]);
+  const objectBytes = JSON.stringify(bench.fleet.table.get(CONFIGURATION_KEY))
+    .length;
+  const farDomains = new Set(far.map(({ self }) => self.failureDomain)).size;
+  assert.ok(sumBytes() - startBytes <= changes * farDomains * objectBytes);
+});
+
+test("a fleet with a single failure domain has four watchers", async () => {
+  const bench = new DistributionBench(18, undefined, {
+    watchersPerDomain: 1,
+    domains: DISTRIBUTION_DOMAINS.slice(0, 1),
+  });
+  await bench.start();
+  assert.is(listWatchers(bench).length, 4);
+});
+
 test("a version that one daemon read just before a store outage reaches all others", async () => {
   const bench = new DistributionBench(12);
   await bench.start();
--- a/src/testing/distribution_bench.ts
+++ b/src/testing/distribution_bench.ts
@@ -7,6 +7,7 @@
 import { RandomSource } from "../time/mod.ts";
 import { advanceInSteps, advanceUntil } from "./advance_in_steps.ts";
 import { ConfigurationFleet } from "./configuration_fleet.ts";
+import type { ConfigurationFleetOptions } from "./configuration_fleet.ts";
 import { withDeadline } from "./configuration_writer_bench.ts";
 import { ManualClock } from "./manual_clock.ts";
 import { MemoryObjectStore } from "./memory_object_store.ts";
@@ -33,7 +34,13 @@
   readonly fleet: ConfigurationFleet;
   readonly #store: MemoryObjectStore;
 
-  constructor(seed: number, createHolder = () => new ConfigurationHolder()) {
+  constructor(
+    seed: number,
+    createHolder = () => new ConfigurationHolder(),
+    options: Pick<ConfigurationFleetOptions, "watchersPerDomain"> & {
+      readonly domains?: ConfigurationFleetOptions["domains"];
+    } = {},
+  ) {
     const { clock } = this;
     this.fleet = new ConfigurationFleet({
       clock,
@@ -41,6 +48,7 @@
       domains: DISTRIBUTION_DOMAINS,
       daemonsPerDomain: DAEMONS_PER_DOMAIN,
       createHolder,
+      ...options,
     });
     this.#store = new MemoryObjectStore({
       table: this.fleet.table,
