Identify versions of stored objects by era and revision

Cause: the store may return from a copy that is some seconds old and assign revisions again to other changes. The client knew revisions only: a watch from a known revision skipped changes without a 410, an object written anew stayed hidden until the counter had passed the old revision, and a conditional write could match a revision that meant another content.

Change: a version is an era and a revision. One tracker keeps the highest era; answers of an earlier era, or without one once an era is known, are ignored, logged once per value and counted. Watches across eras list anew, writes on a condition of an earlier era are not sent, and one that crossed a return has an unknown outcome. Seed lists that were lost are written again by the daemons that notice the return. A list that lacks the object and has more pages is completed by a read. The active configuration is judged by its own number as before.

--- a/src/configuration/configuration_distributor.ts
+++ b/src/configuration/configuration_distributor.ts
@@ -7,7 +7,8 @@
  */
 
 import type VError from "verror";
-import { Backoff } from "../store/mod.ts";
+import { Backoff, isLaterVersion, NO_VERSION } from "../store/mod.ts";
+import type { StoreVersion } from "../store/mod.ts";
 import { DECISIONS } from "../telemetry/mod.ts";
 import type { DecisionJournal, Logger } from "../telemetry/mod.ts";
 import type { Clock, RandomSource } from "../time/mod.ts";
@@ -76,7 +77,7 @@
   readonly #updater: ConfigurationUpdater;
   readonly #fetcher: PeerFetcher;
   readonly #startedAtMs: number;
-  #storeVersion = 0;
+  #storeVersion = NO_VERSION;
   #acceptedVersion = 0;
   #isConfirmed = false;
   #isWatcher = false;
@@ -172,7 +173,7 @@
   async #pollStore(): Promise<void> {
     const { clock, log, source } = this.#options;
     const startedAtMs = clock.monotonicMs();
-    const stored = this.#storeVersion === 0
+    const stored = this.#storeVersion.revision === 0
       ? await source.read()
       : await source.watch(this.#storeVersion, WATCH_TIMEOUT_MS);
     if (stored.isErr()) {
@@ -211,7 +212,7 @@
       ).flatMap(({ patch }) => patch === undefined ? [] : [patch]);
       this.#updater.activate({ ...state.value, patches }, "store");
     }
-    this.#storeVersion = Math.max(this.#storeVersion, storeVersion);
+    this.#recordStoreVersion(storeVersion);
     this.#acceptedVersion = Math.max(this.#acceptedVersion, head.version);
     return true;
   }
@@ -223,7 +224,7 @@
   #handleStateError(
     error: VError,
     version: number,
-    storeVersion: number,
+    storeVersion: StoreVersion,
   ): boolean {
     const { message, name } = error;
     if (name !== "ConfigurationInvalid") {
@@ -234,7 +235,13 @@
       return false;
     }
     this.#updater.reject(version, message);
-    this.#storeVersion = Math.max(this.#storeVersion, storeVersion);
+    this.#recordStoreVersion(storeVersion);
     return true;
   }
+
+  #recordStoreVersion(storeVersion: StoreVersion): void {
+    if (isLaterVersion(storeVersion, this.#storeVersion)) {
+      this.#storeVersion = storeVersion;
+    }
+  }
 }
--- a/src/configuration/configuration_distributor_test.ts
+++ b/src/configuration/configuration_distributor_test.ts
@@ -98,6 +98,27 @@
   assert.equal(listVersions(bench), [version]);
 });
 
+test("after the store returned from a copy, nothing reverts and the operator's newer version reaches all daemons", async () => {
+  const bench = new DistributionBench(19);
+  await bench.start();
+  await bench.accept(1_002);
+  await bench.advance(1_000);
+  const version = await bench.accept(1_003);
+  await bench.advance(1_000);
+  bench.fleet.table.returnFromCopy(1);
+  await bench.advance(3_000);
+  assert.equal(listVersions(bench), [version]);
+  const restarted = bench.fleet.daemons[3]!;
+  restarted.kill();
+  const next = bench.fleet.restart(restarted);
+  await bench.advance(5_000);
+  assert.is(next.holder.version, version);
+  assert.is(await bench.accept(1_003), version);
+  const newer = await bench.accept(1_004);
+  await bench.advance(2_000);
+  assert.equal(listVersions(bench), [newer]);
+});
+
 test("a daemon restarted while the store returns stale reads waits for the version of its peers", async () => {
   const bench = new DistributionBench(14);
   await bench.start();
--- a/src/configuration/configuration_reader.ts
+++ b/src/configuration/configuration_reader.ts
@@ -18,7 +18,13 @@
   validateConfigurationBase,
   validateConfigurationHead,
 } from "../generated/validators.ts";
-import type { ObjectStore, StoredObject, StoreFailure } from "../store/mod.ts";
+import { NO_VERSION } from "../store/mod.ts";
+import type {
+  ObjectStore,
+  StoredObject,
+  StoreFailure,
+  StoreVersion,
+} from "../store/mod.ts";
 import {
   applyAnswersPatches,
   applyConfigurationPatches,
@@ -29,13 +35,13 @@
 
 /** The head object with the version that the store assigned to it. */
 export interface StoredHead {
-  readonly storeVersion: number;
+  readonly storeVersion: StoreVersion;
   readonly head: ConfigurationHead;
 }
 
 /** A base object with the version that the store assigned to it. */
 export interface StoredBase {
-  readonly storeVersion: number;
+  readonly storeVersion: StoreVersion;
   readonly base: ConfigurationBase | undefined;
 }
 
@@ -55,7 +61,7 @@
 
   /** Waits for a head newer than a store version; undefined on timeout. */
   async watchHead(
-    afterStoreVersion: number,
+    afterStoreVersion: StoreVersion,
     timeoutMs: number,
   ): Promise<Result<StoredHead | undefined, VError>> {
     const object = await this.#store.watch(
@@ -182,7 +188,7 @@
   object: StoredObject | undefined,
 ): Result<StoredBase, VError> {
   if (!object) {
-    return ok({ storeVersion: 0, base: undefined });
+    return ok({ storeVersion: NO_VERSION, base: undefined });
   }
   const { value, version: storeVersion } = object;
   return validateConfigurationBase(value)
--- a/src/configuration/configuration_source.ts
+++ b/src/configuration/configuration_source.ts
@@ -5,6 +5,7 @@
 import type { Result } from "neverthrow";
 import type VError from "verror";
 import type { ConfigurationChange } from "../generated/types.ts";
+import type { StoreVersion } from "../store/mod.ts";
 import type {
   ConfigurationReader,
   StoredHead,
@@ -14,7 +15,7 @@
 /** The latest accepted version, with access to its state. */
 export interface AcceptedHead {
   /** Version that the store assigned to the head object. */
-  readonly storeVersion: number;
+  readonly storeVersion: StoreVersion;
   /** Version of the configuration. */
   readonly version: number;
   /** Latest changes, with their patches if these are retained. */
@@ -30,7 +31,7 @@
 
   /** Waits for a head newer than a store version; undefined on timeout. */
   abstract watch(
-    afterStoreVersion: number,
+    afterStoreVersion: StoreVersion,
     timeoutMs: number,
   ): Promise<Result<AcceptedHead | undefined, VError>>;
 }
@@ -50,7 +51,7 @@
   }
 
   override async watch(
-    afterStoreVersion: number,
+    afterStoreVersion: StoreVersion,
     timeoutMs: number,
   ): Promise<Result<AcceptedHead | undefined, VError>> {
     const stored = await this.#reader.watchHead(afterStoreVersion, timeoutMs);
--- a/src/configuration/configuration_writer.ts
+++ b/src/configuration/configuration_writer.ts
@@ -14,7 +14,7 @@
   ConfigurationHead,
 } from "../generated/types.ts";
 import { validateConfigurationHead } from "../generated/validators.ts";
-import { Backoff } from "../store/mod.ts";
+import { Backoff, NO_VERSION } from "../store/mod.ts";
 import type { ObjectStore, StoreFailure } from "../store/mod.ts";
 import type { Clock, RandomSource } from "../time/mod.ts";
 import { canonicalizeNamedLists } from "./canonicalize_named_lists.ts";
@@ -119,7 +119,7 @@
     basedOn: AcceptedState | undefined,
   ): Promise<Result<number, VError>> {
     const { clock, random, outcomeTimeoutMs, store } = this.#options;
-    const expected = basedOn?.storeVersion ?? 0;
+    const expected = basedOn?.storeVersion ?? NO_VERSION;
     const deadlineMs = clock.monotonicMs() + outcomeTimeoutMs;
     const backoff = new Backoff(random, RETRY_BACKOFF);
     let mayHaveTakenEffect = false;
--- a/src/configuration/create_head.ts
+++ b/src/configuration/create_head.ts
@@ -16,10 +16,11 @@
 import { digestConfiguration } from "./digest_configuration.ts";
 import { createDocumentPatch } from "./document_patch.ts";
 import type { BaseReference } from "./ensure_base.ts";
+import type { StoreVersion } from "../store/mod.ts";
 
 /** The accepted state in the object API. */
 export interface AcceptedState {
-  readonly storeVersion: number;
+  readonly storeVersion: StoreVersion;
   readonly head: ConfigurationHead;
   readonly state: VersionedState;
 }
--- a/src/daemon/create_daemon_components.ts
+++ b/src/daemon/create_daemon_components.ts
@@ -29,8 +29,12 @@
 import { ActiveCalls, PeerClients } from "../request/mod.ts";
 import type { CallEnvironment } from "../request/mod.ts";
 import { TrafficSplitter } from "../routing/mod.ts";
-import { HttpObjectStore, RateLimitedObjectStore } from "../store/mod.ts";
-import type { ObjectStore, StoreDialect } from "../store/mod.ts";
+import {
+  EraTracker,
+  HttpObjectStore,
+  RateLimitedObjectStore,
+} from "../store/mod.ts";
+import type { EraEvent, ObjectStore, StoreDialect } from "../store/mod.ts";
 import {
   createLogger,
   DaemonMetrics,
@@ -126,10 +130,10 @@
   const seeds = settings.seeds.split(",").filter((seed) => seed !== "");
   const isProtected = settings.protection === "on";
   const { fleetToken } = settings;
-  const store = new HttpObjectStore(
-    settings.storeUrl,
-    overrides.storeDialect,
-  );
+  const store = new HttpObjectStore(settings.storeUrl, {
+    dialect: overrides.storeDialect,
+    eras: new EraTracker((event) => reportEra(event, { log, metrics })),
+  });
   const rateLimitedStore = new RateLimitedObjectStore({
     store,
     clock,
@@ -218,6 +222,19 @@
   };
 }
 
+/** Logs and counts an era of the store, or an answer ignored because of its era. */
+function reportEra(
+  { kind, era, stated }: EraEvent,
+  { log, metrics }: Pick<CallEnvironment, "log" | "metrics">,
+): void {
+  metrics.storeEras.inc({ event: kind });
+  if (kind === "first") {
+    log.info({ era }, "store-era-first");
+  } else {
+    log.warn({ era, stated }, `store-era-${kind}`);
+  }
+}
+
 function createSelfRecord(
   settings: DaemonSettings,
   startedAtMs: number,
--- a/src/membership/gossip_membership_test.ts
+++ b/src/membership/gossip_membership_test.ts
@@ -10,6 +10,7 @@
 } from "../testing/simulated_fleet.ts";
 import { EvictionLimiter } from "./eviction_limiter.ts";
 import { GossipCodec } from "./gossip_codec.ts";
+import { SeedListManager } from "./seed_list_manager.ts";
 
 const SETTLE_MS = 15_000;
 
@@ -449,4 +450,21 @@
   assert.is(first.membership.traffic.droppedDatagrams, 1);
 });
 
+test("a seed list that the store lost with its return from a copy is written again within seconds", async () => {
+  const fleet = await startFleet();
+  const key = SeedListManager.createStoreKey(
+    getMember(fleet, 0).record.failureDomain,
+  );
+  assert.ok((await fleet.store.read(key))._unsafeUnwrap());
+  const writesBefore = fleet.store.writes;
+  fleet.store.returnFromCopy();
+  await fleet.run(4_000);
+  const restored = (await fleet.store.read(key))._unsafeUnwrap();
+  assert.ok(Array.isArray(restored?.value) && restored.value.length > 0);
+  const members = fleet.members.length;
+  assert.ok(fleet.store.writes - writesBefore <= members);
+  await fleet.run(60_000);
+  assert.ok(fleet.store.writes - writesBefore <= members);
+});
+
 test.run();
--- a/src/membership/seed_list_manager.ts
+++ b/src/membership/seed_list_manager.ts
@@ -4,10 +4,13 @@
  *
  * The first delegate of a failure domain rewrites its list when it is out of date.
  * A daemon without peers counts as the first delegate, so it fills an empty list.
+ * When the store returns from a copy, each daemon that notices it checks the list
+ * of its failure domain, and writes it again if it was lost.
  * Reads and writes are randomly spread over time and back off while the store
  * fails.
  */
 
+import { NO_VERSION } from "../store/mod.ts";
 import type { ObjectStore } from "../store/mod.ts";
 import { chooseDelegates } from "./choose_delegates.ts";
 import { formatGossipAddress } from "./gossip_context.ts";
@@ -30,6 +33,9 @@
  */
 const ISOLATED_RETRY_WAIT_MS = { initial: 1_000, max: 60_000 } as const;
 
+/** Mean wait before the list is checked after the store has returned from a copy, in milliseconds. */
+const RETURN_CHECK_WAIT_MS = 1_000;
+
 /** Share of the expected list entries that must be alive. */
 const MIN_ALIVE_RATIO = 0.5;
 
@@ -55,10 +61,14 @@
   readonly #triedAddresses = new Set<string>();
   #isChecking = false;
   #nextRemoteDomain = 0;
+  #knownEra: number;
+  /** Whether the list may have been lost with the latest changes of the store. */
+  #mayBeLost = false;
 
   constructor(context: GossipContext, options: SeedListManagerOptions) {
     this.#context = context;
     this.#options = options;
+    this.#knownEra = options.store.era;
     this.#nextCheckAtMs = context.clock.monotonicMs() +
       context.random.nextFloat() * MAX_FIRST_READ_DELAY_MS;
   }
@@ -71,11 +81,12 @@
   /** Checks the seed lists if a check is due. */
   tick(): void {
     const { clock } = this.#context;
+    this.#noticeReturn();
     if (this.#isChecking || clock.monotonicMs() < this.#nextCheckAtMs) {
       return;
     }
     const isAlone = this.#isAlone();
-    if (!isAlone && !this.#isFirstDelegate()) {
+    if (!isAlone && !this.#isWriter()) {
       this.#nextCheckAtMs = clock.monotonicMs() +
         this.#jitter(CHECK_INTERVAL_MS);
       return;
@@ -86,6 +97,19 @@
     });
   }
 
+  #noticeReturn(): void {
+    const { era } = this.#options.store;
+    if (era === this.#knownEra) {
+      return;
+    }
+    this.#mayBeLost ||= this.#knownEra > 0;
+    this.#knownEra = era;
+    if (this.#mayBeLost) {
+      this.#nextCheckAtMs = this.#context.clock.monotonicMs() +
+        this.#jitter(RETURN_CHECK_WAIT_MS);
+    }
+  }
+
   async #checkLists(isAlone: boolean): Promise<void> {
     const { clock } = this.#context;
     this.#options.seeds.forEach((seed) => this.#options.join(seed));
@@ -101,6 +125,11 @@
       return;
     }
     this.#isolatedWaitMs = ISOLATED_RETRY_WAIT_MS.initial;
+    if (this.#mayBeLost) {
+      this.#nextCheckAtMs = clock.monotonicMs() +
+        this.#jitter(RETURN_CHECK_WAIT_MS);
+      return;
+    }
     const isRemoteMissing = this.#listMissingDomains().length > 0;
     this.#nextCheckAtMs = clock.monotonicMs() + this.#jitter(
       isRemoteMissing ? ISOLATED_RETRY_WAIT_MS.max : CHECK_INTERVAL_MS,
@@ -128,7 +157,11 @@
     const aliveInList = addresses.length - unknown.length;
     const isUpToDate = aliveInList >=
       Math.min(alive.length, MAX_SEEDS) * MIN_ALIVE_RATIO;
-    if (isUpToDate || hasUntried || !this.#isFirstDelegate()) {
+    if (isUpToDate || !this.#isWriter()) {
+      this.#mayBeLost = false;
+      return true;
+    }
+    if (hasUntried) {
       return true;
     }
     const retained = unknown.slice(0, MAX_SEEDS / 2);
@@ -136,12 +169,13 @@
     const written = await this.#options.store.write(
       key,
       next,
-      stored.value?.version ?? 0,
+      stored.value?.version ?? NO_VERSION,
     );
     if (written.isErr()) {
       readAddresses(written.error.current?.value)
         .forEach((address) => this.#joinAndRemember(address));
     }
+    this.#mayBeLost &&= written.isErr();
     return written.isOk();
   }
 
@@ -201,6 +235,11 @@
     return table.listDomain(table.self.failureDomain).length <= 1;
   }
 
+  /** Whether this daemon maintains the list of its failure domain. */
+  #isWriter(): boolean {
+    return this.#mayBeLost || this.#isFirstDelegate();
+  }
+
   #isFirstDelegate(): boolean {
     const { table } = this.#context;
     const [first] = chooseDelegates(
--- a/src/store/mod.ts
+++ b/src/store/mod.ts
@@ -12,10 +12,20 @@
   StoreDialect,
 } from "./store_dialect.ts";
 export type {
+  StoreHeaders,
   StoreRequest,
   StoreResponse,
+  WatchPosition,
   WatchResult,
 } from "./store_dialect.ts";
+export { EraTracker } from "./era_tracker.ts";
+export type { EraEvent, ReportEra } from "./era_tracker.ts";
+export { isLaterVersion, NO_VERSION } from "./store_version.ts";
+export type { StoreVersion } from "./store_version.ts";
 export { HttpObjectStore } from "./http_object_store.ts";
+export type {
+  HttpObjectStoreOptions,
+  RawStoreResponse,
+} from "./http_object_store.ts";
 export { ObjectStore } from "./object_store.ts";
 export type { StoredObject, StoreFailure } from "./object_store.ts";
--- a/src/store/object_store.ts
+++ b/src/store/object_store.ts
@@ -3,10 +3,11 @@
  */
 
 import type { Result } from "neverthrow";
+import type { StoreVersion } from "./store_version.ts";
 
 /** An object with the version that the store assigned to it. */
 export interface StoredObject {
-  readonly version: number;
+  readonly version: StoreVersion;
   readonly value: unknown;
 }
 
@@ -24,25 +25,28 @@
 
 /** A store of versioned objects with conditional writes. */
 export abstract class ObjectStore {
+  /** The latest known era of the store; 0 if none is known. */
+  abstract get era(): number;
+
   /** Reads an object; undefined if it does not exist. */
   abstract read(
     key: string,
   ): Promise<Result<StoredObject | undefined, StoreFailure>>;
 
   /**
-   * Writes an object if its version is `expectedVersion` (0: does not exist);
-   * returns the new version.
+   * Writes an object if its version is `expected` (`NO_VERSION`: it does not
+   * exist); returns the new version.
    */
   abstract write(
     key: string,
     value: unknown,
-    expectedVersion: number,
-  ): Promise<Result<number, StoreFailure>>;
+    expected: StoreVersion,
+  ): Promise<Result<StoreVersion, StoreFailure>>;
 
-  /** Waits for a version above `afterVersion`; undefined after `timeoutMs` milliseconds. */
+  /** Waits for a version later than `after`; undefined after `timeoutMs` milliseconds. */
   abstract watch(
     key: string,
-    afterVersion: number,
+    after: StoreVersion,
     timeoutMs: number,
   ): Promise<Result<StoredObject | undefined, StoreFailure>>;
 }
--- a/src/store/rate_limited_object_store.ts
+++ b/src/store/rate_limited_object_store.ts
@@ -7,6 +7,7 @@
 import type { Clock } from "../time/mod.ts";
 import { ObjectStore } from "./object_store.ts";
 import type { StoredObject, StoreFailure } from "./object_store.ts";
+import type { StoreVersion } from "./store_version.ts";
 
 /** Dependencies and limits of the rate-limited store. */
 export interface RateLimitedObjectStoreOptions {
@@ -31,6 +32,10 @@
     this.#refilledAtMs = options.clock.monotonicMs();
   }
 
+  override get era(): number {
+    return this.#options.store.era;
+  }
+
   override async read(
     key: string,
   ): Promise<Result<StoredObject | undefined, StoreFailure>> {
@@ -42,20 +47,20 @@
   override async write(
     key: string,
     value: unknown,
-    expectedVersion: number,
-  ): Promise<Result<number, StoreFailure>> {
+    expected: StoreVersion,
+  ): Promise<Result<StoreVersion, StoreFailure>> {
     return this.#tryTakeToken()
-      ? await this.#options.store.write(key, value, expectedVersion)
+      ? await this.#options.store.write(key, value, expected)
       : err(createRateLimitFailure());
   }
 
   override async watch(
     key: string,
-    afterVersion: number,
+    after: StoreVersion,
     timeoutMs: number,
   ): Promise<Result<StoredObject | undefined, StoreFailure>> {
     return this.#tryTakeToken()
-      ? await this.#options.store.watch(key, afterVersion, timeoutMs)
+      ? await this.#options.store.watch(key, after, timeoutMs)
       : err(createRateLimitFailure());
   }
 
--- a/src/store/rate_limited_object_store_test.ts
+++ b/src/store/rate_limited_object_store_test.ts
@@ -6,6 +6,7 @@
 import { ObjectTable } from "../testing/object_table.ts";
 import { RandomSource } from "../time/mod.ts";
 import { Backoff } from "./backoff.ts";
+import { NO_VERSION } from "./store_version.ts";
 import { RateLimitedObjectStore } from "./rate_limited_object_store.ts";
 
 const test = suite("rate-limited object store");
@@ -59,7 +60,7 @@
 test("a write over the rate limit fails as unavailable, not as unsure", async () => {
   const bench = createBench();
   await countAllowedCalls(bench, 5);
-  const written = await bench.store.write("key", 1, 0);
+  const written = await bench.store.write("key", 1, NO_VERSION);
   assert.is(written._unsafeUnwrapErr().kind, "unavailable");
 });
 
--- a/src/store/store_dialect.ts
+++ b/src/store/store_dialect.ts
@@ -4,6 +4,7 @@
 
 import type { Result } from "neverthrow";
 import type { StoredObject, StoreFailure } from "./object_store.ts";
+import type { StoreVersion } from "./store_version.ts";
 
 /** An HTTP request to the store. */
 export interface StoreRequest {
@@ -17,21 +18,43 @@
 export interface StoreResponse {
   readonly status: number;
   readonly text: string;
+  /** Era of the store that answered; 0 for a store that has no eras. */
+  readonly era: number;
+}
+
+/** What a watch continues from. */
+export interface WatchPosition {
+  /** The version that the watcher knows. */
+  readonly after: StoreVersion;
+  /** Era of the store when the request was sent. */
+  readonly era: number;
 }
 
 /** The result of one watch request. */
 export interface WatchResult {
-  /** The object, if its version is above the one that the watcher knows. */
+  /** The object, if its version is later than the one that the watcher knows. */
   readonly object: StoredObject | undefined;
   /**
    * Whether the response only contained the position to watch from, so that the
    * watch must be repeated.
    */
   readonly isPositionOnly: boolean;
+  /** Whether the response contained only a part of the objects and not this one, so that it must be read. */
+  readonly isIncomplete?: boolean;
 }
 
+/** Headers of a response, with lower-case names. */
+export type StoreHeaders = Readonly<
+  Record<string, string | string[] | undefined>
+>;
+
 /** Encodes calls to an object API and decodes its responses. */
 export abstract class StoreDialect {
+  /** Returns the era that a response states; undefined if it states none. */
+  readEra(_headers: StoreHeaders): string | undefined {
+    return "0"; // A store that has no eras stays in era 0.
+  }
+
   /** Encodes a read of an object. */
   abstract encodeRead(key: string): StoreRequest;
 
@@ -41,30 +64,31 @@
     response: StoreResponse,
   ): Result<StoredObject | undefined, StoreFailure>;
 
-  /** Encodes a conditional write; `expectedVersion` 0 means that the object does not exist. */
+  /** Encodes a conditional write; `NO_VERSION` means that the object does not exist. */
   abstract encodeWrite(
     key: string,
     value: unknown,
-    expectedVersion: number,
+    expected: StoreVersion,
   ): StoreRequest;
 
   /** Decodes the response to a write; returns the new version. */
   abstract decodeWrite(
     key: string,
+    expected: StoreVersion,
     response: StoreResponse,
-  ): Result<number, StoreFailure>;
+  ): Result<StoreVersion, StoreFailure>;
 
-  /** Encodes a watch for a version above `afterVersion`, with a timeout in milliseconds. */
+  /** Encodes a watch for a later version, with a timeout in milliseconds. */
   abstract encodeWatch(
     key: string,
-    afterVersion: number,
+    position: WatchPosition,
     timeoutMs: number,
   ): StoreRequest;
 
   /** Decodes the response to a watch. */
   abstract decodeWatch(
     key: string,
-    afterVersion: number,
+    position: WatchPosition,
     response: StoreResponse,
   ): Result<WatchResult, StoreFailure>;
 }
--- a/src/store/version_header_dialect.ts
+++ b/src/store/version_header_dialect.ts
@@ -6,6 +6,7 @@
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
 import type { StoredObject, StoreFailure } from "./object_store.ts";
+import type { StoreVersion } from "./store_version.ts";
 import {
   createStatusFailure,
   parseResponseBody,
@@ -14,6 +15,7 @@
 import type {
   StoreRequest,
   StoreResponse,
+  WatchPosition,
   WatchResult,
 } from "./store_dialect.ts";
 
@@ -43,14 +45,14 @@
   override encodeWrite(
     key: string,
     value: unknown,
-    expectedVersion: number,
+    expected: StoreVersion,
   ): StoreRequest {
     return {
       method: "PUT",
       path: formatObjectPath(key),
       headers: {
         "content-type": "application/json",
-        "if-match": String(expectedVersion),
+        "if-match": String(expected.revision),
       },
       body: JSON.stringify(value),
     };
@@ -58,9 +60,10 @@
 
   override decodeWrite(
     _key: string,
+    _expected: StoreVersion,
     response: StoreResponse,
-  ): Result<number, StoreFailure> {
-    const object = parseResponseBody(response) as StoredObject | undefined;
+  ): Result<StoreVersion, StoreFailure> {
+    const object = parseObject(response);
     if (response.status === STATUS.ok && object) {
       return ok(object.version);
     }
@@ -75,16 +78,16 @@
 
   override encodeWatch(
     key: string,
-    afterVersion: number,
+    { after }: WatchPosition,
     timeoutMs: number,
   ): StoreRequest {
-    const query = `after=${afterVersion}&timeoutMs=${timeoutMs}`;
+    const query = `after=${after.revision}&timeoutMs=${timeoutMs}`;
     return { method: "GET", path: `${formatObjectPath(key)}?${query}` };
   }
 
   override decodeWatch(
     _key: string,
-    _afterVersion: number,
+    _position: WatchPosition,
     response: StoreResponse,
   ): Result<WatchResult, StoreFailure> {
     const { status } = response;
@@ -101,12 +104,23 @@
 function decodeObject(
   response: StoreResponse,
 ): Result<StoredObject, StoreFailure> {
-  const object = parseResponseBody(response) as StoredObject | undefined;
+  const object = parseObject(response);
   return response.status === STATUS.ok && object
     ? ok(object)
     : err(createStatusFailure("unavailable", response));
 }
 
+/** Parses an object; its version is a plain revision on the wire. */
+function parseObject(response: StoreResponse): StoredObject | undefined {
+  const object = parseResponseBody(response) as
+    | { readonly version: number; readonly value: unknown }
+    | undefined;
+  return object && {
+    version: { era: response.era, revision: object.version },
+    value: object.value,
+  };
+}
+
 function formatObjectPath(key: string): string {
   return `/objects/${encodeURIComponent(key)}`;
 }
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -138,6 +138,14 @@
     registers: [this.registry],
   });
 
+  /** Eras of the store seen, and values ignored as invalid or outdated, by event. */
+  readonly storeEras = new Counter({
+    name: "celeryhollow_store_eras_total",
+    help: "Eras of the store seen, and distinct values ignored",
+    labelNames: ["event"] as const,
+    registers: [this.registry],
+  });
+
   /** Members that this daemon knows, by state. */
   readonly members = new Gauge({
     name: "celeryhollow_members",
--- a/src/testing/memory_object_store.ts
+++ b/src/testing/memory_object_store.ts
@@ -4,8 +4,8 @@
 
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
-import { ObjectStore } from "../store/mod.ts";
-import type { StoredObject, StoreFailure } from "../store/mod.ts";
+import { isLaterVersion, NO_VERSION, ObjectStore } from "../store/mod.ts";
+import type { StoredObject, StoreFailure, StoreVersion } from "../store/mod.ts";
 import type { Clock } from "../time/mod.ts";
 import type { ObjectApiFaults } from "./object_api_stand_in.ts";
 import type { ObjectTable } from "./object_table.ts";
@@ -33,6 +33,10 @@
     this.#options = options;
   }
 
+  override get era(): number {
+    return this.#options.table.era;
+  }
+
   override async read(
     key: string,
   ): Promise<Result<StoredObject | undefined, StoreFailure>> {
@@ -46,8 +50,8 @@
   override async write(
     key: string,
     value: unknown,
-    expectedVersion: number,
-  ): Promise<Result<number, StoreFailure>> {
+    expected: StoreVersion,
+  ): Promise<Result<StoreVersion, StoreFailure>> {
     const { faults, table } = this.#options;
     this.traffic.calls += 1;
     await this.#delay();
@@ -55,19 +59,23 @@
       return err(createFailure("unsure"));
     }
     const text = JSON.stringify(value);
-    const outcome = table.put(key, text, expectedVersion);
+    const isOutdated = expected.revision > 0 && expected.era !== table.era;
+    if (isOutdated) {
+      return err({ ...createFailure("conflict"), current: table.get(key) });
+    }
+    const outcome = table.put(key, text, expected);
     await this.#delay();
     if (faults.losesResponses || faults.isDown) {
       return err(createFailure("unsure"));
     }
     return outcome.isAccepted
-      ? ok(outcome.current?.version ?? 0)
+      ? ok(outcome.current?.version ?? NO_VERSION)
       : err({ ...createFailure("conflict"), current: outcome.current });
   }
 
   override async watch(
     key: string,
-    afterVersion: number,
+    after: StoreVersion,
     timeoutMs: number,
   ): Promise<Result<StoredObject | undefined, StoreFailure>> {
     this.traffic.calls += 1;
@@ -75,13 +83,13 @@
     if (this.#options.faults.isDown) {
       return err(createFailure("unavailable"));
     }
-    await this.#waitForChange(key, afterVersion, timeoutMs);
+    await this.#waitForChange(key, after, timeoutMs);
     if (this.#options.faults.isDown) {
       return err(createFailure("unavailable"));
     }
     const object = this.#getVisible(key);
     return ok(
-      object && object.version > afterVersion
+      object && isLaterVersion(object.version, after)
         ? this.#createResponse(object)
         : undefined,
     );
@@ -105,11 +113,11 @@
 
   #waitForChange(
     key: string,
-    afterVersion: number,
+    after: StoreVersion,
     timeoutMs: number,
   ): Promise<void> {
     const { clock, table } = this.#options;
-    if ((table.get(key)?.version ?? 0) > afterVersion) {
+    if (isLaterVersion(table.get(key)?.version ?? NO_VERSION, after)) {
       return Promise.resolve();
     }
     return new Promise((resolve) => {
--- a/src/testing/memory_store.ts
+++ b/src/testing/memory_store.ts
@@ -5,7 +5,7 @@
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
 import { ObjectStore } from "../store/mod.ts";
-import type { StoredObject, StoreFailure } from "../store/mod.ts";
+import type { StoredObject, StoreFailure, StoreVersion } from "../store/mod.ts";
 
 const UNAVAILABLE: StoreFailure = {
   kind: "unavailable",
@@ -17,6 +17,7 @@
   reads = 0;
   writes = 0;
   isDown = false;
+  override era = 1;
   readonly #objects = new Map<string, StoredObject>();
 
   override read(
@@ -31,14 +32,14 @@
   override write(
     key: string,
     value: unknown,
-    expectedVersion: number,
-  ): Promise<Result<number, StoreFailure>> {
+    expected: StoreVersion,
+  ): Promise<Result<StoreVersion, StoreFailure>> {
     this.writes += 1;
     const current = this.#objects.get(key);
     if (this.isDown) {
       return Promise.resolve(err(UNAVAILABLE));
     }
-    if ((current?.version ?? 0) !== expectedVersion) {
+    if ((current?.version.revision ?? 0) !== expected.revision) {
       return Promise.resolve(
         err({
           kind: "conflict",
@@ -47,13 +48,20 @@
         }),
       );
     }
-    this.#objects.set(key, { version: expectedVersion + 1, value });
-    return Promise.resolve(ok(expectedVersion + 1));
+    const version = { era: this.era, revision: expected.revision + 1 };
+    this.#objects.set(key, { version, value });
+    return Promise.resolve(ok(version));
+  }
+
+  /** Loses all objects and starts a new era, as a store that returns from an empty copy. */
+  returnFromCopy(): void {
+    this.era += 1;
+    this.#objects.clear();
   }
 
   override watch(
     key: string,
-    _afterVersion: number,
+    _after: StoreVersion,
     _timeoutMs: number,
   ): Promise<Result<StoredObject | undefined, StoreFailure>> {
     return this.read(key);
--- a/src/testing/object_api_stand_in.ts
+++ b/src/testing/object_api_stand_in.ts
@@ -83,7 +83,7 @@
       this.counts.reads += 1;
       const object = this.#getVisible(key);
       return object
-        ? context.json(object)
+        ? context.json(encodeObject(object))
         : context.json({ error: "not found" }, 404);
     }
     this.counts.watches += 1;
@@ -93,8 +93,8 @@
       Number(context.req.query("timeoutMs")),
     );
     const object = this.#getVisible(key);
-    return object && object.version > Number(after)
-      ? context.json(object)
+    return object && object.version.revision > Number(after)
+      ? context.json(encodeObject(object))
       : context.body(null, 204);
   }
 
@@ -108,15 +108,18 @@
     const { isAccepted, current } = this.#table.put(
       key,
       text,
-      Number(context.req.header("if-match")),
+      { era: 0, revision: Number(context.req.header("if-match")) },
     );
     if (!isAccepted) {
-      return context.json(current ?? { version: 0 }, 412);
+      return context.json(
+        current ? encodeObject(current) : { version: 0 },
+        412,
+      );
     }
     if (this.faults.losesResponses) {
       return context.text("lost", 502);
     }
-    return context.json({ version: current?.version });
+    return context.json({ version: current?.version.revision });
   }
 
   #getVisible(key: string): StoredObject | undefined {
@@ -130,7 +133,7 @@
     afterVersion: number,
     timeoutMs: number,
   ): Promise<void> {
-    if ((this.#table.get(key)?.version ?? 0) > afterVersion) {
+    if ((this.#table.get(key)?.version.revision ?? 0) > afterVersion) {
       return Promise.resolve();
     }
     return new Promise((resolve) => {
@@ -144,3 +147,8 @@
     });
   }
 }
+
+/** Encodes an object for the wire, where its version is a plain revision. */
+function encodeObject({ version, value }: StoredObject) {
+  return { version: version.revision, value };
+}
--- a/src/testing/object_table.ts
+++ b/src/testing/object_table.ts
@@ -3,7 +3,7 @@
  * listeners.
  */
 
-import type { StoredObject } from "../store/mod.ts";
+import type { StoredObject, StoreVersion } from "../store/mod.ts";
 
 /** Result of a conditional update, with the object stored after it. */
 export interface PutResult {
@@ -21,29 +21,66 @@
   readonly #objects = new Map<string, ObjectVersions>();
   readonly #watchers = new Map<string, Set<() => void>>();
 
+  #era = 0;
+  /** Objects before each change, latest last. */
+  readonly #changes: {
+    readonly key: string;
+    readonly before: ObjectVersions | undefined;
+  }[] = [];
+
+  /** Number of times that the table has returned from a copy. */
+  get era(): number {
+    return this.#era;
+  }
+
+  /** Undoes the latest changes and starts a new era, as a store that returns from a copy. */
+  returnFromCopy(lostChanges: number): void {
+    const lost = this.#changes.splice(
+      Math.max(0, this.#changes.length - lostChanges),
+    );
+    for (const { key, before } of lost.reverse()) {
+      if (before) {
+        this.#objects.set(key, before);
+      } else {
+        this.#objects.delete(key);
+      }
+    }
+    this.#era += 1;
+    this.notifyAll();
+  }
+
   /** Returns the current object. */
   get(key: string): StoredObject | undefined {
-    return this.#objects.get(key)?.current;
+    return this.#withEra(this.#objects.get(key)?.current);
   }
 
   /** Returns the previous version of the object, or the only one. */
   getPrevious(key: string): StoredObject | undefined {
     const versions = this.#objects.get(key);
-    return versions?.previous ?? versions?.current;
+    return this.#withEra(versions?.previous ?? versions?.current);
   }
 
-  /** Replaces the object if its version is `expectedVersion` (0: does not exist). */
-  put(key: string, text: string, expectedVersion: number): PutResult {
+  /** Replaces the object if it has the expected revision (0: does not exist). */
+  put(key: string, text: string, { revision }: StoreVersion): PutResult {
     const current = this.get(key);
-    if (expectedVersion !== (current?.version ?? 0)) {
+    if (revision !== (current?.version.revision ?? 0)) {
       return { isAccepted: false, current };
     }
-    const next = { version: expectedVersion + 1, value: JSON.parse(text) };
+    const version = { era: this.#era, revision: revision + 1 };
+    const next = { version, value: JSON.parse(text) };
+    this.#changes.push({ key, before: this.#objects.get(key) });
     this.#objects.set(key, { current: next, previous: current });
     this.notify(key);
     return { isAccepted: true, current: next };
   }
 
+  #withEra(object: StoredObject | undefined): StoredObject | undefined {
+    return object && {
+      ...object,
+      version: { ...object.version, era: this.#era },
+    };
+  }
+
   /** Calls `listener` on every change of the object; returns a function that removes it. */
   onChange(key: string, listener: () => void): () => void {
     const watchers = this.#watchers.get(key) ?? new Set();
