Count the bytes sent to other daemons by purpose, region and failure domain

Frames and datagrams are now counted by message kind and by the receiver's failure domain, and exported as celeryhollow_sent_bytes.

--- a/src/daemon/create_admin_app.ts
+++ b/src/daemon/create_admin_app.ts
@@ -105,6 +105,11 @@
   metrics.keysRemembered.set({ role: "holder" }, environment.keys.size);
   metrics.keysRemembered.set({ role: "runner" }, environment.runs.size);
   updateMembershipGauges(metrics, membership);
+  const regions = configuration.current?.regionByFailureDomain;
+  for (const { purpose, failureDomain, bytes } of metrics.sent.list()) {
+    const region = regions?.get(failureDomain) ?? "";
+    metrics.sentBytes.set({ purpose, region, domain: failureDomain }, bytes);
+  }
 }
 
 function describeStatus(environment: CallEnvironment, isReady: boolean) {
--- a/src/daemon/create_daemon_components.ts
+++ b/src/daemon/create_daemon_components.ts
@@ -118,7 +118,9 @@
     failureDomain: settings.failureDomain,
     fleetToken: settings.fleetToken,
   };
+  const metrics = new DaemonMetrics();
   const connectionOptions = {
+    sentBytes: metrics.sent,
     identity,
     clock,
     heartbeatTimer: new HeartbeatTimer(clock),
@@ -126,7 +128,6 @@
     ...overrides.dial === undefined ? {} : { dial: overrides.dial },
   };
   const journal = new DecisionJournal(clock, log);
-  const metrics = new DaemonMetrics();
   const seeds = settings.seeds.split(",").filter((seed) => seed !== "");
   const isProtected = settings.protection === "on";
   const { fleetToken } = settings;
@@ -142,6 +143,7 @@
   });
   const membership = new GossipMembership({
     self,
+    sentBytes: metrics.sent,
     fleetToken,
     seeds,
     store: rateLimitedStore,
--- a/src/membership/gossip_link.ts
+++ b/src/membership/gossip_link.ts
@@ -38,6 +38,12 @@
   /** Address of this daemon, of the form `address:port`. */
   readonly ownAddress: string;
   readonly createHeader: () => GossipHeader;
+  /** Counts the bytes of a message sent to a target of the form `address:port`, if given. */
+  readonly recordSent?: (
+    kind: GossipMessage["kind"],
+    target: string,
+    bytes: number,
+  ) => void;
   readonly handle: (message: GossipMessage, source: string) => void;
 }
 
@@ -104,6 +110,11 @@
     });
     this.traffic.sentBytes += bytes.length + IP_UDP_HEADER_BYTES;
     this.traffic.sentDatagrams += 1;
+    this.#options.recordSent?.(
+      content.kind,
+      target,
+      bytes.length + IP_UDP_HEADER_BYTES,
+    );
     transport.send(bytes, target);
   }
 
--- a/src/membership/gossip_membership.ts
+++ b/src/membership/gossip_membership.ts
@@ -8,7 +8,7 @@
 import type { GossipMessage, MemberRecord } from "../generated/types.ts";
 import type { ObjectStore } from "../store/mod.ts";
 import { DECISIONS } from "../telemetry/mod.ts";
-import type { DecisionJournal, Logger } from "../telemetry/mod.ts";
+import type { DecisionJournal, Logger, SentBytes } from "../telemetry/mod.ts";
 import type { Clock, RandomSource } from "../time/mod.ts";
 import { AntiEntropy } from "./anti_entropy.ts";
 import type { DatagramTransport } from "./datagram_transport.ts";
@@ -59,6 +59,8 @@
   readonly configuration: ConfigurationHolder;
   readonly transport: DatagramTransport;
   readonly journal?: DecisionJournal | undefined;
+  /** Counts the bytes sent, if given. */
+  readonly sentBytes?: SentBytes | undefined;
   /** Limits evictions. Defaults to a share of each failure domain and each service. */
   readonly evictionLimiter?: EvictionLimiter | undefined;
   /** Time in which a suspect can refute the suspicion, in milliseconds. */
@@ -103,6 +105,12 @@
       ...options,
       ownAddress: formatGossipAddress(self),
       createHeader: () => this.#createHeader(),
+      recordSent: (kind, target, bytes) =>
+        options.sentBytes?.record(
+          `gossip-${kind}`,
+          this.#table.findByAddress(target)?.failureDomain ?? "",
+          bytes,
+        ),
       handle: (message, source) => this.#handle(message, source),
     });
     this.#context = {
--- a/src/membership/member_table.ts
+++ b/src/membership/member_table.ts
@@ -206,15 +206,18 @@
     });
   }
 
+  /** Returns the member at a gossip address, if it is known. */
+  findByAddress(gossipAddress: string): MemberRecord | undefined {
+    const incarnation = this.#byAddress.get(gossipAddress);
+    return incarnation === undefined ? undefined : this.get(incarnation);
+  }
+
   /**
    * Only the most recently started of two incarnations at an address can be
    * alive; marks the other as dead.
    */
   #resolveAddressConflict(record: MemberRecord): MemberRecord {
-    const incarnation = this.#byAddress.get(formatGossipAddress(record));
-    const holder = incarnation === undefined
-      ? undefined
-      : this.get(incarnation);
+    const holder = this.findByAddress(formatGossipAddress(record));
     if (!holder || holder.incarnation === record.incarnation) {
       return record;
     }
--- a/src/peer/frame_writer.ts
+++ b/src/peer/frame_writer.ts
@@ -18,15 +18,20 @@
 /** Limit of the bytes queued for one peer. */
 const MAX_QUEUED_BYTES = 33_554_432;
 
+/** Called for each frame with its message and its size in bytes. */
+export type RecordSent = (message: PeerMessage, bytes: number) => void;
+
 /** Writes messages to one socket, with a bounded queue. */
 export class FrameWriter {
   readonly #socket: Socket;
+  readonly #recordSent: RecordSent;
   #pendingBodyBytes = 0;
   #isCorked = false;
   #drained: Promise<void> | undefined;
 
-  constructor(socket: Socket) {
+  constructor(socket: Socket, recordSent: RecordSent = () => undefined) {
     this.#socket = socket;
+    this.#recordSent = recordSent;
   }
 
   /** Number of bytes queued but not yet written. */
@@ -50,7 +55,9 @@
       this.#socket.cork();
       process.nextTick(() => this.#uncork());
     }
-    this.#socket.write(encodeFrame(message));
+    const frame = encodeFrame(message);
+    this.#socket.write(frame);
+    this.#recordSent(message, frame.length);
   }
 
   /** Writes a message and its body, inline if it fits into one chunk, otherwise as separate chunks. */
--- a/src/peer/peer_connection.ts
+++ b/src/peer/peer_connection.ts
@@ -55,6 +55,7 @@
   readonly #heartbeatMonitor: HeartbeatMonitor;
   readonly #writer: FrameWriter;
   #hasReceivedHello = false;
+  #peerDomain = "";
   #hasReportedSilence = false;
   #heartbeatSequence = 0;
   #error: VError | undefined;
@@ -72,7 +73,10 @@
       options.clock,
       HEARTBEAT_INTERVAL_MS,
     );
-    this.#writer = new FrameWriter(socket);
+    this.#writer = new FrameWriter(
+      socket,
+      (message, bytes) => this.#recordSent(message, bytes),
+    );
     socket.setNoDelay(true);
     socket.on("error", () => undefined);
   }
@@ -157,6 +161,12 @@
     this.#writer.send(message);
   }
 
+  #recordSent(message: PeerMessage, bytes: number): void {
+    const { kind } = message;
+    const purpose = kind === "chunk" && message.isReply ? "reply" : kind;
+    this.#options.sentBytes?.record(purpose, this.#peerDomain, bytes);
+  }
+
   #sendHello(): void {
     const { incarnation, failureDomain, fleetToken } = this.#options.identity;
     const proof = createIdentityProof(fleetToken, incarnation);
@@ -243,6 +253,7 @@
       return false;
     }
     this.#hasReceivedHello = true;
+    this.#peerDomain = hello.value.failureDomain;
     this.#handler.onHello(hello.value);
     return true;
   }
--- a/src/peer/peer_connection_handler.ts
+++ b/src/peer/peer_connection_handler.ts
@@ -11,6 +11,7 @@
   HelloMessage,
   ReplyMessage,
 } from "../generated/types.ts";
+import type { SentBytes } from "../telemetry/mod.ts";
 import type { HeartbeatTimer } from "./heartbeat_timer.ts";
 import type { Clock } from "../time/mod.ts";
 
@@ -68,6 +69,8 @@
   readonly identity: PeerIdentity;
   readonly clock: Clock;
   readonly maxBodyBytes: number;
+  /** Counts the bytes sent, if given. */
+  readonly sentBytes?: SentBytes;
   /** Opens sockets to peers; tests use it to insert a simulated link. */
   readonly dial?: DialPeer;
   /** Called when a silent connection is replaced. */
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -3,6 +3,7 @@
  */
 
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import { SentBytes } from "./sent_bytes.ts";
 
 /** Upper bounds of the latency buckets, in seconds. */
 const LATENCY_BUCKETS_S = [
@@ -27,6 +28,9 @@
 export class DaemonMetrics {
   readonly registry = new Registry();
 
+  /** Bytes sent to other daemons; exported by {@link sentBytes}. */
+  readonly sent = new SentBytes();
+
   /** Duration of calls at the entry, by class, client account (label `tenant`) and outcome. */
   readonly callDuration = new Histogram({
     name: "celeryhollow_call_duration_seconds",
@@ -138,6 +142,14 @@
     registers: [this.registry],
   });
 
+  /** Bytes sent to other daemons, by purpose and by region and failure domain of the receiver. */
+  readonly sentBytes = new Gauge({
+    name: "celeryhollow_sent_bytes",
+    help: "Bytes sent to other daemons since the start",
+    labelNames: ["purpose", "region", "domain"] as const,
+    registers: [this.registry],
+  });
+
   /** Eras of the store seen, and values ignored as invalid or outdated, by event. */
   readonly storeEras = new Counter({
     name: "celeryhollow_store_eras_total",
--- a/src/telemetry/mod.ts
+++ b/src/telemetry/mod.ts
@@ -13,3 +13,5 @@
 export { createLogger, createSilentLogger, LOG_LEVELS } from "./logger.ts";
 export type { LogContext, Logger, LogLevel } from "./logger.ts";
 export { DaemonMetrics } from "./metrics.ts";
+export { SentBytes } from "./sent_bytes.ts";
+export type { SentBytesCount } from "./sent_bytes.ts";
