Leave the region only for a gain that callers notice, or from a saturated instance

Cause: a call left the region whenever an instance there looked faster by 30 % and a tenth of the target latency.

Change: between regions the gain must be half of the target latency. A saturated near instance spills over as before, and so does a service without an instance in the region.

--- a/src/routing/adaptive_load_balancer.ts
+++ b/src/routing/adaptive_load_balancer.ts
@@ -112,7 +112,10 @@
     options: PickOptions,
   ): Result<MemberRecord, PickFailure> {
     const remote = this.#pickFromTiers(remoteTiers, options);
-    if (!remote || (local && !shouldSpillOver(local, remote, options))) {
+    const isWorthTheLink = remote !== undefined &&
+      (!local ||
+        shouldSpillOver(local, remote, { ...options, isCrossRegion: true }));
+    if (!isWorthTheLink) {
       return local ? ok(local.record) : err(NO_INSTANCE);
     }
     if (this.#options.linkBudget.allows(options)) {
--- a/src/routing/should_spill_over.ts
+++ b/src/routing/should_spill_over.ts
@@ -9,9 +9,12 @@
 /** A farther instance is considered only if its expected wait is below this fraction of the nearer one's. */
 const MAX_SPILL_WAIT_RATIO = 0.7;
 
-/** Fraction of the target latency up to which a gain is negligible to the caller. */
+/** Fraction of the target latency up to which a gain is negligible to the caller, within a region. */
 const NEGLIGIBLE_GAIN_RATIO = 0.1;
 
+/** The same between regions, whose link is narrow and shared by all traffic. */
+const NEGLIGIBLE_CROSS_REGION_GAIN_RATIO = 0.5;
+
 /** Utilization from which further calls are likely to queue. */
 const SATURATED_UTILIZATION = 0.85;
 
@@ -28,13 +31,20 @@
   readonly overloadRatio: number;
 }
 
+/** Call for which tiers are compared. */
+export interface SpillOptions {
+  /** Target latency of the call, in milliseconds; if absent or 0, any clear gain is worthwhile. */
+  readonly targetLatencyMs?: number | undefined;
+  /** Whether the farther tier is in another region; false by default. */
+  readonly isCrossRegion?: boolean | undefined;
+}
+
 /**
  * Decides whether a call spills over to a farther tier.
  *
  * @param near - Best instance of the nearer tiers
  * @param far - Best instance of the farther tier
- * @param options - Target latency of the call, in milliseconds; if it is
- *   absent or 0, any gain beyond the wait ratio is worthwhile
+ * @param options - Target latency of the call, and whether it would leave the region
  * @returns Whether the call goes to the farther instance
  *
  * @example
@@ -43,13 +53,16 @@
 export function shouldSpillOver(
   near: TierEstimate,
   far: TierEstimate,
-  { targetLatencyMs = 0 }: { readonly targetLatencyMs?: number | undefined },
+  { targetLatencyMs = 0, isCrossRegion = false }: SpillOptions,
 ): boolean {
   if (far.waitMs >= near.waitMs * MAX_SPILL_WAIT_RATIO) {
     return false;
   }
+  const negligibleRatio = isCrossRegion
+    ? NEGLIGIBLE_CROSS_REGION_GAIN_RATIO
+    : NEGLIGIBLE_GAIN_RATIO;
   const gainMs = near.waitMs - far.waitMs;
-  return gainMs > targetLatencyMs * NEGLIGIBLE_GAIN_RATIO || isSaturated(near);
+  return gainMs > targetLatencyMs * negligibleRatio || isSaturated(near);
 }
 
 function isSaturated({ utilization, overloadRatio }: TierEstimate): boolean {
--- a/src/routing/should_spill_over_test.ts
+++ b/src/routing/should_spill_over_test.ts
@@ -19,6 +19,16 @@
   assert.is(shouldSpillOver({ ...NEAR, waitMs: 60 }, FAR, TARGET), true);
 });
 
+test("leaves the region only for a gain of half the target, or from a saturated instance", () => {
+  const crossRegion = { ...TARGET, isCrossRegion: true };
+  const slow = { ...NEAR, waitMs: 160 };
+  assert.is(shouldSpillOver(slow, FAR, TARGET), true);
+  assert.is(shouldSpillOver(slow, FAR, crossRegion), false);
+  assert.is(shouldSpillOver({ ...NEAR, waitMs: 180 }, FAR, crossRegion), true);
+  const full = { ...slow, utilization: 0.9 };
+  assert.is(shouldSpillOver(full, FAR, crossRegion), true);
+});
+
 test("spills over for any clear gain without a target", () => {
   assert.is(shouldSpillOver(NEAR, FAR, {}), true);
   assert.is(shouldSpillOver({ ...NEAR, waitMs: 25 }, FAR, {}), false);
