Leave the store to the watchers while a fleet starts

Change: a started daemon waits up to 1.5 s to join before its first call for the configuration, and one that is no watcher waits 4 s for its peers before it reads the store itself. It hears of the configuration through gossip as before.

--- a/src/configuration/configuration_distributor.ts
+++ b/src/configuration/configuration_distributor.ts
@@ -54,12 +54,25 @@
 /** Interval at which a daemon checks whether it is a watcher, in milliseconds. */
 const ROLE_CHECK_INTERVAL_MS = 500;
 
+/** The same while a started daemon has no confirmed configuration, in milliseconds. */
+const START_CHECK_INTERVAL_MS = 100;
+
 /**
  * Maximum random delay before the first store call, in milliseconds. It spreads
  * the calls of daemons that start together.
  */
 const MAX_START_DELAY_MS = 250;
 
+/**
+ * Time for which a started daemon that knows no other member of its failure
+ * domain waits before its first store call, in milliseconds. Until it has joined,
+ * every daemon would take itself for a watcher.
+ */
+const JOIN_WAIT_MS = 1_500;
+
+/** Time for which a started daemon that is no watcher waits for its peers before it reads the store itself, in milliseconds. */
+const PEER_WAIT_MS = 4_000;
+
 /** Backoff after failed store calls. */
 const STORE_BACKOFF = { firstDelayMs: 250, maxDelayMs: 2_000 } as const;
 
@@ -125,16 +138,33 @@
     await clock.sleep(random.nextInteger(MAX_START_DELAY_MS));
     while (!signal.aborted) {
       this.#updateRole();
-      const needsStore = this.#acceptedVersion === 0 && !this.isConfirmed;
-      if (this.#isWatcher || needsStore) {
+      if (this.#mustPollStore()) {
         await this.#pollStore();
       } else {
-        await clock.sleep(ROLE_CHECK_INTERVAL_MS);
+        await clock.sleep(
+          this.isConfirmed ? ROLE_CHECK_INTERVAL_MS : START_CHECK_INTERVAL_MS,
+        );
       }
     }
     this.#fetcher.stop();
   }
 
+  /** Whether the store must be called now, which a starting daemon leaves to the watchers if it can. */
+  #mustPollStore(): boolean {
+    const { clock, peers } = this.#options;
+    const ageMs = clock.monotonicMs() - this.#startedAtMs;
+    const needsStore = this.#acceptedVersion === 0 && !this.isConfirmed;
+    if (!this.#isWatcher) {
+      return needsStore && ageMs >= PEER_WAIT_MS;
+    }
+    const { failureDomain, incarnation } = peers.self;
+    const hasJoined = peers.listLive().some((member) =>
+      member.failureDomain === failureDomain &&
+      member.incarnation !== incarnation
+    );
+    return hasJoined || ageMs >= JOIN_WAIT_MS;
+  }
+
   /** Records the version of a peer and starts a fetch if it is newer. */
   handleVersionNotice(notice: VersionNotice): void {
     this.#peerVersions.record(notice);
--- a/src/configuration/configuration_distributor_test.ts
+++ b/src/configuration/configuration_distributor_test.ts
@@ -60,6 +60,28 @@
   assert.ok(sumBytes() - startBytes <= changes * farDomains * objectBytes);
 });
 
+test("while a fleet starts, only the watchers call the store", async () => {
+  const bench = new DistributionBench(20, undefined, { watchersPerDomain: 1 });
+  bench.fleet.start();
+  await bench.advance(3_000);
+  const sumCalls = () =>
+    bench.fleet.daemons.reduce(
+      (sum, { store }) => sum + store.traffic.calls,
+      0,
+    );
+  const callsPerWatcher = 6;
+  assert.ok(
+    sumCalls() <= callsPerWatcher * DISTRIBUTION_DOMAINS.length,
+    `${sumCalls()} calls`,
+  );
+  const version = await bench.accept(1_002);
+  await bench.advance(3_000);
+  assert.equal(listVersions(bench), [version]);
+  assert.ok(
+    bench.fleet.daemons.every(({ distributor }) => distributor.isConfirmed),
+  );
+});
+
 test("a fleet with a single failure domain has four watchers", async () => {
   const bench = new DistributionBench(18, undefined, {
     watchersPerDomain: 1,
