Keep the fleet's retries within its slack, also with less than one for a daemon

Cause: with a share below one retry each daemon could save up a whole one, so that after a quiet time 300 daemons made 300 retries in a window with a slack of 112. And the fleet was counted from the members a daemon knows, which only delegates know completely, so that the shares were too large.

Change: if a daemon's part of a burst is below one retry, as many daemons hold a whole one as the parts add up to, by their index in the fleet, and the refill does not lift the others. Retries earned by successes are saved up as before. The fleet is estimated to be at least the size of the own failure domain times the number of failure domains.

--- a/src/daemon/create_outbound_components.ts
+++ b/src/daemon/create_outbound_components.ts
@@ -10,12 +10,13 @@
   AllowanceRetryPolicy,
   CallJoiner,
   DEFAULT_EDGE_BOUNDS,
+  locateDaemon,
   MAX_JOINABLE_CALLS,
   PerHopRetryPolicy,
   RetryBudget,
   shareRetrySlack,
 } from "../retry/mod.ts";
-import type { RetryPolicy } from "../retry/mod.ts";
+import type { FleetPosition, RetryPolicy } from "../retry/mod.ts";
 import {
   AdaptiveLoadBalancer,
   countRegionDaemons,
@@ -94,12 +95,12 @@
     },
   });
   const readRetryRatio = () => configuration.current?.document.retryRatio ?? 0;
-  let daemonCount = 1;
+  let position: FleetPosition = { daemons: 1, index: 0 };
   const readEdgeBounds = () => {
     const retrySlack = configuration.current?.document.retrySlack;
     return retrySlack === undefined
       ? DEFAULT_EDGE_BOUNDS
-      : shareRetrySlack(retrySlack, daemonCount);
+      : shareRetrySlack(retrySlack, position);
   };
   return {
     reportReplacement,
@@ -112,8 +113,8 @@
     joiner: new CallJoiner(MAX_JOINABLE_CALLS),
     maintain: (members) => {
       const alive = members.filter(({ state }) => state !== "dead");
-      daemonCount = alive.length;
       const document = configuration.current?.document;
+      position = locateDaemon(alive, self, document?.regions ?? []);
       const regionDaemonCount = countRegionDaemons(
         alive,
         self,
--- a/src/retry/retry_budget.ts
+++ b/src/retry/retry_budget.ts
@@ -14,6 +14,8 @@
   readonly maxTokens: number;
   /** Tokens in the bucket of an edge that has not been used. */
   readonly initialTokens: number;
+  /** Tokens up to which the bucket is refilled independently of successes. */
+  readonly maxRefilledTokens: number;
   /** Tokens added per second independently of successes. */
   readonly refillPerSecond: number;
 }
@@ -22,6 +24,7 @@
 export const DEFAULT_EDGE_BOUNDS: EdgeBounds = {
   maxTokens: 10,
   initialTokens: 2,
+  maxRefilledTokens: 10,
   refillPerSecond: 0.2,
 };
 
@@ -76,12 +79,13 @@
 
   #refill(service: string): Bucket {
     const nowMs = this.#clock.monotonicMs();
-    const { initialTokens, maxTokens, refillPerSecond } = this
-      .#readBounds();
+    const { initialTokens, maxTokens, maxRefilledTokens, refillPerSecond } =
+      this.#readBounds();
     const bucket = this.#buckets.get(service) ??
       { tokens: initialTokens, updatedAtMs: nowMs };
     const refilled = (nowMs - bucket.updatedAtMs) / 1_000 * refillPerSecond;
-    bucket.tokens = Math.min(maxTokens, bucket.tokens + refilled);
+    const refillLimit = Math.max(bucket.tokens, maxRefilledTokens);
+    bucket.tokens = Math.min(maxTokens, refillLimit, bucket.tokens + refilled);
     bucket.updatedAtMs = nowMs;
     this.#buckets.delete(service);
     this.#buckets.set(service, bucket);
