--- a/src/request/serve_routed_call.ts
+++ b/src/request/serve_routed_call.ts
@@ -74,7 +74,7 @@
   const call = prepareCall(environment, routed, parent);
   const result: CallResult = call.isErr()
     ? err(call.error)
-    : await dispatch(environment, call.value, parent);
+    : await dispatch(environment, call.value, { parent, startedAtMs });
   recordOutcome(environment, result, {
     className: call.isOk() ? call.value.context.className : "none",
     tenant: "other",
@@ -88,11 +88,15 @@
 async function dispatch(
   environment: CallEnvironment,
   call: OutboundCall,
-  parent: ActiveCall | undefined,
+  { parent, startedAtMs }: {
+    readonly parent: ActiveCall | undefined;
+    readonly startedAtMs: number;
+  },
 ): Promise<CallResult> {
   if (!parent) {
     const result = await dispatchCall(environment, call);
-    reportOutcome(environment, call, result);
+    const durationMs = environment.clock.monotonicMs() - startedAtMs;
+    reportOutcome(environment, call, { result, durationMs });
     return result;
   }
   parent.nestedCallTimer.start();
@@ -108,7 +112,10 @@
 function reportOutcome(
   { configuration, entryAdmission }: CallEnvironment,
   { context, signal }: OutboundCall,
-  result: CallResult,
+  { result, durationMs }: {
+    readonly result: CallResult;
+    readonly durationMs: number;
+  },
 ): void {
   const request = configuration.current?.requestsByName.get(
     context.requestName,
@@ -117,11 +124,15 @@
     return;
   }
   if (result.isErr() && isUnreached(result.error)) {
-    entryAdmission.recordUnreached(request);
+    entryAdmission.recordUnreached(request, durationMs);
     return;
   }
   const isServed = result.isOk() && !isErrorAnswer(result);
-  entryAdmission.recordOutcome(request, isServed || signal.aborted);
+  entryAdmission.recordOutcome(
+    request,
+    isServed || signal.aborted,
+    durationMs,
+  );
 }
 
 function isUnreached({ reason }: CallFailure): boolean {
