--- a/src/admission/entry_admission.ts
+++ b/src/admission/entry_admission.ts
@@ -30,17 +30,13 @@
   /** Processes the load signals of a reply. */
   abstract observe(loads: readonly LoadSignal[]): void;
 
-  /** Records whether an admitted request was served, and how long it took in milliseconds. */
-  recordOutcome(
-    _request: CompiledRequest,
-    _isServed: boolean,
-    _durationMs = 0,
-  ): void {
+  /** Records whether an admitted request was served. */
+  recordOutcome(_request: CompiledRequest, _isServed: boolean): void {
     // No-op by default; overridden by implementations that use outcomes.
   }
 
   /** Records that an admitted request reached no instance, so its outcome says nothing about the capacity of the fleet. */
-  recordUnreached(_request: CompiledRequest, _durationMs = 0): void {
+  recordUnreached(_request: CompiledRequest): void {
     // No-op by default; overridden by implementations that use outcomes.
   }
 
--- a/src/admission/mod.ts
+++ b/src/admission/mod.ts
@@ -16,8 +16,6 @@
   InboundCall,
   Permit,
 } from "./inbound_admission.ts";
-export { CountExchange } from "./count_exchange.ts";
-export type { CountsByKind } from "./count_exchange.ts";
 export { ThrottledEntryAdmission } from "./throttled_entry_admission.ts";
 export { LearnedPaths } from "./learned_paths.ts";
 export { LoadSignalEntryAdmission } from "./load_signal_entry_admission.ts";
--- a/src/admission/throttled_entry_admission.ts
+++ b/src/admission/throttled_entry_admission.ts
@@ -15,13 +15,11 @@
 import { DECISIONS } from "../telemetry/mod.ts";
 import type { Clock, RandomSource } from "../time/mod.ts";
 import { AdaptiveThrottle } from "./adaptive_throttle.ts";
-import { CountExchange } from "./count_exchange.ts";
-import type { CountsByKind } from "./count_exchange.ts";
 import { EntryAdmission } from "./entry_admission.ts";
 import type { EntryGrant, EntryRequest } from "./entry_admission.ts";
 
 /** Headroom of the least important class. */
-const MIN_HEADROOM = 1.6;
+const MIN_HEADROOM = 1.25;
 
 /** Factor between the headroom of a class and that of the next less important one. */
 const HEADROOM_FACTOR = 1.8;
@@ -32,9 +30,6 @@
 /** Upper bound of the mean suggested retry delay, in milliseconds. */
 const MAX_RETRY_AFTER_MS = 3_000;
 
-/** Weighted request count below which a kind is not reported to other entries. */
-const MIN_REPORTED_REQUESTS = 0.1;
-
 /** Maximum number of request kinds; reaching it clears the throttles. */
 const MAX_REQUEST_KINDS = 4_096;
 
@@ -52,16 +47,10 @@
 export class ThrottledEntryAdmission extends EntryAdmission {
   readonly #options: ThrottledEntryOptions;
   readonly #throttles = new Map<string, AdaptiveThrottle>();
-  /** Counts of the other entries. */
-  readonly exchange: CountExchange;
 
   constructor(options: ThrottledEntryOptions) {
     super();
     this.#options = options;
-    this.exchange = new CountExchange(
-      options.clock,
-      () => this.#listOwnCounts(),
-    );
   }
 
   override check(
@@ -72,31 +61,20 @@
     throttle.recordRequest();
     const steps = Math.max(0, readLowestRank() - request.classRank);
     const headroom = MIN_HEADROOM * HEADROOM_FACTOR ** steps;
-    const ratio = throttle.computeAdmitRatio(
-      headroom,
-      this.exchange.getOthers(request.name),
-    );
+    const ratio = throttle.computeAdmitRatio(headroom);
     if (ratio < 1 && random.nextFloat() >= ratio) {
-      this.exchange.activate();
       return err(this.#refuse(request, requestId, ratio));
     }
     throttle.recordStart();
     return ok({ mark: undefined });
   }
 
-  override recordOutcome(
-    { name }: CompiledRequest,
-    isServed: boolean,
-    durationMs = 0,
-  ): void {
-    this.#findOrCreateThrottle(name).recordEnd(isServed, durationMs);
-    if (!isServed) {
-      this.exchange.activate();
-    }
+  override recordOutcome({ name }: CompiledRequest, isServed: boolean): void {
+    this.#findOrCreateThrottle(name).recordEnd(isServed);
   }
 
-  override recordUnreached({ name }: CompiledRequest, durationMs = 0): void {
-    this.#findOrCreateThrottle(name).discardRequest(durationMs);
+  override recordUnreached({ name }: CompiledRequest): void {
+    this.#findOrCreateThrottle(name).discardRequest();
   }
 
   override observe(_loads: readonly LoadSignal[]): void {
@@ -107,13 +85,6 @@
     return [];
   }
 
-  #listOwnCounts(): CountsByKind {
-    return new Map(
-      [...this.#throttles].map(([name, { counts }]) => [name, counts] as const)
-        .filter(([, { requests }]) => requests >= MIN_REPORTED_REQUESTS),
-    );
-  }
-
   #findOrCreateThrottle(name: string): AdaptiveThrottle {
     const known = this.#throttles.get(name);
     if (known) {
--- a/src/daemon/create_daemon_components.ts
+++ b/src/daemon/create_daemon_components.ts
@@ -141,14 +141,7 @@
     burstCalls: STORE_BURST_CALLS,
     callsPerSecond: STORE_CALLS_PER_SECOND,
   });
-  const throttledEntryAdmission = overrides.throttlesByOutcome
-    ? new ThrottledEntryAdmission({
-      ...{ clock, random, journal, metrics },
-      readLowestRank: () => (configuration.current?.classRanks.size ?? 1) - 1,
-    })
-    : undefined;
   const membership = new GossipMembership({
-    countExchange: throttledEntryAdmission?.exchange,
     self,
     sentBytes: metrics.sent,
     fleetToken,
@@ -204,7 +197,12 @@
       configuration,
       incarnation,
     }),
-    ...throttledEntryAdmission && { entryAdmission: throttledEntryAdmission },
+    ...overrides.throttlesByOutcome && {
+      entryAdmission: new ThrottledEntryAdmission({
+        ...{ clock, random, journal, metrics },
+        readLowestRank: () => (configuration.current?.classRanks.size ?? 1) - 1,
+      }),
+    },
     paths: new LearnedPaths(clock),
     trafficSplitter: new TrafficSplitter(random),
     loadBalancer: outbound.loadBalancer,
--- a/src/membership/gossip_codec.ts
+++ b/src/membership/gossip_codec.ts
@@ -45,14 +45,6 @@
   "warmAtMs",
   "successor",
   "unreachableDomains",
-  "coverage",
-  "counts",
-  "name",
-  "requests",
-  "served",
-  "inProgress",
-  "recentlyEnded",
-  "recentlyServed",
 ] as const;
 
 /** Encodes and authenticates messages, and decodes only those that are authentic and valid. */
--- a/src/membership/gossip_membership.ts
+++ b/src/membership/gossip_membership.ts
@@ -4,7 +4,6 @@
  * failure domains; every other daemon holds only the remote records it needs.
  */
 
-import type { CountExchange } from "../admission/mod.ts";
 import type { ConfigurationHolder } from "../configuration/mod.ts";
 import type { GossipMessage, MemberRecord } from "../generated/types.ts";
 import type { ObjectStore } from "../store/mod.ts";
@@ -13,7 +12,6 @@
 import type { Clock, RandomSource } from "../time/mod.ts";
 import { AntiEntropy } from "./anti_entropy.ts";
 import type { DatagramTransport } from "./datagram_transport.ts";
-import { CountGossip } from "./count_gossip.ts";
 import { CrossDomainGossip } from "./cross_domain_gossip.ts";
 import { RatioEvictionLimiter } from "./eviction_limiter.ts";
 import type { EvictionLimiter } from "./eviction_limiter.ts";
@@ -63,8 +61,6 @@
   readonly journal?: DecisionJournal | undefined;
   /** Counts the bytes sent, if given. */
   readonly sentBytes?: SentBytes | undefined;
-  /** Request counts that this daemon exchanges with others, if given. */
-  readonly countExchange?: CountExchange | undefined;
   /** Limits evictions. Defaults to a share of each failure domain and each service. */
   readonly evictionLimiter?: EvictionLimiter | undefined;
   /** Time in which a suspect can refute the suspicion, in milliseconds. */
@@ -144,17 +140,13 @@
       contacts: this.#contacts,
       seenRumors: this.#seenRumors,
     });
-    const countGossip = options.countExchange &&
-      new CountGossip(context, options.countExchange);
     this.#handlers = {
-      countGossip,
       detector: this.#detector,
       antiEntropy: this.#antiEntropy,
       puller: this.#puller,
       rejoiner: this.#rejoiner,
     };
     this.#tasks = new PeriodicTasks(context, {
-      countGossip,
       detector: this.#detector,
       crossDomain: this.#crossDomain,
       puller: this.#puller,
--- a/src/membership/periodic_tasks.ts
+++ b/src/membership/periodic_tasks.ts
@@ -4,7 +4,6 @@
 
 import type { MemberRecord } from "../generated/types.ts";
 import { chooseDelegates } from "./choose_delegates.ts";
-import type { CountGossip } from "./count_gossip.ts";
 import type { CrossDomainGossip } from "./cross_domain_gossip.ts";
 import type { FailureDetector } from "./failure_detector.ts";
 import { PROBE_INTERVAL_MS } from "./failure_detector.ts";
@@ -38,8 +37,6 @@
   readonly seedLists: SeedListManager;
   readonly receiver: RecordReceiver;
   readonly view: InstanceView;
-  /** Absent if request counts are not exchanged. */
-  readonly countGossip?: CountGossip | undefined;
 }
 
 /** Runs the periodic work of one daemon when it is due. */
@@ -83,7 +80,6 @@
     spreader.spread();
     crossDomain.flush();
     puller.sendDuePulls();
-    this.#components.countGossip?.tick();
     if (nowMs >= this.#nextProbeAtMs) {
       this.#nextProbeAtMs = Math.max(
         this.#nextProbeAtMs + PROBE_INTERVAL_MS,
--- a/src/membership/route_message.ts
+++ b/src/membership/route_message.ts
@@ -4,7 +4,6 @@
 
 import type { GossipMessage } from "../generated/types.ts";
 import type { AntiEntropy } from "./anti_entropy.ts";
-import type { CountGossip } from "./count_gossip.ts";
 import type { FailureDetector } from "./failure_detector.ts";
 import type { RecordPuller } from "./record_puller.ts";
 import type { Rejoiner } from "./rejoiner.ts";
@@ -15,8 +14,6 @@
   readonly antiEntropy: AntiEntropy;
   readonly puller: RecordPuller;
   readonly rejoiner: Rejoiner;
-  /** Absent if request counts are not exchanged. */
-  readonly countGossip?: CountGossip | undefined;
 }
 
 /**
@@ -34,7 +31,7 @@
   message: GossipMessage,
   source: string,
 ): void {
-  const { antiEntropy, countGossip, detector, puller, rejoiner } = handlers;
+  const { antiEntropy, detector, puller, rejoiner } = handlers;
   switch (message.kind) {
     case "join":
       rejoiner.handleJoin(message, source);
@@ -57,9 +54,6 @@
     case "pull":
       puller.handlePull(message, source);
       break;
-    case "counts":
-      countGossip?.handle(message);
-      break;
     case "push":
       puller.handleResponse(message);
   }
--- a/src/request/serve_routed_call.ts
+++ b/src/request/serve_routed_call.ts
@@ -74,7 +74,7 @@
   const call = prepareCall(environment, routed, parent);
   const result: CallResult = call.isErr()
     ? err(call.error)
-    : await dispatch(environment, call.value, { parent, startedAtMs });
+    : await dispatch(environment, call.value, parent);
   recordOutcome(environment, result, {
     className: call.isOk() ? call.value.context.className : "none",
     tenant: "other",
@@ -88,15 +88,11 @@
 async function dispatch(
   environment: CallEnvironment,
   call: OutboundCall,
-  { parent, startedAtMs }: {
-    readonly parent: ActiveCall | undefined;
-    readonly startedAtMs: number;
-  },
+  parent: ActiveCall | undefined,
 ): Promise<CallResult> {
   if (!parent) {
     const result = await dispatchCall(environment, call);
-    const durationMs = environment.clock.monotonicMs() - startedAtMs;
-    reportOutcome(environment, call, { result, durationMs });
+    reportOutcome(environment, call, result);
     return result;
   }
   parent.nestedCallTimer.start();
@@ -112,10 +108,7 @@
 function reportOutcome(
   { configuration, entryAdmission }: CallEnvironment,
   { context, signal }: OutboundCall,
-  { result, durationMs }: {
-    readonly result: CallResult;
-    readonly durationMs: number;
-  },
+  result: CallResult,
 ): void {
   const request = configuration.current?.requestsByName.get(
     context.requestName,
@@ -124,15 +117,11 @@
     return;
   }
   if (result.isErr() && isUnreached(result.error)) {
-    entryAdmission.recordUnreached(request, durationMs);
+    entryAdmission.recordUnreached(request);
     return;
   }
   const isServed = result.isOk() && !isErrorAnswer(result);
-  entryAdmission.recordOutcome(
-    request,
-    isServed || signal.aborted,
-    durationMs,
-  );
+  entryAdmission.recordOutcome(request, isServed || signal.aborted);
 }
 
 function isUnreached({ reason }: CallFailure): boolean {
