List anew after a watch that got no response

Cause: a store that returns from a copy may not have reached the watched revision again. A watch from there gets no answer until it does, or until it ends after ten seconds, and the operator's next version is missed for that long.

Change: a watch that got no response forgets its position, so that the next one lists, and hears the era with the list.

--- a/src/store/http_object_store.ts
+++ b/src/store/http_object_store.ts
@@ -139,6 +139,9 @@
       this.#dialect.encodeWatch(key, position, timeoutMs),
       timeoutMs + WATCH_GRACE_MS,
     );
+    if (response.isErr()) {
+      this.#dialect.forgetWatchPosition(key);
+    }
     return response.andThen((each) =>
       this.#dialect.decodeWatch(key, position, each)
     );
--- a/src/store/store_dialect.ts
+++ b/src/store/store_dialect.ts
@@ -85,6 +85,15 @@
     timeoutMs: number,
   ): StoreRequest;
 
+  /**
+   * Forgets the position from which an object is watched, after a watch that got no
+   * response: the store may have returned from a copy meanwhile, and would let a
+   * watch from a revision that it has not reached again wait in vain.
+   */
+  forgetWatchPosition(_key: string): void {
+    // A dialect that keeps no position has nothing to forget.
+  }
+
   /** Decodes the response to a watch. */
   abstract decodeWatch(
     key: string,
