--- a/src/store/era_tracker.ts
+++ b/src/store/era_tracker.ts
@@ -5,6 +5,9 @@
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
 
+/** Maximum number of events that are remembered and reported. */
+const MAX_REPORTED = 256;
+
 /** An era that was seen for the first time, or an answer that was ignored because of its era. */
 export interface EraEvent {
   /**
@@ -72,9 +75,6 @@
   }
 }
 
-/** Maximum number of events that are remembered and reported. */
-const MAX_REPORTED = 256;
-
 function parseEra(stated: string | undefined): number | undefined {
   const era = Number(stated);
   return stated !== undefined && /^\d+$/.test(stated) &&
