Notice silent store connections within half of the contact time

Callers saw the whole fleet route by an older configuration for seconds past the limit after the store had accepted a change.

Cause: a connection that stops delivering without a reset is noticed only by a timeout, and a watch lasted 10 s plus 1 s of grace. The list that follows waited as long although the store answers it at once, and it went to idle pooled connections that were as silent, each of which cost another timeout and a backoff.

Evidence: silent_store_test.ts runs the real store client and distributor in 20 simulated daemons with one watcher per failure domain.

Change: timeouts derive from the contact time (`bounds.contact_ms`, 4,000 ms by default): a watch of 3/8 and a grace of 1/8 of it, so that the other half is left for a read and the distribution. A call that ends by its timeout makes all later calls use connections opened later, and no backoff follows it. A list has the timeout of a read. Watches that end early without a change wait 500 ms at most. The timeouts come from the Clock.

`store-unavailable` now says the reason (`silent`, `connection`, `refused`, `outdated`, `limited`), the call, its duration and the revision; metrics give the duration of store calls by call and outcome, the start of the watch in progress, and the version and revision read from the store.

A watch of the in-memory stand-in no longer ends by a notification that changed nothing, as no store ends one; a test had relied on the phase of the watch for it.

--- a/src/configuration/configuration_distributor.ts
+++ b/src/configuration/configuration_distributor.ts
@@ -7,7 +7,6 @@
  */
 
 import type VError from "verror";
-import { Backoff, isLaterVersion, NO_VERSION } from "../store/mod.ts";
 import type { StoreVersion } from "../store/mod.ts";
 import { DECISIONS } from "../telemetry/mod.ts";
 import type { DecisionJournal, Logger } from "../telemetry/mod.ts";
@@ -28,6 +27,8 @@
 import { PeerFetcher } from "./peer_fetcher.ts";
 import { PeerVersions } from "./peer_versions.ts";
 import type { VersionNotice } from "./peer_versions.ts";
+import { StorePoller } from "./store_poller.ts";
+import type { StorePosition } from "./store_poller.ts";
 
 /** Dependencies of the distributor. */
 export interface ConfigurationDistributorOptions {
@@ -40,17 +41,12 @@
   readonly journal: DecisionJournal;
   /** Number of watchers in each failure domain; all daemons watch in the baseline. */
   readonly watchersPerDomain?: number;
+  /** Timeout of one watch, in milliseconds. */
+  readonly watchTimeoutMs?: number;
+  /** Reports each start and end of a store call. */
+  readonly reportPosition?: (position: StorePosition) => void;
 }
 
-/** Timeout of one watch, in milliseconds. */
-const WATCH_TIMEOUT_MS = 10_000;
-
-/**
- * Minimum duration of a watch without a change, in milliseconds. A watch that
- * ends sooner was answered with a stale read and is followed by a backoff.
- */
-const MIN_WATCH_MS = 1_000;
-
 /** Interval at which a daemon checks whether it is a watcher, in milliseconds. */
 const ROLE_CHECK_INTERVAL_MS = 500;
 
@@ -73,12 +69,6 @@
 /** Time for which a started daemon that is no watcher waits for its peers before it reads the store itself, in milliseconds. */
 const PEER_WAIT_MS = 4_000;
 
-/** Backoff after failed store calls. */
-const STORE_BACKOFF = { firstDelayMs: 250, maxDelayMs: 2_000 } as const;
-
-/** Delay after a change in which further changes are coalesced, in milliseconds. */
-const COALESCE_DELAY_MS = 200;
-
 /**
  * Keeps the active configuration of one daemon at the highest accepted version
  * it can obtain.
@@ -86,18 +76,16 @@
 export class ConfigurationDistributor {
   readonly #options: ConfigurationDistributorOptions;
   readonly #peerVersions = new PeerVersions();
-  readonly #storeBackoff: Backoff;
+  readonly #poller: StorePoller;
   readonly #updater: ConfigurationUpdater;
   readonly #fetcher: PeerFetcher;
   readonly #startedAtMs: number;
-  #storeVersion = NO_VERSION;
-  #acceptedVersion = 0;
   #isConfirmed = false;
   #isWatcher = false;
 
   constructor(options: ConfigurationDistributorOptions) {
     this.#options = options;
-    this.#storeBackoff = new Backoff(options.random, STORE_BACKOFF);
+    this.#poller = new StorePoller(options);
     this.#updater = new ConfigurationUpdater({
       ...options,
       announce: () => options.peers.announce(),
@@ -117,7 +105,7 @@
   get isConfirmed(): boolean {
     this.#isConfirmed ||= isVersionConfirmed({
       localVersion: this.#options.holder.version,
-      storeVersion: this.#acceptedVersion,
+      storeVersion: this.#poller.acceptedVersion,
       peerVersions: this.#peerVersions.list().map(({ version }) => version),
       elapsedMs: this.#options.clock.monotonicMs() - this.#startedAtMs,
     });
@@ -139,7 +127,7 @@
     while (!signal.aborted) {
       this.#updateRole();
       if (this.#mustPollStore()) {
-        await this.#pollStore();
+        await this.#poller.poll((head) => this.#applyHead(head));
       } else {
         await clock.sleep(
           this.isConfirmed ? ROLE_CHECK_INTERVAL_MS : START_CHECK_INTERVAL_MS,
@@ -153,7 +141,7 @@
   #mustPollStore(): boolean {
     const { clock, peers } = this.#options;
     const ageMs = clock.monotonicMs() - this.#startedAtMs;
-    const needsStore = this.#acceptedVersion === 0 && !this.isConfirmed;
+    const needsStore = this.#poller.acceptedVersion === 0 && !this.isConfirmed;
     if (!this.#isWatcher) {
       return needsStore && ageMs >= PEER_WAIT_MS;
     }
@@ -200,27 +188,6 @@
     this.#isWatcher = isWatcher;
   }
 
-  async #pollStore(): Promise<void> {
-    const { clock, log, source } = this.#options;
-    const startedAtMs = clock.monotonicMs();
-    const stored = this.#storeVersion.revision === 0
-      ? await source.read()
-      : await source.watch(this.#storeVersion, WATCH_TIMEOUT_MS);
-    if (stored.isErr()) {
-      log.warn({ error: stored.error.message }, "store-unavailable");
-      await clock.sleep(this.#storeBackoff.nextDelayMs());
-      return;
-    }
-    if (stored.value && await this.#applyHead(stored.value)) {
-      this.#storeBackoff.reset();
-      await clock.sleep(COALESCE_DELAY_MS);
-      return;
-    }
-    if (clock.monotonicMs() - startedAtMs < MIN_WATCH_MS) {
-      await clock.sleep(this.#storeBackoff.nextDelayMs());
-    }
-  }
-
   /** Activates the state of a head; returns false if the store has to be read again. */
   async #applyHead(head: AcceptedHead): Promise<boolean> {
     const { holder } = this.#options;
@@ -242,8 +209,7 @@
       ).flatMap(({ patch }) => patch === undefined ? [] : [patch]);
       this.#updater.activate({ ...state.value, patches }, "store");
     }
-    this.#recordStoreVersion(storeVersion);
-    this.#acceptedVersion = Math.max(this.#acceptedVersion, head.version);
+    this.#poller.record(storeVersion, head.version);
     return true;
   }
 
@@ -265,13 +231,7 @@
       return false;
     }
     this.#updater.reject(version, message);
-    this.#recordStoreVersion(storeVersion);
+    this.#poller.record(storeVersion, 0);
     return true;
   }
-
-  #recordStoreVersion(storeVersion: StoreVersion): void {
-    if (isLaterVersion(storeVersion, this.#storeVersion)) {
-      this.#storeVersion = storeVersion;
-    }
-  }
 }
--- a/src/configuration/configuration_reader.ts
+++ b/src/configuration/configuration_reader.ts
@@ -203,7 +203,10 @@
 
 function createStoreError(failure: StoreFailure): VError {
   return new VError(
-    { name: "StoreUnavailable", info: { kind: failure.kind } },
+    {
+      name: "StoreUnavailable",
+      info: { kind: failure.kind, reason: failure.reason },
+    },
     "the object API is unavailable: %s",
     failure.message,
   );
--- a/src/daemon/create_daemon_components.ts
+++ b/src/daemon/create_daemon_components.ts
@@ -30,6 +30,9 @@
 import type { CallEnvironment } from "../request/mod.ts";
 import { TrafficSplitter } from "../routing/mod.ts";
 import {
+  createStoreTiming,
+  DAEMON_CALL_LIMITS,
+  DEFAULT_CONTACT_MS,
   EraTracker,
   HttpObjectStore,
   RateLimitedObjectStore,
@@ -48,12 +51,6 @@
 import type { Listener, ListenerContext } from "./listener.ts";
 import { DaemonConfigurationPeers } from "./daemon_configuration_peers.ts";
 
-/** Maximum burst of calls to the object API by one daemon. */
-const STORE_BURST_CALLS = 10;
-
-/** Sustained rate limit for calls to the object API by one daemon. */
-const STORE_CALLS_PER_SECOND = 1;
-
 /** Components and options of a daemon that tests and deployments replace. */
 export interface DaemonOverrides {
   /** Dialect of the object API. */
@@ -64,6 +61,8 @@
   ) => ConfigurationSource;
   /** Number of daemons in each failure domain that watch the object API. */
   readonly watchersPerDomain?: number;
+  /** Time within which a daemon must have noticed that a connection to the object API no longer delivers, in milliseconds. */
+  readonly contactMs?: number;
   /** Whether an adaptive throttle admits requests at the entry, by the outcomes of earlier requests instead of the load that services report. */
   readonly throttlesByOutcome?: boolean;
   /** Creates the client for the backend server on this VM. */
@@ -131,15 +130,21 @@
   const seeds = settings.seeds.split(",").filter((seed) => seed !== "");
   const isProtected = settings.protection === "on";
   const { fleetToken } = settings;
+  const timing = createStoreTiming(overrides.contactMs ?? DEFAULT_CONTACT_MS);
   const store = new HttpObjectStore(settings.storeUrl, {
+    ...{ clock, timing },
+    reportCall: ({ kind, outcome, durationMs }) =>
+      metrics.storeCallDuration.observe(
+        { call: kind, outcome },
+        durationMs / 1_000,
+      ),
     dialect: overrides.storeDialect,
     eras: new EraTracker((event) => reportEra(event, { log, metrics })),
   });
   const rateLimitedStore = new RateLimitedObjectStore({
     store,
     clock,
-    burstCalls: STORE_BURST_CALLS,
-    callsPerSecond: STORE_CALLS_PER_SECOND,
+    ...DAEMON_CALL_LIMITS,
   });
   const membership = new GossipMembership({
     self,
@@ -164,6 +169,12 @@
       new StoredConfigurationSource(new ConfigurationReader(rateLimitedStore)),
     ...overrides.watchersPerDomain !== undefined &&
       { watchersPerDomain: overrides.watchersPerDomain },
+    watchTimeoutMs: timing.watchTimeoutMs,
+    reportPosition: ({ version, revision, watchStartedAtMs }) => {
+      metrics.storeVersion.set(version);
+      metrics.storeRevision.set(revision);
+      metrics.storeWatchStart.set(watchStartedAtMs / 1_000);
+    },
     holder: configuration,
     peers: new DaemonConfigurationPeers(membership, connectionOptions),
     clock,
--- a/src/store/http_object_store.ts
+++ b/src/store/http_object_store.ts
@@ -1,12 +1,23 @@
 /**
  * HTTP client of the object API; a dialect encodes the requests.
+ *
+ * A call that gets no answer in time shows that its connection no longer
+ * delivers. The idle connections opened before it may be in the same state, and
+ * each would cost the next call another timeout. All calls after it therefore use
+ * connections opened later.
  */
 
 import { err } from "neverthrow";
 import type { Result } from "neverthrow";
 import { Pool } from "undici";
-import { ObjectStore } from "./object_store.ts";
-import type { StoredObject, StoreFailure } from "./object_store.ts";
+import { SystemClock } from "../time/mod.ts";
+import type { Clock } from "../time/mod.ts";
+import { FAILURE_REASONS, ObjectStore } from "./object_store.ts";
+import type {
+  FailureReason,
+  StoredObject,
+  StoreFailure,
+} from "./object_store.ts";
 import type {
   StoreDialect,
   StoreHeaders,
@@ -14,19 +25,12 @@
   StoreResponse,
 } from "./store_dialect.ts";
 import { EraTracker } from "./era_tracker.ts";
+import { createStoreTiming, DEFAULT_CONTACT_MS } from "./store_timing.ts";
+import type { StoreTiming } from "./store_timing.ts";
 import { isLaterVersion } from "./store_version.ts";
 import type { StoreVersion } from "./store_version.ts";
 import { VersionHeaderDialect } from "./version_header_dialect.ts";
 
-/** Timeout of a read or write, in milliseconds. */
-const REQUEST_TIMEOUT_MS = 2_000;
-
-/** Timeout for establishing a connection, in milliseconds. */
-const CONNECT_TIMEOUT_MS = 1_000;
-
-/** Added to the timeout of a watch before the request is aborted, in milliseconds. */
-const WATCH_GRACE_MS = 1_000;
-
 /** Maximum number of connections from one process to the store. */
 const MAX_CONNECTIONS = 4;
 
@@ -37,10 +41,23 @@
   readonly body: { text(): Promise<string> };
 }
 
+/** A finished call, for metrics. */
+export interface StoreCall {
+  /** `watch` is a call that the store holds, `list` one that begins a watch. */
+  readonly kind: "read" | "write" | "watch" | "list";
+  /** `answered`, or why the call failed. */
+  readonly outcome: FailureReason | "answered";
+  readonly durationMs: number;
+}
+
 /** Parts of the store client that deployments and tests replace. */
 export interface HttpObjectStoreOptions {
   readonly dialect?: StoreDialect | undefined;
   readonly eras?: EraTracker | undefined;
+  readonly clock?: Clock | undefined;
+  readonly timing?: StoreTiming | undefined;
+  /** Reports each call that ended. */
+  readonly reportCall?: ((call: StoreCall) => void) | undefined;
 }
 
 /**
@@ -50,23 +67,27 @@
  * earlier era are neither watched from nor written on.
  */
 export class HttpObjectStore extends ObjectStore {
-  readonly #pool: Pool;
+  readonly #baseUrl: string;
   readonly #dialect: StoreDialect;
-
   readonly #eras: EraTracker;
-
-  constructor(
-    baseUrl: string,
-    { dialect = new VersionHeaderDialect(), eras = new EraTracker() }:
-      HttpObjectStoreOptions = {},
-  ) {
+  readonly #clock: Clock;
+  readonly #timing: StoreTiming;
+  readonly #reportCall: (call: StoreCall) => void;
+  /** Pools that calls may still use; the last one is for new calls. */
+  readonly #pools = new Set<Pool>();
+  #pool: Pool;
+  /** Number of times that the connections were replaced. */
+  #renewalCount = 0;
+
+  constructor(baseUrl: string, options: HttpObjectStoreOptions = {}) {
     super();
-    this.#dialect = dialect;
-    this.#eras = eras;
-    this.#pool = new Pool(baseUrl, {
-      connections: MAX_CONNECTIONS,
-      connect: { timeout: CONNECT_TIMEOUT_MS },
-    });
+    this.#baseUrl = baseUrl;
+    this.#dialect = options.dialect ?? new VersionHeaderDialect();
+    this.#eras = options.eras ?? new EraTracker();
+    this.#clock = options.clock ?? new SystemClock();
+    this.#timing = options.timing ?? createStoreTiming(DEFAULT_CONTACT_MS);
+    this.#reportCall = options.reportCall ?? (() => undefined);
+    this.#pool = this.#createPool();
   }
 
   override get era(): number {
@@ -76,10 +97,7 @@
   override async read(
     key: string,
   ): Promise<Result<StoredObject | undefined, StoreFailure>> {
-    const response = await this.#send(
-      this.#dialect.encodeRead(key),
-      REQUEST_TIMEOUT_MS,
-    );
+    const response = await this.#send(this.#dialect.encodeRead(key), "read");
     return response.andThen((each) => this.#dialect.decodeRead(key, each));
   }
 
@@ -94,10 +112,10 @@
     }
     const response = await this.#send(
       this.#dialect.encodeWrite(key, value, expected),
-      REQUEST_TIMEOUT_MS,
+      "write",
     );
     return response
-      .mapErr(({ message }): StoreFailure => ({ kind: "unsure", message }))
+      .mapErr((failure): StoreFailure => ({ ...failure, kind: "unsure" }))
       .andThen((each) => this.#dialect.decodeWrite(key, expected, each));
   }
 
@@ -122,22 +140,45 @@
 
   /** Closes all connections; requests in progress fail. */
   async close(): Promise<void> {
-    await this.#pool.destroy();
+    await Promise.all([...this.#pools].map((pool) => pool.destroy()));
   }
 
   /** Sends a request and returns the response; tests replace it by an exchange without a network. */
   protected exchange(
-    request: StoreRequest,
+    { method, path, headers, body }: StoreRequest,
     signal: AbortSignal,
   ): Promise<RawStoreResponse> {
-    return this.#pool.request({ ...request, signal });
+    return this.#pool.request({
+      ...{ method, path, signal },
+      ...headers && { headers },
+      ...body !== undefined && { body },
+    });
+  }
+
+  /** Makes all later calls use new connections; calls in progress keep theirs. */
+  protected renewConnections(): void {
+    const retired = this.#pool;
+    this.#pool = this.#createPool();
+    retired.close().catch(() => undefined) // Rejects only after destroy(), which ends the calls itself.
+      .finally(() => this.#pools.delete(retired));
+  }
+
+  #createPool(): Pool {
+    const pool = new Pool(this.#baseUrl, {
+      connections: MAX_CONNECTIONS,
+      connect: { timeout: this.#timing.connectTimeoutMs },
+    });
+    this.#pools.add(pool);
+    return pool;
   }
 
   async #watchOnce(key: string, after: StoreVersion, timeoutMs: number) {
     const position = { after, era: this.#eras.era };
+    const request = this.#dialect.encodeWatch(key, position, timeoutMs);
     const response = await this.#send(
-      this.#dialect.encodeWatch(key, position, timeoutMs),
-      timeoutMs + WATCH_GRACE_MS,
+      request,
+      request.isHeld ? "watch" : "list",
+      timeoutMs,
     );
     if (response.isErr()) {
       this.#dialect.forgetWatchPosition(key);
@@ -148,20 +189,66 @@
   }
 
   async #send(
+    request: StoreRequest,
+    kind: StoreCall["kind"],
+    heldMs = 0,
+  ): Promise<Result<StoreResponse, StoreFailure>> {
+    const { requestTimeoutMs, watchGraceMs } = this.#timing;
+    const timeoutMs = request.isHeld ? heldMs + watchGraceMs : requestTimeoutMs;
+    const startedAtMs = this.#clock.monotonicMs();
+    const result = await this.#sendWithin(request, timeoutMs);
+    this.#reportCall({
+      kind,
+      outcome: result.isOk()
+        ? "answered"
+        : result.error.reason ?? FAILURE_REASONS.connection,
+      durationMs: this.#clock.monotonicMs() - startedAtMs,
+    });
+    return result;
+  }
+
+  async #sendWithin(
     request: StoreRequest,
     timeoutMs: number,
   ): Promise<Result<StoreResponse, StoreFailure>> {
+    const controller = new AbortController();
+    const cancelTimeout = this.#clock.schedule(
+      timeoutMs,
+      () => controller.abort(),
+    );
+    const renewalCount = this.#renewalCount;
     try {
       const { body, headers, statusCode: status } = await this.exchange(
         request,
-        AbortSignal.timeout(timeoutMs),
+        controller.signal,
       );
       const text = await body.text();
       return this.#eras.accept(this.#dialect.readEra(headers))
         .map((era) => ({ status, text, era }))
-        .mapErr((message): StoreFailure => ({ kind: "unavailable", message }));
+        .mapErr((message): StoreFailure => ({
+          ...{ kind: "unavailable", message },
+          reason: FAILURE_REASONS.outdated,
+        }));
     } catch (cause) {
-      return err({ kind: "unavailable", message: (cause as Error).message });
+      if (!controller.signal.aborted) {
+        const { message } = cause as Error;
+        const reason = FAILURE_REASONS.connection;
+        return err({ kind: "unavailable", message, reason });
+      }
+      this.#renewOnce(renewalCount);
+      const message = `no answer within ${timeoutMs} ms`;
+      const reason = FAILURE_REASONS.silent;
+      return err({ kind: "unavailable", message, reason });
+    } finally {
+      cancelTimeout();
+    }
+  }
+
+  /** Renews the connections unless that was done after the call that failed had begun. */
+  #renewOnce(renewalCount: number): void {
+    if (renewalCount === this.#renewalCount) {
+      this.#renewalCount += 1;
+      this.renewConnections();
     }
   }
 }
--- a/src/store/mod.ts
+++ b/src/store/mod.ts
@@ -4,7 +4,10 @@
 
 export { Backoff } from "./backoff.ts";
 export type { BackoffOptions } from "./backoff.ts";
-export { RateLimitedObjectStore } from "./rate_limited_object_store.ts";
+export {
+  DAEMON_CALL_LIMITS,
+  RateLimitedObjectStore,
+} from "./rate_limited_object_store.ts";
 export type { RateLimitedObjectStoreOptions } from "./rate_limited_object_store.ts";
 export {
   createStatusFailure,
@@ -26,6 +29,13 @@
 export type {
   HttpObjectStoreOptions,
   RawStoreResponse,
+  StoreCall,
 } from "./http_object_store.ts";
-export { ObjectStore } from "./object_store.ts";
-export type { StoredObject, StoreFailure } from "./object_store.ts";
+export { FAILURE_REASONS, ObjectStore } from "./object_store.ts";
+export type {
+  FailureReason,
+  StoredObject,
+  StoreFailure,
+} from "./object_store.ts";
+export { createStoreTiming, DEFAULT_CONTACT_MS } from "./store_timing.ts";
+export type { StoreTiming } from "./store_timing.ts";
--- a/src/store/object_store.ts
+++ b/src/store/object_store.ts
@@ -11,6 +11,24 @@
   readonly value: unknown;
 }
 
+/** Why a call failed, as logged and counted. */
+export const FAILURE_REASONS = {
+  /** No answer within the timeout; nothing on the same connection may arrive any more. */
+  silent: "silent",
+  /** The connection could not be opened, or broke. */
+  connection: "connection",
+  /** The store answered with an unexpected status or body. */
+  refused: "refused",
+  /** The answer is from an earlier era, or states none. */
+  outdated: "outdated",
+  /** The limit of this process was reached; nothing was sent. */
+  limited: "limited",
+} as const;
+
+/** One of {@link FAILURE_REASONS}. */
+export type FailureReason =
+  (typeof FAILURE_REASONS)[keyof typeof FAILURE_REASONS];
+
 /** The reason why a read, write or watch failed. */
 export interface StoreFailure {
   /**
@@ -21,6 +39,7 @@
   readonly kind: "unavailable" | "unsure" | "conflict";
   readonly message: string;
   readonly current?: StoredObject | undefined;
+  readonly reason?: FailureReason | undefined;
 }
 
 /** A store of versioned objects with conditional writes. */
--- a/src/store/rate_limited_object_store.ts
+++ b/src/store/rate_limited_object_store.ts
@@ -5,10 +5,16 @@
 import { err } from "neverthrow";
 import type { Result } from "neverthrow";
 import type { Clock } from "../time/mod.ts";
-import { ObjectStore } from "./object_store.ts";
+import { FAILURE_REASONS, ObjectStore } from "./object_store.ts";
 import type { StoredObject, StoreFailure } from "./object_store.ts";
 import type { StoreVersion } from "./store_version.ts";
 
+/** Limits of the calls that one daemon makes. */
+export const DAEMON_CALL_LIMITS = {
+  burstCalls: 10,
+  callsPerSecond: 1,
+} as const;
+
 /** Dependencies and limits of the rate-limited store. */
 export interface RateLimitedObjectStoreOptions {
   readonly store: ObjectStore;
@@ -83,5 +89,6 @@
   return {
     kind: "unavailable",
     message: "the rate limit of store calls is exceeded",
+    reason: FAILURE_REASONS.limited,
   };
 }
--- a/src/store/store_dialect.ts
+++ b/src/store/store_dialect.ts
@@ -3,6 +3,7 @@
  */
 
 import type { Result } from "neverthrow";
+import { FAILURE_REASONS } from "./object_store.ts";
 import type { StoredObject, StoreFailure } from "./object_store.ts";
 import type { StoreVersion } from "./store_version.ts";
 
@@ -12,6 +13,8 @@
   readonly path: string;
   readonly headers?: Record<string, string>;
   readonly body?: string;
+  /** Whether the store holds the request until there is a change. */
+  readonly isHeld?: boolean;
 }
 
 /** An HTTP response from the store. */
@@ -133,5 +136,6 @@
   kind: StoreFailure["kind"],
   response: StoreResponse,
 ): StoreFailure {
-  return { kind, message: `status ${response.status}` };
+  const message = `status ${response.status}`;
+  return { kind, message, reason: FAILURE_REASONS.refused };
 }
--- a/src/store/version_header_dialect.ts
+++ b/src/store/version_header_dialect.ts
@@ -82,7 +82,11 @@
     timeoutMs: number,
   ): StoreRequest {
     const query = `after=${after.revision}&timeoutMs=${timeoutMs}`;
-    return { method: "GET", path: `${formatObjectPath(key)}?${query}` };
+    return {
+      method: "GET",
+      path: `${formatObjectPath(key)}?${query}`,
+      isHeld: true,
+    };
   }
 
   override decodeWatch(
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -158,6 +158,36 @@
     registers: [this.registry],
   });
 
+  /** Duration of the calls to the store, by call and by outcome: `answered`, or why the call failed. */
+  readonly storeCallDuration = new Histogram({
+    name: "celeryhollow_store_call_duration_seconds",
+    help: "Duration of the calls to the store",
+    labelNames: ["call", "outcome"] as const,
+    buckets: LATENCY_BUCKETS_S,
+    registers: [this.registry],
+  });
+
+  /** Start of the store call in progress; 0 between calls. Its age shows a connection that no longer delivers. */
+  readonly storeWatchStart = new Gauge({
+    name: "celeryhollow_store_watch_start_timestamp_seconds",
+    help: "Start of the configuration watch in progress, 0 if there is none",
+    registers: [this.registry],
+  });
+
+  /** Store revision of the latest configuration that this daemon read from the store itself. */
+  readonly storeRevision = new Gauge({
+    name: "celeryhollow_store_revision",
+    help: "Store revision up to which this daemon read the configuration",
+    registers: [this.registry],
+  });
+
+  /** Configuration version that this daemon read from the store itself, to compare with the active one. */
+  readonly storeVersion = new Gauge({
+    name: "celeryhollow_store_configuration_version",
+    help: "Latest configuration version that this daemon read from the store",
+    registers: [this.registry],
+  });
+
   /** Members that this daemon knows, by state. */
   readonly members = new Gauge({
     name: "celeryhollow_members",
--- a/src/testing/configuration_fleet.ts
+++ b/src/testing/configuration_fleet.ts
@@ -4,6 +4,7 @@
  */
 
 import type { ConfigurationHolder } from "../configuration/mod.ts";
+import type { StoreTiming } from "../store/mod.ts";
 import type { Clock, RandomSource } from "../time/mod.ts";
 import { SimulatedConfigurationDaemon } from "./simulated_configuration_daemon.ts";
 import type { ObjectApiFaults } from "./object_api_stand_in.ts";
@@ -21,6 +22,8 @@
   readonly daemonsPerDomain: number;
   /** Number of daemons per failure domain that watch the object API. */
   readonly watchersPerDomain?: number;
+  /** Timeouts of store clients whose connections can be silenced; by default calls reach the table directly. */
+  readonly storeTiming?: StoreTiming;
   /** Creates the holder of each daemon; tests inject a defective one. */
   readonly createHolder?: () => ConfigurationHolder;
 }
--- a/src/testing/distribution_bench.ts
+++ b/src/testing/distribution_bench.ts
@@ -37,9 +37,14 @@
   constructor(
     seed: number,
     createHolder = () => new ConfigurationHolder(),
-    options: Pick<ConfigurationFleetOptions, "watchersPerDomain"> & {
-      readonly domains?: ConfigurationFleetOptions["domains"];
-    } = {},
+    options:
+      & Pick<
+        ConfigurationFleetOptions,
+        "watchersPerDomain" | "storeTiming"
+      >
+      & {
+        readonly domains?: ConfigurationFleetOptions["domains"];
+      } = {},
   ) {
     const { clock } = this;
     this.fleet = new ConfigurationFleet({
--- a/src/testing/memory_object_store.ts
+++ b/src/testing/memory_object_store.ts
@@ -83,8 +83,16 @@
     if (this.#options.faults.isDown) {
       return err(createFailure("unavailable"));
     }
-    await this.#waitForChange(key, after, timeoutMs);
-    if (this.#options.faults.isDown) {
+    const { clock, faults } = this.#options;
+    const deadlineMs = clock.monotonicMs() + timeoutMs;
+    // Notifications that no object changed end the watches of a store that went down only.
+    while (
+      !faults.isDown && !this.#hasChanged(key, after) &&
+      clock.monotonicMs() < deadlineMs
+    ) {
+      await this.#waitForNotification(key, deadlineMs - clock.monotonicMs());
+    }
+    if (faults.isDown) {
       return err(createFailure("unavailable"));
     }
     const object = this.#getVisible(key);
@@ -111,15 +119,13 @@
     return faults.servesStaleReads ? table.getPrevious(key) : table.get(key);
   }
 
-  #waitForChange(
-    key: string,
-    after: StoreVersion,
-    timeoutMs: number,
-  ): Promise<void> {
+  #hasChanged(key: string, after: StoreVersion): boolean {
+    const version = this.#options.table.get(key)?.version ?? NO_VERSION;
+    return isLaterVersion(version, after);
+  }
+
+  #waitForNotification(key: string, timeoutMs: number): Promise<void> {
     const { clock, table } = this.#options;
-    if (isLaterVersion(table.get(key)?.version ?? NO_VERSION, after)) {
-      return Promise.resolve();
-    }
     return new Promise((resolve) => {
       const finish = () => {
         unsubscribe();
--- a/src/testing/simulated_configuration_daemon.ts
+++ b/src/testing/simulated_configuration_daemon.ts
@@ -18,6 +18,8 @@
 import type { MemberRecord } from "../generated/types.ts";
 import { createSilentLogger, DecisionJournal } from "../telemetry/mod.ts";
 import type { ConfigurationFleet } from "./configuration_fleet.ts";
+import { DAEMON_CALL_LIMITS, RateLimitedObjectStore } from "../store/mod.ts";
+import { LinkedObjectStore } from "./linked_object_store.ts";
 import { MemoryObjectStore } from "./memory_object_store.ts";
 
 /** Interval at which each daemon exchanges its version with a random peer, in milliseconds. */
@@ -43,7 +45,8 @@
   override readonly self: MemberRecord;
   readonly holder: ConfigurationHolder;
   readonly distributor: ConfigurationDistributor;
-  readonly store: MemoryObjectStore;
+  /** The store client; one with connections if the fleet has store timeouts. */
+  readonly store: MemoryObjectStore | LinkedObjectStore;
   readonly journal: DecisionJournal;
   /** Configuration traffic with peers, sent and received, in bytes. */
   peerBytes = 0;
@@ -59,11 +62,19 @@
     this.self = self;
     this.holder = createHolder?.() ?? new ConfigurationHolder();
     const faults = fleet.getFaults(self.failureDomain);
-    this.store = new MemoryObjectStore({ table: fleet.table, clock, faults });
+    const { storeTiming: timing } = fleet.options;
+    const storeOptions = { table: fleet.table, clock, faults };
+    this.store = timing
+      ? new LinkedObjectStore({ ...storeOptions, timing })
+      : new MemoryObjectStore(storeOptions);
+    const limitedStore = new RateLimitedObjectStore({
+      ...{ store: this.store, clock },
+      ...DAEMON_CALL_LIMITS,
+    });
     this.journal = new DecisionJournal(clock);
     this.distributor = new ConfigurationDistributor({
       source: new StoredConfigurationSource(
-        new ConfigurationReader(this.store),
+        new ConfigurationReader(timing ? limitedStore : this.store),
       ),
       holder: this.holder,
       peers: this,
@@ -72,6 +83,7 @@
       log: createSilentLogger(),
       journal: this.journal,
       ...watchersPerDomain === undefined ? {} : { watchersPerDomain },
+      ...timing && { watchTimeoutMs: timing.watchTimeoutMs },
     });
     this.holder.subscribe(({ version }) =>
       fleet.recordActivation(this, version)
@@ -119,6 +131,11 @@
     return ok(bytes);
   }
 
+  /** The store client, if its connections can be silenced. */
+  get linkedStore(): LinkedObjectStore | undefined {
+    return this.store instanceof LinkedObjectStore ? this.store : undefined;
+  }
+
   /** Kills the process. */
   kill(): void {
     this.isRunning = false;
