Reject what was invalid only, not the versions before it

A daemon that read one object that it could not decode kept its configuration for ever: the object was rejected under the highest number there is, and a rejection blocked every version up to it, from the store and from peers. A daemon that had just started did not get ready.

Cause: a rejection was kept as the highest rejected version. The same rule skipped a valid older version that peers had, a version that is valid in the store after one peer's copy was not, and a peer's whole document after its patches did not fit the local one.

No such object has been seen in the store, which accepts valid configurations only.

Change: the store's object is skipped by its revision, so that the next change is read whatever its number. A peer's copy is rejected by incarnation and version, and after three copies no other of that version is fetched, so that a program too old for a version does not ask the whole fleet. Patches that do not fit lead to the whole document. `configuration-refused` now says where the object came from.

The in-memory store answers a watch with a later version only, as the others do.

--- a/src/configuration/configuration_distributor.ts
+++ b/src/configuration/configuration_distributor.ts
@@ -156,7 +156,7 @@
   /** Records the version of a peer and starts a fetch if it is newer. */
   handleVersionNotice(notice: VersionNotice): void {
     this.#peerVersions.record(notice);
-    if (this.#updater.isCandidate(notice.version)) {
+    if (this.#updater.isCandidate(notice)) {
       void this.#fetcher.catchUp();
     }
   }
@@ -192,7 +192,7 @@
   async #applyHead(head: AcceptedHead): Promise<boolean> {
     const { holder } = this.#options;
     const { storeVersion } = head;
-    if (this.#updater.isCandidate(head.version)) {
+    if (head.version === undefined || this.#updater.isNewer(head.version)) {
       const { current } = holder;
       const state = await head.readState(
         current && {
@@ -209,7 +209,7 @@
       ).flatMap(({ patch }) => patch === undefined ? [] : [patch]);
       this.#updater.activate({ ...state.value, patches }, "store");
     }
-    this.#poller.record(storeVersion, head.version);
+    this.#poller.record(storeVersion, head.version ?? 0);
     return true;
   }
 
@@ -219,18 +219,18 @@
    */
   #handleStateError(
     error: VError,
-    version: number,
+    version: number | undefined,
     storeVersion: StoreVersion,
   ): boolean {
     const { message, name } = error;
     if (name !== "ConfigurationInvalid") {
       this.#options.log.warn(
-        { version, error: message },
+        { version: version ?? 0, error: message },
         "configuration-unreadable",
       );
       return false;
     }
-    this.#updater.reject(version, message);
+    this.#updater.rejectStored(version, message);
     this.#poller.record(storeVersion, 0);
     return true;
   }
--- a/src/configuration/configuration_source.ts
+++ b/src/configuration/configuration_source.ts
@@ -16,8 +16,8 @@
 export interface AcceptedHead {
   /** Version that the store assigned to the head object. */
   readonly storeVersion: StoreVersion;
-  /** Version of the configuration. */
-  readonly version: number;
+  /** Version of the configuration; undefined if it is invalid and states none. */
+  readonly version: number | undefined;
   /** Latest changes, with their patches if these are retained. */
   readonly changes: readonly ConfigurationChange[];
   /** Returns the full state, derived from `known` if that saves reads. */
--- a/src/configuration/configuration_updater.ts
+++ b/src/configuration/configuration_updater.ts
@@ -1,13 +1,24 @@
 /**
  * Activates or rejects the configurations that a daemon receives.
  *
- * All updates, from the store or from peers, pass through this class.
+ * All updates, from the store or from peers, pass through this class. A rejection
+ * holds for what was rejected only: an object of the store at its revision, or the
+ * copy of one peer. It never blocks another version, nor the same version from
+ * elsewhere.
  */
 
 import { DECISIONS } from "../telemetry/mod.ts";
-import type { DecisionJournal, Logger } from "../telemetry/mod.ts";
+import type {
+  DecisionFacts,
+  DecisionJournal,
+  Logger,
+} from "../telemetry/mod.ts";
 import type { ConfigurationHolder } from "./configuration_holder.ts";
 import type { TransferredConfiguration } from "./configuration_transfer.ts";
+import type { VersionNotice } from "./peer_versions.ts";
+
+/** A version as one peer has it. */
+export type PeerCopy = Pick<VersionNotice, "incarnation" | "version">;
 
 /** Dependencies of the updater. */
 export interface ConfigurationUpdaterOptions {
@@ -18,19 +29,33 @@
   readonly announce: () => void;
 }
 
-/** Activates received configurations and remembers the highest rejected version. */
+/** Number of peers whose copies of a version are tried before it is not fetched from others. */
+const MAX_REJECTED_COPIES = 3;
+
+/** Number of versions whose rejected copies are remembered. */
+const MAX_REJECTED_VERSIONS = 64;
+
+/** Activates received configurations and remembers the rejected copies of peers. */
 export class ConfigurationUpdater {
   readonly #options: ConfigurationUpdaterOptions;
-  #rejectedVersion = 0;
+  /** Peers whose copy was rejected, by version. */
+  readonly #rejectedCopies = new Map<number, Set<string>>();
 
   constructor(options: ConfigurationUpdaterOptions) {
     this.#options = options;
   }
 
-  /** Whether a version is newer than the active one and has not been rejected. */
-  isCandidate(version: number): boolean {
-    const { holder } = this.#options;
-    return version > Math.max(holder.version, this.#rejectedVersion);
+  /** Whether a version is newer than the active one. */
+  isNewer(version: number): boolean {
+    return version > this.#options.holder.version;
+  }
+
+  /** Whether a peer's version is newer than the active one and its copy has not been rejected. */
+  isCandidate({ incarnation, version }: PeerCopy): boolean {
+    const rejecting = this.#rejectedCopies.get(version);
+    const isRejected = rejecting !== undefined &&
+      (rejecting.has(incarnation) || rejecting.size >= MAX_REJECTED_COPIES);
+    return this.isNewer(version) && !isRejected;
   }
 
   /** Activates a valid configuration if its version is higher; returns whether it was activated. */
@@ -52,11 +77,33 @@
     return isNew;
   }
 
-  /** Rejects an invalid version, so that it and older versions are not fetched again. */
-  reject(version: number, error: string): void {
+  /**
+   * Reports that an object of the store is invalid; `version` is undefined if it
+   * cannot be told. The caller skips it by its revision.
+   */
+  rejectStored(version: number | undefined, error: string): void {
+    this.#reportRejection({
+      ...version !== undefined && { version },
+      ...{ error, source: "store" },
+    });
+  }
+
+  /** Rejects the invalid copy of a peer, so that it is not fetched again. */
+  rejectCopy({ incarnation, version }: PeerCopy, error: string): void {
+    this.#reportRejection({ version, error, source: incarnation });
+    const rejecting = this.#rejectedCopies.get(version) ?? new Set();
+    this.#rejectedCopies.set(version, rejecting.add(incarnation));
+    for (const known of this.#rejectedCopies.keys()) {
+      const isFull = this.#rejectedCopies.size > MAX_REJECTED_VERSIONS;
+      if (!this.isNewer(known) || isFull) {
+        this.#rejectedCopies.delete(known);
+      }
+    }
+  }
+
+  #reportRejection(facts: DecisionFacts): void {
     const { journal, log } = this.#options;
-    journal.record(DECISIONS.configurationRefused, { version, error });
-    log.error({ version, error }, "configuration-refused");
-    this.#rejectedVersion = Math.max(this.#rejectedVersion, version);
+    journal.record(DECISIONS.configurationRefused, facts);
+    log.error(facts, "configuration-refused");
   }
 }
--- a/src/configuration/peer_fetcher.ts
+++ b/src/configuration/peer_fetcher.ts
@@ -85,7 +85,7 @@
     if (received) {
       return updater.activate(received, peer.incarnation);
     }
-    const full = version === 0 || !updater.isCandidate(peer.version)
+    const full = version === FULL_DOCUMENT
       ? undefined
       : await this.#fetchTransfer(peer, FULL_DOCUMENT);
     return full !== undefined && updater.activate(full, peer.incarnation);
@@ -109,17 +109,16 @@
       { error: message, peer: peer.incarnation },
       "configuration-fetch-failed",
     );
-    if (name === "ConfigurationInvalid") {
-      updater.reject(peer.version, message);
+    // Patches that do not fit the local document say nothing about the peer's copy.
+    if (name === "ConfigurationInvalid" && knownVersion === FULL_DOCUMENT) {
+      updater.rejectCopy(peer, message);
     }
     return undefined;
   }
 
   #listPeersAhead(): VersionNotice[] {
     const { updater, peerVersions } = this.#options;
-    return peerVersions.list().filter(({ version }) =>
-      updater.isCandidate(version)
-    );
+    return peerVersions.list().filter((notice) => updater.isCandidate(notice));
   }
 
   #choosePeer(tried: ReadonlySet<string>): VersionNotice | undefined {
--- a/src/testing/memory_store.ts
+++ b/src/testing/memory_store.ts
@@ -4,7 +4,7 @@
 
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
-import { ObjectStore } from "../store/mod.ts";
+import { isLaterVersion, ObjectStore } from "../store/mod.ts";
 import type { StoredObject, StoreFailure, StoreVersion } from "../store/mod.ts";
 
 const UNAVAILABLE: StoreFailure = {
@@ -59,11 +59,14 @@
     this.#objects.clear();
   }
 
-  override watch(
+  override async watch(
     key: string,
-    _after: StoreVersion,
+    after: StoreVersion,
     _timeoutMs: number,
   ): Promise<Result<StoredObject | undefined, StoreFailure>> {
-    return this.read(key);
+    const read = await this.read(key);
+    return read.map((object) =>
+      object && isLaterVersion(object.version, after) ? object : undefined
+    );
   }
 }
