--- a/src/testing/simulated_configuration_daemon.ts
+++ b/src/testing/simulated_configuration_daemon.ts
@@ -47,6 +47,8 @@
   readonly distributor: ConfigurationDistributor;
   /** The store client; one with connections if the fleet has store timeouts. */
   readonly store: MemoryObjectStore | LinkedObjectStore;
+  /** The store under the limit of calls that all components of a daemon share. */
+  readonly limitedStore: RateLimitedObjectStore;
   readonly journal: DecisionJournal;
   /** Configuration traffic with peers, sent and received, in bytes. */
   peerBytes = 0;
@@ -67,14 +69,14 @@
     this.store = timing
       ? new LinkedObjectStore({ ...storeOptions, timing })
       : new MemoryObjectStore(storeOptions);
-    const limitedStore = new RateLimitedObjectStore({
+    this.limitedStore = new RateLimitedObjectStore({
       ...{ store: this.store, clock },
       ...DAEMON_CALL_LIMITS,
     });
     this.journal = new DecisionJournal(clock);
     this.distributor = new ConfigurationDistributor({
       source: new StoredConfigurationSource(
-        new ConfigurationReader(timing ? limitedStore : this.store),
+        new ConfigurationReader(timing ? this.limitedStore : this.store),
       ),
       holder: this.holder,
       peers: this,
