Check the store in turns besides the watchers

While the store turned away all watchers and served everybody else, the whole fleet kept an older configuration until the store admitted them again: a daemon that is no watcher never asked the store once it was confirmed, and watchers are replaced only when membership loses them. With one watcher in each of four failure domains these are 4 daemons of the fleet.

Change: the members of a failure domain that do not watch take turns of one contact time (4 s) each, derived from the time of day and begun one failure domain after the other; the member whose turn it is makes one call. After a new version there are no checks for 2.5 s, since the watchers read the store then. The calls of a failure domain do not depend on its size.

--- a/src/configuration/configuration_distributor.ts
+++ b/src/configuration/configuration_distributor.ts
@@ -1,16 +1,18 @@
 /**
  * One daemon's part in the distribution of accepted configurations.
  *
- * A few daemons of each failure domain watch the object API. Every daemon
- * includes its version in its gossip; a daemon that learns of a higher version
+ * A few daemons of each failure domain watch the object API; the others check it
+ * in turns, in case it refuses just the watchers. Every daemon includes its version in its gossip; a daemon that learns of a higher version
  * fetches the missing changes from a peer that has it, nearest first.
  */
 
 import type VError from "verror";
+import { DEFAULT_CONTACT_MS } from "../store/mod.ts";
 import type { StoreVersion } from "../store/mod.ts";
 import { DECISIONS } from "../telemetry/mod.ts";
 import type { DecisionJournal, Logger } from "../telemetry/mod.ts";
 import type { Clock, RandomSource } from "../time/mod.ts";
+import { chooseStoreChecker } from "./choose_store_checker.ts";
 import {
   chooseWatchers,
   countWatchersPerDomain,
@@ -43,6 +45,8 @@
   readonly watchersPerDomain?: number;
   /** Timeout of one watch, in milliseconds. */
   readonly watchTimeoutMs?: number;
+  /** Length of the turns in which members that do not watch check the store, in milliseconds. */
+  readonly checkTurnMs?: number;
   /** Reports each start and end of a store call. */
   readonly reportPosition?: (position: StorePosition) => void;
 }
@@ -69,6 +73,12 @@
 /** Time for which a started daemon that is no watcher waits for its peers before it reads the store itself, in milliseconds. */
 const PEER_WAIT_MS = 4_000;
 
+/**
+ * Time after a new version for which no store check is made, in milliseconds:
+ * the watchers read the store then.
+ */
+const CHECK_PAUSE_MS = 2_500;
+
 /**
  * Keeps the active configuration of one daemon at the highest accepted version
  * it can obtain.
@@ -82,6 +92,10 @@
   readonly #startedAtMs: number;
   #isConfirmed = false;
   #isWatcher = false;
+  /** The turn to check the store that this daemon has; undefined while another has it. */
+  #checkTurn: number | undefined;
+  #lastCheckTurn: number | undefined;
+  #lastChangeAtMs = -Infinity;
 
   constructor(options: ConfigurationDistributorOptions) {
     this.#options = options;
@@ -96,6 +110,9 @@
       peerVersions: this.#peerVersions,
     });
     this.#startedAtMs = options.clock.monotonicMs();
+    options.holder.subscribe(() => {
+      this.#lastChangeAtMs = options.clock.monotonicMs();
+    });
   }
 
   /**
@@ -126,7 +143,7 @@
     await clock.sleep(random.nextInteger(MAX_START_DELAY_MS));
     while (!signal.aborted) {
       this.#updateRole();
-      if (this.#mustPollStore()) {
+      if (this.#mustPollStore() || this.#mustCheckStore()) {
         await this.#poller.poll((head) => this.#applyHead(head));
       } else {
         await clock.sleep(
@@ -153,6 +170,19 @@
     return hasJoined || ageMs >= JOIN_WAIT_MS;
   }
 
+  /** Whether this daemon has a turn to check the store, which it begins. */
+  #mustCheckStore(): boolean {
+    const quietMs = this.#options.clock.monotonicMs() - this.#lastChangeAtMs;
+    if (
+      !this.isConfirmed || this.#checkTurn === this.#lastCheckTurn ||
+      quietMs < CHECK_PAUSE_MS
+    ) {
+      return false;
+    }
+    this.#lastCheckTurn = this.#checkTurn;
+    return this.#checkTurn !== undefined;
+  }
+
   /** Records the version of a peer and starts a fetch if it is newer. */
   handleVersionNotice(notice: VersionNotice): void {
     this.#peerVersions.record(notice);
@@ -162,7 +192,7 @@
   }
 
   #updateRole(): void {
-    const { journal, peers } = this.#options;
+    const { clock, journal, peers } = this.#options;
     const { failureDomain, incarnation } = peers.self;
     const live = peers.listLive();
     this.#peerVersions.retain(
@@ -171,11 +201,13 @@
     const domainMembers = live.filter((member) =>
       member.failureDomain === failureDomain
     );
+    const incarnations = domainMembers.map((member) => member.incarnation);
+    const domains = [...new Set(live.map((member) => member.failureDomain))];
     const watchers = chooseWatchers(
-      domainMembers.map((member) => member.incarnation),
+      incarnations,
       countWatchersPerDomain(
         this.#options.watchersPerDomain ?? WATCHERS_PER_DOMAIN,
-        new Set(live.map((member) => member.failureDomain)).size,
+        domains.length,
       ),
     );
     const isWatcher = watchers.includes(incarnation);
@@ -186,6 +218,14 @@
       });
     }
     this.#isWatcher = isWatcher;
+    const { turn, incarnation: checker } = chooseStoreChecker({
+      incarnations: incarnations.filter((each) => !watchers.includes(each)),
+      domains,
+      failureDomain,
+      nowMs: clock.nowMs(),
+      turnMs: this.#options.checkTurnMs ?? DEFAULT_CONTACT_MS,
+    });
+    this.#checkTurn = checker === incarnation ? turn : undefined;
   }
 
   /** Activates the state of a head; returns false if the store has to be read again. */
