Skip no change after an incomplete answer to a watch

A change of the configuration could stay unknown to a watcher until the next one.

Cause: the position from which a kind is watched moved to the revision of every answer. Where an answer lacks the object because it has more pages, the object is read by itself; if that read failed, the position stayed past the change.

The platform's one object of that kind fits in a page, so that this needs a store with more.

--- a/src/store/http_object_store.ts
+++ b/src/store/http_object_store.ts
@@ -133,6 +133,10 @@
       return result.map(({ object }) => object);
     }
     const read = await this.read(key);
+    if (read.isErr()) {
+      // The position is past a change that only the read would have given.
+      this.#dialect.forgetWatchPosition(key);
+    }
     return read.map((object) =>
       object && isLaterVersion(object.version, after) ? object : undefined
     );
