Let successors watch the store while a watcher is suspected or leaving

What callers would see: after most VMs are lost at once, all others route by the configuration of before for seconds past the limit. Not seen on the users' machines; found by asking where else no daemon watches the store.

Cause: a watcher that ended stays in the list of live members until membership evicts it, 3 s after the suspicion, and no other daemon of its failure domain watches until then. The checks in turns do not help where the turns belong to lost members as well. A watcher that is leaving ends without notice in the same way.

Evidence: in the simulated fleet a killed daemon was gone from the list of live members at once, which hid the fault; it now stays for the times of the failure detector. Limit: 2,500 ms.

Change: the watchers are chosen among all live members, and once more among those that are alive; more than one watches while one is suspected or leaving.

--- a/src/configuration/choose_watchers.ts
+++ b/src/configuration/choose_watchers.ts
@@ -3,6 +3,7 @@
  */
 
 import { createHash } from "node:crypto";
+import type { MemberRecord } from "../generated/types.ts";
 
 /** Number of watchers in each failure domain. */
 export const WATCHERS_PER_DOMAIN = 2;
@@ -34,6 +35,31 @@
   return ranked.slice(0, count).map(({ incarnation }) => incarnation);
 }
 
+/**
+ * Chooses the watchers of one failure domain, and successors of those that may have
+ * ended. A member that does not answer is evicted only seconds after it is suspected,
+ * and one that is leaving ends without notice, so that its successor starts before.
+ *
+ * @param members - Records of the live members of the failure domain
+ * @param count - Number of watchers to choose
+ * @returns Incarnations of the chosen watchers; more than `count` while a watcher is
+ *   suspected or leaving
+ *
+ * @example
+ * chooseWatchersWithSuccessors(domainMembers, 1).has(self.incarnation);
+ */
+export function chooseWatchersWithSuccessors(
+  members: readonly Pick<MemberRecord, "incarnation" | "state">[],
+  count: number,
+): ReadonlySet<string> {
+  const alive = members.filter(({ state }) => state === "alive");
+  return new Set(
+    [members, alive].flatMap((candidates) =>
+      chooseWatchers(candidates.map(({ incarnation }) => incarnation), count)
+    ),
+  );
+}
+
 /**
  * Counts the watchers of each failure domain: more than usual in a fleet with few
  * failure domains.
--- a/src/configuration/configuration_distributor.ts
+++ b/src/configuration/configuration_distributor.ts
@@ -14,7 +14,7 @@
 import type { Clock, RandomSource } from "../time/mod.ts";
 import { chooseStoreChecker } from "./choose_store_checker.ts";
 import {
-  chooseWatchers,
+  chooseWatchersWithSuccessors,
   countWatchersPerDomain,
   WATCHERS_PER_DOMAIN,
 } from "./choose_watchers.ts";
@@ -201,16 +201,15 @@
     const domainMembers = live.filter((member) =>
       member.failureDomain === failureDomain
     );
-    const incarnations = domainMembers.map((member) => member.incarnation);
     const domains = [...new Set(live.map((member) => member.failureDomain))];
-    const watchers = chooseWatchers(
-      incarnations,
+    const watchers = chooseWatchersWithSuccessors(
+      domainMembers,
       countWatchersPerDomain(
         this.#options.watchersPerDomain ?? WATCHERS_PER_DOMAIN,
         domains.length,
       ),
     );
-    const isWatcher = watchers.includes(incarnation);
+    const isWatcher = watchers.has(incarnation);
     if (isWatcher !== this.#isWatcher) {
       journal.record(DECISIONS.configurationWatch, {
         isWatcher,
@@ -219,7 +218,8 @@
     }
     this.#isWatcher = isWatcher;
     const { turn, incarnation: checker } = chooseStoreChecker({
-      incarnations: incarnations.filter((each) => !watchers.includes(each)),
+      incarnations: domainMembers.map((member) => member.incarnation)
+        .filter((each) => !watchers.has(each)),
       domains,
       failureDomain,
       nowMs: clock.nowMs(),
--- a/src/configuration/silent_store_test.ts
+++ b/src/configuration/silent_store_test.ts
@@ -1,5 +1,9 @@
 import * as assert from "uvu/assert";
 import { suite } from "uvu";
+import {
+  PROBE_INTERVAL_MS,
+  SUSPICION_TIMEOUT_MS,
+} from "../membership/failure_detector.ts";
 import { createStoreTiming } from "../store/mod.ts";
 import { DistributionBench } from "../testing/distribution_bench.ts";
 
@@ -161,6 +165,46 @@
   assert.equal(late, []);
 });
 
+// A killed watcher stays in the list of live members until it is evicted. With all
+// of them lost at once, no survivor watched the store until then.
+test("with all but one daemon of each failure domain killed at once, a change right after that is active on the others within the limit", async () => {
+  const suspectedAfterMs = 1.5 * PROBE_INTERVAL_MS;
+  const bench = new DistributionBench(35, undefined, {
+    watchersPerDomain: 1,
+    storeTiming: timing,
+    detection: {
+      suspectedAfterMs,
+      evictedAfterMs: suspectedAfterMs + SUSPICION_TIMEOUT_MS,
+    },
+  });
+  await bench.start();
+  const late: string[] = [];
+  for (let round = 0; round < 5; round += 1) {
+    await bench.accept(10_000 + 2 * round);
+    await bench.advance(SETTLE_MS + 300 * round);
+    const lost = bench.fleet.options.domains.flatMap(({ name }) =>
+      bench.fleet.daemons.filter(({ self }) => self.failureDomain === name)
+        .sort((left, right) =>
+          Number(right.distributor.isWatcher) -
+          Number(left.distributor.isWatcher)
+        ).slice(0, -1)
+    );
+    lost.forEach((daemon) => daemon.kill());
+    const version = await bench.accept(10_001 + 2 * round);
+    const activeMs = await measureActivation(bench, {
+      version,
+      limitMs: 20_000,
+    });
+    if (activeMs > APPLY_MS) {
+      late.push(`round ${round}: ${activeMs} ms`);
+    }
+    lost.forEach((daemon) => bench.fleet.restart(daemon));
+    await bench.advance(10_000);
+  }
+  bench.fleet.stop();
+  assert.equal(late, []);
+});
+
 function sumCalls({ fleet }: DistributionBench): number {
   return fleet.daemons.reduce((sum, { store }) => sum + store.traffic.calls, 0);
 }
--- a/src/testing/configuration_fleet.ts
+++ b/src/testing/configuration_fleet.ts
@@ -4,6 +4,7 @@
  */
 
 import type { ConfigurationHolder } from "../configuration/mod.ts";
+import type { MemberRecord } from "../generated/types.ts";
 import type { StoreTiming } from "../store/mod.ts";
 import type { Clock, RandomSource } from "../time/mod.ts";
 import { SimulatedConfigurationDaemon } from "./simulated_configuration_daemon.ts";
@@ -24,6 +25,11 @@
   readonly watchersPerDomain?: number;
   /** Timeouts of store clients whose connections can be silenced; by default calls reach the table directly. */
   readonly storeTiming?: StoreTiming;
+  /** Times after a kill at which the other daemons suspect and evict the member; both 0 by default. */
+  readonly detection?: {
+    readonly suspectedAfterMs: number;
+    readonly evictedAfterMs: number;
+  };
   /** Creates the holder of each daemon; tests inject a defective one. */
   readonly createHolder?: () => ConfigurationHolder;
 }
@@ -142,6 +148,21 @@
     );
   }
 
+  /** Records of the members that a daemon takes for live, which includes killed ones until they are evicted. */
+  listLiveRecords(from: SimulatedConfigurationDaemon): MemberRecord[] {
+    const { clock, detection } = this.options;
+    const { suspectedAfterMs = 0, evictedAfterMs = 0 } = detection ?? {};
+    const nowMs = clock.monotonicMs();
+    return this.daemons.filter((daemon) => !this.isPartitioned(from, daemon))
+      .flatMap(({ killedAtMs = nowMs, isRunning, self }) => {
+        const downMs = nowMs - killedAtMs;
+        if (isRunning || downMs < suspectedAfterMs) {
+          return [self];
+        }
+        return downMs < evictedAfterMs ? [{ ...self, state: "suspect" }] : [];
+      });
+  }
+
   /** A random daemon that a daemon can reach, other than itself. */
   chooseReachablePeer(
     from: SimulatedConfigurationDaemon,
--- a/src/testing/distribution_bench.ts
+++ b/src/testing/distribution_bench.ts
@@ -40,7 +40,7 @@
     options:
       & Pick<
         ConfigurationFleetOptions,
-        "watchersPerDomain" | "storeTiming"
+        "watchersPerDomain" | "storeTiming" | "detection"
       >
       & {
         readonly domains?: ConfigurationFleetOptions["domains"];
--- a/src/testing/simulated_configuration_daemon.ts
+++ b/src/testing/simulated_configuration_daemon.ts
@@ -53,6 +53,8 @@
   /** Configuration traffic with peers, sent and received, in bytes. */
   peerBytes = 0;
   isRunning = true;
+  /** Monotonic time at which the process was killed, in milliseconds. */
+  killedAtMs: number | undefined;
   readonly #fleet: ConfigurationFleet;
   readonly #stopController = new AbortController();
   readonly #stopGossip: () => void;
@@ -98,7 +100,7 @@
   }
 
   override listLive(): readonly MemberRecord[] {
-    return this.#fleet.listReachable(this).map(({ self }) => self);
+    return this.#fleet.listLiveRecords(this);
   }
 
   override announce(): void {
@@ -141,6 +143,7 @@
   /** Kills the process. */
   kill(): void {
     this.isRunning = false;
+    this.killedAtMs ??= this.#fleet.options.clock.monotonicMs();
     this.#stopController.abort();
     this.#stopGossip();
   }
