--- a/src/testing/link_stand_in.ts
+++ b/src/testing/link_stand_in.ts
@@ -27,6 +27,10 @@
   readonly client: Socket;
   readonly target: Socket;
   isSilent: boolean;
+  /** Whether the flow opened while the link held back all flows. */
+  readonly isOpenedOnHold: boolean;
+  /** Deliveries held back while the flow was silent, in order. */
+  readonly heldDeliveries: (() => void)[];
 }
 
 /** A link that relays TCP connections to one or more targets. */
@@ -37,7 +41,9 @@
   readonly backward: LinkDirection;
   readonly #servers: Server[] = [];
   readonly #flows = new Set<Flow>();
+  readonly #lostFlows = new Set<Flow>();
   #isCut = false;
+  #isOnHold = false;
   #dropsForward = false;
 
   /** Creates a link; `shared` directions are used in place of its own. */
@@ -68,12 +74,31 @@
     }
   }
 
+  /** Silences the existing flows as {@link silenceFlows}, and nothing resumes them. */
+  silenceFlowsForGood(): void {
+    this.silenceFlows();
+    this.#flows.forEach((flow) => this.#lostFlows.add(flow));
+    this.#flows.clear();
+  }
+
   /** Resumes the silent flows, including the bytes that they held back. */
   resumeFlows(): void {
+    this.#flows.forEach(resumeFlow);
+  }
+
+  /** Silences the existing flows and all that open until {@link endHold}, as a cut that drops packets. */
+  hold(): void {
+    this.#isOnHold = true;
+    this.silenceFlows();
+  }
+
+  /** Lets new flows relay, and resumes those opened since {@link hold}. Older ones stay silent until {@link resumeFlows}, as if their senders waited for the next retransmission. */
+  endHold(): void {
+    this.#isOnHold = false;
     for (const flow of this.#flows) {
-      flow.isSilent = false;
-      flow.client.resume();
-      flow.target.resume();
+      if (flow.isOpenedOnHold) {
+        resumeFlow(flow);
+      }
     }
   }
 
@@ -110,6 +135,7 @@
 
   /** Closes all flows and stops listening. */
   close(): void {
+    this.#lostFlows.forEach((flow) => this.#flows.add(flow));
     this.#endFlows();
     this.#servers.forEach((server) => server.close());
   }
@@ -131,7 +157,11 @@
       host: route.targetAddress,
       port: route.targetPort,
     });
-    const flow: Flow = { client, target, isSilent: false };
+    const flow: Flow = {
+      ...{ client, target, heldDeliveries: [] },
+      isSilent: this.#isOnHold,
+      isOpenedOnHold: this.#isOnHold,
+    };
     this.#flows.add(flow);
     client.setNoDelay(true);
     target.setNoDelay(true);
@@ -144,32 +174,49 @@
     from: Socket,
     { to, direction }: { to: Socket; direction: LinkDirection },
   ): void {
+    const send = (bytes: Uint8Array, deliver: () => void) =>
+      direction.send(bytes, () => {
+        if (flow.isSilent) {
+          flow.heldDeliveries.push(deliver);
+        } else {
+          deliver();
+        }
+      });
     from.on("data", (bytes) => {
-      if (flow.isSilent) {
-        from.pause();
-        from.unshift(bytes);
-        return;
-      }
       if (this.#dropsForward && from === flow.client) {
         return;
       }
-      const isBacklogged = direction.send(bytes, () => {
-        if (!flow.isSilent) {
-          to.write(bytes);
-        }
-      });
-      if (isBacklogged) {
+      const isBacklogged = send(bytes, () => to.write(bytes));
+      if (flow.isSilent) {
+        from.pause();
+      } else if (isBacklogged) {
         from.pause();
         direction.whenDrained(() => flow.isSilent || from.resume());
       }
     });
-    from.on("error", () => undefined);
+    let wasReset = false;
+    from.on("error", (error: NodeJS.ErrnoException) => {
+      wasReset = error.code === RESET_CODE;
+    });
     from.on("close", () => {
-      if (flow.isSilent) {
-        return;
-      }
-      direction.send(new Uint8Array(0), () => to.destroy());
-      this.#flows.delete(flow);
+      send(new Uint8Array(0), () => {
+        if (wasReset) {
+          to.resetAndDestroy();
+        } else {
+          to.destroySoon();
+        }
+        this.#flows.delete(flow);
+      });
     });
   }
 }
+
+const RESET_CODE = "ECONNRESET";
+
+/** Delivers what a flow held back, in order, and lets it relay again. */
+function resumeFlow(flow: Flow): void {
+  flow.isSilent = false;
+  flow.heldDeliveries.splice(0).forEach((deliver) => deliver());
+  flow.client.resume();
+  flow.target.resume();
+}
