--- a/platform/testing/soak/datagram_relay.ts
+++ b/src/testing/datagram_relay.ts
@@ -5,7 +5,7 @@
 
 import type { Buffer } from "node:buffer";
 import { createSocket } from "node:dgram";
-import type { RandomSource } from "../../../src/time/mod.ts";
+import type { RandomSource } from "../time/mod.ts";
 import { decodeDatagram, encodeDatagram } from "./relayed_datagram.ts";
 import type { DatagramEndpoint } from "./relayed_datagram.ts";
 
--- a/platform/testing/soak/link_hook.ts
+++ b/src/testing/link_hook.ts
@@ -1,7 +1,7 @@
 /**
- * Module that the soak has Node.js load before a daemon program, which itself is
- * not changed: it leads the daemon's connections and datagrams through the
- * soak's links, and tells the soak when the program is about to load.
+ * Module that Node.js loads before a daemon program, which itself is not changed:
+ * it leads the daemon's connections and datagrams through simulated links, and
+ * tells the parent process when the program is about to load.
  */
 
 import { Buffer } from "node:buffer";
--- a/platform/testing/soak/link_hook_test.ts
+++ b/src/testing/link_hook_test.ts
@@ -6,7 +6,7 @@
 import { promisify } from "node:util";
 import { test } from "uvu";
 import * as assert from "uvu/assert";
-import { claimNetwork } from "../../../src/testing/claim_network.ts";
+import { claimNetwork } from "./claim_network.ts";
 import { HOOK_VARIABLE } from "./link_hook.ts";
 import type { HookLinks } from "./link_hook.ts";
 import { decodeDatagram, encodeDatagram } from "./relayed_datagram.ts";
--- a/platform/testing/soak/relayed_datagram.ts
+++ b/src/testing/relayed_datagram.ts
@@ -1,6 +1,6 @@
 /**
- * Form of a datagram between a daemon and the soak's relay: the endpoint of the
- * other daemon, then the payload.
+ * Form of a datagram between a daemon and the relay: the endpoint of the other
+ * daemon, then the payload.
  */
 
 import { Buffer } from "node:buffer";
