Replace connections that no longer deliver within 0.75 s, all of them at once

What callers saw: after the connections between daemons had fallen silent without a reset, most requests failed for 8 to 11 s (18 daemons, 120 requests a second, nested calls three levels deep, time limits of 0.7 to 1 s).

Cause: a silent connection was found only by a call sent on it, and only after 0.75 to 1.25 s, which is more than the callers' time limits. Idle connections are asked for a sign of life every 10 s. Each hop of a chain of calls ran into another silent connection, and the chains that failed early never reached the deeper ones. Besides, a daemon whose timers ran late took replies that it had not read yet for silence, and replaced working connections.

Change: after 200 ms without an answer a second connection is opened; if it works at the next check while the first is still silent, the first is replaced. A paused peer leaves both silent, so it is not mistaken for a silent connection. When one is replaced, the daemon's other connections on which nothing has arrived since are asked at once. Ticks that are late do not count as silence. The event connection-replaced says whether there was a proof (isProven).

--- a/src/constants/mod.ts
+++ b/src/constants/mod.ts
@@ -18,6 +18,13 @@
 /** Interval between heartbeats on an idle peer connection, in milliseconds. */
 export const IDLE_HEARTBEAT_INTERVAL_MS = 10_000;
 
+/**
+ * Time without a response after which a second connection to the peer is opened,
+ * in milliseconds; if that one works, the first no longer delivers. One heartbeat
+ * interval, and more than a round trip between regions.
+ */
+export const HEARTBEAT_DOUBT_MS = 200;
+
 /** Time without a response after which a peer connection is replaced, in milliseconds. */
 export const HEARTBEAT_SUSPECT_MS = 750;
 
--- a/src/peer/heartbeat_monitor.ts
+++ b/src/peer/heartbeat_monitor.ts
@@ -2,8 +2,9 @@
  * Detection of unresponsive connections.
  *
  * Only an unanswered heartbeat counts as silence, since nothing need arrive on
- * an idle connection. If this daemon itself was paused, the measurement restarts,
- * so that its own pause is not attributed to its peers.
+ * an idle connection. Time by which this daemon's own ticks are late does not
+ * count either: a busy process runs its timers before it reads the replies that
+ * wait in its sockets. After a longer pause the measurement restarts.
  */
 
 import type { Clock } from "../time/mod.ts";
@@ -58,11 +59,15 @@
   /** Detects pauses of this daemon; must be called at each tick, before `silenceMs` is read. */
   tick(): void {
     const nowMs = this.#clock.monotonicMs();
-    const isResumed =
-      nowMs - this.#lastTickMs > this.#tickIntervalMs * MAX_MISSED_TICKS;
+    const elapsedMs = nowMs - this.#lastTickMs;
     this.#lastTickMs = nowMs;
-    if (isResumed && this.#heartbeatSentAtMs !== undefined) {
-      this.#heartbeatSentAtMs = nowMs;
+    if (this.#heartbeatSentAtMs === undefined) {
+      return;
     }
+    const isResumed = elapsedMs > this.#tickIntervalMs * MAX_MISSED_TICKS;
+    const latenessMs = Math.max(0, elapsedMs - this.#tickIntervalMs);
+    this.#heartbeatSentAtMs = isResumed
+      ? nowMs
+      : Math.min(nowMs, this.#heartbeatSentAtMs + latenessMs);
   }
 }
--- a/src/peer/heartbeat_monitor_test.ts
+++ b/src/peer/heartbeat_monitor_test.ts
@@ -35,4 +35,16 @@
   assert.is(monitor.silenceMs, TICK_MS);
 });
 
+// A busy daemon runs its ticks late, before it has read the replies that wait in its sockets.
+for (const lateMs of [100, 400, 700, 900]) {
+  test(`a tick that is ${lateMs} ms late does not count as silence of the peer`, () => {
+    const { clock, monitor } = createMonitor();
+    monitor.tick();
+    monitor.recordHeartbeatSent();
+    clock.advance(TICK_MS + lateMs);
+    monitor.tick();
+    assert.ok(monitor.silenceMs <= TICK_MS, `silence ${monitor.silenceMs}`);
+  });
+}
+
 test.run();
--- a/src/peer/outbound_connection.ts
+++ b/src/peer/outbound_connection.ts
@@ -49,6 +49,10 @@
 
 /** Receives the events of an outbound connection. */
 export interface OutboundConnectionListener {
+  /** A heartbeat has been unanswered for a short time; returns whether another connection to the same process works. */
+  onDoubt(connection: OutboundConnection): boolean;
+  /** The peer has answered after all. */
+  onDoubtEnded(connection: OutboundConnection): void;
   /** A heartbeat has been unanswered for `silenceMs` milliseconds; the connection stays open for now. */
   onSilent(connection: OutboundConnection, silenceMs: number): void;
   /** The last pending call has ended. */
@@ -127,6 +131,14 @@
     // Cancellations are only sent by the side that opened the connection.
   }
 
+  onDoubt(): boolean {
+    return this.#listener.onDoubt(this);
+  }
+
+  onDoubtEnded(): void {
+    this.#listener.onDoubtEnded(this);
+  }
+
   onSilent(silenceMs: number): void {
     this.#listener.onSilent(this, silenceMs);
     for (const [callId, { failsWhenSilent }] of this.#pending) {
--- a/src/peer/peer_client.ts
+++ b/src/peer/peer_client.ts
@@ -1,10 +1,12 @@
 /**
  * Client for calls to one peer daemon.
  *
- * The connection is opened on first use. When it becomes silent, a second one
- * is opened, which takes all new calls; calls pending on the old connection can
- * still complete there. Replies are matched by connection and by a call id that
- * is never reused on it, so that they cannot reach the wrong call.
+ * The connection is opened on first use. When a heartbeat is not answered soon,
+ * a second one is opened. If the second works while the first stays silent, the
+ * first no longer delivers, since a paused peer would leave both silent. The
+ * second then takes all new calls; calls pending on the old connection can still
+ * complete there. Replies are matched by connection and by a call id that is
+ * never reused on it, so that they cannot reach the wrong call.
  */
 
 import { connect } from "node:net";
@@ -29,6 +31,8 @@
   readonly #options: PeerConnectionOptions;
   readonly #replaced = new Set<OutboundConnection>();
   #current: OutboundConnection | undefined;
+  /** Second connection, opened while the current one is in doubt. */
+  #spare: OutboundConnection | undefined;
 
   constructor(address: PeerAddress, options: PeerConnectionOptions) {
     this.#address = address;
@@ -69,23 +73,47 @@
     return await outbound.call(call, body, options);
   }
 
+  /** Finds out whether the connection still delivers, if nothing has been received on it for at least `idleMs` milliseconds. */
+  prove(idleMs: number): void {
+    this.#current?.connection.prove(idleMs);
+  }
+
   /** Closes all connections; pending calls end with an unknown outcome. */
   close(): void {
     this.#current?.connection.close();
     this.#current = undefined;
+    this.#closeSpare();
     this.#replaced.forEach(({ connection }) => connection.close());
   }
 
+  onDoubt(outbound: OutboundConnection): boolean {
+    if (this.#current !== outbound) {
+      return false;
+    }
+    this.#spare ??= this.#open();
+    return this.#isProof(this.#spare, outbound);
+  }
+
+  onDoubtEnded(outbound: OutboundConnection): void {
+    if (this.#current === outbound) {
+      this.#closeSpare();
+    }
+  }
+
   onSilent(outbound: OutboundConnection, silenceMs: number): void {
     if (this.#current !== outbound) {
       return;
     }
+    const spare = this.#spare;
+    const isProven = spare !== undefined && this.#isProof(spare, outbound);
     this.#replaced.add(outbound);
-    this.#current = undefined;
+    this.#current = spare;
+    this.#spare = undefined;
     this.#options.reportReplacement?.({
       address: this.#address.address,
       silenceMs,
       pendingCalls: outbound.pendingCalls,
+      isProven,
     });
     this.#openIfNeeded();
   }
@@ -99,6 +127,21 @@
   onClosed(outbound: OutboundConnection): void {
     this.#replaced.delete(outbound);
     this.#clearCurrent(outbound);
+    if (this.#spare === outbound) {
+      this.#spare = undefined;
+    }
+  }
+
+  /** Whether `spare` works and leads to the same process as `outbound`. */
+  #isProof(spare: OutboundConnection, outbound: OutboundConnection): boolean {
+    return spare.connection.isReady &&
+      spare.remoteIncarnation === outbound.remoteIncarnation;
+  }
+
+  #closeSpare(): void {
+    const spare = this.#spare;
+    this.#spare = undefined;
+    spare?.connection.close();
   }
 
   #isExpectedPeer(outbound: OutboundConnection): boolean {
@@ -111,15 +154,15 @@
     if (this.#current && !this.#current.hasEnded) {
       return this.#current;
     }
-    const dial = this.#options.dial ?? connectTo;
-    this.#current = new OutboundConnection(
-      dial(this.#address),
-      this.#options,
-      this,
-    );
+    this.#current = this.#open();
     return this.#current;
   }
 
+  #open(): OutboundConnection {
+    const dial = this.#options.dial ?? connectTo;
+    return new OutboundConnection(dial(this.#address), this.#options, this);
+  }
+
   #clearCurrent(outbound: OutboundConnection): void {
     if (this.#current === outbound) {
       this.#current = undefined;
--- a/src/peer/peer_connection.ts
+++ b/src/peer/peer_connection.ts
@@ -9,6 +9,7 @@
 import type { Buffer } from "node:buffer";
 import VError from "verror";
 import {
+  HEARTBEAT_DOUBT_MS,
   HEARTBEAT_INTERVAL_MS,
   HEARTBEAT_SUSPECT_MS,
   HEARTBEAT_TIMEOUT_MS,
@@ -57,6 +58,7 @@
   #hasReceivedHello = false;
   #peerDomain = "";
   #hasReportedSilence = false;
+  #isDoubted = false;
   #heartbeatSequence = 0;
   #error: VError | undefined;
   #isClosed = false;
@@ -110,7 +112,7 @@
     const decoder = new FrameDecoder();
     return new Promise((resolve) => {
       this.#socket.on("data", (bytes: Buffer) => {
-        this.#heartbeatMonitor.recordReceived();
+        this.#recordReceived();
         if (!this.#handleData(decoder, bytes)) {
           resolve();
         }
@@ -161,6 +163,16 @@
     this.#writer.send(message);
   }
 
+  /** Sends a heartbeat if nothing has been received for at least `idleMs` milliseconds, to find out whether the connection still delivers. */
+  prove(idleMs: number): void {
+    if (
+      this.isReady && !this.#heartbeatMonitor.isAwaitingReply &&
+      this.#heartbeatMonitor.idleMs >= idleMs
+    ) {
+      this.#sendHeartbeat();
+    }
+  }
+
   #recordSent(message: PeerMessage, bytes: number): void {
     const { kind } = message;
     const purpose = kind === "chunk" && message.isReply ? "reply" : kind;
@@ -186,7 +198,11 @@
       this.close(createSilenceError(silenceMs));
       return;
     }
-    if (silenceMs >= HEARTBEAT_SUSPECT_MS && !this.#hasReportedSilence) {
+    const isProvenSilent = this.#doubt(silenceMs);
+    if (
+      (isProvenSilent || silenceMs >= HEARTBEAT_SUSPECT_MS) &&
+      !this.#hasReportedSilence
+    ) {
       this.#hasReportedSilence = true;
       this.#handler.onSilent(silenceMs);
     }
@@ -199,6 +215,23 @@
     }
   }
 
+  /** Whether the connection is proven not to deliver. */
+  #doubt(silenceMs: number): boolean {
+    if (silenceMs < HEARTBEAT_DOUBT_MS || this.#hasReportedSilence) {
+      return false;
+    }
+    this.#isDoubted = true;
+    return this.#handler.onDoubt?.() ?? false;
+  }
+
+  #recordReceived(): void {
+    this.#heartbeatMonitor.recordReceived();
+    if (this.#isDoubted) {
+      this.#isDoubted = false;
+      this.#handler.onDoubtEnded?.();
+    }
+  }
+
   #sendHeartbeat(): void {
     this.#heartbeatSequence += 1;
     this.send({
--- a/src/peer/peer_connection_handler.ts
+++ b/src/peer/peer_connection_handler.ts
@@ -42,7 +42,15 @@
   onReply(reply: ReplyMessage, body: Uint8Array): void;
   /** The peer has cancelled a call. */
   onCancel(callId: number): void;
-  /** The peer has not answered a heartbeat for `silenceMs` milliseconds; the connection stays open until the heartbeat timeout. */
+  /**
+   * The peer has not answered a heartbeat for a short time; called at each
+   * interval until it answers. Returns whether the connection is proven not to
+   * deliver, because another one to the same process works.
+   */
+  onDoubt?(): boolean;
+  /** The peer has answered after all. */
+  onDoubtEnded?(): void;
+  /** The peer has not answered a heartbeat for `silenceMs` milliseconds, or the connection is proven not to deliver; the connection stays open until the heartbeat timeout. */
   onSilent(silenceMs: number): void;
   /** The peer requests a newer configuration, or sends a part of one. */
   onConfiguration?(
@@ -60,6 +68,8 @@
   readonly address: string;
   readonly silenceMs: number;
   readonly pendingCalls: number;
+  /** Whether another connection to the same process works, so that neither process was paused. */
+  readonly isProven: boolean;
 }
 
 /** Dependencies and limits of a connection. */
--- a/src/peer/silent_connection_test.ts
+++ b/src/peer/silent_connection_test.ts
@@ -35,6 +35,12 @@
 const LINK_ADDRESS = `127.${NETWORK}.2.2`;
 const PEER_PORT = 7302;
 const SILENCE_MS = 1_250;
+/** Time within which a connection that no longer delivers has to be replaced while another one works. */
+const REPLACED_WITHIN_MS = 750;
+/** Real time in which the sockets of this process exchange their messages. */
+const NETWORK_MS = 20;
+/** Real time for which a daemon sends nothing; much longer than {@link REPLACED_WITHIN_MS} takes on the manual clock. */
+const PAUSE_MS = 300;
 const EMPTY_BODY = new Uint8Array(0);
 
 const test = suite<Context>("silent connections");
@@ -125,6 +131,18 @@
   }
 }
 
+/** Advances the clock and lets the sockets work after each interval. */
+async function advanceWithNetwork(
+  clock: ManualClock,
+  durationMs: number,
+): Promise<void> {
+  for (let passedMs = 0; passedMs < durationMs;) {
+    clock.advance(HEARTBEAT_INTERVAL_MS);
+    passedMs += HEARTBEAT_INTERVAL_MS;
+    await new Promise((resolve) => setTimeout(resolve, NETWORK_MS));
+  }
+}
+
 function readText(result: CallResult): string {
   return result.isOk()
     ? Buffer.from(result.value.body).toString()
@@ -163,6 +181,32 @@
   assert.is(readText(await second), "answer to /second");
 });
 
+// Guards against calls that wait on a silent connection for longer than callers do: their time limits begin at 0.7 s.
+test("a silent connection is replaced as soon as another one to the same daemon works", async (context) => {
+  const { clock, pending, link, replacements } = context;
+  const outcomes: string[] = [];
+  void send(context, "/first", { failsWhenSilent: true })
+    .then((result) => outcomes.push(readText(result)));
+  await waitUntil(() => pending.length === 1);
+  link.silenceFlows();
+  await advanceWithNetwork(clock, REPLACED_WITHIN_MS);
+  assert.equal(outcomes, ["unknown: connection-lost"]);
+  assert.equal(replacements.map(({ isProven }) => isProven), [true]);
+});
+
+// Guards against taking a paused daemon for a silent connection: then a second connection stays silent too.
+test("a connection to a daemon that answers late is kept, and so is the call on it", async (context) => {
+  const { clock, pending, link, replacements } = context;
+  const outcome = send(context, "/first", { failsWhenSilent: true });
+  await waitUntil(() => pending.length === 1);
+  link.backward.oneWayDelayMs = PAUSE_MS;
+  await advanceWithNetwork(clock, REPLACED_WITHIN_MS);
+  link.backward.oneWayDelayMs = 0;
+  pending[0]?.answer();
+  assert.is(readText(await outcome), "answer to /first");
+  assert.is(replacements.length, 0);
+});
+
 test("a call with failsWhenSilent fails as soon as its connection becomes silent", async (context) => {
   const { clock, pending, link } = context;
   const outcome = send(context, "/first", { failsWhenSilent: true });
--- a/src/request/peer_clients.ts
+++ b/src/request/peer_clients.ts
@@ -1,5 +1,9 @@
 /**
  * Connections from this daemon to other daemons, one for each incarnation.
+ *
+ * What silences one connection, such as a middlebox that lost its state, often
+ * silences others. When one is replaced, those on which nothing has arrived since
+ * are therefore checked at once, not only when a call is sent on them.
  */
 
 import type { MemberRecord } from "../generated/types.ts";
@@ -12,7 +16,13 @@
   readonly #clients = new Map<string, PeerClient>();
 
   constructor(options: PeerConnectionOptions) {
-    this.#options = options;
+    this.#options = {
+      ...options,
+      reportReplacement: (replacement) => {
+        options.reportReplacement?.(replacement);
+        this.#proveAll(replacement.silenceMs);
+      },
+    };
   }
 
   /** Returns the connection to a member, opened on first use. */
@@ -36,6 +46,12 @@
     }
   }
 
+  #proveAll(idleMs: number): void {
+    for (const client of this.#clients.values()) {
+      client.prove(idleMs);
+    }
+  }
+
   /** Closes every connection. */
   close(): void {
     for (const client of this.#clients.values()) {
