End a flush of the log although nobody reads it

Callers saw nothing; operators saw a stop that ended with code 13. At the end of a stop the program waits until its log is written. If standard output is a full pipe that nobody reads, only timers that do not keep the process alive were left, so Node.js ended it with code 13 (a wait that can never end), and with one other timer it would have waited for ever.

A flush now gives up after 300 ms, and keeps the process alive until then.

Evidence: a trial on the built program with a full pipe as its output ended with code 13 after SIGTERM. The new test gives the writer an output that takes nothing; without the bound its flush never ends.

--- a/src/telemetry/line_writer.ts
+++ b/src/telemetry/line_writer.ts
@@ -18,6 +18,9 @@
 
 const STDOUT_FD = 1;
 
+/** Maximum wait for a flush, in milliseconds; a reader that takes nothing would delay the exit of the process for ever. */
+const FLUSH_TIMEOUT_MS = 300;
+
 /** Error code of a write that would have blocked and may succeed later. */
 const WOULD_BLOCK_CODE = "EAGAIN";
 
@@ -60,10 +63,18 @@
     }
   }
 
-  /** Writes all buffered lines without waiting for the batch delay, after the batch in progress. */
+  /**
+   * Writes all buffered lines without waiting for the batch delay, after the batch
+   * in progress. Gives up if the reader takes nothing for a while. Keeps the
+   * process alive while it waits.
+   */
   async flush(): Promise<void> {
     await new Promise<void>((resolve) => {
-      this.#flushWaiters.push(resolve);
+      const timer = setTimeout(resolve, FLUSH_TIMEOUT_MS);
+      this.#flushWaiters.push(() => {
+        clearTimeout(timer);
+        resolve();
+      });
       this.#flush();
     });
   }
--- a/src/telemetry/line_writer_test.ts
+++ b/src/telemetry/line_writer_test.ts
@@ -78,4 +78,13 @@
   assert.is(attempts, 2);
 });
 
+// Guards against a process that never exits, or exits with an error, because nobody reads its output.
+test("a flush ends although the reader takes nothing", async () => {
+  const writes: Uint8Array[] = [];
+  const writer = new LineWriter((bytes) => writes.push(bytes));
+  writer.add("line");
+  await writer.flush();
+  assert.is(writes.length, 1);
+});
+
 test.run();
