Contain faults of single requests and sockets, and say why a process ends

Callers saw a daemon whose process ended by itself. Not shown to be what the users saw: no input tried so far reaches these paths on the real program.

Cause, in three places of one class: an error without a place to go ends a Node.js process. Listening sockets had a listener for their first error only, so the second connection that could not be accepted was an uncaught exception. The handling of a caller's request, an announcement or a peer's call ran in promises that nobody awaits, so that any exception in it ended the process. And a process that ended so printed a stack at most and lost its buffered log lines.

Faults are counted by kind and logged at a limited rate. Memory, descriptors and the delay of timers are metrics, read when they are fetched.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -3,23 +3,23 @@
  * components and listeners.
  */
 
+import { err } from "neverthrow";
 import { BACKEND_STATES } from "../backend/mod.ts";
-import { createBackendApp } from "../backend/create_backend_app.ts";
-import { createCallerApp } from "../caller/mod.ts";
 import { createConfigurationTransfer } from "../configuration/mod.ts";
 import type { ConfigurationDistributor } from "../configuration/mod.ts";
 import type { DaemonSettings } from "../generated/types.ts";
 import type { GossipMembership } from "../membership/mod.ts";
 import { PeerServer } from "../peer/mod.ts";
+import { createUnknownOutcome, REASONS } from "../outcome/mod.ts";
+import type { CallResult } from "../outcome/mod.ts";
 import { handOverKeys, servePeerCall } from "../request/mod.ts";
 import type { CallEnvironment } from "../request/mod.ts";
 import type { HttpObjectStore } from "../store/mod.ts";
-import { DECISIONS } from "../telemetry/mod.ts";
-import { createAdminApp } from "./create_admin_app.ts";
+import { DECISIONS, FaultReporter } from "../telemetry/mod.ts";
 import { createDaemonComponents } from "./create_daemon_components.ts";
 import type { DaemonOverrides } from "./create_daemon_components.ts";
 import type { OutboundComponents } from "./create_outbound_components.ts";
-import { HonoListener } from "./listener.ts";
+import { createDefaultListeners } from "./create_default_listeners.ts";
 import type { Listener, ListenerContext } from "./listener.ts";
 
 /** Interval of the periodic maintenance, in milliseconds. */
@@ -43,6 +43,8 @@
 /** One daemon of the fleet. */
 export class Daemon {
   readonly environment: CallEnvironment;
+  /** Reports faults that do not end the process. */
+  readonly faults: FaultReporter;
   #resolveStopped: () => void = () => undefined;
   /** Resolves when the daemon has stopped, regardless of what triggered the stop. */
   readonly stopped = new Promise<void>((resolve) => {
@@ -64,6 +66,7 @@
     const components = createDaemonComponents(settings, overrides);
     const { configuration, log } = components.environment;
     this.environment = components.environment;
+    this.faults = new FaultReporter(components.environment);
     this.#store = components.store;
     this.#membership = components.membership;
     this.#configurationDistributor = components.configurationDistributor;
@@ -76,7 +79,9 @@
       ...components.connectionOptions,
       handleCall: (call, body, signal) =>
         this.#track(() =>
-          servePeerCall(this.environment, call, { body, signal })
+          this.#containFault(() =>
+            servePeerCall(this.environment, call, { body, signal })
+          )
         ),
       provideConfiguration: (knownVersion) =>
         createConfigurationTransfer(configuration, knownVersion),
@@ -85,6 +90,7 @@
           { error: error.message, name: error.name, remoteAddress },
           "peer-connection-error",
         ),
+      reportListenerError: (error) => this.faults.report("listener", error),
     });
   }
 
@@ -97,7 +103,8 @@
   async start(): Promise<void> {
     const { environment } = this;
     const { settings, clock, log } = environment;
-    await this.#peerServer.listen(settings.address, settings.peerPort);
+    const { address, peerPort } = settings;
+    await this.#peerServer.listen(address, peerPort);
     for (const listener of this.#listeners) {
       await listener.start();
     }
@@ -108,9 +115,15 @@
     void this.#configurationDistributor.run(this.#stopSignal.signal);
     environment.configuration.subscribe(() => this.#checkFailureDomain());
     environment.backend.subscribe(() => this.#publishBackendState());
+    let dueAtMs = clock.monotonicMs() + HOUSEKEEPING_INTERVAL_MS;
     this.#stopHousekeeping = clock.scheduleEvery(
       HOUSEKEEPING_INTERVAL_MS,
-      () => this.#runHousekeeping(),
+      () => {
+        const nowMs = clock.monotonicMs();
+        environment.metrics.process.recordDelay(nowMs - dueAtMs);
+        dueAtMs = nowMs + HOUSEKEEPING_INTERVAL_MS;
+        this.#runHousekeeping();
+      },
     );
     log.info(
       { address: settings.address, callerPort: settings.callerPort },
@@ -118,6 +131,16 @@
     );
   }
 
+  /** Turns an exception while serving a peer's call into an outcome of this call. */
+  async #containFault(serve: () => Promise<CallResult>): Promise<CallResult> {
+    try {
+      return await serve();
+    } catch (cause) {
+      this.faults.report("request", cause);
+      return err(createUnknownOutcome(REASONS.backendFailed));
+    }
+  }
+
   /**
    * Stops gracefully: announces that the daemon is leaving, finishes the
    * requests in progress and leaves the fleet. Requests that still arrive are
@@ -184,6 +207,7 @@
   #createListenerContext(): ListenerContext {
     return {
       environment: this.environment,
+      faults: this.faults,
       isReady: () => this.isReady,
       isStopping: () => this.#stopping !== undefined,
       track: (run) => this.#track(run),
@@ -250,13 +274,3 @@
     );
   }
 }
-
-function createDefaultListeners(context: ListenerContext): Listener[] {
-  const { environment, isReady, stop } = context;
-  const { address, callerPort, backendPort, adminPort } = environment.settings;
-  return [
-    { app: createCallerApp(environment), port: callerPort },
-    { app: createBackendApp(environment), port: backendPort },
-    { app: createAdminApp(environment, { isReady, stop }), port: adminPort },
-  ].map(({ app, port }) => new HonoListener(context, { app, address, port }));
-}
--- a/src/daemon/listener.ts
+++ b/src/daemon/listener.ts
@@ -2,14 +2,18 @@
  * Network listeners of a daemon, and the implementation for Hono applications.
  */
 
-import { serve } from "@hono/node-server";
-import type { ServerType } from "@hono/node-server";
+import type { Server } from "node:http";
+import { createAdaptorServer } from "@hono/node-server";
 import type { Hono } from "hono";
+import { ListeningServer } from "../listening/mod.ts";
 import type { CallEnvironment } from "../request/mod.ts";
+import type { FaultReporter } from "../telemetry/mod.ts";
 
 /** Functions and components of the daemon that listeners use. */
 export interface ListenerContext {
   readonly environment: CallEnvironment;
+  /** Reports faults of listeners and requests. */
+  readonly faults: FaultReporter;
   /** Whether the daemon can serve callers. */
   readonly isReady: () => boolean;
   /** Whether the daemon has been told to stop. */
@@ -22,11 +26,19 @@
 
 /** A network interface of a daemon. */
 export abstract class Listener {
-  /** Starts listening. Rejects if the address cannot be bound. */
+  /** Address that is listened on, as `IP:PORT`. */
+  abstract get address(): string;
+
+  /** Starts listening. Rejects if the address cannot be bound, and may then be called again. */
   abstract start(): Promise<void>;
 
   /** Stops accepting connections and closes idle ones. */
   abstract close(): void;
+
+  /** Reports an error of the listening socket, such as a connection that cannot be accepted. */
+  protected reportError({ faults }: ListenerContext, error: Error): void {
+    faults.report("listener", error, { address: this.address });
+  }
 }
 
 /** Application and address of a {@link HonoListener}. */
@@ -40,28 +52,36 @@
 export class HonoListener extends Listener {
   readonly #context: ListenerContext;
   readonly #options: HonoListenerOptions;
-  #server: ServerType | undefined;
+  readonly #server: Server;
+  readonly #listening: ListeningServer;
 
   constructor(context: ListenerContext, options: HonoListenerOptions) {
     super();
     this.#context = context;
     this.#options = options;
+    this.#server = createAdaptorServer({
+      fetch: (request: Request) =>
+        context.track(async () =>
+          this.#endConnection(await options.app.fetch(request))
+        ),
+    }) as Server;
+    this.#listening = new ListeningServer(
+      this.#server,
+      (error) => this.reportError(context, error),
+    );
+  }
+
+  override get address(): string {
+    return `${this.#options.address}:${this.#options.port}`;
   }
 
   override start(): Promise<void> {
-    const { app, address, port } = this.#options;
-    const fetch = (request: Request) =>
-      this.#context.track(async () =>
-        this.#endConnection(await app.fetch(request))
-      );
-    return new Promise((resolve, reject) => {
-      this.#server = serve({ fetch, hostname: address, port }, () => resolve());
-      this.#server.once("error", reject);
-    });
+    const { address, port } = this.#options;
+    return this.#listening.listen(address, port);
   }
 
   override close(): void {
-    this.#server?.close();
+    this.#server.close();
   }
 
   /** Closes the client's connection after this response if the daemon is stopping. */
--- /dev/null
+++ b/src/listening/mod.ts
@@ -0,0 +1,5 @@
+/**
+ * Error handling of listening sockets.
+ */
+
+export { ListeningServer } from "./listening_server.ts";
--- a/src/membership/udp_transport.ts
+++ b/src/membership/udp_transport.ts
@@ -15,6 +15,8 @@
   readonly address: string;
   readonly port: number;
   readonly reportError: (error: Error) => void;
+  /** Repeats attempts to bind the socket; one attempt is made if not given. */
+  readonly repeatBind?: (bind: () => Promise<void>) => Promise<unknown>;
 }
 
 /** UDP socket that sends and receives datagrams. */
@@ -30,19 +32,28 @@
   }
 
   /** Binds the socket; rejects if the address is unavailable. */
-  override open(handler: DatagramHandler): Promise<void> {
+  override async open(handler: DatagramHandler): Promise<void> {
+    const { repeatBind = (bind) => bind() } = this.#options;
+    await repeatBind(() => this.#bind(handler));
+  }
+
+  #bind(handler: DatagramHandler): Promise<void> {
     const { address, port, reportError } = this.#options;
     const socket = createSocket("udp4");
-    this.#socket = socket;
     socket.on(
       "message",
       (bytes, remote) => handler(bytes, `${remote.address}:${remote.port}`),
     );
     return new Promise((resolve, reject) => {
-      socket.once("error", reject);
+      function handleBindError(error: Error): void {
+        socket.close();
+        reject(error);
+      }
+      socket.once("error", handleBindError);
       socket.bind(port, address, () => {
-        socket.off("error", reject);
         socket.on("error", reportError);
+        socket.off("error", handleBindError);
+        this.#socket = socket;
         resolve();
       });
     });
--- a/src/membership/udp_transport_test.ts
+++ b/src/membership/udp_transport_test.ts
@@ -1,3 +1,4 @@
+import { createSocket } from "node:dgram";
 import * as assert from "uvu/assert";
 import { test } from "uvu";
 import { claimNetwork } from "../testing/claim_network.ts";
@@ -42,4 +43,24 @@
   transport.send(new Uint8Array(1), "127.0.0.1:7102");
 });
 
+// Guards against a failed attempt that leaves its socket behind, or an error event without a listener.
+test("a bind that failed can be repeated", async () => {
+  const address = `127.${await claimNetwork()}.0.4`;
+  const occupant = createSocket("udp4");
+  await new Promise<void>((resolve) => occupant.bind(PORT, address, resolve));
+  const codes: (string | undefined)[] = [];
+  const transport = new UdpTransport({
+    ...{ address, port: PORT },
+    reportError: (error) => assert.unreachable(error.message),
+    repeatBind: async (bind) => {
+      await bind().catch(({ code }) => codes.push(code));
+      await new Promise<void>((resolve) => occupant.close(() => resolve()));
+      await bind();
+    },
+  });
+  await transport.open(() => undefined);
+  assert.equal(codes, ["EADDRINUSE"]);
+  await transport.close();
+});
+
 test.run();
--- a/src/peer/peer_server.ts
+++ b/src/peer/peer_server.ts
@@ -13,6 +13,7 @@
   ConfigurationPartMessage,
   HelloMessage,
 } from "../generated/types.ts";
+import { ListeningServer } from "../listening/mod.ts";
 import type { CallResult } from "../outcome/mod.ts";
 import { convertResultToReply } from "./convert_reply.ts";
 import { PeerConnection } from "./peer_connection.ts";
@@ -36,6 +37,8 @@
   readonly provideConfiguration?: (knownVersion: number) => Uint8Array;
   /** Called once for each connection that is closed by an error. */
   readonly reportError: (error: VError, remoteAddress: string) => void;
+  /** Called for each error of the listening socket, such as a connection that cannot be accepted. */
+  readonly reportListenerError?: (error: Error) => void;
 }
 
 interface RunningCall {
@@ -123,18 +126,20 @@
 /** Accepts connections from peer daemons. */
 export class PeerServer {
   readonly #server: Server;
+  readonly #listening: ListeningServer;
   readonly #connections = new Set<InboundConnection>();
 
   constructor(options: PeerServerOptions) {
     this.#server = createServer((socket) => void this.#serve(socket, options));
+    this.#listening = new ListeningServer(
+      this.#server,
+      (error) => options.reportListenerError?.(error),
+    );
   }
 
-  /** Starts listening; rejects if the address cannot be bound. */
+  /** Starts listening; rejects if the address cannot be bound, and may then be called again. */
   listen(address: string, peerPort: number): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(peerPort, address, resolve);
-    });
+    return this.#listening.listen(address, peerPort);
   }
 
   /** Stops listening, and closes every connection after flushing its queued replies. */
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -3,6 +3,7 @@
  */
 
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import { ProcessMetrics } from "./process_metrics.ts";
 import { SentBytes } from "./sent_bytes.ts";
 
 /** Upper bounds of the latency buckets, in seconds. */
@@ -28,6 +29,9 @@
 export class DaemonMetrics {
   readonly registry = new Registry();
 
+  /** Memory, descriptors, delays and contained faults of the process. */
+  readonly process = new ProcessMetrics(this.registry);
+
   /** Bytes sent to other daemons; exported by {@link sentBytes}. */
   readonly sent = new SentBytes();
 
--- a/src/telemetry/mod.ts
+++ b/src/telemetry/mod.ts
@@ -9,6 +9,8 @@
   JournalEntry,
   JournalFilter,
 } from "./decision_journal.ts";
+export { FaultReporter, toError } from "./fault_reporter.ts";
+export type { FaultKind } from "./fault_reporter.ts";
 export { flushLogs } from "./logger.ts";
 export { createLogger, createSilentLogger, LOG_LEVELS } from "./logger.ts";
 export type { LogContext, Logger, LogLevel } from "./logger.ts";
--- /dev/null
+++ b/src/telemetry/process_metrics.ts
@@ -0,0 +1,86 @@
+/**
+ * Metrics of the daemon's process: memory, descriptors, delay of its event loop
+ * and faults that it contained. They are read when the metrics are fetched.
+ */
+
+import { readdirSync } from "node:fs";
+import process from "node:process";
+import { Counter, Gauge } from "prom-client";
+import type { Registry } from "prom-client";
+
+const DESCRIPTORS_FOLDER = "/proc/self/fd";
+
+const MS_PER_SECOND = 1_000;
+
+/** Gauges and counters of the process. */
+export class ProcessMetrics {
+  /** Faults that did not end the process, by kind: `request`, `listener`, `rejection` or `socket`. */
+  readonly faults: Counter<"kind">;
+  /** Settings reloads and stops requested by signals, by signal. */
+  readonly signals: Counter<"signal">;
+  #maxDelayMs = 0;
+
+  constructor(registry: Registry) {
+    const registers = [registry];
+    this.faults = new Counter({
+      name: "celeryhollow_contained_faults_total",
+      help: "Faults that did not end the process",
+      labelNames: ["kind"] as const,
+      registers,
+    });
+    this.signals = new Counter({
+      name: "celeryhollow_signals_total",
+      help: "Signals received",
+      labelNames: ["signal"] as const,
+      registers,
+    });
+    const takeMaxDelayS = () => this.#takeMaxDelayS();
+    new Gauge({
+      name: "celeryhollow_event_loop_delay_seconds",
+      help: "Longest delay of a timer since the last fetch",
+      registers,
+      collect() {
+        this.set(takeMaxDelayS());
+      },
+    });
+    new Gauge({
+      name: "celeryhollow_memory_bytes",
+      help: "Memory of the process, by part",
+      labelNames: ["part"] as const,
+      registers,
+      collect() {
+        const { rss, heapUsed, external } = process.memoryUsage();
+        this.set({ part: "resident" }, rss);
+        this.set({ part: "heap" }, heapUsed);
+        this.set({ part: "external" }, external);
+      },
+    });
+    new Gauge({
+      name: "celeryhollow_open_descriptors",
+      help: "Open descriptors, or -1 if they cannot be counted",
+      registers,
+      collect() {
+        this.set(countDescriptors());
+      },
+    });
+  }
+
+  /** Records by how much a periodic timer was late. */
+  recordDelay(delayMs: number): void {
+    this.#maxDelayMs = Math.max(this.#maxDelayMs, delayMs);
+  }
+
+  #takeMaxDelayS(): number {
+    const delayS = this.#maxDelayMs / MS_PER_SECOND;
+    this.#maxDelayMs = 0;
+    return delayS;
+  }
+}
+
+function countDescriptors(): number {
+  try {
+    return readdirSync(DESCRIPTORS_FOLDER).length;
+  } catch {
+    return -1; // The system may lack the folder, or no descriptor may be left to open it.
+  }
+}
