Survive signals in series, and SIGHUP from the first line of JavaScript on

Callers saw requests cut by a second SIGTERM, and VMs whose daemon ended at a start by a SIGHUP.

Cause: the handler of SIGTERM was removed by the first one, so that the next one ended the process at once by default, with requests in progress. SIGHUP was handled from the first module of the bundle on, but Node.js sets up its module loader and compiles 1.3 MB before it runs that.

What is left: Node.js itself resets all signals before it runs any code of ours.

--- a/src/daemon/daemon_command.ts
+++ b/src/daemon/daemon_command.ts
@@ -79,7 +79,8 @@
 
 async function runDaemon(settings: DaemonSettings): Promise<number> {
   const daemon = new Daemon(settings);
-  process.once("SIGTERM", () => void daemon.stop());
+  // The handler stays: without one, a second SIGTERM would end the process at once.
+  process.on("SIGTERM", () => void daemon.stop());
   process.once("SIGINT", () => void daemon.stop());
   try {
     await daemon.start();
--- a/src/tools/build_programs.ts
+++ b/src/tools/build_programs.ts
@@ -5,8 +5,9 @@
 
 import { mkdir } from "node:fs/promises";
 import { DAEMON_NODE_FLAGS } from "../constants/node_flags.ts";
-import { bundleProgram, DAEMON_ALIAS } from "./bundle_program.ts";
+import { bundleProgram } from "./bundle_program.ts";
 import type { BundledProgram } from "./bundle_program.ts";
+import { listPlatformPrograms } from "./platform_programs.ts";
 
 const PROGRAMS: readonly BundledProgram[] = [
   {
@@ -14,12 +15,7 @@
     target: "dist/celeryhollowd.js",
     flags: DAEMON_NODE_FLAGS,
   },
-  {
-    source: "build/platform/main.js",
-    target: "target/celeryhollowd.js",
-    flags: [],
-    alias: DAEMON_ALIAS,
-  },
+  ...listPlatformPrograms("target"),
   {
     source: "build/src/cli/main.js",
     target: "dist/celeryhollow.js",
--- a/src/tools/bundle_program.ts
+++ b/src/tools/bundle_program.ts
@@ -15,6 +15,8 @@
   readonly flags: readonly string[];
   /** Replacement modules by package name. */
   readonly alias?: Readonly<Record<string, string>>;
+  /** Module format; `esm` by default. */
+  readonly format?: "esm" | "cjs";
 }
 
 /** Replaces the HTTP client by a module that loads only the parts that the daemon uses. */
@@ -38,21 +40,24 @@
  * await bundleProgram({ source: "build/src/cli/main.js", target: "dist/celeryhollow.js", flags: [] });
  */
 export async function bundleProgram(
-  { source, target, flags, alias = {} }: BundledProgram,
+  { source, target, flags, alias = {}, format = "esm" }: BundledProgram,
 ): Promise<void> {
+  const shebang = createShebang(flags);
   await build({
     entryPoints: [source],
     outfile: target,
     bundle: true,
     platform: "node",
-    format: "esm",
+    format,
     target: "node20",
     // Identifiers are not minified: esbuild's `keepNames` would add a property to every closure.
     minifySyntax: true,
     minifyWhitespace: true,
     legalComments: "none",
     alias: { ...alias },
-    banner: { js: `${createShebang(flags)}\n${REQUIRE_BANNER}` },
+    banner: {
+      js: format === "esm" ? `${shebang}\n${REQUIRE_BANNER}` : shebang,
+    },
   });
   await chmod(target, EXECUTABLE_MODE);
 }
