--- a/src/daemon/create_daemon_components.ts
+++ b/src/daemon/create_daemon_components.ts
@@ -30,8 +30,8 @@
 import type { CallEnvironment } from "../request/mod.ts";
 import { TrafficSplitter } from "../routing/mod.ts";
 import {
+  createCallLimits,
   createStoreTiming,
-  DAEMON_CALL_LIMITS,
   DEFAULT_CONTACT_MS,
   EraTracker,
   HttpObjectStore,
@@ -130,7 +130,8 @@
   const seeds = settings.seeds.split(",").filter((seed) => seed !== "");
   const isProtected = settings.protection === "on";
   const { fleetToken } = settings;
-  const timing = createStoreTiming(overrides.contactMs ?? DEFAULT_CONTACT_MS);
+  const { contactMs = DEFAULT_CONTACT_MS } = overrides;
+  const timing = createStoreTiming(contactMs);
   const store = new HttpObjectStore(settings.storeUrl, {
     ...{ clock, timing },
     reportCall: ({ kind, outcome, durationMs }) =>
@@ -144,7 +145,7 @@
   const rateLimitedStore = new RateLimitedObjectStore({
     store,
     clock,
-    ...DAEMON_CALL_LIMITS,
+    ...createCallLimits(timing),
   });
   const membership = new GossipMembership({
     self,
@@ -170,6 +171,7 @@
     ...overrides.watchersPerDomain !== undefined &&
       { watchersPerDomain: overrides.watchersPerDomain },
     watchTimeoutMs: timing.watchTimeoutMs,
+    checkTurnMs: contactMs,
     reportPosition: ({ version, revision, watchStartedAtMs }) => {
       metrics.storeVersion.set(version);
       metrics.storeRevision.set(revision);
--- a/src/store/mod.ts
+++ b/src/store/mod.ts
@@ -5,7 +5,7 @@
 export { Backoff } from "./backoff.ts";
 export type { BackoffOptions } from "./backoff.ts";
 export {
-  DAEMON_CALL_LIMITS,
+  createCallLimits,
   RateLimitedObjectStore,
 } from "./rate_limited_object_store.ts";
 export type { RateLimitedObjectStoreOptions } from "./rate_limited_object_store.ts";
--- a/src/store/rate_limited_object_store.ts
+++ b/src/store/rate_limited_object_store.ts
@@ -7,13 +7,32 @@
 import type { Clock } from "../time/mod.ts";
 import { FAILURE_REASONS, ObjectStore } from "./object_store.ts";
 import type { StoredObject, StoreFailure } from "./object_store.ts";
+import type { StoreTiming } from "./store_timing.ts";
 import type { StoreVersion } from "./store_version.ts";
 
-/** Limits of the calls that one daemon makes. */
-export const DAEMON_CALL_LIMITS = {
-  burstCalls: 10,
-  callsPerSecond: 1,
-} as const;
+/** Maximum burst of calls by one daemon. */
+const BURST_CALLS = 10;
+
+/** Sustained calls of one daemon in the time of one watch; the others are for changes and seed lists. */
+const CALLS_PER_WATCH = 1.5;
+
+/**
+ * Derives the limits of the calls that one daemon makes from the length of a watch.
+ *
+ * @param timing - Timeouts of the store client
+ * @returns Capacity of the token bucket in calls, and calls per second
+ *
+ * @example
+ * createCallLimits(createStoreTiming(4_000)).callsPerSecond; // 1
+ */
+export function createCallLimits(
+  { watchTimeoutMs }: Pick<StoreTiming, "watchTimeoutMs">,
+): { readonly burstCalls: number; readonly callsPerSecond: number } {
+  return {
+    burstCalls: BURST_CALLS,
+    callsPerSecond: CALLS_PER_WATCH * 1_000 / watchTimeoutMs,
+  };
+}
 
 /** Dependencies and limits of the rate-limited store. */
 export interface RateLimitedObjectStoreOptions {
--- a/src/store/rate_limited_object_store_test.ts
+++ b/src/store/rate_limited_object_store_test.ts
@@ -7,7 +7,11 @@
 import { RandomSource } from "../time/mod.ts";
 import { Backoff } from "./backoff.ts";
 import { NO_VERSION } from "./store_version.ts";
-import { RateLimitedObjectStore } from "./rate_limited_object_store.ts";
+import {
+  createCallLimits,
+  RateLimitedObjectStore,
+} from "./rate_limited_object_store.ts";
+import { createStoreTiming } from "./store_timing.ts";
 
 const test = suite("rate-limited object store");
 
@@ -64,6 +68,17 @@
   assert.is(written._unsafeUnwrapErr().kind, "unavailable");
 });
 
+// With a fixed limit, a short contact time would make a daemon refuse its own watches.
+test("the limit leaves room for other calls besides watches, whatever the contact time", () => {
+  for (const contactMs of [0, 500, 2_000, 4_000, 20_000]) {
+    const timing = createStoreTiming(contactMs);
+    const { burstCalls, callsPerSecond } = createCallLimits(timing);
+    const watchesPerSecond = 1_000 / timing.watchTimeoutMs;
+    assert.ok(callsPerSecond > watchesPerSecond, `${contactMs} ms`);
+    assert.ok(burstCalls > 0 && callsPerSecond < 5, `${contactMs} ms`);
+  }
+});
+
 test("backoff delays grow to their maximum, are jittered and can be reset", () => {
   const backoff = new Backoff(new RandomSource(5), {
     firstDelayMs: 100,
--- a/src/store/store_timing.ts
+++ b/src/store/store_timing.ts
@@ -21,6 +21,9 @@
 /** Contact time if the deployment states none, in milliseconds. */
 export const DEFAULT_CONTACT_MS = 4_000;
 
+/** Lower bound of the contact time, in milliseconds, so that watches remain longer than answers take. */
+const MIN_CONTACT_MS = 1_000;
+
 /** Share of the contact time for which the store may hold a watch. */
 const WATCH_RATIO = 3 / 8;
 
@@ -43,10 +46,11 @@
  * createStoreTiming(4_000).watchTimeoutMs; // 1_500
  */
 export function createStoreTiming(contactMs: number): StoreTiming {
+  const limitMs = Math.max(contactMs, MIN_CONTACT_MS);
   return {
-    watchTimeoutMs: Math.floor(contactMs * WATCH_RATIO),
-    watchGraceMs: Math.floor(contactMs * GRACE_RATIO),
-    requestTimeoutMs: Math.floor(contactMs * REQUEST_RATIO),
-    connectTimeoutMs: Math.floor(contactMs * CONNECT_RATIO),
+    watchTimeoutMs: Math.floor(limitMs * WATCH_RATIO),
+    watchGraceMs: Math.floor(limitMs * GRACE_RATIO),
+    requestTimeoutMs: Math.floor(limitMs * REQUEST_RATIO),
+    connectTimeoutMs: Math.floor(limitMs * CONNECT_RATIO),
   };
 }
--- a/src/testing/simulated_configuration_daemon.ts
+++ b/src/testing/simulated_configuration_daemon.ts
@@ -18,7 +18,12 @@
 import type { MemberRecord } from "../generated/types.ts";
 import { createSilentLogger, DecisionJournal } from "../telemetry/mod.ts";
 import type { ConfigurationFleet } from "./configuration_fleet.ts";
-import { DAEMON_CALL_LIMITS, RateLimitedObjectStore } from "../store/mod.ts";
+import {
+  createCallLimits,
+  createStoreTiming,
+  DEFAULT_CONTACT_MS,
+  RateLimitedObjectStore,
+} from "../store/mod.ts";
 import { LinkedObjectStore } from "./linked_object_store.ts";
 import { MemoryObjectStore } from "./memory_object_store.ts";
 
@@ -71,7 +76,7 @@
       : new MemoryObjectStore(storeOptions);
     this.limitedStore = new RateLimitedObjectStore({
       ...{ store: this.store, clock },
-      ...DAEMON_CALL_LIMITS,
+      ...createCallLimits(timing ?? createStoreTiming(DEFAULT_CONTACT_MS)),
     });
     this.journal = new DecisionJournal(clock);
     this.distributor = new ConfigurationDistributor({
