--- a/src/configuration/store_check_test.ts
+++ b/src/configuration/store_check_test.ts
@@ -48,6 +48,42 @@
   assert.equal(late, []);
 });
 
+// The only watcher of a failure domain may be cut off, or paused, for longer than the limit.
+for (
+  const { isPartitioned, limitMs } of [
+    { isPartitioned: false, limitMs: APPLY_MS },
+    { isPartitioned: true, limitMs: APPLY_MS + MAX_STRETCH_MS },
+  ]
+) {
+  const state = isPartitioned ? "partitioned" : "connected";
+  test(`with the watcher of a ${state} failure domain cut off from the store, a change is active there in time`, async () => {
+    const bench = createBench(53);
+    await bench.start();
+    const late: string[] = [];
+    for (const [round, { name }] of bench.fleet.options.domains.entries()) {
+      const watcher = listWatchers(bench).find(({ self }) =>
+        self.failureDomain === name
+      );
+      watcher?.linkedStore?.setCut(true);
+      bench.fleet.setPartitioned(name, isPartitioned);
+      await bench.advance(1_500);
+      const version = await bench.accept(10_000 + round);
+      await bench.advance(limitMs);
+      const behind = bench.fleet.daemons.filter(({ holder }) =>
+        holder.version < version
+      );
+      if (behind.length > 0) {
+        late.push(`${name}: ${behind.length} daemons behind`);
+      }
+      watcher?.linkedStore?.setCut(false);
+      bench.fleet.setPartitioned(name, false);
+      await bench.advance(7_000);
+    }
+    bench.fleet.stop();
+    assert.equal(late, []);
+  });
+}
+
 test("on a quiet fleet, a failure domain makes one check per contact time besides its watches", async () => {
   const bench = createBench(52);
   await bench.start();
