Ask the next peer for a configuration while one does not answer

A daemon could get a change 3 s late, although others in reach had it: the peer that it had asked was paused or no longer delivered.

Cause: a daemon fetches from one peer at a time, waits 3 s for it and prefers the members of its failure domain. After a change these are first the one watcher of the failure domain, so that its pause held back all members it had told.

Change: where a peer has not answered after 0.5 s, the next one is asked too, up to the three of a round; the first answer counts. A fetch that takes longer than 0.5 s is made twice.

--- a/src/configuration/peer_fetcher.ts
+++ b/src/configuration/peer_fetcher.ts
@@ -29,6 +29,9 @@
 /** Backoff after rounds in which no peer delivered the version it had reported. */
 const FETCH_BACKOFF = { firstDelayMs: 100, maxDelayMs: 2_000 } as const;
 
+/** Time without an answer after which the next peer is asked too, in milliseconds. */
+const NEXT_PEER_DELAY_MS = 500;
+
 /** Maximum number of peers tried in one round. */
 const MAX_PEERS_PER_ROUND = 3;
 
@@ -65,17 +68,32 @@
     this.#isStopped = true;
   }
 
+  /**
+   * Fetches from one peer after the other, and from the next one too while the ones
+   * before it have not answered. Returns whether a version was activated.
+   */
   async #runRound(): Promise<boolean> {
+    const { clock } = this.#options;
     const tried = new Set<string>();
-    let peer = this.#choosePeer(tried);
-    while (peer && tried.size < MAX_PEERS_PER_ROUND) {
-      tried.add(peer.incarnation);
-      if (await this.#fetchFrom(peer)) {
+    const fetches = new Set<Promise<boolean>>();
+    while (this.#listPeersAhead().length > 0) {
+      const peer = tried.size < MAX_PEERS_PER_ROUND
+        ? this.#choosePeer(tried)
+        : undefined;
+      if (peer) {
+        tried.add(peer.incarnation);
+        const fetch = this.#fetchFrom(peer);
+        fetches.add(fetch);
+        void fetch.then(() => fetches.delete(fetch));
+      } else if (fetches.size === 0) {
+        return false;
+      }
+      const delay = clock.sleep(NEXT_PEER_DELAY_MS).then(() => false);
+      if (await Promise.race([...fetches, delay])) {
         return true;
       }
-      peer = this.#choosePeer(tried);
     }
-    return false;
+    return true;
   }
 
   async #fetchFrom(peer: VersionNotice): Promise<boolean> {
--- a/src/testing/simulated_configuration_daemon.ts
+++ b/src/testing/simulated_configuration_daemon.ts
@@ -58,6 +58,8 @@
   /** Configuration traffic with peers, sent and received, in bytes. */
   peerBytes = 0;
   isRunning = true;
+  /** Whether the process is paused: it sends nothing, and fetches from it get no answer. */
+  isPaused = false;
   readonly #fleet: ConfigurationFleet;
   readonly #stopController = new AbortController();
   readonly #stopGossip: () => void;
@@ -121,7 +123,9 @@
   ): Promise<Result<Uint8Array, VError>> {
     const { clock } = this.#fleet.options;
     const target = this.#fleet.findRunningDaemon(peer.incarnation);
-    if (!target || this.#fleet.isPartitioned(this, target)) {
+    if (
+      !target || target.isPaused || this.#fleet.isPartitioned(this, target)
+    ) {
       await clock.sleep(FETCH_TIMEOUT_MS);
       return err(
         new VError(
@@ -162,7 +166,10 @@
     peer: SimulatedConfigurationDaemon | undefined,
     bytes: number,
   ): void {
-    if (!peer || !this.isRunning || this.#fleet.isPartitioned(this, peer)) {
+    if (
+      !peer || !this.isRunning || this.isPaused ||
+      this.#fleet.isPartitioned(this, peer)
+    ) {
       return;
     }
     const { version } = this.holder;
