--- a/src/testing/simulated_configuration_daemon.ts
+++ b/src/testing/simulated_configuration_daemon.ts
@@ -18,7 +18,12 @@
 import type { MemberRecord } from "../generated/types.ts";
 import { createSilentLogger, DecisionJournal } from "../telemetry/mod.ts";
 import type { ConfigurationFleet } from "./configuration_fleet.ts";
-import { DAEMON_CALL_LIMITS, RateLimitedObjectStore } from "../store/mod.ts";
+import {
+  createCallLimits,
+  createStoreTiming,
+  DEFAULT_CONTACT_MS,
+  RateLimitedObjectStore,
+} from "../store/mod.ts";
 import { LinkedObjectStore } from "./linked_object_store.ts";
 import { MemoryObjectStore } from "./memory_object_store.ts";
 
@@ -55,6 +60,8 @@
   isRunning = true;
   /** Monotonic time at which the process was killed, in milliseconds. */
   killedAtMs: number | undefined;
+  /** Whether the process is paused: it sends nothing, and fetches from it get no answer. */
+  isPaused = false;
   readonly #fleet: ConfigurationFleet;
   readonly #stopController = new AbortController();
   readonly #stopGossip: () => void;
@@ -73,7 +80,7 @@
       : new MemoryObjectStore(storeOptions);
     this.limitedStore = new RateLimitedObjectStore({
       ...{ store: this.store, clock },
-      ...DAEMON_CALL_LIMITS,
+      ...createCallLimits(timing ?? createStoreTiming(DEFAULT_CONTACT_MS)),
     });
     this.journal = new DecisionJournal(clock);
     this.distributor = new ConfigurationDistributor({
@@ -118,7 +125,9 @@
   ): Promise<Result<Uint8Array, VError>> {
     const { clock } = this.#fleet.options;
     const target = this.#fleet.findRunningDaemon(peer.incarnation);
-    if (!target || this.#fleet.isPartitioned(this, target)) {
+    if (
+      !target || target.isPaused || this.#fleet.isPartitioned(this, target)
+    ) {
       await clock.sleep(FETCH_TIMEOUT_MS);
       return err(
         new VError(
@@ -160,7 +169,10 @@
     peer: SimulatedConfigurationDaemon | undefined,
     bytes: number,
   ): void {
-    if (!peer || !this.isRunning || this.#fleet.isPartitioned(this, peer)) {
+    if (
+      !peer || !this.isRunning || this.isPaused ||
+      this.#fleet.isPartitioned(this, peer)
+    ) {
       return;
     }
     const { version } = this.holder;
