Wait at a start for addresses that are not free, and serve without the admin port

Callers saw a VM whose daemon did not start: it ended with code 1 and was started again under the same conditions.

Cause: a start failed at once if any of its six addresses could not be bound. One can be held by the process before it, which has up to six seconds for its stop; by another program, such as one on the admin port, which is not among the ports that the settings give; by an outgoing connection that has the address as its local one; or not be on the VM's interface yet.

The admin interface is optional: without it the daemon serves, and adds it as soon as its port is free. A stop during the wait ends the program.

--- a/src/daemon/create_daemon_components.ts
+++ b/src/daemon/create_daemon_components.ts
@@ -19,6 +19,7 @@
   RunLedger,
   SuccessorTable,
 } from "../idempotency/mod.ts";
+import { bindWhenFree } from "../listening/mod.ts";
 import {
   createIncarnation,
   GossipMembership,
@@ -157,6 +158,12 @@
       port: settings.peerPort,
       reportError: (error) =>
         log.warn({ error: error.message }, "gossip-socket-error"),
+      repeatBind: (bind) =>
+        bindWhenFree(bind, {
+          clock,
+          reportRetry: (error) =>
+            log.warn({ error: error.message }, "address-not-free"),
+        }),
     }),
   });
   const configurationDistributor = new ConfigurationDistributor({
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -16,6 +16,7 @@
 import type { CallEnvironment } from "../request/mod.ts";
 import type { HttpObjectStore } from "../store/mod.ts";
 import { DECISIONS, FaultReporter } from "../telemetry/mod.ts";
+import { bindEndpoint } from "./bind_endpoint.ts";
 import { createDaemonComponents } from "./create_daemon_components.ts";
 import type { DaemonOverrides } from "./create_daemon_components.ts";
 import type { OutboundComponents } from "./create_outbound_components.ts";
@@ -99,14 +100,29 @@
     return this.#configurationDistributor.isConfirmed && !this.#stopping;
   }
 
-  /** Starts the listeners and joins the fleet. Rejects if an address cannot be bound. */
+  /**
+   * Starts the listeners and joins the fleet. Waits for addresses that are not
+   * free yet, except those of optional listeners. Rejects if an address cannot
+   * be bound. Returns early if the daemon is stopped meanwhile.
+   */
   async start(): Promise<void> {
     const { environment } = this;
     const { settings, clock, log } = environment;
     const { address, peerPort } = settings;
-    await this.#peerServer.listen(address, peerPort);
-    for (const listener of this.#listeners) {
-      await listener.start();
+    const isCancelled = () => this.#stopping !== undefined;
+    const endpoints = [{
+      address: `${address}:${peerPort}`,
+      isOptional: false,
+      start: () => this.#peerServer.listen(address, peerPort),
+    }, ...this.#listeners];
+    for (const endpoint of endpoints) {
+      const bound = bindEndpoint(endpoint, { clock, log, isCancelled });
+      if (!endpoint.isOptional) {
+        await bound;
+      }
+    }
+    if (this.#stopping) {
+      return;
     }
     this.#membership.onPeerConfigurationVersion((notice) =>
       this.#configurationDistributor.handleVersionNotice(notice)
--- a/src/daemon/listener.ts
+++ b/src/daemon/listener.ts
@@ -26,6 +26,9 @@
 
 /** A network interface of a daemon. */
 export abstract class Listener {
+  /** Whether the daemon also serves without this interface. */
+  readonly isOptional: boolean = false;
+
   /** Address that is listened on, as `IP:PORT`. */
   abstract get address(): string;
 
@@ -46,10 +49,13 @@
   readonly app: Hono;
   readonly address: string;
   readonly port: number;
+  /** Whether the daemon also serves without this interface. */
+  readonly isOptional?: boolean;
 }
 
 /** Serves a Hono application. */
 export class HonoListener extends Listener {
+  override readonly isOptional: boolean;
   readonly #context: ListenerContext;
   readonly #options: HonoListenerOptions;
   readonly #server: Server;
@@ -59,6 +65,7 @@
     super();
     this.#context = context;
     this.#options = options;
+    this.isOptional = options.isOptional ?? false;
     this.#server = createAdaptorServer({
       fetch: (request: Request) =>
         context.track(async () =>
