Leave silent connections to instances after one long wait, not one by one

Cause: the pool takes the most recently used idle connection. Each silent one cost one request its whole time limit, and chains of nested calls that failed at the first hop did not even find the silent connections of the next.

Change: a request that waits on a reused connection for longer than 100 ms, and than the mean response time and four mean deviations (as TCP sets its timeout), without a byte of a response makes all connections last used before it doubtful. New requests take younger or new ones; each new one takes the place of a doubtful one, so that the instance keeps no more connections than before. The doubt ends with a response to that request or on another connection as old; if its time limit or caller ends it first, the old ones are closed. Nothing is sent twice, so no retry budget is spent, and no request is ended earlier than before. What remains lost are the requests sent before the first has waited that long; a pool used less often than that loses one.

--- a/src/backend/backend_connection.ts
+++ b/src/backend/backend_connection.ts
@@ -107,6 +107,7 @@
     status: number,
     headers: Record<string, string | string[] | undefined>,
   ): void {
+    this.#connection.hasResponse = true;
     if (status < FIRST_FINAL_STATUS) {
       return;
     }
@@ -167,6 +168,8 @@
   #socket: Socket | undefined;
   /** Monotonic time at which the last exchange ended, in milliseconds; -Infinity before the first. */
   usedAtMs = Number.NEGATIVE_INFINITY;
+  /** Whether the start of a response to the latest exchange was received, informational ones included. */
+  hasResponse = false;
 
   constructor(origin: string) {
     // Half-open, so that probeReset can write after the server has ended the connection.
@@ -202,6 +205,7 @@
     request: BackendExchange,
   ): Promise<Result<BackendResponse, ExchangeFailure>> {
     const { method, path, headers, body, signal, maxBodyBytes } = request;
+    this.hasResponse = false;
     return new Promise((resolve) => {
       const abort = () => void this.close(new Error("the call was aborted"));
       const collector = new ResponseCollector(this, maxBodyBytes, (result) => {
--- a/src/backend/backend_connection_pool.ts
+++ b/src/backend/backend_connection_pool.ts
@@ -4,7 +4,8 @@
  * Each connection serves one call at a time and is then reused. The most
  * recently used one is taken first, so that the others can time out. A call that
  * must not fail because its connection was dropped while idle can limit the idle
- * time of the connection it uses.
+ * time of the connection it uses. Connections that may no longer deliver are
+ * replaced by new ones (see `silence_detector.ts`).
  */
 
 import { err, ok } from "neverthrow";
@@ -17,6 +18,7 @@
   ExchangeFailure,
 } from "./backend_connection.ts";
 import { AdaptiveIdleLimit } from "./adaptive_idle_limit.ts";
+import { SilenceDetector } from "./silence_detector.ts";
 
 export type {
   BackendExchange,
@@ -45,11 +47,13 @@
   readonly #clock: Clock;
   readonly #idle: BackendConnection[] = [];
   readonly #idleLimit: AdaptiveIdleLimit;
+  #silence: SilenceDetector;
   #origin = "";
 
   constructor(clock: Clock) {
     this.#clock = clock;
     this.#idleLimit = new AdaptiveIdleLimit(clock);
+    this.#silence = new SilenceDetector(clock);
   }
 
   /** Sends a request on an idle or a new connection; the pool switches to `origin`. */
@@ -63,11 +67,23 @@
     const connection = this.#acquire(
       Math.min(maxIdleMs, this.#idleLimit.limitMs),
     );
-    const idleMs = this.#clock.monotonicMs() - connection.usedAtMs;
+    const startedAtMs = this.#clock.monotonicMs();
+    const idleMs = startedAtMs - connection.usedAtMs;
+    const silence = this.#silence;
+    const observed = Number.isFinite(idleMs)
+      ? silence.begin(connection)
+      : undefined;
     const exchanged = await connection.exchange(request);
     const result = exchanged.andThen((response) =>
       isMatchingResponse(response) ? ok(response) : err(MISMATCH_FAILURE)
     );
+    if (result.isOk()) {
+      silence.recordResponseTime(this.#clock.monotonicMs() - startedAtMs);
+    }
+    if (observed) {
+      silence.end(observed, { isAborted: request.signal.aborted });
+      this.#closeUsedBefore(this.#silence.silentBeforeMs);
+    }
     this.#release(connection, origin, result);
     if (isDropped(result, request) && Number.isFinite(idleMs)) {
       this.#idleLimit.recordDrop(idleMs);
@@ -85,6 +101,7 @@
   #switchOrigin(origin: string): void {
     if (this.#origin !== origin) {
       this.#origin = origin;
+      this.#silence = new SilenceDetector(this.#clock);
       void this.close();
     }
   }
@@ -92,7 +109,10 @@
   #acquire(maxIdleMs: number): BackendConnection {
     const minUsedAtMs = this.#clock.monotonicMs() - maxIdleMs;
     const latest = this.#idle.at(-1);
-    if (latest && latest.usedAtMs >= minUsedAtMs) {
+    if (latest && latest.usedAtMs < this.#silence.doubtfulBeforeMs) {
+      // One for one, so that the server keeps no more connections than before.
+      void this.#idle.shift()?.close();
+    } else if (latest && latest.usedAtMs >= minUsedAtMs) {
       this.#idle.pop();
       return latest;
     }
@@ -111,7 +131,11 @@
     const nowMs = this.#clock.monotonicMs();
     connection.usedAtMs = nowMs;
     this.#idle.push(connection);
-    while (nowMs - (this.#idle[0]?.usedAtMs ?? nowMs) > MAX_IDLE_MS) {
+    this.#closeUsedBefore(nowMs - MAX_IDLE_MS);
+  }
+
+  #closeUsedBefore(limitMs: number): void {
+    while ((this.#idle[0]?.usedAtMs ?? limitMs) < limitMs) {
       void this.#idle.shift()?.close();
     }
   }
