Ask suspected members directly, so that a lost refutation does not evict them

What callers saw: nothing that is proven.

Cause: a suspect is evicted 3 to 4 s after the suspicion unless its refutation arrives, which is spread as a rumor only. With 20 % of the datagrams lost a probe and its indirect ones fail now and then, and one daemon misses every copy of the refutation. It evicts alone, or spreads the eviction to others.

Change: at each probe interval of a suspicion the daemon sends the suspect its record with a ping; the suspect answers with its newer one, as for any outdated record. These are two or three datagrams for each daemon and suspicion, and none once the refutation has arrived. Times until a dead member is evicted stay.

--- a/src/membership/failure_detector.ts
+++ b/src/membership/failure_detector.ts
@@ -147,7 +147,7 @@
     this.#suspicions.set(incarnation, { version, dueAtMs });
   }
 
-  /** Evicts suspects whose suspicion timeout has expired. */
+  /** Evicts suspects whose suspicion timeout has expired, and asks the others to refute. Called every {@link PROBE_INTERVAL_MS}. */
   evictSuspects(): void {
     const { clock } = this.#context;
     const nowMs = clock.monotonicMs();
@@ -158,6 +158,8 @@
     for (const [incarnation, suspicion] of [...this.#suspicions]) {
       if (nowMs >= suspicion.dueAtMs) {
         this.#evict(incarnation, suspicion);
+      } else {
+        this.#askSuspect(incarnation);
       }
     }
   }
@@ -171,6 +173,14 @@
     }
   }
 
+  /** Sends a suspect its record, so that it refutes to this daemon directly if the rumor of its refutation got lost. */
+  #askSuspect(incarnation: string): void {
+    const suspect = this.#context.table.get(incarnation);
+    if (suspect) {
+      this.#sendPing(suspect, this.#nextSequence());
+    }
+  }
+
   #evict(incarnation: string, suspicion: Suspicion): void {
     const { clock, journal, table } = this.#context;
     const known = table.get(incarnation);
