Keep the distribution of configurations running after an exception

What callers would see: a VM that routes by its configuration for 7 to 12 s after each later change, or for ever. Not seen; found in review.

Cause: since a daemon goes on after an exception that nothing handles, a task that ended by one stayed ended while the daemon was ready. A fetch left the mark that one is in progress, and the loop that reads the store ended.

Change: an exception ends one fetch, or one turn of the loop, and is logged with its stack (configuration-fetch-fault, configuration-task-fault). Besides, a peer that did not answer is no longer asked again for the whole document, which took another 3 s from the peers after it.

--- a/src/configuration/configuration_distributor.ts
+++ b/src/configuration/configuration_distributor.ts
@@ -139,21 +139,32 @@
    * the signal is aborted.
    */
   async run(signal: AbortSignal): Promise<void> {
-    const { clock, random } = this.#options;
+    const { clock, log, random } = this.#options;
     await clock.sleep(random.nextInteger(MAX_START_DELAY_MS));
     while (!signal.aborted) {
-      this.#updateRole();
-      if (this.#mustPollStore() || this.#mustCheckStore()) {
-        await this.#poller.poll((head) => this.#applyHead(head));
-      } else {
-        await clock.sleep(
-          this.isConfirmed ? ROLE_CHECK_INTERVAL_MS : START_CHECK_INTERVAL_MS,
-        );
+      try {
+        await this.#runOnce();
+      } catch (cause) {
+        // The daemon keeps running after an exception here, so this task must too.
+        const { message, stack = "" } = cause as Error;
+        log.error({ error: message, stack }, "configuration-task-fault");
+        await clock.sleep(ROLE_CHECK_INTERVAL_MS);
       }
     }
     this.#fetcher.stop();
   }
 
+  async #runOnce(): Promise<void> {
+    this.#updateRole();
+    if (this.#mustPollStore() || this.#mustCheckStore()) {
+      await this.#poller.poll((head) => this.#applyHead(head));
+      return;
+    }
+    await this.#options.clock.sleep(
+      this.isConfirmed ? ROLE_CHECK_INTERVAL_MS : START_CHECK_INTERVAL_MS,
+    );
+  }
+
   /** Whether the store must be called now, which a starting daemon leaves to the watchers if it can. */
   #mustPollStore(): boolean {
     const { clock, peers } = this.#options;
--- a/src/configuration/peer_fetcher.ts
+++ b/src/configuration/peer_fetcher.ts
@@ -35,6 +35,13 @@
 /** Maximum number of peers tried in one round. */
 const MAX_PEERS_PER_ROUND = 3;
 
+/** Result of one fetch. */
+interface FetchedTransfer {
+  /** Whether the peer delivered something, valid or not. */
+  readonly hasAnswered: boolean;
+  readonly transfer: TransferredConfiguration | undefined;
+}
+
 /** Fetches configurations while some peer reports a higher version, one at a time. */
 export class PeerFetcher {
   readonly #options: PeerFetcherOptions;
@@ -96,23 +103,37 @@
     return true;
   }
 
+  /** Fetches from a peer; an exception ends this fetch only, since the daemon keeps running after one. */
   async #fetchFrom(peer: VersionNotice): Promise<boolean> {
+    try {
+      return await this.#fetchAndActivate(peer);
+    } catch (cause) {
+      const { message, stack = "" } = cause as Error;
+      this.#options.log.error(
+        { error: message, stack, peer: peer.incarnation },
+        "configuration-fetch-fault",
+      );
+      return false;
+    }
+  }
+
+  async #fetchAndActivate(peer: VersionNotice): Promise<boolean> {
     const { holder, updater } = this.#options;
     const { version } = holder;
-    const received = await this.#fetchTransfer(peer, version);
-    if (received) {
-      return updater.activate(received, peer.incarnation);
-    }
-    const full = version === FULL_DOCUMENT
-      ? undefined
-      : await this.#fetchTransfer(peer, FULL_DOCUMENT);
-    return full !== undefined && updater.activate(full, peer.incarnation);
+    const changes = await this.#fetchTransfer(peer, version);
+    // A peer that did not answer is not asked again for the whole document.
+    const received =
+      changes.hasAnswered && !changes.transfer && version !== FULL_DOCUMENT
+        ? await this.#fetchTransfer(peer, FULL_DOCUMENT)
+        : changes;
+    return received.transfer !== undefined &&
+      updater.activate(received.transfer, peer.incarnation);
   }
 
   async #fetchTransfer(
     peer: VersionNotice,
     knownVersion: number,
-  ): Promise<TransferredConfiguration | undefined> {
+  ): Promise<FetchedTransfer> {
     const { holder, updater, log, peers } = this.#options;
     const known = holder.current?.document;
     const bytes = await peers.fetch(peer, knownVersion);
@@ -120,7 +141,7 @@
       readConfigurationTransfer(value, known)
     );
     if (received.isOk()) {
-      return received.value;
+      return { hasAnswered: true, transfer: received.value };
     }
     const { message, name } = received.error;
     log.warn(
@@ -131,7 +152,7 @@
     if (name === "ConfigurationInvalid" && knownVersion === FULL_DOCUMENT) {
       updater.rejectCopy(peer, message);
     }
-    return undefined;
+    return { hasAnswered: bytes.isOk(), transfer: undefined };
   }
 
   #listPeersAhead(): VersionNotice[] {
