End a start that waits for the datagram port when the daemon is stopped

What callers saw: nothing; operators see a VM that is not stopped within its grace period.

Cause: the attempts to bind the datagram port were not cancelled by a stop, and a start went on after it.

Change: closing the transport ends the attempts, and a start that was stopped returns.

--- a/src/daemon/create_daemon_components.ts
+++ b/src/daemon/create_daemon_components.ts
@@ -164,9 +164,9 @@
       port: settings.peerPort,
       reportError: (error) =>
         log.warn({ error: error.message }, "gossip-socket-error"),
-      repeatBind: (bind) =>
+      repeatBind: (bind, isCancelled) =>
         bindWhenFree(bind, {
-          clock,
+          ...{ clock, isCancelled },
           reportRetry: (error) =>
             log.warn({ error: error.message }, "address-not-free"),
         }),
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -128,6 +128,9 @@
       this.#configurationDistributor.handleVersionNotice(notice)
     );
     await this.#membership.start();
+    if (this.#stopping) {
+      return;
+    }
     void this.#configurationDistributor.run(this.#stopSignal.signal);
     environment.configuration.subscribe(() => this.#checkFailureDomain());
     environment.backend.subscribe(() => this.#publishBackendState());
--- a/src/membership/gossip_membership.ts
+++ b/src/membership/gossip_membership.ts
@@ -88,6 +88,7 @@
   readonly #receiver: RecordReceiver;
   readonly #handlers: MessageHandlers;
   readonly #tasks: PeriodicTasks;
+  #isStopped = false;
   #stopTimers: () => void = () => undefined;
 
   constructor(options: GossipMembershipOptions) {
@@ -232,6 +233,9 @@
   override async start(): Promise<void> {
     const { clock, configuration } = this.#options;
     await this.#link.open();
+    if (this.#isStopped) {
+      return;
+    }
     this.#rumors.add(this.self);
     const unsubscribe = configuration.subscribe(() => this.#puller.restart());
     const stopTicks = clock.scheduleEvery(
@@ -245,6 +249,7 @@
   }
 
   override async stop(): Promise<void> {
+    this.#isStopped = true;
     this.#stopTimers();
     this.#table.changeSelf({ state: "dead" });
     this.#crossDomain.flush();
--- a/src/membership/udp_transport.ts
+++ b/src/membership/udp_transport.ts
@@ -15,14 +15,18 @@
   readonly address: string;
   readonly port: number;
   readonly reportError: (error: Error) => void;
-  /** Repeats attempts to bind the socket; one attempt is made if not given. */
-  readonly repeatBind?: (bind: () => Promise<void>) => Promise<unknown>;
+  /** Repeats attempts to bind the socket until cancelled; one attempt is made if not given. */
+  readonly repeatBind?: (
+    bind: () => Promise<void>,
+    isCancelled: () => boolean,
+  ) => Promise<unknown>;
 }
 
 /** UDP socket that sends and receives datagrams. */
 export class UdpTransport extends DatagramTransport {
   readonly #options: UdpTransportOptions;
   #socket: Socket | undefined;
+  #isClosed = false;
   #pendingSends = 0;
   #notifyIdle: () => void = () => undefined;
 
@@ -31,10 +35,11 @@
     this.#options = options;
   }
 
-  /** Binds the socket; rejects if the address is unavailable. */
+  /** Binds the socket; rejects if the address is unavailable. Resolves without a socket if closed meanwhile. */
   override async open(handler: DatagramHandler): Promise<void> {
     const { repeatBind = (bind) => bind() } = this.#options;
-    await repeatBind(() => this.#bind(handler));
+    this.#isClosed = false;
+    await repeatBind(() => this.#bind(handler), () => this.#isClosed);
   }
 
   #bind(handler: DatagramHandler): Promise<void> {
@@ -53,7 +58,11 @@
       socket.bind(port, address, () => {
         socket.on("error", reportError);
         socket.off("error", handleBindError);
-        this.#socket = socket;
+        if (this.#isClosed) {
+          socket.close();
+        } else {
+          this.#socket = socket;
+        }
         resolve();
       });
     });
@@ -78,6 +87,7 @@
   override async close(): Promise<void> {
     const socket = this.#socket;
     this.#socket = undefined;
+    this.#isClosed = true;
     if (!socket) {
       return;
     }
