--- a/src/configuration/silent_store_test.ts
+++ b/src/configuration/silent_store_test.ts
@@ -167,7 +167,7 @@
 
 // A killed watcher stays in the list of live members until it is evicted. With all
 // of them lost at once, no survivor watched the store until then.
-test("with all but one daemon of each failure domain killed at once, a change right after that is active on the others within the limit", async () => {
+test("with all but one daemon of each failure domain killed at once and suspected after 1.5 probe intervals, a change right after that is active on the others within the limit", async () => {
   const suspectedAfterMs = 1.5 * PROBE_INTERVAL_MS;
   const bench = new DistributionBench(35, undefined, {
     watchersPerDomain: 1,
