--- a/src/tools/readme_commands_test.ts
+++ b/src/tools/readme_commands_test.ts
@@ -16,6 +16,7 @@
 const test = suite("commands of the README");
 
 const COPIED_PATHS = [
+  "deploy",
   "examples",
   "package.json",
   "platform",
