--- a/src/daemon/create_daemon_components.ts
+++ b/src/daemon/create_daemon_components.ts
@@ -19,6 +19,7 @@
   RunLedger,
   SuccessorTable,
 } from "../idempotency/mod.ts";
+import { bindWhenFree } from "../listening/mod.ts";
 import {
   createIncarnation,
   GossipMembership,
@@ -30,8 +31,8 @@
 import type { CallEnvironment } from "../request/mod.ts";
 import { TrafficSplitter } from "../routing/mod.ts";
 import {
+  createCallLimits,
   createStoreTiming,
-  DAEMON_CALL_LIMITS,
   DEFAULT_CONTACT_MS,
   EraTracker,
   HttpObjectStore,
@@ -130,7 +131,8 @@
   const seeds = settings.seeds.split(",").filter((seed) => seed !== "");
   const isProtected = settings.protection === "on";
   const { fleetToken } = settings;
-  const timing = createStoreTiming(overrides.contactMs ?? DEFAULT_CONTACT_MS);
+  const { contactMs = DEFAULT_CONTACT_MS } = overrides;
+  const timing = createStoreTiming(contactMs);
   const store = new HttpObjectStore(settings.storeUrl, {
     ...{ clock, timing },
     reportCall: ({ kind, outcome, durationMs }) =>
@@ -144,7 +146,7 @@
   const rateLimitedStore = new RateLimitedObjectStore({
     store,
     clock,
-    ...DAEMON_CALL_LIMITS,
+    ...createCallLimits(timing),
   });
   const membership = new GossipMembership({
     self,
@@ -162,6 +164,12 @@
       port: settings.peerPort,
       reportError: (error) =>
         log.warn({ error: error.message }, "gossip-socket-error"),
+      repeatBind: (bind, isCancelled) =>
+        bindWhenFree(bind, {
+          ...{ clock, isCancelled },
+          reportRetry: (error) =>
+            log.warn({ error: error.message }, "address-not-free"),
+        }),
     }),
   });
   const configurationDistributor = new ConfigurationDistributor({
@@ -170,6 +178,7 @@
     ...overrides.watchersPerDomain !== undefined &&
       { watchersPerDomain: overrides.watchersPerDomain },
     watchTimeoutMs: timing.watchTimeoutMs,
+    checkTurnMs: contactMs,
     reportPosition: ({ version, revision, watchStartedAtMs }) => {
       metrics.storeVersion.set(version);
       metrics.storeRevision.set(revision);
--- a/src/membership/udp_transport.ts
+++ b/src/membership/udp_transport.ts
@@ -15,12 +15,18 @@
   readonly address: string;
   readonly port: number;
   readonly reportError: (error: Error) => void;
+  /** Repeats attempts to bind the socket until cancelled; one attempt is made if not given. */
+  readonly repeatBind?: (
+    bind: () => Promise<void>,
+    isCancelled: () => boolean,
+  ) => Promise<unknown>;
 }
 
 /** UDP socket that sends and receives datagrams. */
 export class UdpTransport extends DatagramTransport {
   readonly #options: UdpTransportOptions;
   #socket: Socket | undefined;
+  #isClosed = false;
   #pendingSends = 0;
   #notifyIdle: () => void = () => undefined;
 
@@ -29,20 +35,34 @@
     this.#options = options;
   }
 
-  /** Binds the socket; rejects if the address is unavailable. */
-  override open(handler: DatagramHandler): Promise<void> {
+  /** Binds the socket; rejects if the address is unavailable. Resolves without a socket if closed meanwhile. */
+  override async open(handler: DatagramHandler): Promise<void> {
+    const { repeatBind = (bind) => bind() } = this.#options;
+    this.#isClosed = false;
+    await repeatBind(() => this.#bind(handler), () => this.#isClosed);
+  }
+
+  #bind(handler: DatagramHandler): Promise<void> {
     const { address, port, reportError } = this.#options;
     const socket = createSocket("udp4");
-    this.#socket = socket;
     socket.on(
       "message",
       (bytes, remote) => handler(bytes, `${remote.address}:${remote.port}`),
     );
     return new Promise((resolve, reject) => {
-      socket.once("error", reject);
+      function handleBindError(error: Error): void {
+        socket.close();
+        reject(error);
+      }
+      socket.once("error", handleBindError);
       socket.bind(port, address, () => {
-        socket.off("error", reject);
         socket.on("error", reportError);
+        socket.off("error", handleBindError);
+        if (this.#isClosed) {
+          socket.close();
+        } else {
+          this.#socket = socket;
+        }
         resolve();
       });
     });
@@ -67,6 +87,7 @@
   override async close(): Promise<void> {
     const socket = this.#socket;
     this.#socket = undefined;
+    this.#isClosed = true;
     if (!socket) {
       return;
     }
