Bound the responses that the store client reads

What callers saw: nothing yet; a daemon that is killed for its memory takes its backend server and its entry with it.

Cause: the store client read every body whole, however long. A body that does not end was read until the timeout of the call, 2 s.

The new test failed before: the call went on until the server gave up at 200 MB.

Change: responses over 16 MiB end the call as refused; the store lists 1 MB and stores objects of up to 1 MiB.

--- a/src/store/http_object_store.ts
+++ b/src/store/http_object_store.ts
@@ -34,6 +34,12 @@
 /** Maximum number of connections from one process to the store. */
 const MAX_CONNECTIONS = 4;
 
+/** Maximum size of a response, in bytes; several times that of the longest list or object. */
+const MAX_RESPONSE_BYTES = 16_777_216;
+
+/** Error code of a response that exceeds the maximum size. */
+const TOO_LARGE_CODE = "UND_ERR_RES_EXCEEDED_MAX_SIZE";
+
 /** A response whose body has not been read. */
 export interface RawStoreResponse {
   readonly statusCode: number;
@@ -170,6 +176,7 @@
   #createPool(): Pool {
     const pool = new Pool(this.#baseUrl, {
       connections: MAX_CONNECTIONS,
+      maxResponseSize: MAX_RESPONSE_BYTES,
       connect: { timeout: this.#timing.connectTimeoutMs },
     });
     this.#pools.add(pool);
@@ -235,8 +242,10 @@
         }));
     } catch (cause) {
       if (!controller.signal.aborted) {
-        const { message } = cause as Error;
-        const reason = FAILURE_REASONS.connection;
+        const { code, message } = cause as NodeJS.ErrnoException;
+        const reason = code === TOO_LARGE_CODE
+          ? FAILURE_REASONS.refused
+          : FAILURE_REASONS.connection;
         return err({ kind: "unavailable", message, reason });
       }
       this.#renewOnce(renewalCount);
