--- a/src/store/http_object_store_test.ts
+++ b/src/store/http_object_store_test.ts
@@ -8,6 +8,7 @@
 import type { StoreCall } from "./http_object_store.ts";
 import { createStoreTiming } from "./store_timing.ts";
 import { NO_VERSION } from "./store_version.ts";
+import type { StoreVersion } from "./store_version.ts";
 
 interface Context {
   api: ObjectApiStandIn;
@@ -29,6 +30,9 @@
 /** Ends a test that would wait for ever, in milliseconds; nothing is asserted on it. */
 const GUARD_MS = 5_000;
 
+/** Delay after which the store executes a write whose caller has given up, in milliseconds. */
+const LATE_MS = 50;
+
 const timing = createStoreTiming(4_000);
 
 const test = suite<Context>("HTTP store client");
@@ -121,4 +125,53 @@
   assert.is(refused._unsafeUnwrapErr().reason, "connection");
 });
 
+/** Silences all connections, and has a conditional write end by its timeout; returns its result. */
+async function writeInSilence(
+  { clock, link, store }: Context,
+  version: StoreVersion,
+) {
+  link.silenceFlowsForGood();
+  const writing = store.write(KEY, 2, version);
+  clock.advance(timing.requestTimeoutMs);
+  const result = await settleCall(writing);
+  assert.ok(result !== "pending" && result.isErr());
+  return result.error;
+}
+
+// Users saw connections to the store go silent for good: a write among them may
+// neither wait for ever nor take an idle connection that is as silent.
+test("a conditional write on a silent connection is unsure after its timeout, and the next calls use new connections", async (context) => {
+  const { api, store, calls } = context;
+  const version = (await store.write(KEY, 1, NO_VERSION))._unsafeUnwrap();
+  await Promise.all([store.read(KEY), store.read(KEY), store.read(KEY)]);
+  const failure = await writeInSilence(context, version);
+  assert.is(failure.kind, "unsure");
+  assert.is(failure.reason, "silent");
+  assert.is(calls.at(-1)?.durationMs, timing.requestTimeoutMs);
+  const retried = await settleCall(Promise.all([
+    store.read(KEY),
+    store.read(KEY),
+    store.write(KEY, 2, version),
+  ]));
+  assert.ok(retried !== "pending");
+  assert.ok(retried.every((result) => result.isOk()));
+  assert.is(api.peek(KEY)?.value, 2);
+});
+
+test("a write that the store executes after its timeout is a conflict for the next one, and is not overwritten", async (context) => {
+  const { api, clock, store } = context;
+  const version = (await store.write(KEY, 1, NO_VERSION))._unsafeUnwrap();
+  api.faults.delayMs = LATE_MS;
+  const writing = store.write(KEY, 2, version);
+  await waitUntil(() => api.counts.arrivals === 2);
+  clock.advance(timing.requestTimeoutMs);
+  assert.is((await writing)._unsafeUnwrapErr().kind, "unsure");
+  await waitUntil(() => api.peek(KEY)?.value === 2);
+  api.faults.delayMs = 0;
+  const retried = await store.write(KEY, 3, version);
+  assert.is(retried._unsafeUnwrapErr().kind, "conflict");
+  assert.is(retried._unsafeUnwrapErr().current?.value, 2);
+  assert.is(api.peek(KEY)?.value, 2);
+});
+
 test.run();
--- a/src/testing/object_api_stand_in.ts
+++ b/src/testing/object_api_stand_in.ts
@@ -26,6 +26,8 @@
 
 /** Numbers of calls served. */
 export interface ObjectApiCounts {
+  /** Calls received, including those that wait for the added delay. */
+  arrivals: number;
   reads: number;
   writes: number;
   watches: number;
@@ -41,7 +43,12 @@
     servesStaleReads: false,
     delayMs: 0,
   };
-  readonly counts: ObjectApiCounts = { reads: 0, writes: 0, watches: 0 };
+  readonly counts: ObjectApiCounts = {
+    arrivals: 0,
+    reads: 0,
+    writes: 0,
+    watches: 0,
+  };
   readonly #table = new ObjectTable();
   #server: ServerType | undefined;
 
@@ -49,6 +56,7 @@
   listen(address: string, port: number): Promise<void> {
     const app = new Hono();
     app.use("*", async (context, next) => {
+      this.counts.arrivals += 1;
       await new Promise((resolve) => setTimeout(resolve, this.faults.delayMs));
       if (this.faults.isDown) {
         return context.text("down", 503);
