Offer keys to nobody else after a reply that is no refusal

What callers saw: nothing yet; found by reading. Two daemons could have held the same idempotency keys and sent the same order twice.

Cause: at a planned stop, any failure in the reply of a successor counted as proof that it had not taken the keys, so that the next candidate got them. A successor in which an exception occurred within the takeover replies that the outcome is unknown, and may hold some of the keys.

Evidence: hand_over_keys_test.ts; with a successor that replies "unknown", two candidates were sent the keys, one is allowed.

Change: only a refusal lets another candidate be asked. After any other reply the keys are lost, as after an offer without an acknowledgement, and requests under them end as unknown.

--- a/src/request/hand_over_keys.ts
+++ b/src/request/hand_over_keys.ts
@@ -113,8 +113,9 @@
       { message, body, deadlineAtMs, signal },
     );
     if (progress.isReplied) {
-      return result.map(() => undefined).mapErr(() =>
-        isSent ? "unconfirmed" : "not-accepted" // An earlier message may still arrive.
+      return result.map(() => undefined).mapErr(({ kind }) =>
+        // Only a refusal proves that nothing was accepted, and an earlier message may still arrive.
+        isSent || kind !== "refused" ? "unconfirmed" : "not-accepted"
       );
     }
     isSent ||= progress.isSent;
