Remember departures of servers across a restart of the daemon beside them

What callers saw: requests were sent to a server after its daemon had acknowledged that it left, once that daemon had been started again: some were lost when the server ended.

Cause: only the process that had acknowledged the departure knew of it. The one after it took the next announcement, delayed or repeated, for that of a ready server.

Evidence: departed_server_test.ts; a server removed itself, the daemon beside it was restarted, announcements went on: 97 requests reached the server within 2 s, none may.

Change: a departure is announced to the members as the record of a dead member at the daemon's address, named by the server's id and start. Older builds keep it like any other. Members return it with joins and replies to joins, and a daemon joins six members in its first seconds, since one reply may be lost. A removal that names the start of its server (`born`) is taken as that of this lifetime only, since that of an earlier one may arrive late: before, it ended the use of the server that had started under the same id (second test of the same file).

--- a/src/backend/backend_registry.ts
+++ b/src/backend/backend_registry.ts
@@ -38,6 +38,7 @@
   #isDrained = false;
   #isUnreachable = false;
   #serverCount = 0;
+  #departure: ServerIdentity | undefined;
 
   constructor(clock: Clock, timeoutMs = ANNOUNCEMENT_TIMEOUT_MS) {
     this.#clock = clock;
@@ -80,6 +81,11 @@
     return this.#leavingSinceMs !== undefined;
   }
 
+  /** The server that left last, if it has an id. */
+  get departure(): ServerIdentity | undefined {
+    return this.#departure;
+  }
+
   /** Time at which the cold start of the backend server ends, in milliseconds since the epoch. */
   get warmAtMs(): number {
     return this.#warmAtMs;
@@ -126,9 +132,14 @@
       (startedAtMs !== undefined && startedAtMs !== current?.startedAtMs);
     if (isDifferentServer) {
       this.#recordDeparture({ instanceId, startedAtMs });
+      this.#notify();
       return;
     }
     this.#leavingSinceMs ??= this.#clock.monotonicMs();
+    if (current?.instanceId !== undefined) {
+      const { instanceId: id, startedAtMs: startMs } = current;
+      this.#departure = { instanceId: id, startedAtMs: startMs };
+    }
     this.#notify();
   }
 
@@ -159,7 +170,9 @@
     }
     const knownAtMs = this.#departedAtMs.get(instanceId) ?? startedAtMs;
     this.#departedAtMs.delete(instanceId);
-    this.#departedAtMs.set(instanceId, Math.max(knownAtMs, startedAtMs));
+    const latestAtMs = Math.max(knownAtMs, startedAtMs);
+    this.#departedAtMs.set(instanceId, latestAtMs);
+    this.#departure = { instanceId, startedAtMs: latestAtMs };
     const [oldest] = this.#departedAtMs.keys();
     if (this.#departedAtMs.size > MAX_DEPARTURES && oldest !== undefined) {
       this.#departedAtMs.delete(oldest);
--- a/src/backend/mod.ts
+++ b/src/backend/mod.ts
@@ -13,7 +13,7 @@
 } from "./backend_connection_pool.ts";
 export { BACKEND_STATES, BackendRegistry } from "./backend_registry.ts";
 export type { BackendState } from "./backend_registry.ts";
-export { formatServerId } from "./format_server_id.ts";
+export { formatServerId, parseServerId } from "./format_server_id.ts";
 export { NO_STATEMENT } from "./server_statement.ts";
 export type { ServerStatement } from "./server_statement.ts";
 export { readServerStatement } from "./read_server_statement.ts";
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -4,7 +4,11 @@
  */
 
 import { err } from "neverthrow";
-import { BACKEND_STATES } from "../backend/mod.ts";
+import {
+  BACKEND_STATES,
+  formatServerId,
+  parseServerId,
+} from "../backend/mod.ts";
 import { createConfigurationTransfer } from "../configuration/mod.ts";
 import type { ConfigurationDistributor } from "../configuration/mod.ts";
 import type { DaemonSettings } from "../generated/types.ts";
@@ -63,6 +67,7 @@
   #stopping: Promise<void> | undefined;
   #requestsInProgress = 0;
   #knownServerCount = 0;
+  #announcedDeparture = "";
 
   constructor(settings: DaemonSettings, overrides: DaemonOverrides = {}) {
     const components = createDaemonComponents(settings, overrides);
@@ -128,6 +133,7 @@
     this.#membership.onPeerConfigurationVersion((notice) =>
       this.#configurationDistributor.handleVersionNotice(notice)
     );
+    this.#membership.onDeparture((serverId) => this.#followDeparture(serverId));
     await this.#membership.start();
     if (this.#stopping) {
       return;
@@ -266,6 +272,7 @@
       ? "leaving"
       : "alive";
     this.#followServer();
+    this.#announceDeparture();
     inboundAdmission.setCapacity(slots);
     if (
       self.service !== service || self.slots !== slots ||
@@ -280,6 +287,26 @@
     }
   }
 
+  /** Announces the latest departure once, since members forget it after a while. */
+  #announceDeparture(): void {
+    const { departure } = this.environment.backend;
+    const serverId = departure && formatServerId(departure);
+    if (serverId !== undefined && serverId !== this.#announcedDeparture) {
+      this.#announcedDeparture = serverId;
+      this.#membership.announceDeparture(serverId);
+    }
+  }
+
+  /** Learns from members that a backend server has left, which an earlier process of this daemon acknowledged. */
+  #followDeparture(serverId: string): void {
+    const { backend, journal } = this.environment;
+    if (backend.departure && formatServerId(backend.departure) === serverId) {
+      return;
+    }
+    backend.leave(parseServerId(serverId));
+    journal.record(DECISIONS.serverLeaving, { serverId, toldBy: "member" });
+  }
+
   /** Forgets what the previous backend server has said. The first one may have said something to an earlier process. */
   #followServer(): void {
     const { backend, backendClient, inboundAdmission, metrics } =
--- a/src/membership/gossip_membership.ts
+++ b/src/membership/gossip_membership.ts
@@ -12,6 +12,7 @@
 import type { Clock, RandomSource } from "../time/mod.ts";
 import { AntiEntropy } from "./anti_entropy.ts";
 import type { DatagramTransport } from "./datagram_transport.ts";
+import { createDepartureRecord, readDeparture } from "./departure_record.ts";
 import { CrossDomainGossip } from "./cross_domain_gossip.ts";
 import { RatioEvictionLimiter } from "./eviction_limiter.ts";
 import type { EvictionLimiter } from "./eviction_limiter.ts";
@@ -225,6 +226,15 @@
     this.#crossDomain.flush();
   }
 
+  override announceDeparture(serverId: string): void {
+    const record = createDepartureRecord(this.self, serverId);
+    if (record && !this.#table.get(record.incarnation)) {
+      this.#table.merge(record);
+      this.#spreader.spread();
+      this.#crossDomain.flush();
+    }
+  }
+
   override announceConfigurationVersion(): void {
     this.#spreader.announceConfigurationVersion();
     this.#crossDomain.announceConfigurationVersion();
@@ -303,6 +313,13 @@
       }
       return;
     }
+    const serverId = readDeparture(record);
+    if (serverId !== undefined) {
+      if (formatGossipAddress(record) === formatGossipAddress(this.self)) {
+        this.notifyDeparture(serverId);
+      }
+      return;
+    }
     const isRemote = record.failureDomain !== this.self.failureDomain;
     if (isRemote && record.state === "dead") {
       this.#puller.scheduleReplacementPull();
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -22,6 +22,9 @@
   notice: PeerConfigurationNotice,
 ) => void;
 
+/** Called with the id of a backend server of this VM whose departure an earlier process of this daemon announced. */
+export type DepartureListener = (serverId: string) => void;
+
 /** Control traffic, in bytes. */
 export interface MembershipTraffic {
   readonly sentBytes: number;
@@ -31,6 +34,7 @@
 /** One daemon's view of the fleet, and its own membership in it. */
 export abstract class Membership {
   readonly #configurationListeners = new Set<PeerConfigurationListener>();
+  readonly #departureListeners = new Set<DepartureListener>();
 
   /** This daemon's own record. */
   abstract get self(): MemberRecord;
@@ -55,6 +59,21 @@
     return true;
   }
 
+  /** Announces that the backend server of this VM left, so that a later process of this daemon learns of it. */
+  announceDeparture(_serverId: string): void {
+    // Without gossip, nobody could tell the later process.
+  }
+
+  /** Calls `listener` for each departure that members know of and this process does not. */
+  onDeparture(listener: DepartureListener): void {
+    this.#departureListeners.add(listener);
+  }
+
+  /** Notifies the listeners of a departure. */
+  protected notifyDeparture(serverId: string): void {
+    this.#departureListeners.forEach((listener) => listener(serverId));
+  }
+
   /** Excludes an instance that refused a call because it is leaving. */
   markLeaving(_incarnation: string): void {
     // Without gossip, the next record of the instance carries the state.
--- a/src/membership/periodic_tasks.ts
+++ b/src/membership/periodic_tasks.ts
@@ -97,6 +97,7 @@
     crossDomain.probeNext();
     seedLists.tick();
     rejoiner.rejoinLostMember();
+    rejoiner.introduceAfterStart();
     this.#context.table.removeExpiredDead();
     if (nowMs >= this.#nextCleanupAtMs) {
       this.#nextCleanupAtMs = nowMs + CLEANUP_INTERVAL_MS;
