Report members that vanish, and memory near its limit

What callers saw: processes that ended by themselves, without a line that told why. A killed process writes none, and the one after it did not know of it; nobody without access to the machine could tell a kill from a stop.

Change: a daemon that learns of a new process at an address sends it the record of the one it still knew as running there; the new one logs predecessor-vanished. Changes of members to dead that they did not announce themselves carry isVanished and the time since their last message. Both are counted by celeryhollow_vanished_members_total. Resident memory is compared with the limit of the settings every 500 ms: memory-high gives its parts from 0.7 of the limit on; limit, peak and number of warnings are metrics.

Evidence: the new tests did not pass before, since no line, fact or metric existed. Without the record sent to the successor, the tests with one member in each failure domain and with two built programs fail: the others mark the old process as dead before they answer the join.

The protocol is unchanged: the record goes in a push as it did.

--- a/src/daemon/create_daemon_components.ts
+++ b/src/daemon/create_daemon_components.ts
@@ -50,6 +50,7 @@
 import { createOutboundComponents } from "./create_outbound_components.ts";
 import type { OutboundComponents } from "./create_outbound_components.ts";
 import type { Listener, ListenerContext } from "./listener.ts";
+import { reportMemberLoss } from "./report_member_loss.ts";
 import { DaemonConfigurationPeers } from "./daemon_configuration_peers.ts";
 
 /** Components and options of a daemon that tests and deployments replace. */
@@ -64,6 +65,8 @@
   readonly watchersPerDomain?: number;
   /** Time within which a daemon must have noticed that a connection to the object API no longer delivers, in milliseconds. */
   readonly contactMs?: number;
+  /** Memory past which the system kills the process, in bytes; not known if not given. */
+  readonly memoryLimitBytes?: number;
   /** Whether an adaptive throttle admits requests at the entry, by the outcomes of earlier requests instead of the load that services report. */
   readonly throttlesByOutcome?: boolean;
   /** Creates the client for the backend server on this VM. */
@@ -151,6 +154,7 @@
   const membership = new GossipMembership({
     self,
     sentBytes: metrics.sent,
+    reportLoss: (loss) => reportMemberLoss(loss, { log, metrics, clock }),
     fleetToken,
     seeds,
     store: rateLimitedStore,
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -15,7 +15,7 @@
 import { handOverKeys, servePeerCall } from "../request/mod.ts";
 import type { CallEnvironment } from "../request/mod.ts";
 import type { HttpObjectStore } from "../store/mod.ts";
-import { DECISIONS, FaultReporter } from "../telemetry/mod.ts";
+import { DECISIONS, FaultReporter, MemoryWatch } from "../telemetry/mod.ts";
 import { bindEndpoint } from "./bind_endpoint.ts";
 import { createDaemonComponents } from "./create_daemon_components.ts";
 import type { DaemonOverrides } from "./create_daemon_components.ts";
@@ -59,6 +59,7 @@
   readonly #stopSignal = new AbortController();
   readonly #listeners: readonly Listener[];
   readonly #issuesKeys: boolean;
+  readonly #memoryWatch: MemoryWatch;
   #stopHousekeeping: () => void = () => undefined;
   #stopping: Promise<void> | undefined;
   #requestsInProgress = 0;
@@ -74,6 +75,11 @@
     this.#configurationDistributor = components.configurationDistributor;
     this.#outbound = components.outbound;
     this.#issuesKeys = overrides.issuesKeys ?? true;
+    this.#memoryWatch = new MemoryWatch({
+      ...components.environment,
+      limitBytes: overrides.memoryLimitBytes ?? Number.POSITIVE_INFINITY,
+      describe: () => ({ requestsInProgress: this.#requestsInProgress }),
+    });
     const context = this.#createListenerContext();
     this.#listeners = overrides.createListeners?.(context) ??
       createDefaultListeners(context);
@@ -299,6 +305,7 @@
 
   #runHousekeeping(): void {
     const { membership, peers, successors } = this.environment;
+    this.#memoryWatch.check();
     this.#publishBackendState();
     const members = membership.listAll();
     successors.update(members);
--- a/src/membership/gossip_link.ts
+++ b/src/membership/gossip_link.ts
@@ -118,6 +118,11 @@
     transport.send(bytes, target);
   }
 
+  /** Time at which a member sent its latest message to this daemon, by that member's wall clock; undefined if none is known. */
+  getLatestSentAtMs(incarnation: string): number | undefined {
+    return this.#latestSentAtMs.get(incarnation);
+  }
+
   #receive(bytes: Uint8Array, source: string): void {
     this.traffic.receivedBytes += bytes.length + IP_UDP_HEADER_BYTES;
     this.traffic.receivedDatagrams += 1;
--- a/src/membership/gossip_membership.ts
+++ b/src/membership/gossip_membership.ts
@@ -21,6 +21,8 @@
 import { GossipLink } from "./gossip_link.ts";
 import type { GossipTraffic } from "./gossip_link.ts";
 import { InstanceView } from "./instance_view.ts";
+import { LossReporter } from "./loss_reporter.ts";
+import type { ReportLoss } from "./loss_reporter.ts";
 import { MemberTable } from "./member_table.ts";
 import { Membership } from "./membership.ts";
 import type { OwnRecordChange } from "./membership.ts";
@@ -61,6 +63,8 @@
   readonly journal?: DecisionJournal | undefined;
   /** Counts the bytes sent, if given. */
   readonly sentBytes?: SentBytes | undefined;
+  /** Called for each member that ended without saying that it leaves, if given. */
+  readonly reportLoss?: ReportLoss | undefined;
   /** Limits evictions. Defaults to a share of each failure domain and each service. */
   readonly evictionLimiter?: EvictionLimiter | undefined;
   /** Time in which a suspect can refute the suspicion, in milliseconds. */
@@ -86,6 +90,7 @@
   readonly #spreader: RumorSpreader;
   readonly #rejoiner: Rejoiner;
   readonly #receiver: RecordReceiver;
+  readonly #losses: LossReporter;
   readonly #handlers: MessageHandlers;
   readonly #tasks: PeriodicTasks;
   #isStopped = false;
@@ -141,6 +146,10 @@
       contacts: this.#contacts,
       seenRumors: this.#seenRumors,
     });
+    this.#losses = new LossReporter(
+      context,
+      options.reportLoss ?? (() => undefined),
+    );
     this.#handlers = {
       detector: this.#detector,
       antiEntropy: this.#antiEntropy,
@@ -269,6 +278,7 @@
 
   #handle(message: GossipMessage, source: string): void {
     this.#recordSender(message, source);
+    this.#losses.receive(message, source);
     this.#receiver.receive(message, source);
     routeMessage(this.#handlers, message, source);
   }
@@ -308,12 +318,14 @@
       this.#puller.scheduleReplacementPull();
     }
     if (previous && previous.state !== record.state) {
+      const loss = this.#losses.handleChange(record, previous);
       this.#options.journal?.record(DECISIONS.membershipChange, {
         incarnation: record.incarnation,
         service: record.service,
         from: previous.state,
         to: record.state,
         version: record.version,
+        ...loss,
       });
     }
   }
--- a/src/membership/mod.ts
+++ b/src/membership/mod.ts
@@ -6,6 +6,7 @@
 export { createIncarnation } from "./create_incarnation.ts";
 export { GossipMembership } from "./gossip_membership.ts";
 export type { GossipMembershipOptions } from "./gossip_membership.ts";
+export type { MemberLoss } from "./loss_reporter.ts";
 export { DatagramTransport } from "./datagram_transport.ts";
 export type { DatagramHandler } from "./datagram_transport.ts";
 export {
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -224,6 +224,14 @@
     registers: [this.registry],
   });
 
+  /** Members that ended without saying that they leave, by whether they had this daemon's address (`predecessor`) or not (`other`). */
+  readonly vanishedMembers = new Counter({
+    name: "celeryhollow_vanished_members_total",
+    help: "Members that ended without saying that they leave",
+    labelNames: ["role"] as const,
+    registers: [this.registry],
+  });
+
   /** Bytes of membership messages since the start, by direction. */
   readonly membershipBytes = new Gauge({
     name: "celeryhollow_membership_bytes",
--- a/src/telemetry/process_metrics.ts
+++ b/src/telemetry/process_metrics.ts
@@ -18,7 +18,11 @@
   readonly faults: Counter<"kind">;
   /** Settings reloads and stops requested by signals, by signal. */
   readonly signals: Counter<"signal">;
+  /** Warnings that the memory is near its limit. */
+  readonly memoryWarnings: Counter;
+  readonly #memoryLimit: Gauge;
   #maxDelayMs = 0;
+  #peakResidentBytes = 0;
 
   constructor(registry: Registry) {
     const registers = [registry];
@@ -34,6 +38,27 @@
       labelNames: ["signal"] as const,
       registers,
     });
+    this.memoryWarnings = new Counter({
+      name: "celeryhollow_memory_warnings_total",
+      help: "Warnings that the memory is near its limit",
+      registers,
+    });
+    this.#memoryLimit = new Gauge({
+      name: "celeryhollow_memory_limit_bytes",
+      help: "Memory past which the process is killed; absent if not known",
+      labelNames: [] as const,
+      registers,
+    });
+    this.#memoryLimit.remove();
+    const readPeak = () => this.#peakResidentBytes;
+    new Gauge({
+      name: "celeryhollow_memory_peak_bytes",
+      help: "Largest resident memory that was sampled",
+      registers,
+      collect() {
+        this.set(readPeak());
+      },
+    });
     const takeMaxDelayS = () => this.#takeMaxDelayS();
     new Gauge({
       name: "celeryhollow_event_loop_delay_seconds",
@@ -65,6 +90,18 @@
     });
   }
 
+  /** Sets the memory limit, in bytes; Infinity if it is not known. */
+  setMemoryLimit(limitBytes: number): void {
+    if (Number.isFinite(limitBytes)) {
+      this.#memoryLimit.set(limitBytes);
+    }
+  }
+
+  /** Records a sample of the resident memory, in bytes. */
+  recordResident(residentBytes: number): void {
+    this.#peakResidentBytes = Math.max(this.#peakResidentBytes, residentBytes);
+  }
+
   /** Records by how much a periodic timer was late. */
   recordDelay(delayMs: number): void {
     this.#maxDelayMs = Math.max(this.#maxDelayMs, delayMs);
