Bound the connections to the control ports

What callers saw: nothing yet; a daemon without a free descriptor accepts no caller and reaches no instance.

Cause: only callers' connections had a bound. Connections to the ports for announcements, readiness and metrics could take every descriptor, and those with a request that never ends stayed for ever (announcements, readiness).

--- a/src/daemon/listener.ts
+++ b/src/daemon/listener.ts
@@ -51,6 +51,8 @@
   readonly port: number;
   /** Whether the daemon also serves without this interface. */
   readonly isOptional?: boolean;
+  /** Maximum number of connections; those beyond it are closed at once. Unlimited if not given. */
+  readonly maxConnections?: number;
 }
 
 /** Serves a Hono application. */
@@ -72,6 +74,9 @@
           this.#endConnection(await options.app.fetch(request))
         ),
     }) as Server;
+    if (options.maxConnections !== undefined) {
+      this.#server.maxConnections = options.maxConnections;
+    }
     this.#listening = new ListeningServer(
       this.#server,
       (error) => this.reportError(context, error),
