Read the clocks once for a pick, and copy tiers only if something is left out

Callers saw: nothing.

Cause: none by itself. The profile is flat. Of the processor time of an entry daemon (15,000 requests, 600 a second, one hop) 19 % are the two writes to sockets, 5 % the garbage collector, 4 % the largest function of our own; a request costs 2.4 epoll_pwait, 1.9 read, 1 write and 1 writev. The choice of an instance takes 5 % of an entry daemon (18 VMs: 6 %): it read both clocks for each of up to eight candidates, copied every tier, joined the tiers to look for a probe, and computed for all requests what only bulk ones use.

In the whole program the change is within the noise: 1,031, 1,014, 1,137 us a request before, 1,076, 1,085, 1,063 us after (3,000 requests; entry).

No change of behaviour: 600,000 random steps with excluded, ejected and limited instances gave the same choices as before; with times in whole milliseconds, 1 of 1,500 sequences differed, by a rounding of the tokens of a limited instance, which are refilled less often now.

--- a/src/routing/adaptive_load_balancer.ts
+++ b/src/routing/adaptive_load_balancer.ts
@@ -10,7 +10,9 @@
 import { REASONS } from "../outcome/mod.ts";
 import type { Clock, RandomSource } from "../time/mod.ts";
 import { computeSlowStartWeight } from "./compute_slow_start_weight.ts";
-import { estimateCost, estimateWaitMs } from "./estimate_wait.ts";
+import { createCandidate } from "./create_candidate.ts";
+import type { Candidate } from "./create_candidate.ts";
+import { estimateCost } from "./estimate_wait.ts";
 import type { EstimateContext } from "./estimate_wait.ts";
 import { LoadBalancer, NO_INSTANCE } from "./load_balancer.ts";
 import type {
@@ -19,9 +21,7 @@
   PickFailure,
   PickOptions,
 } from "./load_balancer.ts";
-import type { InstanceStats } from "./instance_stats.ts";
 import { shouldSpillOver } from "./should_spill_over.ts";
-import type { TierEstimate } from "./should_spill_over.ts";
 import type { LinkBudget } from "./link_budget.ts";
 import { InstancePaces } from "./instance_paces.ts";
 import { LocalityTiers } from "./locality_tiers.ts";
@@ -41,8 +41,12 @@
   readonly reportOutlier: OutlierListener;
 }
 
-interface Candidate extends TierEstimate {
-  readonly record: MemberRecord;
+/** A pick in progress; all its candidates are compared at the same time. */
+interface Search {
+  readonly options: PickOptions;
+  /** Time of day, in milliseconds since the epoch. */
+  readonly nowMs: number;
+  readonly monotonicMs: number;
 }
 
 /** Picks instances by locality, observed statistics, reported load that decays with age, and the budget of the inter-region link. */
@@ -96,25 +100,22 @@
     const availableTiers = tiers.map((tier) =>
       this.#filterAvailable(tier, options)
     );
+    const { clock } = this.#options;
+    const search = {
+      options,
+      nowMs: clock.nowMs(),
+      monotonicMs: clock.monotonicMs(),
+    };
     const local = this.#pickFromTiers(
       availableTiers.filter(({ isOwnRegion }) => isOwnRegion),
-      options,
-    );
-    const probe = this.#pickProbe(
-      tiers.filter(({ isOwnRegion }) => isOwnRegion || !local),
-      options,
+      search,
     );
+    const probe = this.#pickProbe(tiers, { isLocalOnly: !!local, options });
     if (probe) {
       this.#stats.outliers.startProbe(probe.incarnation);
       return ok(probe);
     }
-    const hasInstanceInRegion = tiers.some(({ isOwnRegion, instances }) =>
-      isOwnRegion && instances.some((record) =>
-        this.#isInRotation(record) &&
-        this.#paces.allows(record, options.classRank)
-      )
-    );
-    if (options.isBulk && hasInstanceInRegion) {
+    if (options.isBulk && this.#hasInstanceInRegion(tiers, options)) {
       return local
         ? ok(local.record)
         : err(this.#createLinkBudgetFailure(options));
@@ -122,7 +123,7 @@
     return this.#pickAcrossRegions(
       local,
       availableTiers.filter(({ isOwnRegion }) => !isOwnRegion),
-      options,
+      search,
     );
   }
 
@@ -150,9 +151,10 @@
   #pickAcrossRegions(
     local: Candidate | undefined,
     remoteTiers: readonly LocalityTier[],
-    options: PickOptions,
+    search: Search,
   ): Result<MemberRecord, PickFailure> {
-    const remote = this.#pickFromTiers(remoteTiers, options);
+    const { options } = search;
+    const remote = this.#pickFromTiers(remoteTiers, search);
     const isWorthTheLink = remote !== undefined &&
       (!local ||
         shouldSpillOver(local, remote, { ...options, isCrossRegion: true }));
@@ -182,13 +184,14 @@
 
   #pickFromTiers(
     tiers: readonly LocalityTier[],
-    options: PickOptions,
+    search: Search,
   ): Candidate | undefined {
     let best: Candidate | undefined;
     for (const tier of tiers) {
-      const candidate = this.#pickOfTwo(tier);
+      const candidate = this.#pickOfTwo(tier, search);
       if (
-        candidate && (!best || shouldSpillOver(best, candidate, options))
+        candidate &&
+        (!best || shouldSpillOver(best, candidate, search.options))
       ) {
         best = candidate;
       }
@@ -196,7 +199,7 @@
     return best;
   }
 
-  #pickOfTwo(tier: LocalityTier): Candidate | undefined {
+  #pickOfTwo(tier: LocalityTier, search: Search): Candidate | undefined {
     const { random } = this.#options;
     const { instances } = tier;
     const index = random.nextInteger(instances.length);
@@ -206,8 +209,8 @@
     if (!first || !second) {
       return undefined;
     }
-    const firstContext = this.#createContext(first, tier);
-    const secondContext = this.#createContext(second, tier);
+    const firstContext = this.#createContext(first, tier, search);
+    const secondContext = this.#createContext(second, tier, search);
     const firstStats = this.#stats.getStats(first);
     const secondStats = this.#stats.getStats(second);
     const isFirstBetter = estimateCost(firstStats, firstContext) <=
@@ -217,15 +220,18 @@
       : createCandidate(second, secondStats, secondContext);
   }
 
-  #createContext(record: MemberRecord, tier: LocalityTier): EstimateContext {
-    const { clock } = this.#options;
+  #createContext(
+    record: MemberRecord,
+    tier: LocalityTier,
+    { nowMs, monotonicMs }: Search,
+  ): EstimateContext {
     const { incarnation, slots, warmAtMs, service } = record;
     const slowStartWeight = Math.min(
-      computeSlowStartWeight(warmAtMs, clock.nowMs()),
+      computeSlowStartWeight(warmAtMs, nowMs),
       this.#stats.outliers.getSlowStartWeight(incarnation),
     );
     return {
-      nowMs: clock.monotonicMs(),
+      nowMs: monotonicMs,
       serviceLatencyMs: this.#stats.getServiceLatencyMs(service),
       slots,
       slowStartWeight,
@@ -235,42 +241,52 @@
 
   #pickProbe(
     tiers: readonly LocalityTier[],
-    options: PickOptions,
+    { isLocalOnly, options }: {
+      readonly isLocalOnly: boolean;
+      readonly options: PickOptions;
+    },
   ): MemberRecord | undefined {
     if (!options.isRepeatable || options.isBulk) {
       return undefined;
     }
     const { outliers } = this.#stats;
-    return tiers.flatMap(({ instances }) => instances)
-      .find(({ incarnation }) =>
-        !options.excluded.has(incarnation) && outliers.isProbeDue(incarnation)
-      );
+    for (const { isOwnRegion, instances } of tiers) {
+      const probe = isOwnRegion || !isLocalOnly
+        ? instances.find(({ incarnation }) =>
+          outliers.isProbeDue(incarnation) &&
+          !options.excluded.has(incarnation)
+        )
+        : undefined;
+      if (probe) {
+        return probe;
+      }
+    }
+    return undefined;
+  }
+
+  #hasInstanceInRegion(
+    tiers: readonly LocalityTier[],
+    { classRank }: PickOptions,
+  ): boolean {
+    return tiers.some(({ isOwnRegion, instances }) =>
+      isOwnRegion &&
+      instances.some((record) =>
+        this.#isInRotation(record) && this.#paces.allows(record, classRank)
+      )
+    );
   }
 
   #filterAvailable(tier: LocalityTier, options: PickOptions): LocalityTier {
-    const instances = tier.instances.filter((record) =>
+    const isAvailable = (record: MemberRecord) =>
       !options.excluded.has(record.incarnation) &&
       this.#isInRotation(record) &&
-      this.#paces.allows(record, options.classRank)
-    );
-    return { ...tier, instances };
+      this.#paces.allows(record, options.classRank);
+    return tier.instances.every(isAvailable)
+      ? tier
+      : { ...tier, instances: tier.instances.filter(isAvailable) };
   }
 
   #isInRotation({ incarnation }: MemberRecord): boolean {
     return !this.#stats.outliers.isEjected(incarnation);
   }
 }
-
-function createCandidate(
-  record: MemberRecord,
-  stats: InstanceStats,
-  context: EstimateContext,
-): Candidate {
-  const { nowMs, slots } = context;
-  return {
-    record,
-    waitMs: estimateWaitMs(stats, context),
-    utilization: stats.getLoad(nowMs) / stats.getLimit(slots),
-    overloadRatio: stats.getOverloadRatio(nowMs),
-  };
-}
