Pace bodies between daemons by grants of the receiver

What callers saw: 600 callers that ask one of four daemons for 0.5 MB at once get 189 answers 502 and "peer reads its replies too slowly": the connection between two healthy daemons was closed, with all calls on it.

Cause: bodies for one peer were queued without regard to what the peer could take, and a queue over 32 MB ended the connection. A chunk of each waiting body was written whenever the socket drained.

Change: a body of more than one chunk is sent as far as the receiver grants. The receiver reserves memory of a budget of its process first, so that only the body without room waits; small messages and other bodies pass. Bodies take turns by chunk. A call whose body finds no room is refused as not run, with the time after which there will be room. Cancelled calls drop what is left of their bodies on both sides. Received chunks are copied into one buffer instead of keeping the socket's buffers alive and joining them.

A daemon of an older build neither gives nor expects grants: the side that opened the connection adds a note to its calls until the peer answers it, and sends without grants if there is no answer within 500 ms.

The bytes held for calls are counted and exported as celeryhollow_body_memory_bytes, to compare with the resident memory.

--- a/src/backend/backend_client.ts
+++ b/src/backend/backend_client.ts
@@ -4,6 +4,7 @@
 
 import type { CallSignal } from "../cancellation/mod.ts";
 import type { Announcement, CallContext } from "../generated/types.ts";
+import type { HeldMemory } from "../memory/mod.ts";
 import type { CallResult } from "../outcome/mod.ts";
 import { NO_STATEMENT } from "./server_statement.ts";
 import type { ServerStatement } from "./server_statement.ts";
@@ -27,6 +28,8 @@
 /** Options of a call. */
 export interface BackendCallOptions {
   readonly signal: CallSignal;
+  /** Memory that the call holds; the response body counts against it. */
+  readonly memory: HeldMemory;
   /** Limit of the response body, in bytes. */
   readonly maxBodyBytes: number;
   /** Called as soon as the head of a response to this call has arrived, whether the call succeeds or not. */
--- a/src/backend/http_backend_client.ts
+++ b/src/backend/http_backend_client.ts
@@ -63,6 +63,7 @@
       if (!body) {
         return err(createUnknownOutcome(REASONS.answerTooLarge));
       }
+      options.memory.force(body.length);
       if (!hasDelimitedBody(response)) {
         return err(createUnknownOutcome(REASONS.answerTruncated));
       }
--- a/src/backend/http_backend_client_test.ts
+++ b/src/backend/http_backend_client_test.ts
@@ -1,6 +1,7 @@
 import { once } from "node:events";
 import { createServer } from "node:net";
 import type { AddressInfo, Socket } from "node:net";
+import { createTestMemory } from "../testing/create_test_memory.ts";
 import * as assert from "uvu/assert";
 import { test } from "uvu";
 import type { Announcement } from "../generated/types.ts";
@@ -61,6 +62,7 @@
   const client = new HttpBackendClient(ADDRESS);
   const result = await client.call(createAnnouncement(port), createCall(), {
     signal,
+    memory: createTestMemory(),
     maxBodyBytes: 1_024,
   });
   server.close();
@@ -134,6 +136,7 @@
   const client = new HttpBackendClient(ADDRESS);
   const result = await client.call(createAnnouncement(9), createCall(), {
     signal: new AbortController().signal,
+    memory: createTestMemory(),
     maxBodyBytes: 1_024,
   });
   assert.is(readFailure(result), "refused no-backend-server");
--- a/src/caller/create_caller_app.ts
+++ b/src/caller/create_caller_app.ts
@@ -6,6 +6,7 @@
 import type { Context } from "hono";
 import { err } from "neverthrow";
 import { HEADERS } from "../constants/mod.ts";
+import { HeldMemory } from "../memory/mod.ts";
 import { createRefusal, REASONS } from "../outcome/mod.ts";
 import type { CallFailure } from "../outcome/mod.ts";
 import { serveEntryCall } from "../request/mod.ts";
@@ -64,10 +65,12 @@
 ): Promise<Response> {
   const request = context.req.raw;
   const requestId = request.headers.get(HEADERS.requestId) ?? "";
+  const memory = new HeldMemory(environment.memory);
   const body = await readBody(request, environment.settings.maxBodyBytes);
   if (body.isErr()) {
     return createCallResponse(err(createRefusal(body.error)), requestId);
   }
+  memory.force(body.value.length);
   const entry = parseEntryCall({
     method: request.method,
     target: request.url.slice(
@@ -75,6 +78,7 @@
     ),
     headers: request.headers,
     body: body.value,
+    memory,
     signal: request.signal,
   });
   if (entry.isErr()) {
@@ -82,9 +86,11 @@
       requestId: requestId.slice(0, 128),
       reason: REASONS.invalidRequest,
     }, "request-invalid");
+    memory.release();
     return createCallResponse(err(entry.error), requestId);
   }
   const result = await serveEntryCall(environment, { ...entry.value, parent });
+  memory.release();
   const response = createCallResponse(result, entry.value.requestId);
   if (result.isErr() && needsNewKey(result.error)) {
     response.headers.set(HEADERS.idempotencyKey, environment.keys.issueKey());
--- a/src/caller/parse_entry_call.ts
+++ b/src/caller/parse_entry_call.ts
@@ -11,6 +11,7 @@
   MAX_HEADER_VALUE_BYTES,
   MAX_PATH_BYTES,
 } from "../constants/mod.ts";
+import type { HeldMemory } from "../memory/mod.ts";
 import { createRefusal, REASONS } from "../outcome/mod.ts";
 import type { Refusal } from "../outcome/mod.ts";
 import type { EntryCall } from "../request/mod.ts";
@@ -22,6 +23,7 @@
   readonly target: string;
   readonly headers: Headers;
   readonly body: Uint8Array;
+  readonly memory: HeldMemory;
   readonly signal: CallSignal;
 }
 
@@ -73,6 +75,7 @@
     path: pathAndQuery.startsWith("/") ? pathAndQuery : `/${pathAndQuery}`,
     contentType: readHeader("content-type").slice(0, 256),
     body: http.body,
+    memory: http.memory,
     requestId: requestId === "" ? randomUUID() : requestId,
     idempotencyKey: readHeader(HEADERS.idempotencyKey),
     attempt: parseAttempt(readHeader(HEADERS.attempt)),
--- a/src/daemon/create_daemon_components.ts
+++ b/src/daemon/create_daemon_components.ts
@@ -25,6 +25,7 @@
   GossipMembership,
   UdpTransport,
 } from "../membership/mod.ts";
+import { computeBodyBudgetBytes, MemoryBudget } from "../memory/mod.ts";
 import { HeartbeatTimer } from "../peer/mod.ts";
 import type { DialPeer, PeerConnectionOptions } from "../peer/mod.ts";
 import { ActiveCalls, LeavingServers, PeerClients } from "../request/mod.ts";
@@ -52,6 +53,9 @@
 import type { Listener, ListenerContext } from "./listener.ts";
 import { DaemonConfigurationPeers } from "./daemon_configuration_peers.ts";
 
+/** Memory limit of a process that is told none, in bytes. */
+const DEFAULT_MEMORY_LIMIT_BYTES = 536_870_912;
+
 /** Components and options of a daemon that tests and deployments replace. */
 export interface DaemonOverrides {
   /** Dialect of the object API. */
@@ -68,6 +72,8 @@
   readonly throttlesByOutcome?: boolean;
   /** Creates the client for the backend server on this VM. */
   readonly createBackendClient?: (clock: Clock) => BackendClient;
+  /** Limit of the process's resident memory, in bytes. */
+  readonly memoryLimitBytes?: number;
   /** Age after which an announcement expires unless it is renewed, in milliseconds. */
   readonly announcementTimeoutMs?: number;
   /** Whether callers are issued idempotency keys, which have to be handed over at a stop; true by default. */
@@ -119,12 +125,19 @@
     fleetToken: settings.fleetToken,
   };
   const metrics = new DaemonMetrics();
+  const memory = new MemoryBudget({
+    clock,
+    capacityBytes: computeBodyBudgetBytes(
+      overrides.memoryLimitBytes ?? DEFAULT_MEMORY_LIMIT_BYTES,
+    ),
+  });
+  metrics.bodyMemory.observe(memory);
   const connectionOptions = {
     sentBytes: metrics.sent,
     identity,
     clock,
     heartbeatTimer: new HeartbeatTimer(clock),
-    maxBodyBytes: settings.maxBodyBytes,
+    memory,
     ...overrides.dial === undefined ? {} : { dial: overrides.dial },
   };
   const journal = new DecisionJournal(clock, log);
@@ -203,6 +216,7 @@
     journal,
     configuration,
     membership,
+    memory,
     peers: new PeerClients({
       ...connectionOptions,
       reportReplacement: outbound.reportReplacement,
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -79,10 +79,10 @@
       createDefaultListeners(context);
     this.#peerServer = new PeerServer({
       ...components.connectionOptions,
-      handleCall: (call, body, signal) =>
+      handleCall: (call, options) =>
         this.#track(() =>
           this.#containFault(() =>
-            servePeerCall(this.environment, call, { body, signal })
+            servePeerCall(this.environment, call, options)
           )
         ),
       provideConfiguration: (knownVersion) =>
--- /dev/null
+++ b/src/memory/mod.ts
@@ -0,0 +1,8 @@
+/**
+ * Bound of the memory that a process holds for calls.
+ */
+
+export { computeBodyBudgetBytes } from "./compute_body_budget_bytes.ts";
+export { HeldMemory } from "./held_memory.ts";
+export { MemoryBudget } from "./memory_budget.ts";
+export type { AcquireOptions } from "./memory_budget.ts";
--- a/src/outcome/unreached_reasons.ts
+++ b/src/outcome/unreached_reasons.ts
@@ -9,5 +9,6 @@
   REASONS.connectFailed,
   REASONS.leaving,
   REASONS.limitedInstance,
+  REASONS.memoryFull,
   REASONS.noBackendServer,
 ]);
--- a/src/peer/body_assembler.ts
+++ b/src/peer/body_assembler.ts
@@ -7,7 +7,8 @@
 /** Collects the chunks of one body, which must arrive in order and without gaps. */
 export class BodyAssembler {
   readonly #expectedBytes: number;
-  readonly #chunks: Uint8Array[] = [];
+  /** Allocated with the first chunk; chunks are copied, as each is a view of a larger buffer that it would keep alive. */
+  #body: Buffer | undefined;
   #receivedBytes = 0;
 
   constructor(expectedBytes: number) {
@@ -25,15 +26,14 @@
     if (offsetBytes !== this.#receivedBytes || endBytes > this.#expectedBytes) {
       return false;
     }
-    this.#chunks.push(chunk);
+    this.#body ??= Buffer.allocUnsafeSlow(this.#expectedBytes);
+    this.#body.set(chunk, offsetBytes);
     this.#receivedBytes = endBytes;
     return true;
   }
 
   /** Returns the received chunks as one array. */
   concatenate(): Uint8Array {
-    return this.#chunks.length === 1 && this.#chunks[0]
-      ? this.#chunks[0]
-      : Buffer.concat(this.#chunks);
+    return this.#body ?? Buffer.alloc(0);
   }
 }
--- a/src/peer/fetch_configuration.ts
+++ b/src/peer/fetch_configuration.ts
@@ -72,6 +72,10 @@
     }
   }
 
+  reserveBody(): Promise<boolean> {
+    return Promise.resolve(false); // This connection is only used to fetch a configuration.
+  }
+
   onCall(): void {
     // This connection is only used to fetch a configuration.
   }
--- a/src/peer/fetch_configuration_test.ts
+++ b/src/peer/fetch_configuration_test.ts
@@ -4,6 +4,7 @@
 import { fetchConfiguration } from "./fetch_configuration.ts";
 import { PeerServer } from "./peer_server.ts";
 import { claimNetwork } from "../testing/claim_network.ts";
+import { createTestBudget } from "../testing/create_test_memory.ts";
 
 const ADDRESS = `127.${await claimNetwork()}.1.1`;
 const PEER_PORT = 7102;
@@ -14,7 +15,7 @@
   return {
     identity: { incarnation, failureDomain: "gent-a", fleetToken },
     clock: new SystemClock(),
-    maxBodyBytes: 1_000_000,
+    memory: createTestBudget(),
   };
 }
 
--- a/src/peer/frame_writer.ts
+++ b/src/peer/frame_writer.ts
@@ -1,8 +1,10 @@
 /**
- * Writes frames to a socket, in order.
+ * Writes frames to a socket.
  *
- * Large bodies are split into chunks. The chunks of concurrent bodies are
- * interleaved, so that a small message does not wait behind a large one.
+ * Small messages are written in order. Large bodies are split into chunks, which
+ * are written in turns and only while the socket takes them, so that a small
+ * message waits behind a few chunks at most. A body is sent as far as the peer
+ * has granted; one that the peer has no memory for holds up no other.
  */
 
 import type { Socket } from "node:net";
@@ -15,34 +17,48 @@
 } from "../generated/types.ts";
 import { encodeFrame } from "./encode_frame.ts";
 
-/** Limit of the bytes queued for one peer. */
-const MAX_QUEUED_BYTES = 33_554_432;
-
 /** Called for each frame with its message and its size in bytes. */
 export type RecordSent = (message: PeerMessage, bytes: number) => void;
 
-/** Writes messages to one socket, with a bounded queue. */
+/** A body that is being sent. */
+interface OutgoingBody {
+  readonly callId: number;
+  readonly isReply: boolean;
+  readonly body: Uint8Array;
+  offsetBytes: number;
+  /** Offset up to which the peer accepts the body. */
+  grantedBytes: number;
+  readonly finish: () => void;
+}
+
+/** Options of {@link FrameWriter.sendWithBody}. */
+export interface SendBodyOptions {
+  /** Offset up to which the peer accepts the body without a grant. */
+  readonly grantedBytes: number;
+}
+
+/** Writes messages to one socket. */
 export class FrameWriter {
   readonly #socket: Socket;
   readonly #recordSent: RecordSent;
-  #pendingBodyBytes = 0;
+  /** Bodies that are being sent, by call id, in the order of their turns. */
+  readonly #bodies = new Map<number, OutgoingBody>();
   #isCorked = false;
-  #drained: Promise<void> | undefined;
+  #isAwaitingDrain = false;
 
   constructor(socket: Socket, recordSent: RecordSent = () => undefined) {
     this.#socket = socket;
     this.#recordSent = recordSent;
+    socket.on("drain", () => {
+      this.#isAwaitingDrain = false;
+      this.#sendChunks();
+    });
+    socket.on("close", () => this.#dropAll());
   }
 
-  /** Number of bytes queued but not yet written. */
-  get queuedBytes(): number {
-    return this.#socket.writableLength + this.#pendingBodyBytes;
-  }
-
-  /** Whether a body of `bodyBytes` bytes may be queued; always true if the queue is empty. */
-  canQueue(bodyBytes: number): boolean {
-    return this.queuedBytes === 0 ||
-      this.queuedBytes + bodyBytes <= MAX_QUEUED_BYTES;
+  /** Whether anything is queued that has not been written yet. */
+  get hasQueued(): boolean {
+    return this.#socket.writableLength > 0 || this.#bodies.size > 0;
   }
 
   /** Writes a message as one frame. */
@@ -60,14 +76,52 @@
     this.#recordSent(message, frame.length);
   }
 
-  /** Writes a message and its body, inline if it fits into one chunk, otherwise as separate chunks. */
-  sendWithBody(head: CallMessage | ReplyMessage, body: Uint8Array): void {
+  /**
+   * Writes a message and its body, inline if it fits into one chunk, otherwise
+   * in chunks. Resolves when the body no longer needs to be held.
+   */
+  sendWithBody(
+    head: CallMessage | ReplyMessage,
+    body: Uint8Array,
+    { grantedBytes }: SendBodyOptions,
+  ): Promise<void> {
     if (body.length <= CHUNK_BYTES) {
       this.send({ ...head, body });
-      return;
+      return Promise.resolve();
     }
     this.send(head);
-    void this.#sendChunks(head, body);
+    const { callId } = head;
+    return new Promise((resolve) => {
+      this.#bodies.set(callId, {
+        ...{ callId, body, grantedBytes, offsetBytes: 0, finish: resolve },
+        isReply: head.kind === "reply",
+      });
+      this.#sendChunks();
+    });
+  }
+
+  /** Sends the body of a call as far as `grantedBytes`, counted from its start. */
+  grant(callId: number, grantedBytes: number): void {
+    const outgoing = this.#bodies.get(callId);
+    if (outgoing) {
+      outgoing.grantedBytes = Math.max(outgoing.grantedBytes, grantedBytes);
+      this.#sendChunks();
+    }
+  }
+
+  /** Sends all bodies without waiting for grants, as the peer gives none. */
+  grantAll(): void {
+    for (const outgoing of this.#bodies.values()) {
+      outgoing.grantedBytes = outgoing.body.length;
+    }
+    this.#sendChunks();
+  }
+
+  /** Stops sending the body of a call. */
+  dropBody(callId: number): void {
+    const outgoing = this.#bodies.get(callId);
+    this.#bodies.delete(callId);
+    outgoing?.finish();
   }
 
   /** Flushes the frames written in one turn of the event loop together. */
@@ -76,39 +130,43 @@
     this.#socket.uncork();
   }
 
-  async #sendChunks(
-    head: CallMessage | ReplyMessage,
-    body: Uint8Array,
-  ): Promise<void> {
-    const { callId } = head;
-    const isReply = head.kind === "reply";
-    this.#pendingBodyBytes += body.length;
-    let offsetBytes = 0;
-    while (offsetBytes < body.length && !this.#socket.destroyed) {
-      const part = body.subarray(offsetBytes, offsetBytes + CHUNK_BYTES);
-      this.send({ kind: "chunk", callId, isReply, offsetBytes, body: part });
-      this.#pendingBodyBytes -= part.length;
-      offsetBytes += part.length;
-      await this.#waitUntilDrained();
+  #sendChunks(): void {
+    while (!this.#isAwaitingDrain && !this.#socket.destroyed) {
+      const outgoing = this.#takeNext();
+      if (!outgoing) {
+        return;
+      }
+      this.#sendChunk(outgoing);
+      this.#isAwaitingDrain = this.#socket.writableNeedDrain;
     }
-    this.#pendingBodyBytes -= body.length - offsetBytes;
   }
 
-  async #waitUntilDrained(): Promise<void> {
-    if (!this.#socket.writableNeedDrain) {
-      return;
-    }
-    this.#drained ??= new Promise<void>((resolve) => {
-      const socket = this.#socket;
-      function finish(): void {
-        socket.off("drain", finish);
-        socket.off("close", finish);
-        resolve();
+  /** Moves the next body that may be sent to the end of the turns. */
+  #takeNext(): OutgoingBody | undefined {
+    for (const outgoing of this.#bodies.values()) {
+      if (outgoing.offsetBytes < outgoing.grantedBytes) {
+        this.#bodies.delete(outgoing.callId);
+        this.#bodies.set(outgoing.callId, outgoing);
+        return outgoing;
       }
-      socket.on("drain", finish);
-      socket.on("close", finish);
-    });
-    await this.#drained;
-    this.#drained = undefined;
+    }
+    return undefined;
+  }
+
+  #sendChunk(outgoing: OutgoingBody): void {
+    const { callId, isReply, body, offsetBytes, grantedBytes } = outgoing;
+    const endBytes = Math.min(offsetBytes + CHUNK_BYTES, grantedBytes);
+    const part = body.subarray(offsetBytes, endBytes);
+    this.send({ kind: "chunk", callId, isReply, offsetBytes, body: part });
+    outgoing.offsetBytes += part.length;
+    if (outgoing.offsetBytes === body.length) {
+      this.dropBody(callId);
+    }
+  }
+
+  #dropAll(): void {
+    for (const callId of [...this.#bodies.keys()]) {
+      this.dropBody(callId);
+    }
   }
 }
--- a/src/peer/mod.ts
+++ b/src/peer/mod.ts
@@ -18,6 +18,10 @@
   PeerIdentity,
 } from "./peer_connection_handler.ts";
 export { PeerServer } from "./peer_server.ts";
-export type { CallHandler, PeerServerOptions } from "./peer_server.ts";
+export type {
+  CallHandler,
+  IncomingCallOptions,
+  PeerServerOptions,
+} from "./peer_server.ts";
 export { createIdentityProof, verifyIdentityProof } from "./identity_proof.ts";
 export { fetchConfiguration } from "./fetch_configuration.ts";
--- a/src/peer/outbound_connection.ts
+++ b/src/peer/outbound_connection.ts
@@ -6,6 +6,7 @@
 import { err } from "neverthrow";
 import type VError from "verror";
 import type { CallSignal } from "../cancellation/mod.ts";
+import type { HeldMemory } from "../memory/mod.ts";
 import { CONNECT_TIMEOUT_MS } from "../constants/mod.ts";
 import type {
   CallMessage,
@@ -43,6 +44,8 @@
   readonly signal: CallSignal;
   /** Whether the call fails as soon as the connection becomes silent, because it can be retried at another instance. */
   readonly failsWhenSilent?: boolean;
+  /** Memory that the call holds; a reply's body counts against it. */
+  readonly memory?: HeldMemory | undefined;
   /** Updated as the call is sent and replied to. */
   readonly progress?: CallProgress | undefined;
 }
@@ -65,6 +68,8 @@
   readonly settle: (result: CallResult) => void;
   readonly failsWhenSilent: boolean;
   readonly progress: CallProgress | undefined;
+  readonly memory: HeldMemory | undefined;
+  readonly signal: CallSignal;
 }
 
 /** Sends calls on one connection, with ids that start at 1 and are never reused. */
@@ -115,6 +120,21 @@
     this.#resolveOpened(true);
   }
 
+  async reserveBody(
+    { callId, bodyLengthBytes }: CallMessage | ReplyMessage,
+    { isPaced }: { readonly isPaced: boolean },
+  ): Promise<boolean> {
+    const { memory, signal } = this.#pending.get(callId) ?? {};
+    if (!signal) {
+      return false;
+    }
+    if (!isPaced) {
+      memory?.force(bodyLengthBytes);
+    }
+    return !isPaced ||
+      (await memory?.reserve(bodyLengthBytes, { signal }) ?? true);
+  }
+
   onReply(reply: ReplyMessage, body: Uint8Array): void {
     const progress = this.#pending.get(reply.callId)?.progress;
     if (progress) {
@@ -156,16 +176,17 @@
     this.#listener.onClosed(this);
   }
 
-  /** Sends a call and waits for its outcome; refused if the connection is closed or its send queue is full. */
+  /** Sends a call and waits for its outcome; refused if the connection is closed. */
   call(
     call: CallWithoutId,
     body: Uint8Array,
     options: PeerCallOptions,
   ): Promise<CallResult> {
-    const { signal, failsWhenSilent = false, progress } = options;
+    const { signal, failsWhenSilent = false, progress, memory } = options;
     const callId = this.#nextCallId;
     this.#nextCallId += 1;
-    if (!this.connection.sendWithBody({ ...call, callId }, body)) {
+    const sent = this.connection.sendWithBody({ ...call, callId }, body);
+    if (!sent) {
       const unusedAllowance = call.context.retryAllowance;
       return Promise.resolve(
         err(createRefusal(REASONS.connectFailed, { unusedAllowance })),
@@ -184,7 +205,9 @@
         signal.removeEventListener("abort", abort);
         resolve(result);
       };
-      this.#pending.set(callId, { settle, failsWhenSilent, progress });
+      this.#pending.set(callId, {
+        ...{ settle, failsWhenSilent, progress, memory, signal },
+      });
       signal.addEventListener("abort", abort);
     });
   }
@@ -205,7 +228,7 @@
     callId: number,
     failure: ReturnType<typeof createUnknownOutcome>,
   ): void {
-    this.connection.send({ kind: "cancel", callId });
+    this.connection.cancelCall(callId);
     this.#settle(callId, err(failure));
   }
 
--- a/src/peer/peer_connection.ts
+++ b/src/peer/peer_connection.ts
@@ -2,7 +2,9 @@
  * A TCP connection between two daemons.
  *
  * It exchanges hellos to authenticate the peer, sends and answers heartbeats,
- * reassembles bodies, and passes all other messages to its handler.
+ * reassembles bodies, and passes all other messages to its handler. Bodies in
+ * chunks follow grants of the receiver, unless one side is of an older build
+ * that knows none (see `grant_support.ts`).
  */
 
 import type { Socket } from "node:net";
@@ -16,15 +18,17 @@
   IDLE_HEARTBEAT_INTERVAL_MS,
   PROTOCOL_VERSION,
 } from "../constants/mod.ts";
-import type {
-  CallMessage,
-  PeerMessage,
-  ReplyMessage,
-} from "../generated/types.ts";
-import { BodyAssembler } from "./body_assembler.ts";
+import type { CallMessage, PeerMessage } from "../generated/types.ts";
 import { FrameDecoder } from "./frame_decoder.ts";
 import { FrameWriter } from "./frame_writer.ts";
+import {
+  extractGrantNote,
+  GrantSupport,
+  withGrantNote,
+} from "./grant_support.ts";
 import { HeartbeatMonitor } from "./heartbeat_monitor.ts";
+import { IncomingBodies } from "./incoming_bodies.ts";
+import type { MessageWithBody } from "./incoming_bodies.ts";
 import type {
   PeerConnectionHandler,
   PeerConnectionOptions,
@@ -32,13 +36,6 @@
 import { checkHello } from "./check_hello.ts";
 import { createIdentityProof } from "./identity_proof.ts";
 
-type MessageWithBody = CallMessage | ReplyMessage;
-
-interface PartialBody {
-  readonly head: MessageWithBody;
-  readonly assembler: BodyAssembler;
-}
-
 /** Timeout for flushing queued messages in a planned stop, in milliseconds. */
 const FLUSH_TIMEOUT_MS = 1_000;
 
@@ -52,7 +49,8 @@
   readonly #socket: Socket;
   readonly #handler: PeerConnectionHandler;
   readonly #options: PeerConnectionOptions;
-  readonly #partialBodies = new Map<string, PartialBody>();
+  readonly #incoming: IncomingBodies;
+  readonly #grants: GrantSupport;
   readonly #heartbeatMonitor: HeartbeatMonitor;
   readonly #writer: FrameWriter;
   #hasReceivedHello = false;
@@ -79,6 +77,17 @@
       socket,
       (message, bytes) => this.#recordSent(message, bytes),
     );
+    this.#grants = new GrantSupport(options.clock, this.#writer);
+    this.#incoming = new IncomingBodies({
+      reserve: (head) =>
+        handler.reserveBody(head, { isPaced: this.#grants.isSupported }),
+      grant: ({ callId, bodyLengthBytes }) => {
+        if (this.#grants.isSupported) {
+          this.send({ kind: "grant", callId, grantedBytes: bodyLengthBytes });
+        }
+      },
+      deliver: (head, body) => this.#deliver(head, body),
+    });
     socket.setNoDelay(true);
     socket.on("error", () => undefined);
   }
@@ -95,6 +104,8 @@
     await this.#readUntilEnd();
     stopHeartbeats();
     this.#isClosed = true;
+    this.#incoming.clear();
+    this.#grants.close();
     this.#socket.destroy();
     this.#handler.onClose(this.#error);
   }
@@ -138,7 +149,7 @@
   async closeGracefully(): Promise<void> {
     const { clock } = this.#options;
     const cancelClose = clock.schedule(FLUSH_TIMEOUT_MS, () => this.close());
-    while (this.#writer.queuedBytes > 0 && !this.#socket.destroyed) {
+    while (this.#writer.hasQueued && !this.#socket.destroyed) {
       await clock.sleep(FLUSH_POLL_MS);
     }
     await new Promise<void>((resolve) => this.#socket.end(() => resolve()));
@@ -146,16 +157,40 @@
     this.close();
   }
 
-  /** Sends a call or reply with its body. Returns false, with nothing sent, if the connection is closed or its queue is full. */
-  sendWithBody(head: MessageWithBody, body: Uint8Array): boolean {
-    if (
-      this.#isClosed || this.#socket.destroyed ||
-      !this.#writer.canQueue(body.length)
-    ) {
-      return false;
+  /**
+   * Sends a call or reply with its body. Returns undefined, with nothing sent, if
+   * the connection is closed; otherwise a promise that resolves when the body no
+   * longer needs to be held.
+   */
+  sendWithBody(
+    head: MessageWithBody,
+    body: Uint8Array,
+  ): Promise<void> | undefined {
+    if (this.#isClosed || this.#socket.destroyed) {
+      return undefined;
     }
-    this.#writer.sendWithBody(head, body);
-    return true;
+    if (head.kind === "reply") {
+      return this.#writer.sendWithBody(head, body, {
+        grantedBytes: this.#grants.isSupported ? 0 : body.length,
+      });
+    }
+    const isFirst = this.#grants.isUnknown;
+    const sent = this.#writer.sendWithBody(
+      isFirst ? withGrantNote(head) : head,
+      body,
+      { grantedBytes: this.#grants.isRefused ? body.length : 0 },
+    );
+    if (isFirst) {
+      this.#grants.awaitAnswer();
+    }
+    return sent;
+  }
+
+  /** Tells the peer that a call has been given up, and drops what is left of its bodies. */
+  cancelCall(callId: number): void {
+    this.#writer.dropBody(callId);
+    this.#incoming.discard("reply", callId);
+    this.send({ kind: "cancel", callId });
   }
 
   /** Sends a message without a separate body. */
@@ -262,20 +297,29 @@
         this.#handleHeartbeat(message.isReply, message.sequence);
         return true;
       case "cancel":
+        this.#writer.dropBody(message.callId);
+        this.#incoming.discard("call", message.callId);
         this.#handler.onCancel(message.callId);
         return true;
+      case "grant":
+        this.#grants.recordSupport();
+        this.#writer.grant(message.callId, message.grantedBytes);
+        return true;
       case "configuration-fetch":
       case "configuration-part":
         this.#handler.onConfiguration?.(message);
         return true;
       case "call":
+        return this.#handleCallHead(message);
       case "reply":
+        // The peer has decided without the rest of the call's body.
+        this.#writer.dropBody(message.callId);
         return this.#handleMessageHead(message);
       case "chunk":
-        return this.#handleChunk(message.callId, message.isReply, {
-          offsetBytes: message.offsetBytes,
-          bytes: message.body as Uint8Array,
-        });
+        return this.#incoming.add({
+          ...message,
+          body: message.body as Uint8Array,
+        }) || this.#fail("MessageInvalid", "unexpected or out-of-order chunk");
     }
   }
 
@@ -297,14 +341,17 @@
     }
   }
 
+  #handleCallHead(message: CallMessage): boolean {
+    const { head, hasNote } = extractGrantNote(message);
+    if (hasNote && !this.#grants.isSupported) {
+      this.#grants.recordSupport();
+      this.send({ kind: "grant", callId: 0, grantedBytes: 0 });
+    }
+    return this.#handleMessageHead(head);
+  }
+
   #handleMessageHead(head: MessageWithBody): boolean {
     const { body, ...rest } = head;
-    if (head.bodyLengthBytes > this.#options.maxBodyBytes) {
-      return this.#fail(
-        "BodyTooLarge",
-        `body of ${head.bodyLengthBytes} bytes exceeds the limit`,
-      );
-    }
     const inline = body as Uint8Array | undefined;
     if (inline && inline.length !== head.bodyLengthBytes) {
       return this.#fail(
@@ -314,29 +361,8 @@
     }
     if (inline || head.bodyLengthBytes === 0) {
       this.#deliver(rest as MessageWithBody, inline ?? EMPTY_BODY);
-      return true;
-    }
-    const assembler = new BodyAssembler(head.bodyLengthBytes);
-    this.#partialBodies.set(`${head.kind}/${head.callId}`, {
-      head: rest as MessageWithBody,
-      assembler,
-    });
-    return true;
-  }
-
-  #handleChunk(
-    callId: number,
-    isReply: boolean,
-    chunk: { offsetBytes: number; bytes: Uint8Array },
-  ): boolean {
-    const id = `${isReply ? "reply" : "call"}/${callId}`;
-    const partial = this.#partialBodies.get(id);
-    if (!partial || !partial.assembler.add(chunk.offsetBytes, chunk.bytes)) {
-      return this.#fail("MessageInvalid", "unexpected or out-of-order chunk");
-    }
-    if (partial.assembler.isComplete) {
-      this.#partialBodies.delete(id);
-      this.#deliver(partial.head, partial.assembler.concatenate());
+    } else {
+      this.#incoming.begin(rest as MessageWithBody);
     }
     return true;
   }
--- a/src/peer/peer_connection_handler.ts
+++ b/src/peer/peer_connection_handler.ts
@@ -11,6 +11,7 @@
   HelloMessage,
   ReplyMessage,
 } from "../generated/types.ts";
+import type { MemoryBudget } from "../memory/mod.ts";
 import type { SentBytes } from "../telemetry/mod.ts";
 import type { HeartbeatTimer } from "./heartbeat_timer.ts";
 import type { Clock } from "../time/mod.ts";
@@ -36,6 +37,14 @@
   readonly hasActiveCalls: boolean;
   /** The peer has been authenticated. */
   onHello(hello: HelloMessage): void;
+  /**
+   * Reserves memory for a body that follows in chunks. Resolves to whether the
+   * body is accepted. `isPaced` tells whether its sender waits for that.
+   */
+  reserveBody(
+    head: CallMessage | ReplyMessage,
+    options: { readonly isPaced: boolean },
+  ): Promise<boolean>;
   /** A call has arrived with its complete body. */
   onCall(call: CallMessage, body: Uint8Array): void;
   /** A reply has arrived with its complete body. */
@@ -78,7 +87,8 @@
   readonly heartbeatTimer?: HeartbeatTimer;
   readonly identity: PeerIdentity;
   readonly clock: Clock;
-  readonly maxBodyBytes: number;
+  /** Bound of the bytes held for calls. */
+  readonly memory: MemoryBudget;
   /** Counts the bytes sent, if given. */
   readonly sentBytes?: SentBytes;
   /** Opens sockets to peers; tests use it to insert a simulated link. */
--- a/src/peer/peer_server.ts
+++ b/src/peer/peer_server.ts
@@ -4,7 +4,8 @@
 
 import { createServer } from "node:net";
 import type { Server, Socket } from "node:net";
-import VError from "verror";
+import { err } from "neverthrow";
+import type VError from "verror";
 import { CallController } from "../cancellation/mod.ts";
 import type { CallSignal } from "../cancellation/mod.ts";
 import type {
@@ -12,8 +13,12 @@
   ConfigurationFetchMessage,
   ConfigurationPartMessage,
   HelloMessage,
+  ReplyMessage,
 } from "../generated/types.ts";
 import { ListeningServer } from "../listening/mod.ts";
+import { HeldMemory } from "../memory/mod.ts";
+import type { MemoryBudget } from "../memory/mod.ts";
+import { createRefusal, REASONS } from "../outcome/mod.ts";
 import type { CallResult } from "../outcome/mod.ts";
 import { convertResultToReply } from "./convert_reply.ts";
 import { PeerConnection } from "./peer_connection.ts";
@@ -23,11 +28,19 @@
 } from "./peer_connection_handler.ts";
 import { sendConfigurationParts } from "./send_configuration_parts.ts";
 
-/** Handles a call from a peer; the signal is aborted when the peer cancels the call, or disconnects and the call is repeatable. */
+/** Body, cancellation and memory of a call from a peer. */
+export interface IncomingCallOptions {
+  readonly body: Uint8Array;
+  /** Aborted when the peer cancels the call, or disconnects and the call is repeatable. */
+  readonly signal: CallSignal;
+  /** Memory that the call holds until its reply has been sent. */
+  readonly memory: HeldMemory;
+}
+
+/** Handles a call from a peer. */
 export type CallHandler = (
   call: CallMessage,
-  body: Uint8Array,
-  signal: CallSignal,
+  options: IncomingCallOptions,
 ) => Promise<CallResult>;
 
 /** Dependencies of the server. */
@@ -41,15 +54,26 @@
   readonly reportListenerError?: (error: Error) => void;
 }
 
+/** Longest wait for memory for the body of a call, and the share of its remaining time that it may wait, so that the sender can still try another instance. */
+const MAX_BODY_WAIT_MS = 1_000;
+const BODY_WAIT_RATIO = 0.25;
+
 interface RunningCall {
   readonly controller: CallController;
   readonly isRepeatable: boolean;
 }
 
+/** A call whose body is being received. */
+interface ArrivingCall {
+  readonly controller: CallController;
+  readonly memory: HeldMemory;
+}
+
 /** A connection accepted from a peer, with the calls running for it. */
 class InboundConnection implements PeerConnectionHandler {
   readonly connection: PeerConnection;
   readonly #running = new Map<number, RunningCall>();
+  readonly #arriving = new Map<number, ArrivingCall>();
   readonly #options: PeerServerOptions;
   readonly #remoteAddress: string;
 
@@ -67,8 +91,43 @@
     // The connection has verified the peer's proof; nothing else depends on the caller's identity.
   }
 
+  async reserveBody(
+    head: CallMessage | ReplyMessage,
+    { isPaced }: { readonly isPaced: boolean },
+  ): Promise<boolean> {
+    if (head.kind === "reply") {
+      return false;
+    }
+    const { callId, bodyLengthBytes: bytes } = head;
+    const { remainingMs, retryAllowance: unusedAllowance } = head.context;
+    const memory = new HeldMemory(this.#options.memory);
+    const controller = new CallController();
+    this.#arriving.set(callId, { controller, memory });
+    if (!isPaced) {
+      memory.force(bytes);
+      return true;
+    }
+    const { signal } = controller;
+    const maxWaitMs = Math.min(MAX_BODY_WAIT_MS, remainingMs * BODY_WAIT_RATIO);
+    if (await memory.reserve(bytes, { signal, maxWaitMs })) {
+      return true;
+    }
+    this.#forgetArriving(callId);
+    const retryAfterMs = memory.budget.estimateWaitMs(bytes);
+    await this.#reply(
+      callId,
+      err(createRefusal(REASONS.memoryFull, { retryAfterMs, unusedAllowance })),
+    );
+    return false;
+  }
+
   onCall(call: CallMessage, body: Uint8Array): void {
-    void this.#serve(call, body);
+    const { memory } = this.#arriving.get(call.callId) ?? {};
+    this.#arriving.delete(call.callId);
+    void this.#serve(call, {
+      body,
+      memory: memory ?? createMemory(this.#options.memory, body),
+    });
   }
 
   onReply(): void {
@@ -76,6 +135,7 @@
   }
 
   onCancel(callId: number): void {
+    this.#forgetArriving(callId);
     this.#running.get(callId)?.controller.abort();
   }
 
@@ -94,6 +154,9 @@
   }
 
   onClose(error: VError | undefined): void {
+    for (const callId of [...this.#arriving.keys()]) {
+      this.#forgetArriving(callId);
+    }
     for (const { controller, isRepeatable } of this.#running.values()) {
       if (isRepeatable) {
         controller.abort();
@@ -104,23 +167,41 @@
     }
   }
 
-  async #serve(call: CallMessage, body: Uint8Array): Promise<void> {
+  async #serve(
+    call: CallMessage,
+    { body, memory }: { body: Uint8Array; memory: HeldMemory },
+  ): Promise<void> {
     const controller = new CallController();
     const { isRepeatable } = call.context;
     this.#running.set(call.callId, { controller, isRepeatable });
-    const result = await this.#options.handleCall(
-      call,
-      body,
-      controller.signal,
-    );
+    const { signal } = controller;
+    const result = await this.#options.handleCall(call, {
+      ...{ body, signal, memory },
+    });
     this.#running.delete(call.callId);
-    const reply = convertResultToReply(call.callId, result);
-    if (!this.connection.sendWithBody(reply.head, reply.body)) {
-      this.connection.close(
-        new VError({ name: "PeerSlow" }, "peer reads its replies too slowly"),
-      );
-    }
+    await this.#reply(call.callId, result);
+    memory.release();
   }
+
+  /** Replies to a call. Resolves when the body of the reply no longer needs to be held. */
+  async #reply(callId: number, result: CallResult): Promise<void> {
+    const { head, body } = convertResultToReply(callId, result);
+    await this.connection.sendWithBody(head, body);
+  }
+
+  #forgetArriving(callId: number): void {
+    const arriving = this.#arriving.get(callId);
+    this.#arriving.delete(callId);
+    arriving?.controller.abort();
+    arriving?.memory.release();
+  }
+}
+
+/** Counts a body that has arrived with its call. */
+function createMemory(budget: MemoryBudget, body: Uint8Array): HeldMemory {
+  const memory = new HeldMemory(budget);
+  memory.force(body.length);
+  return memory;
 }
 
 /** Accepts connections from peer daemons. */
--- a/src/peer/silent_connection_test.ts
+++ b/src/peer/silent_connection_test.ts
@@ -7,6 +7,7 @@
 import { HEARTBEAT_INTERVAL_MS } from "../constants/mod.ts";
 import type { CallMessage } from "../generated/types.ts";
 import type { CallResult } from "../outcome/mod.ts";
+import { createTestBudget } from "../testing/create_test_memory.ts";
 import { claimNetwork } from "../testing/claim_network.ts";
 import { createPeerCall } from "../testing/create_peer_call.ts";
 import { LinkStandIn } from "../testing/link_stand_in.ts";
@@ -57,11 +58,11 @@
       fleetToken: "token",
     },
     clock: context.clock,
-    maxBodyBytes: 1_000_000,
+    memory: createTestBudget(),
   };
   context.server = new PeerServer({
     ...options,
-    handleCall: (call, _body, signal) =>
+    handleCall: (call, { signal }) =>
       new Promise((resolve) =>
         context.pending.push({
           call,
--- a/src/request/call_environment.ts
+++ b/src/request/call_environment.ts
@@ -17,6 +17,7 @@
   SuccessorTable,
 } from "../idempotency/mod.ts";
 import type { Membership } from "../membership/mod.ts";
+import type { MemoryBudget } from "../memory/mod.ts";
 import type { CallJoiner, RetryPolicy } from "../retry/mod.ts";
 import type { LoadBalancer, TrafficSplitter } from "../routing/mod.ts";
 import type {
@@ -38,6 +39,8 @@
   readonly journal: DecisionJournal;
   readonly configuration: ConfigurationHolder;
   readonly membership: Membership;
+  /** Bound of the bytes held for calls. */
+  readonly memory: MemoryBudget;
   readonly peers: PeerClients;
   readonly backend: BackendRegistry;
   readonly backendClient: BackendClient;
--- a/src/request/call_with_deadline.ts
+++ b/src/request/call_with_deadline.ts
@@ -4,6 +4,7 @@
 
 import { CallController } from "../cancellation/mod.ts";
 import type { CallSignal } from "../cancellation/mod.ts";
+import type { HeldMemory } from "../memory/mod.ts";
 import type { CallProgress, CallWithoutId, PeerClient } from "../peer/mod.ts";
 import { REASONS } from "../outcome/mod.ts";
 import type { CallResult } from "../outcome/mod.ts";
@@ -16,6 +17,8 @@
   /** Deadline, in monotonic milliseconds. */
   readonly deadlineAtMs: number;
   readonly signal: CallSignal;
+  /** Memory that the call holds; a reply's body counts against it. */
+  readonly memory?: HeldMemory | undefined;
   /** Whether the call fails when the connection becomes silent, because it can safely be sent again or its outcome queried; defaults to true. */
   readonly failsWhenSilent?: boolean;
 }
@@ -50,6 +53,7 @@
   const stopFollowing = controller.follow(call.signal);
   const result = await client.call(call.message, call.body, {
     signal: controller.signal,
+    memory: call.memory,
     failsWhenSilent: call.failsWhenSilent ?? true,
     progress,
   });
--- a/src/request/dispatch_call.ts
+++ b/src/request/dispatch_call.ts
@@ -211,6 +211,7 @@
     body: call.body,
     deadlineAtMs: call.deadlineAtMs,
     signal: call.signal,
+    memory: call.memory,
     failsWhenSilent,
   });
   return result;
--- a/src/request/outbound_call.ts
+++ b/src/request/outbound_call.ts
@@ -5,6 +5,7 @@
 import type { CallSignal } from "../cancellation/mod.ts";
 import type { CallContext } from "../generated/types.ts";
 import type { DispatchState } from "../idempotency/mod.ts";
+import type { HeldMemory } from "../memory/mod.ts";
 
 /** A call that this daemon routes, or received from another daemon to run. */
 export interface OutboundCall {
@@ -26,6 +27,8 @@
   /** Latency that the caller aims for, in milliseconds, if known. */
   readonly targetLatencyMs?: number | undefined;
   readonly body: Uint8Array;
+  /** Memory that the call holds in this process. */
+  readonly memory: HeldMemory;
   /** Idempotency key of a non-repeatable call; empty for other calls. */
   readonly idempotencyKey: string;
   /** Attempt number stated by the caller; 0 if none. */
--- a/src/request/peer_clients_test.ts
+++ b/src/request/peer_clients_test.ts
@@ -7,6 +7,7 @@
 import type { MemberRecord } from "../generated/types.ts";
 import { PeerServer } from "../peer/mod.ts";
 import type { ConnectionReplacement } from "../peer/mod.ts";
+import { createTestBudget } from "../testing/create_test_memory.ts";
 import { claimNetwork } from "../testing/claim_network.ts";
 import { createPeerCall } from "../testing/create_peer_call.ts";
 import { LinkStandIn } from "../testing/link_stand_in.ts";
@@ -30,7 +31,7 @@
   const replacements: ConnectionReplacement[] = [];
   const link = new LinkStandIn();
   const identity = { failureDomain: "gent-a", fleetToken: "token" };
-  const options = { clock, maxBodyBytes: 1_000_000 };
+  const options = { clock, memory: createTestBudget() };
   let isAnswering = true;
   const members = Array.from({ length: PEERS }, (_, index) => ({
     incarnation: `peer-${index}`,
--- a/src/request/pick_call_fields.ts
+++ b/src/request/pick_call_fields.ts
@@ -13,6 +13,7 @@
   | "path"
   | "contentType"
   | "body"
+  | "memory"
   | "idempotencyKey"
   | "attempt"
   | "signal"
@@ -29,9 +30,9 @@
  */
 export function pickCallFields(entry: EntryCall): CallFields {
   const { service, method, path, contentType, body, signal } = entry;
-  const { idempotencyKey, attempt } = entry;
+  const { memory, idempotencyKey, attempt } = entry;
   return {
     ...{ service, method, path, contentType, body, signal },
-    ...{ idempotencyKey, attempt },
+    ...{ memory, idempotencyKey, attempt },
   };
 }
--- a/src/request/run_call.ts
+++ b/src/request/run_call.ts
@@ -152,7 +152,7 @@
   environment: CallEnvironment,
   call: OutboundCall,
 ): Promise<BackendRun> {
-  const { activeCalls, backend, backendClient, clock, journal, settings } =
+  const { activeCalls, backend, backendClient, clock, journal, memory } =
     environment;
   const announcement = backend.announcement;
   if (!announcement) {
@@ -183,7 +183,11 @@
     callToken: activeCall.token,
   }, {
     signal: controller.signal,
-    maxBodyBytes: settings.maxBodyBytes,
+    memory: call.memory,
+    maxBodyBytes: Math.min(
+      environment.settings.maxBodyBytes,
+      memory.maxBodyBytes,
+    ),
     observeStatement: (statement) =>
       observeStatement(environment, statement, {
         announcement,
--- a/src/request/send_once.ts
+++ b/src/request/send_once.ts
@@ -90,6 +90,7 @@
         body: EMPTY_BODY,
         deadlineAtMs: call.deadlineAtMs,
         signal: call.signal,
+        memory: call.memory,
       },
     );
     if (progress.isReplied) {
@@ -123,6 +124,7 @@
       body: call.body,
       deadlineAtMs: call.deadlineAtMs,
       signal: call.signal,
+      memory: call.memory,
     },
   );
   if (progress.isReplied || !progress.isSent) {
--- a/src/request/serve_entry_call.ts
+++ b/src/request/serve_entry_call.ts
@@ -15,6 +15,7 @@
   CompiledRequest,
 } from "../configuration/mod.ts";
 import { MAX_DEPTH } from "../constants/mod.ts";
+import type { HeldMemory } from "../memory/mod.ts";
 import { createRefusal, REASONS } from "../outcome/mod.ts";
 import type { CallResult, Refusal } from "../outcome/mod.ts";
 import { createJoinKey } from "../retry/mod.ts";
@@ -37,6 +38,8 @@
   readonly path: string;
   readonly contentType: string;
   readonly body: Uint8Array;
+  /** Memory that the call holds in this process. */
+  readonly memory: HeldMemory;
   /** Empty if the caller gave none. */
   readonly requestId: string;
   readonly idempotencyKey: string;
--- a/src/request/serve_peer_call.ts
+++ b/src/request/serve_peer_call.ts
@@ -6,12 +6,12 @@
 import { err } from "neverthrow";
 import { formatServerId } from "../backend/mod.ts";
 import { CallController } from "../cancellation/mod.ts";
-import type { CallSignal } from "../cancellation/mod.ts";
 import type { CallMessage } from "../generated/types.ts";
 import { decodeIdempotencyKey } from "../idempotency/mod.ts";
 import type { RunAttempt } from "../idempotency/mod.ts";
 import { createUnknownOutcome, REASONS } from "../outcome/mod.ts";
 import type { CallResult } from "../outcome/mod.ts";
+import type { IncomingCallOptions } from "../peer/mod.ts";
 import { DECISIONS } from "../telemetry/mod.ts";
 import type { CallEnvironment } from "./call_environment.ts";
 import { extractPeerNotes, PEER_NOTES } from "./peer_notes.ts";
@@ -25,17 +25,17 @@
  *
  * @param environment - Components of the daemon
  * @param message - The call
- * @param options - The complete body, and a signal that is aborted when the
- *   sender no longer waits
+ * @param options - The complete body, the memory that the call holds, and a
+ *   signal that is aborted when the sender no longer waits
  * @returns The outcome
  *
  * @example
- * const result = await servePeerCall(environment, message, { body, signal });
+ * const result = await servePeerCall(environment, message, { body, signal, memory });
  */
 export async function servePeerCall(
   environment: CallEnvironment,
   message: CallMessage,
-  options: { body: Uint8Array; signal: CallSignal },
+  options: IncomingCallOptions,
 ): Promise<CallResult> {
   const { clock, configuration } = environment;
   const { context } = message;
@@ -55,6 +55,7 @@
     maxAttempts: undefined,
     targetLatencyMs: undefined,
     body: options.body,
+    memory: options.memory,
     idempotencyKey: message.idempotencyKey,
     attempt: message.attempt ?? 0,
     dispatchState: undefined,
--- a/src/request/serve_routed_call.ts
+++ b/src/request/serve_routed_call.ts
@@ -16,6 +16,7 @@
   CompiledRequest,
 } from "../configuration/mod.ts";
 import type { CallContext } from "../generated/types.ts";
+import type { HeldMemory } from "../memory/mod.ts";
 import { createRefusal, REASONS, UNREACHED_REASONS } from "../outcome/mod.ts";
 import type { CallFailure, CallResult, Refusal } from "../outcome/mod.ts";
 import type { ActiveCall } from "./active_calls.ts";
@@ -44,6 +45,8 @@
   /** End-to-end header fields as alternating names and values. */
   readonly headers: readonly string[];
   readonly body: Uint8Array;
+  /** Memory that the call holds in this process. */
+  readonly memory: HeldMemory;
   /** Unique for each attempt of the caller. */
   readonly requestId: string;
   /** Id of the running call that makes this one; empty for external callers. */
@@ -234,6 +237,7 @@
     maxAttempts: route.retryAllowance + 1,
     targetLatencyMs: route.targetLatencyMs,
     body: routed.body,
+    memory: routed.memory,
     idempotencyKey: routed.requestId,
     attempt: 0,
     dispatchState: route.isRepeatable
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -3,6 +3,7 @@
  */
 
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import { BodyMemoryMetrics } from "./body_memory_metrics.ts";
 import { ProcessMetrics } from "./process_metrics.ts";
 import { SentBytes } from "./sent_bytes.ts";
 
@@ -32,6 +33,9 @@
   /** Memory, descriptors, delays and contained faults of the process. */
   readonly process = new ProcessMetrics(this.registry);
 
+  /** Memory used by bodies of calls. */
+  readonly bodyMemory = new BodyMemoryMetrics(this.registry);
+
   /** Bytes sent to other daemons; exported by {@link sentBytes}. */
   readonly sent = new SentBytes();
 
--- a/src/testing/fault_injection/fault_injection_node.ts
+++ b/src/testing/fault_injection/fault_injection_node.ts
@@ -46,6 +46,7 @@
 } from "../../telemetry/mod.ts";
 import { RandomSource, SystemClock } from "../../time/mod.ts";
 import type { Clock } from "../../time/mod.ts";
+import { createTestBudget, createTestMemory } from "../create_test_memory.ts";
 import { createTestConfiguration } from "../create_test_configuration.ts";
 import type { History } from "./history.ts";
 import { RecordingBackend } from "./recording_backend.ts";
@@ -114,7 +115,7 @@
     const { incarnation, failureDomain } = self;
     const identity = { incarnation, failureDomain, fleetToken: FLEET_TOKEN };
     const peerOptions = {
-      ...{ identity, clock, maxBodyBytes: 1_000_000 },
+      ...{ identity, clock, memory: createTestBudget() },
       dial: (address: Parameters<DialPeer>[0]) =>
         this.backend.isCrashed ? new Socket().destroy() : dial(address),
     };
@@ -125,12 +126,12 @@
     });
     this.#server = new PeerServer({
       ...peerOptions,
-      handleCall: (call, body, signal) => {
+      handleCall: (call, callOptions) => {
         if (call.purpose === "run") {
           const { requestId } = call.context;
           history.add({ kind: "attempt", requestId });
         }
-        return servePeerCall(this.environment, call, { body, signal });
+        return servePeerCall(this.environment, call, callOptions);
       },
       reportError: () => undefined,
     });
@@ -217,6 +218,7 @@
       metrics: new DaemonMetrics(),
       journal: new DecisionJournal(clock),
       membership: new SharedMembership(directory, self),
+      memory: createTestBudget(),
       backend: registry,
       backendClient: this.backend,
       entryAdmission: new UnprotectedEntryAdmission(),
@@ -253,6 +255,7 @@
     path,
     contentType: "",
     body: new Uint8Array(0),
+    memory: createTestMemory(),
     requestId: "",
     idempotencyKey: "",
     attempt: 0,
