Hold bodies within one memory budget of the process

What callers saw: a daemon over its memory limit is killed and takes the only way to its backend server with it. 48 callers of one of four daemons, limit 350 MB: asking for 8 MB 390 MB resident, the same read at 1 MB a second 467 to 500 MB, sending 8 MB 666 to 682 MB (program_memory_test.ts, listed as failing).

Cause: each body and each connection had a limit, the process had none. All that is held for others adds up: request bodies, responses, bodies on their way between daemons. Bodies were also joined from parts, and held twice.

Without room, the connection is not read on. For responses, the size that the request kind had lately is reserved before the request is sent and before it runs, so that it can still be refused.

--- a/src/backend/backend_connection.ts
+++ b/src/backend/backend_connection.ts
@@ -7,13 +7,15 @@
  * the connection afterwards distinguishes the two.
  */
 
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import type { CallSignal } from "../cancellation/mod.ts";
+import type { HeldMemory } from "../memory/mod.ts";
 import type { Socket } from "node:net";
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
 import { buildConnector, Client } from "undici";
 import type { Dispatcher } from "undici";
+import { ResponseBody } from "./response_body.ts";
 
 /** Timeout for connecting to the backend server, which is on this VM, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 1_000;
@@ -21,6 +23,9 @@
 /** Idle timeout of a connection if the backend server states none in its responses, in milliseconds. */
 const IDLE_TIMEOUT_MS = 4_000;
 
+/** Limit of a response body that states no length and so may have no end, in bytes. */
+const MAX_UNSTATED_BYTES = 16_777_216;
+
 /** Statuses of responses that have no body. */
 const EMPTY_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
@@ -30,6 +35,8 @@
 /** Data written to detect a reset: an empty line, which is not a request. */
 const PROBE = "\r\n";
 
+const EMPTY_BODY = new Uint8Array(0);
+
 /** Error code if nothing listens at the address. */
 const CONNECTION_REFUSED_CODE = "ECONNREFUSED";
 
@@ -42,6 +49,8 @@
   readonly headers: readonly string[];
   readonly body: Uint8Array;
   readonly signal: CallSignal;
+  /** Memory of the call; the response body counts against it. */
+  readonly memory?: HeldMemory;
   /** Limit of the response body, in bytes. */
   readonly maxBodyBytes: number;
   /** Called when the head of the final response has arrived. */
@@ -87,22 +96,21 @@
   isSent = false;
   readonly #settle: Settle;
   readonly #connection: BackendConnection;
-  readonly #maxBodyBytes: number;
-  readonly #onHead: BackendExchange["onHead"];
-  readonly #parts: Buffer[] = [];
-  #lengthBytes = 0;
+  readonly #exchange: BackendExchange;
+  #maxBodyBytes: number;
+  #body: ResponseBody | undefined;
   #status = 0;
   #headers: readonly string[] = [];
   #isDelimited = false;
 
   constructor(
     connection: BackendConnection,
-    { maxBodyBytes, onHead }: BackendExchange,
+    exchange: BackendExchange,
     settle: Settle,
   ) {
     this.#connection = connection;
-    this.#maxBodyBytes = maxBodyBytes;
-    this.#onHead = onHead;
+    this.#exchange = exchange;
+    this.#maxBodyBytes = exchange.maxBodyBytes;
     this.#settle = settle;
   }
 
@@ -111,7 +119,7 @@
   }
 
   onResponseStart(
-    _controller: Dispatcher.DispatchController,
+    controller: Dispatcher.DispatchController,
     status: number,
     headers: Record<string, string | string[] | undefined>,
   ): void {
@@ -124,28 +132,36 @@
     this.#isDelimited = EMPTY_STATUSES.has(status) ||
       headers["content-length"] !== undefined ||
       headers["transfer-encoding"] !== undefined;
-    this.#onHead?.({ status, headers: this.#headers });
+    const { memory, signal, onHead } = this.#exchange;
+    onHead?.({ status, headers: this.#headers });
+    const statedBytes = readStatedLength(headers["content-length"]);
+    if (statedBytes === undefined) {
+      this.#maxBodyBytes = Math.min(this.#maxBodyBytes, MAX_UNSTATED_BYTES);
+    }
+    if (this.#isTooLarge(controller, statedBytes ?? 0)) {
+      return;
+    }
+    this.#body = new ResponseBody(controller, {
+      ...{ memory, signal, statedBytes },
+      fail: () => this.#failTooLarge(controller),
+    });
   }
 
   onResponseData(
     controller: Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
-    this.#lengthBytes += chunk.length;
-    if (this.#lengthBytes > this.#maxBodyBytes) {
-      const message = `response body exceeds ${this.#maxBodyBytes} bytes`;
-      this.#settle(err({ kind: "too-large", message }));
-      controller.abort(new Error(message));
-      return;
+    const lengthBytes = (this.#body?.lengthBytes ?? 0) + chunk.length;
+    if (!this.#isTooLarge(controller, lengthBytes)) {
+      this.#body?.add(controller, chunk);
     }
-    this.#parts.push(chunk);
   }
 
   onResponseEnd(): void {
     const response = {
       status: this.#status,
       headers: this.#headers,
-      body: Buffer.concat(this.#parts),
+      body: this.#body?.concatenate() ?? EMPTY_BODY,
     };
     if (this.#isDelimited) {
       this.#settle(ok(response));
@@ -158,6 +174,23 @@
     });
   }
 
+  #isTooLarge(
+    controller: Dispatcher.DispatchController,
+    lengthBytes: number,
+  ): boolean {
+    const isTooLarge = lengthBytes > this.#maxBodyBytes;
+    if (isTooLarge) {
+      this.#failTooLarge(controller);
+    }
+    return isTooLarge;
+  }
+
+  #failTooLarge(controller: Dispatcher.DispatchController): void {
+    const message = "response body exceeds the memory that it may use";
+    this.#settle(err({ kind: "too-large", message }));
+    controller.abort(new Error(message));
+  }
+
   onResponseError(
     _controller: Dispatcher.DispatchController,
     error: Error & { code?: string },
@@ -244,6 +277,12 @@
   }
 }
 
+function readStatedLength(
+  value: string | string[] | undefined,
+): number | undefined {
+  return value === undefined ? undefined : Number(value);
+}
+
 function flattenHeaders(
   headers: Record<string, string | string[] | undefined>,
 ): string[] {
--- /dev/null
+++ b/src/backend/response_body.ts
@@ -0,0 +1,91 @@
+/**
+ * Body of a response while it is received.
+ *
+ * Memory is reserved before the body is read on, for the stated length or in
+ * growing steps. While there is no room, nothing is read from the connection.
+ */
+
+import { Buffer } from "node:buffer";
+import type { CallSignal } from "../cancellation/mod.ts";
+import type { HeldMemory } from "../memory/mod.ts";
+
+/** First step of a reservation for a body without a stated length, in bytes; each later one doubles what is reserved. */
+const FIRST_STEP_BYTES = 65_536;
+
+/** Connection whose reading can be interrupted. */
+export interface PausableReader {
+  pause(): void;
+  resume(): void;
+}
+
+/** Options of a {@link ResponseBody}. */
+export interface ResponseBodyOptions {
+  /** Memory of the call; without it, nothing is counted. */
+  readonly memory: HeldMemory | undefined;
+  readonly signal: CallSignal;
+  /** Length that the response states, in bytes. */
+  readonly statedBytes: number | undefined;
+  /** Called if no memory can be reserved. */
+  readonly fail: () => void;
+}
+
+/** Collects the parts of a body. */
+export class ResponseBody {
+  readonly #options: ResponseBodyOptions;
+  readonly #parts: Buffer[] = [];
+  /** Body of a stated length; parts are copied, as each may be a view of a larger buffer. */
+  readonly #whole: Buffer | undefined;
+  #reservedBytes = 0;
+  /** Number of bytes received. */
+  lengthBytes = 0;
+
+  constructor(reader: PausableReader, options: ResponseBodyOptions) {
+    this.#options = options;
+    const { statedBytes = 0 } = options;
+    if (statedBytes > FIRST_STEP_BYTES) {
+      this.#whole = Buffer.allocUnsafeSlow(statedBytes);
+    }
+    if (statedBytes > 0) {
+      this.#reserve(reader, statedBytes);
+    }
+  }
+
+  /** Adds a part. */
+  add(reader: PausableReader, part: Buffer): void {
+    const offsetBytes = this.lengthBytes;
+    this.lengthBytes += part.length;
+    if (this.#whole && this.lengthBytes <= this.#whole.length) {
+      part.copy(this.#whole, offsetBytes);
+    } else {
+      this.#parts.push(part);
+    }
+    if (
+      this.#options.statedBytes === undefined &&
+      this.lengthBytes > this.#reservedBytes
+    ) {
+      this.#reserve(reader, Math.max(FIRST_STEP_BYTES, this.#reservedBytes));
+    }
+  }
+
+  /** Returns the body. */
+  concatenate(): Buffer {
+    return this.#whole?.subarray(0, this.lengthBytes) ??
+      Buffer.concat(this.#parts);
+  }
+
+  #reserve(reader: PausableReader, bytes: number): void {
+    const { memory, signal, fail } = this.#options;
+    this.#reservedBytes += bytes;
+    if (!memory || memory.tryReserve(bytes)) {
+      return;
+    }
+    reader.pause();
+    void memory.reserve(bytes, { signal }).then((isReserved) => {
+      if (isReserved) {
+        reader.resume();
+      } else {
+        fail();
+      }
+    });
+  }
+}
--- a/src/daemon/create_daemon_components.ts
+++ b/src/daemon/create_daemon_components.ts
@@ -28,7 +28,12 @@
 import { computeBodyBudgetBytes, MemoryBudget } from "../memory/mod.ts";
 import { HeartbeatTimer } from "../peer/mod.ts";
 import type { DialPeer, PeerConnectionOptions } from "../peer/mod.ts";
-import { ActiveCalls, LeavingServers, PeerClients } from "../request/mod.ts";
+import {
+  ActiveCalls,
+  LeavingServers,
+  PeerClients,
+  ResponseSizes,
+} from "../request/mod.ts";
 import type { CallEnvironment } from "../request/mod.ts";
 import { TrafficSplitter } from "../routing/mod.ts";
 import {
@@ -247,6 +252,7 @@
     successors: new SuccessorTable(clock),
     runs: new RunLedger(clock),
     activeCalls: new ActiveCalls(clock),
+    responseSizes: new ResponseSizes(),
     leavingServers: new LeavingServers(),
   };
   return {
--- a/src/request/call_environment.ts
+++ b/src/request/call_environment.ts
@@ -29,6 +29,7 @@
 import type { ActiveCalls } from "./active_calls.ts";
 import type { LeavingServers } from "./leaving_servers.ts";
 import type { PeerClients } from "./peer_clients.ts";
+import type { ResponseSizes } from "./response_sizes.ts";
 
 /** Components of a daemon that are used to serve requests. */
 export interface CallEnvironment {
@@ -56,5 +57,6 @@
   readonly successors: SuccessorTable;
   readonly runs: RunLedger;
   readonly activeCalls: ActiveCalls;
+  readonly responseSizes: ResponseSizes;
   readonly leavingServers: LeavingServers;
 }
--- a/src/request/dispatch_call.ts
+++ b/src/request/dispatch_call.ts
@@ -180,6 +180,9 @@
   if (result.isErr() && result.error.reason === REASONS.leaving) {
     membership.markLeaving(instance.incarnation);
   }
+  if (result.isOk()) {
+    environment.responseSizes.record(call, result.value.body.length);
+  }
   const { loads } = result.isOk() ? result.value : result.error;
   entryAdmission.observe(loads);
   paths.recordLoads(call.context.requestName, loads);
--- a/src/request/mod.ts
+++ b/src/request/mod.ts
@@ -7,6 +7,7 @@
 export type { CallEnvironment } from "./call_environment.ts";
 export { handOverKeys } from "./hand_over_keys.ts";
 export { LeavingServers } from "./leaving_servers.ts";
+export { ResponseSizes } from "./response_sizes.ts";
 export { PeerClients } from "./peer_clients.ts";
 export { serveEntryCall } from "./serve_entry_call.ts";
 export type { EntryCall } from "./serve_entry_call.ts";
--- a/src/request/run_call.ts
+++ b/src/request/run_call.ts
@@ -16,6 +16,7 @@
 import { observeStatement } from "./observe_statement.ts";
 import { PEER_NOTES } from "./peer_notes.ts";
 import type { OutboundCall } from "./outbound_call.ts";
+import { reserveResponse } from "./reserve_response.ts";
 
 /** Maximum number of load signals in a reply. */
 const MAX_LOADS = 32;
@@ -81,6 +82,10 @@
       }),
     );
   }
+  const reserved = await reserveResponse(environment, call);
+  if (reserved.isErr()) {
+    return err(reserved.error);
+  }
   const queuedAtMs = clock.monotonicMs();
   const permit = await inboundAdmission.acquire(call);
   metrics.queueDuration.observe(
@@ -197,6 +202,9 @@
   activeCalls.end(activeCall);
   cancelDeadline();
   stopFollowing();
+  if (result.isOk()) {
+    environment.responseSizes.record(call, result.value.body.length);
+  }
   if (result.isErr() && result.error.reason === REASONS.noBackendServer) {
     backend.markUnreachable();
   }
--- a/src/request/serve_routed_call.ts
+++ b/src/request/serve_routed_call.ts
@@ -25,6 +25,7 @@
 import { isErrorAnswer } from "./is_error_answer.ts";
 import type { OutboundCall } from "./outbound_call.ts";
 import { recordOutcome } from "./record_outcome.ts";
+import { reserveResponse } from "./reserve_response.ts";
 
 /** Retries that one request may use across its whole call tree. */
 const TREE_RETRY_ALLOWANCE = 8;
@@ -93,6 +94,10 @@
   call: OutboundCall,
   parent: ActiveCall | undefined,
 ): Promise<CallResult> {
+  const reserved = await reserveResponse(environment, call);
+  if (reserved.isErr()) {
+    return err(reserved.error);
+  }
   if (!parent) {
     const result = await dispatchCall(environment, call);
     reportOutcome(environment, call, result);
--- a/src/testing/fault_injection/fault_injection_node.ts
+++ b/src/testing/fault_injection/fault_injection_node.ts
@@ -28,6 +28,7 @@
   handOverKeys,
   LeavingServers,
   PeerClients,
+  ResponseSizes,
   serveEntryCall,
   servePeerCall,
 } from "../../request/mod.ts";
@@ -234,6 +235,7 @@
       successors: new SuccessorTable(clock),
       runs: parts.createRuns?.(clock) ?? new RunLedger(clock),
       activeCalls: new ActiveCalls(clock),
+      responseSizes: new ResponseSizes(),
       leavingServers: new LeavingServers(),
     };
   }
