--- a/src/peer/outbound_connection.ts
+++ b/src/peer/outbound_connection.ts
@@ -20,12 +20,14 @@
   selectAbortReason,
 } from "../outcome/mod.ts";
 import type { CallResult } from "../outcome/mod.ts";
+import type { Clock } from "../time/mod.ts";
 import { convertReplyToResult } from "./convert_reply.ts";
 import { PeerConnection } from "./peer_connection.ts";
 import type {
   PeerConnectionHandler,
   PeerConnectionOptions,
 } from "./peer_connection_handler.ts";
+import { SENT_AFTER_NOTE } from "./transit_timer.ts";
 
 /** A call message before the connection assigns its id. */
 export type CallWithoutId = Omit<CallMessage, "callId" | "body">;
@@ -78,8 +80,10 @@
   /** Resolves to whether the peer was authenticated within the connect timeout. */
   readonly opened: Promise<boolean>;
   readonly #listener: OutboundConnectionListener;
+  readonly #clock: Clock;
   readonly #pending = new Map<number, PendingCall>();
   #nextCallId = 1;
+  #helloAtMs = 0;
   #resolveOpened: (isOpen: boolean) => void = () => undefined;
   /** Incarnation of the peer; empty until its hello has been received. */
   remoteIncarnation = "";
@@ -90,6 +94,7 @@
     listener: OutboundConnectionListener,
   ) {
     this.#listener = listener;
+    this.#clock = options.clock;
     this.connection = new PeerConnection(socket, this, options);
     this.opened = new Promise((resolve) => this.#resolveOpened = resolve);
     const cancelConnectTimeout = options.clock.schedule(
@@ -116,6 +121,7 @@
   }
 
   onHello(hello: HelloMessage): void {
+    this.#helloAtMs = this.#clock.monotonicMs();
     this.remoteIncarnation = hello.incarnation;
     this.#resolveOpened(true);
   }
@@ -185,7 +191,16 @@
     const { signal, failsWhenSilent = false, progress, memory } = options;
     const callId = this.#nextCallId;
     this.#nextCallId += 1;
-    const sent = this.connection.sendWithBody({ ...call, callId }, body);
+    const sentAfterMs = this.#clock.monotonicMs() - this.#helloAtMs;
+    const headers = [
+      ...call.headers ?? [],
+      SENT_AFTER_NOTE,
+      String(Math.round(sentAfterMs)),
+    ];
+    const sent = this.connection.sendWithBody(
+      { ...call, headers, callId },
+      body,
+    );
     if (!sent) {
       const unusedAllowance = call.context.retryAllowance;
       return Promise.resolve(
--- a/src/peer/peer_server.ts
+++ b/src/peer/peer_server.ts
@@ -21,12 +21,14 @@
 import { createRefusal, REASONS } from "../outcome/mod.ts";
 import type { CallResult } from "../outcome/mod.ts";
 import { convertResultToReply } from "./convert_reply.ts";
+import { deductTransit } from "./deduct_transit.ts";
 import { PeerConnection } from "./peer_connection.ts";
 import type {
   PeerConnectionHandler,
   PeerConnectionOptions,
 } from "./peer_connection_handler.ts";
 import { sendConfigurationParts } from "./send_configuration_parts.ts";
+import { TransitTimer } from "./transit_timer.ts";
 
 /** Body, cancellation and memory of a call from a peer. */
 export interface IncomingCallOptions {
@@ -76,9 +78,11 @@
   readonly #arriving = new Map<number, ArrivingCall>();
   readonly #options: PeerServerOptions;
   readonly #remoteAddress: string;
+  readonly #transitTimer: TransitTimer;
 
   constructor(socket: Socket, options: PeerServerOptions) {
     this.#options = options;
+    this.#transitTimer = new TransitTimer(options.clock);
     this.#remoteAddress = socket.remoteAddress ?? "";
     this.connection = new PeerConnection(socket, this, options);
   }
@@ -124,7 +128,7 @@
   onCall(call: CallMessage, body: Uint8Array): void {
     const { memory } = this.#arriving.get(call.callId) ?? {};
     this.#arriving.delete(call.callId);
-    void this.#serve(call, {
+    void this.#serve(deductTransit(this.#transitTimer, call), {
       body,
       memory: memory ?? createMemory(this.#options.memory, body),
     });
