--- a/src/daemon/create_daemon_components.ts
+++ b/src/daemon/create_daemon_components.ts
@@ -80,8 +80,6 @@
   readonly throttlesByOutcome?: boolean;
   /** Creates the client for the backend server on this VM. */
   readonly createBackendClient?: (clock: Clock) => BackendClient;
-  /** Limit of the process's resident memory, in bytes. */
-  readonly memoryLimitBytes?: number;
   /** Age after which an announcement expires unless it is renewed, in milliseconds. */
   readonly announcementTimeoutMs?: number;
   /** Whether callers are issued idempotency keys, which have to be handed over at a stop; true by default. */
@@ -133,10 +131,13 @@
     fleetToken: settings.fleetToken,
   };
   const metrics = new DaemonMetrics();
+  const { memoryLimitBytes = Number.POSITIVE_INFINITY } = overrides;
   const memory = new MemoryBudget({
     clock,
     capacityBytes: computeBodyBudgetBytes(
-      overrides.memoryLimitBytes ?? DEFAULT_MEMORY_LIMIT_BYTES,
+      Number.isFinite(memoryLimitBytes)
+        ? memoryLimitBytes
+        : DEFAULT_MEMORY_LIMIT_BYTES,
     ),
   });
   metrics.bodyMemory.observe(memory);
