--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -78,7 +78,11 @@
     this.#memoryWatch = new MemoryWatch({
       ...components.environment,
       limitBytes: overrides.memoryLimitBytes ?? Number.POSITIVE_INFINITY,
-      describe: () => ({ requestsInProgress: this.#requestsInProgress }),
+      describe: () => ({
+        requestsInProgress: this.#requestsInProgress,
+        heldBytes: components.environment.memory.heldBytes,
+        waitingBytes: components.environment.memory.waitingBytes,
+      }),
     });
     const context = this.#createListenerContext();
     this.#listeners = overrides.createListeners?.(context) ??
