--- a/src/peer/deduct_transit_test.ts
+++ b/src/peer/deduct_transit_test.ts
@@ -3,6 +3,7 @@
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
 import type { CallMessage } from "../generated/types.ts";
+import { createTestBudget } from "../testing/create_test_memory.ts";
 import { claimNetwork } from "../testing/claim_network.ts";
 import { createPeerCall } from "../testing/create_peer_call.ts";
 import { LinkStandIn } from "../testing/link_stand_in.ts";
@@ -39,7 +40,7 @@
       fleetToken: "token",
     },
     clock: context.clock,
-    maxBodyBytes: 1_000_000,
+    memory: createTestBudget(),
   };
   context.server = new PeerServer({
     ...options,
--- a/src/peer/outbound_connection.ts
+++ b/src/peer/outbound_connection.ts
@@ -6,6 +6,7 @@
 import { err } from "neverthrow";
 import type VError from "verror";
 import type { CallSignal } from "../cancellation/mod.ts";
+import type { HeldMemory } from "../memory/mod.ts";
 import { CONNECT_TIMEOUT_MS } from "../constants/mod.ts";
 import type {
   CallMessage,
@@ -45,6 +46,8 @@
   readonly signal: CallSignal;
   /** Whether the call fails as soon as the connection becomes silent, because it can be retried at another instance. */
   readonly failsWhenSilent?: boolean;
+  /** Memory that the call holds; a reply's body counts against it. */
+  readonly memory?: HeldMemory | undefined;
   /** Updated as the call is sent and replied to. */
   readonly progress?: CallProgress | undefined;
 }
@@ -67,6 +70,8 @@
   readonly settle: (result: CallResult) => void;
   readonly failsWhenSilent: boolean;
   readonly progress: CallProgress | undefined;
+  readonly memory: HeldMemory | undefined;
+  readonly signal: CallSignal;
 }
 
 /** Sends calls on one connection, with ids that start at 1 and are never reused. */
@@ -121,6 +126,21 @@
     this.#resolveOpened(true);
   }
 
+  async reserveBody(
+    { callId, bodyLengthBytes }: CallMessage | ReplyMessage,
+    { isPaced }: { readonly isPaced: boolean },
+  ): Promise<boolean> {
+    const { memory, signal } = this.#pending.get(callId) ?? {};
+    if (!signal) {
+      return false;
+    }
+    if (!isPaced) {
+      memory?.force(bodyLengthBytes);
+    }
+    return !isPaced ||
+      (await memory?.reserve(bodyLengthBytes, { signal }) ?? true);
+  }
+
   onReply(reply: ReplyMessage, body: Uint8Array): void {
     const progress = this.#pending.get(reply.callId)?.progress;
     if (progress) {
@@ -162,13 +182,13 @@
     this.#listener.onClosed(this);
   }
 
-  /** Sends a call and waits for its outcome; refused if the connection is closed or its send queue is full. */
+  /** Sends a call and waits for its outcome; refused if the connection is closed. */
   call(
     call: CallWithoutId,
     body: Uint8Array,
     options: PeerCallOptions,
   ): Promise<CallResult> {
-    const { signal, failsWhenSilent = false, progress } = options;
+    const { signal, failsWhenSilent = false, progress, memory } = options;
     const callId = this.#nextCallId;
     this.#nextCallId += 1;
     const sentAfterMs = this.#clock.monotonicMs() - this.#helloAtMs;
@@ -177,7 +197,11 @@
       SENT_AFTER_NOTE,
       String(Math.round(sentAfterMs)),
     ];
-    if (!this.connection.sendWithBody({ ...call, headers, callId }, body)) {
+    const sent = this.connection.sendWithBody(
+      { ...call, headers, callId },
+      body,
+    );
+    if (!sent) {
       const unusedAllowance = call.context.retryAllowance;
       return Promise.resolve(
         err(createRefusal(REASONS.connectFailed, { unusedAllowance })),
@@ -196,7 +220,9 @@
         signal.removeEventListener("abort", abort);
         resolve(result);
       };
-      this.#pending.set(callId, { settle, failsWhenSilent, progress });
+      this.#pending.set(callId, {
+        ...{ settle, failsWhenSilent, progress, memory, signal },
+      });
       signal.addEventListener("abort", abort);
     });
   }
@@ -217,7 +243,7 @@
     callId: number,
     failure: ReturnType<typeof createUnknownOutcome>,
   ): void {
-    this.connection.send({ kind: "cancel", callId });
+    this.connection.cancelCall(callId);
     this.#settle(callId, err(failure));
   }
 
