--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -78,17 +78,21 @@
     this.#memoryWatch = new MemoryWatch({
       ...components.environment,
       limitBytes: overrides.memoryLimitBytes ?? Number.POSITIVE_INFINITY,
-      describe: () => ({ requestsInProgress: this.#requestsInProgress }),
+      describe: () => ({
+        requestsInProgress: this.#requestsInProgress,
+        heldBytes: components.environment.memory.heldBytes,
+        waitingBytes: components.environment.memory.waitingBytes,
+      }),
     });
     const context = this.#createListenerContext();
     this.#listeners = overrides.createListeners?.(context) ??
       createDefaultListeners(context);
     this.#peerServer = new PeerServer({
       ...components.connectionOptions,
-      handleCall: (call, body, signal) =>
+      handleCall: (call, options) =>
         this.#track(() =>
           this.#containFault(() =>
-            servePeerCall(this.environment, call, { body, signal })
+            servePeerCall(this.environment, call, options)
           )
         ),
       provideConfiguration: (knownVersion) =>
--- a/src/peer/deduct_transit.ts
+++ b/src/peer/deduct_transit.ts
@@ -25,7 +25,7 @@
   const { headers = [], ...rest } = call;
   const index = headers.lastIndexOf(SENT_AFTER_NOTE);
   const sentAfterMs = Number(headers[index + 1]);
-  if (index < 0 || !Number.isFinite(sentAfterMs)) {
+  if (index < 0 || index % 2 !== 0 || !Number.isFinite(sentAfterMs)) {
     return call;
   }
   const others = [...headers.slice(0, index), ...headers.slice(index + 2)];
--- a/src/request/call_environment.ts
+++ b/src/request/call_environment.ts
@@ -17,6 +17,7 @@
   SuccessorTable,
 } from "../idempotency/mod.ts";
 import type { Membership } from "../membership/mod.ts";
+import type { MemoryBudget } from "../memory/mod.ts";
 import type { CallJoiner, RetryPolicy } from "../retry/mod.ts";
 import type { LoadBalancer, TrafficSplitter } from "../routing/mod.ts";
 import type {
@@ -28,6 +29,7 @@
 import type { ActiveCalls } from "./active_calls.ts";
 import type { LeavingServers } from "./leaving_servers.ts";
 import type { PeerClients } from "./peer_clients.ts";
+import type { ResponseSizes } from "./response_sizes.ts";
 
 /** Components of a daemon that are used to serve requests. */
 export interface CallEnvironment {
@@ -38,6 +40,8 @@
   readonly journal: DecisionJournal;
   readonly configuration: ConfigurationHolder;
   readonly membership: Membership;
+  /** Bound of the bytes held for calls. */
+  readonly memory: MemoryBudget;
   readonly peers: PeerClients;
   readonly backend: BackendRegistry;
   readonly backendClient: BackendClient;
@@ -53,5 +57,6 @@
   readonly successors: SuccessorTable;
   readonly runs: RunLedger;
   readonly activeCalls: ActiveCalls;
+  readonly responseSizes: ResponseSizes;
   readonly leavingServers: LeavingServers;
 }
