Bound the state that membership messages leave behind

What callers saw: nothing yet; found by an inventory of sums without a bound.

Cause: each request to probe another member added an entry until the next round of probes, each name of a failure domain in a message one for ever, and the list of instances of each service ever asked for was cached.

Change: at most 256 indirect probes in progress and 256 failure domains with differences; digests without records are removed; the cache of instance lists is cleared at 4,096 services.

--- a/src/membership/anti_entropy.ts
+++ b/src/membership/anti_entropy.ts
@@ -28,6 +28,9 @@
 /** Number of known records in a failure domain below which a mismatch is repaired immediately. */
 const MIN_RECORDS_FOR_DELAY = 3;
 
+/** Maximum number of failure domains whose differences are tracked. */
+const MAX_DOMAINS = 256;
+
 interface DigestMismatch {
   readonly sinceMs: number;
   nextCompareAtMs: number;
@@ -56,8 +59,11 @@
       return;
     }
     const nowMs = clock.monotonicMs();
-    const mismatch = this.#mismatches.get(failureDomain) ??
-      { sinceMs: nowMs, nextCompareAtMs: 0 };
+    const known = this.#mismatches.get(failureDomain);
+    if (!known && this.#mismatches.size >= MAX_DOMAINS) {
+      return;
+    }
+    const mismatch = known ?? { sinceMs: nowMs, nextCompareAtMs: 0 };
     this.#mismatches.set(failureDomain, mismatch);
     const hasFewRecords =
       table.listDomain(failureDomain).length < MIN_RECORDS_FOR_DELAY;
--- a/src/membership/failure_detector.ts
+++ b/src/membership/failure_detector.ts
@@ -35,6 +35,9 @@
  */
 const MIN_PEERS_FOR_ISOLATION = 3;
 
+/** Maximum number of indirect probes in progress; a daemon is asked for a few in a second. */
+const MAX_INDIRECT_PROBES = 256;
+
 /** Maximum size of the records piggybacked on a probe or ack, in bytes. */
 const MAX_PIGGYBACK_BYTES = 420;
 
@@ -106,6 +109,9 @@
   /** Probes a member on behalf of another daemon. */
   handlePingRequest(message: GossipMessage, source: string): void {
     const { clock } = this.#context;
+    if (this.#indirectProbes.size >= MAX_INDIRECT_PROBES) {
+      return;
+    }
     const sequence = this.#nextSequence();
     this.#indirectProbes.set(sequence, {
       requester: source,
--- a/src/membership/instance_view.ts
+++ b/src/membership/instance_view.ts
@@ -6,6 +6,9 @@
 import type { MemberRecord } from "../generated/types.ts";
 import type { MemberTable } from "./member_table.ts";
 
+/** Number of services at which the cache is cleared; a fleet has several hundred. */
+const MAX_SERVICES = 4_096;
+
 /** Instances by service, computed on demand and cached until a record changes. */
 export class InstanceView {
   readonly #table: MemberTable;
@@ -29,6 +32,9 @@
       return cached;
     }
     const instances = this.#build(service);
+    if (this.#instancesByService.size >= MAX_SERVICES) {
+      this.#instancesByService.clear();
+    }
     this.#instancesByService.set(service, instances);
     return instances;
   }
--- a/src/membership/member_digests.ts
+++ b/src/membership/member_digests.ts
@@ -27,6 +27,9 @@
     const index = getBucketIndex(record.incarnation);
     const recordHash = hashText(`${record.version}/${record.incarnation}`);
     buckets[index] = (buckets[index] ?? 0) ^ recordHash;
+    if (buckets.every((bucket) => bucket === 0)) {
+      this.#buckets.delete(record.failureDomain);
+    }
   }
 
   /** Returns the combined digest of a failure domain. */
