Count bodies on the product's own interface against the memory budget

Change: collectBody reserves memory in steps and reads on only while there is room; a request whose body finds none is refused as not run. What a response holds while it is written there is still not counted.

--- a/src/backend/http_backend_client.ts
+++ b/src/backend/http_backend_client.ts
@@ -59,11 +59,14 @@
         headersTimeout: Math.max(1, call.context.remainingMs),
         bodyTimeout: Math.max(1, call.context.remainingMs),
       });
-      const body = await collectBody(response.body, options.maxBodyBytes);
-      if (!body) {
+      const collected = await collectBody(response.body, {
+        maxBytes: options.maxBodyBytes,
+        ...{ memory: options.memory, signal: options.signal },
+      });
+      if (collected.isErr()) {
         return err(createUnknownOutcome(REASONS.answerTooLarge));
       }
-      options.memory.force(body.length);
+      const body = collected.value;
       if (!hasDelimitedBody(response)) {
         return err(createUnknownOutcome(REASONS.answerTruncated));
       }
--- a/src/caller/create_caller_app.ts
+++ b/src/caller/create_caller_app.ts
@@ -18,6 +18,9 @@
 /** Maximum number of keys issued per request. */
 const MAX_KEYS = 100;
 
+/** Longest wait for memory for a body, in milliseconds. */
+const MAX_BODY_WAIT_MS = 750;
+
 const CALL_PREFIX = "/call";
 
 /** Reasons of refusals after which the caller must use a new key, which the response then carries. */
@@ -66,11 +69,18 @@
   const request = context.req.raw;
   const requestId = request.headers.get(HEADERS.requestId) ?? "";
   const memory = new HeldMemory(environment.memory);
-  const body = await readBody(request, environment.settings.maxBodyBytes);
+  const body = await readBody(request, {
+    maxBytes: environment.settings.maxBodyBytes,
+    ...{ memory, signal: request.signal, maxWaitMs: MAX_BODY_WAIT_MS },
+  });
   if (body.isErr()) {
-    return createCallResponse(err(createRefusal(body.error)), requestId);
+    memory.release();
+    const retryAfterMs = body.error === REASONS.memoryFull
+      ? memory.budget.estimateWaitMs(0)
+      : 0;
+    const refusal = createRefusal(body.error, { retryAfterMs });
+    return createCallResponse(err(refusal), requestId);
   }
-  memory.force(body.value.length);
   const entry = parseEntryCall({
     method: request.method,
     target: request.url.slice(
--- a/src/caller/read_body.ts
+++ b/src/caller/read_body.ts
@@ -5,6 +5,7 @@
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
 import { collectBody } from "../http/collect_body.ts";
+import type { CollectBodyOptions } from "../http/collect_body.ts";
 import { REASONS } from "../outcome/mod.ts";
 import type { Reason } from "../outcome/mod.ts";
 
@@ -14,25 +15,26 @@
  * Reads the complete body of a request.
  *
  * @param request - The HTTP request
- * @param maxBodyBytes - Maximum body size, in bytes
- * @returns The body, or the reason to refuse the request: `bodyTooLarge`, or `cancelled` if reading fails
+ * @param options - Maximum body size, memory, and a signal that ends a wait for it
+ * @returns The body, or the reason to refuse the request: `bodyTooLarge`,
+ *   `memoryFull`, or `cancelled` if reading fails
  *
  * @example
- * const body = await readBody(request, settings.maxBodyBytes);
+ * const body = await readBody(request, { maxBytes: settings.maxBodyBytes, memory, signal });
  */
 export async function readBody(
   request: Request,
-  maxBodyBytes: number,
+  options: CollectBodyOptions,
 ): Promise<Result<Uint8Array, Reason>> {
-  if (Number(request.headers.get("content-length") ?? 0) > maxBodyBytes) {
+  const statedBytes = Number(request.headers.get("content-length") ?? 0);
+  if (statedBytes > options.maxBytes) {
     return err(REASONS.bodyTooLarge);
   }
   if (request.method === "GET" || !request.body) {
     return ok(EMPTY_BODY);
   }
   try {
-    const body = await collectBody(request.body, maxBodyBytes);
-    return body ? ok(body) : err(REASONS.bodyTooLarge);
+    return await collectBody(request.body, options);
   } catch {
     return err(REASONS.cancelled);
   }
--- a/src/http/collect_body.ts
+++ b/src/http/collect_body.ts
@@ -3,29 +3,59 @@
  */
 
 import { Buffer } from "node:buffer";
+import { err, ok } from "neverthrow";
+import type { Result } from "neverthrow";
+import type { AcquireOptions, HeldMemory } from "../memory/mod.ts";
+import { REASONS } from "../outcome/mod.ts";
+import type { Reason } from "../outcome/mod.ts";
+
+/** First step of a reservation, in bytes; each later one doubles what is reserved. */
+const FIRST_STEP_BYTES = 65_536;
+
+/** Options of {@link collectBody}. */
+export interface CollectBodyOptions extends AcquireOptions {
+  /** Maximum size of the body, in bytes. */
+  readonly maxBytes: number;
+  /** Memory that the body counts against. */
+  readonly memory: HeldMemory;
+}
 
 /**
- * Collects a body and stops reading as soon as it exceeds the limit.
+ * Collects a body. Reserves memory in growing steps, and reads on only while
+ * there is room; stops as soon as the body exceeds the limit.
  *
  * @param body - Parts of the body; reading errors are thrown
- * @param maxBytes - Maximum size of the body, in bytes
- * @returns The body, or undefined if it is larger
+ * @param options - Size limit, memory, and a signal that ends a wait for memory
+ * @returns The body, or `bodyTooLarge` or `memoryFull`
  *
  * @example
- * const body = await collectBody(response.body, 1_048_576);
+ * const body = await collectBody(response.body, { maxBytes, memory, signal });
  */
 export async function collectBody(
   body: AsyncIterable<Uint8Array>,
-  maxBytes: number,
-): Promise<Uint8Array | undefined> {
+  options: CollectBodyOptions,
+): Promise<Result<Uint8Array, Reason>> {
+  const { maxBytes, memory } = options;
   const parts: Uint8Array[] = [];
   let lengthBytes = 0;
+  let reservedBytes = 0;
   for await (const part of body) {
     lengthBytes += part.length;
     if (lengthBytes > maxBytes) {
-      return undefined;
+      return err(REASONS.bodyTooLarge);
     }
     parts.push(part);
+    if (lengthBytes > reservedBytes) {
+      const stepBytes = Math.max(
+        FIRST_STEP_BYTES,
+        reservedBytes,
+        lengthBytes - reservedBytes,
+      );
+      reservedBytes += stepBytes;
+      if (!await memory.reserve(stepBytes, options)) {
+        return err(REASONS.memoryFull);
+      }
+    }
   }
-  return Buffer.concat(parts);
+  return ok(Buffer.concat(parts));
 }
