Bound the services by which counters are divided

What callers saw: nothing yet; found by an inventory of sums without a bound.

Cause: counters with the label service kept every service that a configuration ever named, for the life of the process.

Change: with a new configuration, counters that name more than 1,024 services drop those that are gone. Below that nothing is dropped.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -143,7 +143,11 @@
       return;
     }
     void this.#configurationDistributor.run(this.#stopSignal.signal);
-    environment.configuration.subscribe(() => this.#checkFailureDomain());
+    environment.configuration.subscribe(({ document }) => {
+      this.#checkFailureDomain();
+      const services = document.services.map(({ name }) => name);
+      void environment.metrics.retainServices(new Set(services));
+    });
     environment.backend.subscribe(() => this.#publishBackendState());
     let dueAtMs = clock.monotonicMs() + HOUSEKEEPING_INTERVAL_MS;
     this.#stopHousekeeping = clock.scheduleEvery(
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -5,6 +5,7 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import { BodyMemoryMetrics } from "./body_memory_metrics.ts";
 import { ProcessMetrics } from "./process_metrics.ts";
+import { retainServices } from "./retain_services.ts";
 import { SentBytes } from "./sent_bytes.ts";
 
 /** Upper bounds of the latency buckets, in seconds. */
@@ -244,6 +245,11 @@
     registers: [this.registry],
   });
 
+  /** Bounds the services that counters name; called with those of each new configuration. */
+  async retainServices(services: ReadonlySet<string>): Promise<void> {
+    await retainServices([this.attempts, this.entryRefusals], services);
+  }
+
   /** Removes the limit of a backend server that names none or is gone. */
   clearServerLimit(): void {
     this.serverLimit.reset();
