Wait for accepted requests until the end of the time to stop

What callers saw: a request that began to arrive before the listeners closed was cut off after two seconds without an answer, though its run would have ended within the time to stop. A request on a connection that was still open after the last wait was passed on and cut off by the end of the process.

Cause: the limit of the wait for a period without requests also limited the wait for the requests in progress, and connections stayed open until the process ended.

Evidence: "a long request that began to arrive before the listeners closed is answered" got no response before.

Change: after that wait, requests in progress are waited for until the deadline; then connections without an open request are closed.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -198,6 +198,8 @@
       IDLE_PERIOD_MS,
       Math.min(deadlineMs, clock.monotonicMs() + MAX_IDLE_WAIT_MS),
     );
+    await this.#waitUntilIdle(0, deadlineMs);
+    this.#listeners.forEach((listener) => listener.closeConnections());
     this.#stopHousekeeping();
     this.#stopSignal.abort();
     await this.#membership.stop();
--- a/src/daemon/listener.ts
+++ b/src/daemon/listener.ts
@@ -38,6 +38,11 @@
   /** Stops accepting connections and closes idle ones. */
   abstract close(): void;
 
+  /** Closes the connections without requests in progress, so that no further request is accepted. */
+  closeConnections(): void {
+    // By default, connections close when their clients or the process end.
+  }
+
   /** Reports an error of the listening socket, such as a connection that cannot be accepted. */
   protected reportError({ faults }: ListenerContext, error: Error): void {
     faults.report("listener", error, { address: this.address });
