--- a/src/daemon/create_daemon_components.ts
+++ b/src/daemon/create_daemon_components.ts
@@ -25,9 +25,15 @@
   GossipMembership,
   UdpTransport,
 } from "../membership/mod.ts";
+import { computeBodyBudgetBytes, MemoryBudget } from "../memory/mod.ts";
 import { HeartbeatTimer } from "../peer/mod.ts";
 import type { DialPeer, PeerConnectionOptions } from "../peer/mod.ts";
-import { ActiveCalls, LeavingServers, PeerClients } from "../request/mod.ts";
+import {
+  ActiveCalls,
+  LeavingServers,
+  PeerClients,
+  ResponseSizes,
+} from "../request/mod.ts";
 import type { CallEnvironment } from "../request/mod.ts";
 import { TrafficSplitter } from "../routing/mod.ts";
 import {
@@ -50,8 +56,12 @@
 import { createOutboundComponents } from "./create_outbound_components.ts";
 import type { OutboundComponents } from "./create_outbound_components.ts";
 import type { Listener, ListenerContext } from "./listener.ts";
+import { reportMemberLoss } from "./report_member_loss.ts";
 import { DaemonConfigurationPeers } from "./daemon_configuration_peers.ts";
 
+/** Memory limit of a process that is told none, in bytes. */
+const DEFAULT_MEMORY_LIMIT_BYTES = 536_870_912;
+
 /** Components and options of a daemon that tests and deployments replace. */
 export interface DaemonOverrides {
   /** Dialect of the object API. */
@@ -64,6 +74,8 @@
   readonly watchersPerDomain?: number;
   /** Time within which a daemon must have noticed that a connection to the object API no longer delivers, in milliseconds. */
   readonly contactMs?: number;
+  /** Memory past which the system kills the process, in bytes; not known if not given. */
+  readonly memoryLimitBytes?: number;
   /** Whether an adaptive throttle admits requests at the entry, by the outcomes of earlier requests instead of the load that services report. */
   readonly throttlesByOutcome?: boolean;
   /** Creates the client for the backend server on this VM. */
@@ -119,12 +131,22 @@
     fleetToken: settings.fleetToken,
   };
   const metrics = new DaemonMetrics();
+  const { memoryLimitBytes = Number.POSITIVE_INFINITY } = overrides;
+  const memory = new MemoryBudget({
+    clock,
+    capacityBytes: computeBodyBudgetBytes(
+      Number.isFinite(memoryLimitBytes)
+        ? memoryLimitBytes
+        : DEFAULT_MEMORY_LIMIT_BYTES,
+    ),
+  });
+  metrics.bodyMemory.observe(memory);
   const connectionOptions = {
     sentBytes: metrics.sent,
     identity,
     clock,
     heartbeatTimer: new HeartbeatTimer(clock),
-    maxBodyBytes: settings.maxBodyBytes,
+    memory,
     ...overrides.dial === undefined ? {} : { dial: overrides.dial },
   };
   const journal = new DecisionJournal(clock, log);
@@ -151,6 +173,7 @@
   const membership = new GossipMembership({
     self,
     sentBytes: metrics.sent,
+    reportLoss: (loss) => reportMemberLoss(loss, { log, metrics, clock }),
     fleetToken,
     seeds,
     store: rateLimitedStore,
@@ -203,6 +226,7 @@
     journal,
     configuration,
     membership,
+    memory,
     peers: new PeerClients({
       ...connectionOptions,
       reportReplacement: outbound.reportReplacement,
@@ -233,6 +257,7 @@
     successors: new SuccessorTable(clock),
     runs: new RunLedger(clock),
     activeCalls: new ActiveCalls(clock),
+    responseSizes: new ResponseSizes(),
     leavingServers: new LeavingServers(),
   };
   return {
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -3,6 +3,7 @@
  */
 
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import { BodyMemoryMetrics } from "./body_memory_metrics.ts";
 import { ProcessMetrics } from "./process_metrics.ts";
 import { SentBytes } from "./sent_bytes.ts";
 
@@ -32,6 +33,9 @@
   /** Memory, descriptors, delays and contained faults of the process. */
   readonly process = new ProcessMetrics(this.registry);
 
+  /** Memory used by bodies of calls. */
+  readonly bodyMemory = new BodyMemoryMetrics(this.registry);
+
   /** Bytes sent to other daemons; exported by {@link sentBytes}. */
   readonly sent = new SentBytes();
 
@@ -224,6 +228,14 @@
     registers: [this.registry],
   });
 
+  /** Members that ended without saying that they leave, by whether they had this daemon's address (`predecessor`) or not (`other`). */
+  readonly vanishedMembers = new Counter({
+    name: "celeryhollow_vanished_members_total",
+    help: "Members that ended without saying that they leave",
+    labelNames: ["role"] as const,
+    registers: [this.registry],
+  });
+
   /** Bytes of membership messages since the start, by direction. */
   readonly membershipBytes = new Gauge({
     name: "celeryhollow_membership_bytes",
