--- a/src/caller/create_caller_app.ts
+++ b/src/caller/create_caller_app.ts
@@ -6,6 +6,7 @@
 import type { Context } from "hono";
 import { err } from "neverthrow";
 import { HEADERS } from "../constants/mod.ts";
+import { HeldMemory } from "../memory/mod.ts";
 import { createRefusal, REASONS } from "../outcome/mod.ts";
 import type { CallFailure } from "../outcome/mod.ts";
 import { serveEntryCall } from "../request/mod.ts";
@@ -17,6 +18,9 @@
 /** Maximum number of keys issued per request. */
 const MAX_KEYS = 100;
 
+/** Longest wait for memory for a body, in milliseconds. */
+const MAX_BODY_WAIT_MS = 750;
+
 const CALL_PREFIX = "/call";
 
 /** Reasons of refusals after which the caller must use a new key, which the response then carries. */
@@ -64,9 +68,18 @@
 ): Promise<Response> {
   const request = context.req.raw;
   const requestId = request.headers.get(HEADERS.requestId) ?? "";
-  const body = await readBody(request, environment.settings.maxBodyBytes);
+  const memory = new HeldMemory(environment.memory);
+  const body = await readBody(request, {
+    maxBytes: environment.settings.maxBodyBytes,
+    ...{ memory, signal: request.signal, maxWaitMs: MAX_BODY_WAIT_MS },
+  });
   if (body.isErr()) {
-    return createCallResponse(err(createRefusal(body.error)), requestId);
+    memory.release();
+    const retryAfterMs = body.error === REASONS.memoryFull
+      ? memory.budget.estimateWaitMs(0)
+      : 0;
+    const refusal = createRefusal(body.error, { retryAfterMs });
+    return createCallResponse(err(refusal), requestId);
   }
   const entry = parseEntryCall({
     method: request.method,
@@ -75,6 +88,7 @@
     ),
     headers: request.headers,
     body: body.value,
+    memory,
     signal: request.signal,
   });
   if (entry.isErr()) {
@@ -82,9 +96,11 @@
       requestId: requestId.slice(0, 128),
       reason: REASONS.invalidRequest,
     }, "request-invalid");
+    memory.release();
     return createCallResponse(err(entry.error), requestId);
   }
   const result = await serveEntryCall(environment, { ...entry.value, parent });
+  memory.release();
   const response = createCallResponse(result, entry.value.requestId);
   if (result.isErr() && needsNewKey(result.error)) {
     response.headers.set(HEADERS.idempotencyKey, environment.keys.issueKey());
--- a/src/daemon/listener.ts
+++ b/src/daemon/listener.ts
@@ -38,6 +38,11 @@
   /** Stops accepting connections and closes idle ones. */
   abstract close(): void;
 
+  /** Closes the connections without requests in progress, so that no further request is accepted. */
+  closeConnections(): void {
+    // By default, connections close when their clients or the process end.
+  }
+
   /** Reports an error of the listening socket, such as a connection that cannot be accepted. */
   protected reportError({ faults }: ListenerContext, error: Error): void {
     faults.report("listener", error, { address: this.address });
@@ -51,6 +56,8 @@
   readonly port: number;
   /** Whether the daemon also serves without this interface. */
   readonly isOptional?: boolean;
+  /** Maximum number of connections; those beyond it are closed at once. Unlimited if not given. */
+  readonly maxConnections?: number;
 }
 
 /** Serves a Hono application. */
@@ -72,6 +79,9 @@
           this.#endConnection(await options.app.fetch(request))
         ),
     }) as Server;
+    if (options.maxConnections !== undefined) {
+      this.#server.maxConnections = options.maxConnections;
+    }
     this.#listening = new ListeningServer(
       this.#server,
       (error) => this.reportError(context, error),
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -3,7 +3,9 @@
  */
 
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import { BodyMemoryMetrics } from "./body_memory_metrics.ts";
 import { ProcessMetrics } from "./process_metrics.ts";
+import { retainServices } from "./retain_services.ts";
 import { SentBytes } from "./sent_bytes.ts";
 
 /** Upper bounds of the latency buckets, in seconds. */
@@ -32,6 +34,9 @@
   /** Memory, descriptors, delays and contained faults of the process. */
   readonly process = new ProcessMetrics(this.registry);
 
+  /** Memory used by bodies of calls. */
+  readonly bodyMemory = new BodyMemoryMetrics(this.registry);
+
   /** Bytes sent to other daemons; exported by {@link sentBytes}. */
   readonly sent = new SentBytes();
 
@@ -224,6 +229,14 @@
     registers: [this.registry],
   });
 
+  /** Members that ended without saying that they leave, by whether they had this daemon's address (`predecessor`) or not (`other`). */
+  readonly vanishedMembers = new Counter({
+    name: "celeryhollow_vanished_members_total",
+    help: "Members that ended without saying that they leave",
+    labelNames: ["role"] as const,
+    registers: [this.registry],
+  });
+
   /** Bytes of membership messages since the start, by direction. */
   readonly membershipBytes = new Gauge({
     name: "celeryhollow_membership_bytes",
@@ -232,6 +245,11 @@
     registers: [this.registry],
   });
 
+  /** Bounds the services that counters name; called with those of each new configuration. */
+  async retainServices(services: ReadonlySet<string>): Promise<void> {
+    await retainServices([this.attempts, this.entryRefusals], services);
+  }
+
   /** Removes the limit of a backend server that names none or is gone. */
   clearServerLimit(): void {
     this.serverLimit.reset();
