--- a/src/request/serve_routed_call.ts
+++ b/src/request/serve_routed_call.ts
@@ -16,6 +16,7 @@
   CompiledRequest,
 } from "../configuration/mod.ts";
 import type { CallContext } from "../generated/types.ts";
+import type { HeldMemory } from "../memory/mod.ts";
 import { createRefusal, REASONS, UNREACHED_REASONS } from "../outcome/mod.ts";
 import type { CallFailure, CallResult, Refusal } from "../outcome/mod.ts";
 import type { ActiveCall } from "./active_calls.ts";
@@ -24,6 +25,7 @@
 import { isErrorAnswer } from "./is_error_answer.ts";
 import type { OutboundCall } from "./outbound_call.ts";
 import { recordOutcome } from "./record_outcome.ts";
+import { reserveResponse } from "./reserve_response.ts";
 
 /** Retries that one request may use across its whole call tree. */
 const TREE_RETRY_ALLOWANCE = 8;
@@ -44,6 +46,8 @@
   /** End-to-end header fields as alternating names and values. */
   readonly headers: readonly string[];
   readonly body: Uint8Array;
+  /** Memory that the call holds in this process. */
+  readonly memory: HeldMemory;
   /** Unique for each attempt of the caller. */
   readonly requestId: string;
   /** Id of the running call that makes this one; empty for external callers. */
@@ -90,6 +94,10 @@
   call: OutboundCall,
   parent: ActiveCall | undefined,
 ): Promise<CallResult> {
+  const reserved = await reserveResponse(environment, call);
+  if (reserved.isErr()) {
+    return err(reserved.error);
+  }
   if (!parent) {
     const result = await dispatchCall(environment, call);
     reportOutcome(environment, call, result);
@@ -234,6 +242,7 @@
     maxAttempts: route.retryAllowance + 1,
     targetLatencyMs: route.targetLatencyMs,
     body: routed.body,
+    memory: routed.memory,
     idempotencyKey: routed.requestId,
     attempt: 0,
     dispatchState: route.isRepeatable
