Collect released bodies before they take a process past its limit

Cause: the budget bounds what is held, but Node.js collects external memory after a growth of its own, whatever the limit of the process; and the buffer of a response was allocated before its memory had been reserved, which hurried no collection and counted for up to 426 MB of external memory.

Change: a response's buffer is allocated with its first part. The process collects garbage each time that 32 MB of bodies have been released, about once in some minutes under the deployments' loads of small bodies. The budget leaves a fixed 140 MB for what is not collected yet instead of half. Large bodies may use nine tenths of the budget instead of three quarters, so that slow readers of large responses wait less for each other; small ones keep 12 MB to themselves.

--- a/src/backend/response_body.ts
+++ b/src/backend/response_body.ts
@@ -34,7 +34,7 @@
   readonly #options: ResponseBodyOptions;
   readonly #parts: Buffer[] = [];
   /** Body of a stated length; parts are copied, as each may be a view of a larger buffer. */
-  readonly #whole: Buffer | undefined;
+  #whole: Buffer | undefined;
   #reservedBytes = 0;
   /** Number of bytes received. */
   lengthBytes = 0;
@@ -42,9 +42,6 @@
   constructor(reader: PausableReader, options: ResponseBodyOptions) {
     this.#options = options;
     const { statedBytes = 0 } = options;
-    if (statedBytes > FIRST_STEP_BYTES) {
-      this.#whole = Buffer.allocUnsafeSlow(statedBytes);
-    }
     if (statedBytes > 0) {
       this.#reserve(reader, statedBytes);
     }
@@ -54,6 +51,11 @@
   add(reader: PausableReader, part: Buffer): void {
     const offsetBytes = this.lengthBytes;
     this.lengthBytes += part.length;
+    // Allocated with the first part, when memory has been reserved.
+    const { statedBytes = 0 } = this.#options;
+    if (statedBytes > FIRST_STEP_BYTES) {
+      this.#whole ??= Buffer.allocUnsafeSlow(statedBytes);
+    }
     if (this.#whole && this.lengthBytes <= this.#whole.length) {
       part.copy(this.#whole, offsetBytes);
     } else {
--- a/src/memory/compute_body_budget_bytes.ts
+++ b/src/memory/compute_body_budget_bytes.ts
@@ -3,13 +3,16 @@
  */
 
 /** Resident memory of a busy process that holds no bodies, in bytes. */
-const BASE_BYTES = 110_000_000;
+const BASE_BYTES = 90_000_000;
 
-/** Share of the rest for bodies; what remains is for copies on their way through sockets, and for garbage that has not been collected yet. */
-const BODY_RATIO = 0.5;
+/**
+ * Memory of bodies that are no longer held but not collected yet, in bytes.
+ * Node.js collects it after a growth that does not depend on the process's limit.
+ */
+const UNCOLLECTED_BYTES = 140_000_000;
 
-/** Lowest budget, in bytes. */
-const MIN_BUDGET_BYTES = 8_000_000;
+/** Lowest share of the limit for bodies. */
+const MIN_RATIO = 0.15;
 
 /**
  * Computes how many bytes of bodies a process may hold.
@@ -21,6 +24,8 @@
  * new MemoryBudget({ clock, capacityBytes: computeBodyBudgetBytes(350_000_000) }); // 120 MB
  */
 export function computeBodyBudgetBytes(memoryLimitBytes: number): number {
-  const spareBytes = memoryLimitBytes - BASE_BYTES;
-  return Math.max(MIN_BUDGET_BYTES, Math.floor(spareBytes * BODY_RATIO));
+  return Math.floor(Math.max(
+    memoryLimitBytes - BASE_BYTES - UNCOLLECTED_BYTES,
+    memoryLimitBytes * MIN_RATIO,
+  ));
 }
--- a/src/memory/memory_budget.ts
+++ b/src/memory/memory_budget.ts
@@ -10,13 +10,14 @@
 
 import type { CallSignal } from "../cancellation/mod.ts";
 import type { Clock } from "../time/mod.ts";
+import { GarbageCollection } from "./garbage_collection.ts";
 import { ReleaseRate } from "./release_rate.ts";
 
 /** Largest body that may use the whole budget, in bytes. */
 const MAX_SMALL_BYTES = 65_536;
 
 /** Share of the budget that large bodies may use. */
-const LARGE_BODY_RATIO = 0.75;
+const LARGE_BODY_RATIO = 0.9;
 
 /** Options of a {@link MemoryBudget}. */
 export interface MemoryBudgetOptions {
@@ -45,6 +46,7 @@
 export class MemoryBudget {
   readonly #clock: Clock;
   readonly #releaseRate: ReleaseRate;
+  readonly #garbage = new GarbageCollection();
   readonly #waiters: Waiter[] = [];
   /** Bytes that may be held at a time. */
   readonly capacityBytes: number;
@@ -128,6 +130,7 @@
     }
     this.#heldBytes -= bytes;
     this.#releaseRate.record(bytes);
+    this.#garbage.recordReleased(bytes);
     this.#admitWaiting();
   }
 
