Release the memory of calls between daemons on every path

Found by a review of the memory budget; each test of paced_bodies_test.ts named here failed, or its scenario was shown, on the code before.

- A reply with a large body to a call that had been cancelled was never granted nor dropped, so that its memory was held as long as the connection: 5 MB after five calls with a budget of 4 MB, and nothing large was admitted any more.
The receiver of such a reply now cancels it.
- A body that was sent without waiting for a grant, since the answer to the note took more than 500 ms, completed its call while it still waited for memory, and the call was refused as not run while it ran.
The wait now ends when the call begins.
- Replies of up to 64 KiB were no longer counted once they were queued: 60 MB for a peer that does not read.
They now count until the system has taken them.
- A planned stop did not wait for replies without a grant and cut them off after 1 s (502 for a call that had run).
A call now is in progress until its reply has been sent.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -95,11 +95,10 @@
     this.#peerServer = new PeerServer({
       ...components.connectionOptions,
       handleCall: (call, options) =>
-        this.#track(() =>
-          this.#containFault(() =>
-            servePeerCall(this.environment, call, options)
-          )
+        this.#containFault(() =>
+          servePeerCall(this.environment, call, options)
         ),
+      track: (serve) => this.#track(serve),
       provideConfiguration: (knownVersion) =>
         createConfigurationTransfer(configuration, knownVersion),
       reportError: (error, remoteAddress) =>
--- a/src/peer/frame_writer.ts
+++ b/src/peer/frame_writer.ts
@@ -61,9 +61,10 @@
     return this.#socket.writableLength > 0 || this.#bodies.size > 0;
   }
 
-  /** Writes a message as one frame. */
-  send(message: PeerMessage): void {
+  /** Writes a message as one frame; calls `onWritten` when the system has taken it, or when the socket is closed. */
+  send(message: PeerMessage, onWritten?: () => void): void {
     if (this.#socket.destroyed) {
+      onWritten?.();
       return;
     }
     if (!this.#isCorked) {
@@ -72,7 +73,7 @@
       process.nextTick(() => this.#uncork());
     }
     const frame = encodeFrame(message);
-    this.#socket.write(frame);
+    this.#socket.write(frame, onWritten);
     this.#recordSent(message, frame.length);
   }
 
@@ -86,8 +87,7 @@
     { grantedBytes }: SendBodyOptions,
   ): Promise<void> {
     if (body.length <= CHUNK_BYTES) {
-      this.send({ ...head, body });
-      return Promise.resolve();
+      return new Promise((resolve) => this.send({ ...head, body }, resolve));
     }
     this.send(head);
     const { callId } = head;
--- a/src/peer/incoming_bodies.ts
+++ b/src/peer/incoming_bodies.ts
@@ -25,6 +25,8 @@
   reserve(head: MessageWithBody): Promise<boolean>;
   /** The body of a call may be sent as a whole. */
   grant(head: MessageWithBody): void;
+  /** A body is not accepted; nothing more of it is needed. */
+  reject(head: MessageWithBody): void;
   /** A body is complete. */
   deliver(head: MessageWithBody, body: Uint8Array): void;
 }
@@ -61,6 +63,7 @@
         this.#listener.grant(head);
       } else {
         this.#bodies.delete(key);
+        this.#listener.reject(head);
       }
     });
   }
--- a/src/peer/outbound_connection.ts
+++ b/src/peer/outbound_connection.ts
@@ -6,6 +6,7 @@
 import { err } from "neverthrow";
 import type VError from "verror";
 import type { CallSignal } from "../cancellation/mod.ts";
+import { RESPONSE_RANK } from "../memory/mod.ts";
 import type { HeldMemory } from "../memory/mod.ts";
 import { CONNECT_TIMEOUT_MS } from "../constants/mod.ts";
 import type {
@@ -138,7 +139,10 @@
       memory?.force(bodyLengthBytes);
     }
     return !isPaced ||
-      (await memory?.reserve(bodyLengthBytes, { signal }) ?? true);
+      (await memory?.reserve(bodyLengthBytes, {
+        signal,
+        classRank: RESPONSE_RANK,
+      }) ?? true);
   }
 
   onReply(reply: ReplyMessage, body: Uint8Array): void {
--- a/src/peer/paced_bodies_test.ts
+++ b/src/peer/paced_bodies_test.ts
@@ -1,5 +1,6 @@
 import { Buffer } from "node:buffer";
-import { connect } from "node:net";
+import { once } from "node:events";
+import { connect, createServer } from "node:net";
 import type { Socket } from "node:net";
 import { ok } from "neverthrow";
 import * as assert from "uvu/assert";
@@ -15,6 +16,7 @@
 
 const ADDRESS = `127.${await claimNetwork()}.1.1`;
 const PEER_PORT = 7102;
+const PROXY_PORT = 7103;
 const BODY_BYTES = 1_000_000;
 const CAPACITY_BYTES = 4_000_000;
 
@@ -23,17 +25,24 @@
 interface FixtureOptions {
   readonly serverCapacityBytes?: number;
   readonly clientCapacityBytes?: number;
+  /** Duration of each run, in milliseconds. */
+  readonly runMs?: number;
+  /** Delay of all that the server sends after its hello, in milliseconds. */
+  readonly replyDelayMs?: number;
 }
 
 async function createFixture(
   {
     serverCapacityBytes = CAPACITY_BYTES,
     clientCapacityBytes = CAPACITY_BYTES,
+    runMs = 0,
+    replyDelayMs = 0,
   }: FixtureOptions = {},
 ) {
   const clock = new SystemClock();
   const errors: string[] = [];
   const bodyLengths: number[] = [];
+  const progress = { count: 0 };
   const createOptions = (incarnation: string, capacityBytes: number) => ({
     identity: { incarnation, failureDomain: "gent-a", fleetToken: "token" },
     ...{ clock, memory: new MemoryBudget({ clock, capacityBytes }) },
@@ -42,20 +51,28 @@
   const clientOptions = createOptions("client", clientCapacityBytes);
   const server = new PeerServer({
     ...serverOptions,
-    handleCall: (call, { body, memory }) => {
+    handleCall: async (call, { body, memory }) => {
       bodyLengths.push(body.length);
+      // As the run of a non-repeatable call, without regard to the signal.
+      await wait(runMs);
       const replyBytes = Number(call.path.slice(1));
       memory.force(replyBytes);
-      return Promise.resolve(createAnswer(replyBytes));
+      return createAnswer(replyBytes);
+    },
+    track: async (serve) => {
+      progress.count += 1;
+      await serve();
+      progress.count -= 1;
     },
     reportError: (error) => errors.push(error.message),
   });
   await server.listen(ADDRESS, PEER_PORT);
+  const proxy = await openProxy(replyDelayMs);
   const sockets: Socket[] = [];
   const client = new PeerClient({ address: ADDRESS, peerPort: PEER_PORT }, {
     ...clientOptions,
-    dial: ({ address, peerPort }) => {
-      const socket = connect({ host: address, port: peerPort });
+    dial: ({ address }) => {
+      const socket = connect({ host: address, port: PROXY_PORT });
       sockets.push(socket);
       return socket;
     },
@@ -78,15 +95,99 @@
   };
   const close = async () => {
     client.close();
+    proxy.close();
     await server.close();
   };
   return {
-    ...{ bodyLengths, call, close, errors, sockets },
+    ...{ bodyLengths, call, close, errors, progress, sockets },
+    pauseProxy: proxy.pause,
     server: serverOptions.memory,
     client: clientOptions.memory,
   };
 }
 
+// Guards against memory that stays reserved for replies that nobody waits for any more.
+test("a run that goes on after its call was cancelled gives back its memory", async () => {
+  const fixture = await createFixture({ runMs: 200 });
+  assert.ok((await fixture.call(10).result).isOk());
+  const calls = Array.from({ length: 5 }, () => fixture.call(BODY_BYTES));
+  await wait(50);
+  for (const { result, cancel, memory } of calls) {
+    cancel();
+    await result;
+    memory.release();
+  }
+  await wait(600);
+  assert.is(fixture.bodyLengths.length, 6);
+  assert.is(fixture.server.heldBytes, 0);
+  await fixture.close();
+});
+
+// Guards against a call that runs and is refused as not run, since its body came without waiting for memory.
+test("a call whose body arrives without a grant is not refused once it runs", async () => {
+  const fixture = await createFixture({ runMs: 1_500, replyDelayMs: 700 });
+  fixture.server.force(CAPACITY_BYTES);
+  const result = await fixture.call(10, { bodyBytes: BODY_BYTES }).result;
+  assert.equal(fixture.bodyLengths, [BODY_BYTES]);
+  assert.ok(result.isOk());
+  await wait(50);
+  assert.is(fixture.server.heldBytes, CAPACITY_BYTES);
+  await fixture.close();
+});
+
+// Guards against small replies that queue up without being counted, for a peer that does not read.
+test("replies count until the system has taken them", async () => {
+  const fixture = await createFixture();
+  assert.ok((await fixture.call(10).result).isOk());
+  fixture.pauseProxy();
+  const calls = Array.from({ length: 600 }, () => fixture.call(60_000));
+  await wait(1_000);
+  // The system's buffers of the connections take some of them.
+  assert.ok(fixture.server.heldBytes > 10_000_000);
+  await fixture.close();
+  await Promise.all(calls.map(({ result }) => result));
+});
+
+// Guards against a planned stop that cuts off responses for which their receiver has no memory yet.
+test("a call is in progress until its reply has been sent", async () => {
+  const fixture = await createFixture();
+  fixture.client.force(CAPACITY_BYTES);
+  const { result } = fixture.call(BODY_BYTES);
+  await wait(100);
+  assert.is(fixture.bodyLengths.length, 1);
+  assert.is(fixture.progress.count, 1);
+  fixture.client.release(CAPACITY_BYTES);
+  assert.ok((await result).isOk());
+  await wait(20);
+  assert.is(fixture.progress.count, 0);
+  await fixture.close();
+});
+
+/** Opens a proxy to the server that delays all that the server sends after its hello. */
+async function openProxy(replyDelayMs: number) {
+  const farSockets = new Set<Socket>();
+  const proxy = createServer((near) => {
+    const far = connect({ host: ADDRESS, port: PEER_PORT });
+    farSockets.add(far);
+    let isHello = true;
+    near.pipe(far);
+    far.on("data", (bytes) => {
+      setTimeout(() => near.write(bytes), isHello ? 0 : replyDelayMs);
+      isHello = false;
+    });
+    near.on("error", () => far.destroy());
+    near.on("close", () => far.destroy());
+    far.on("error", () => near.destroy());
+    far.on("close", () => near.destroy());
+  });
+  proxy.listen(PROXY_PORT, ADDRESS);
+  await once(proxy, "listening");
+  return {
+    pause: () => farSockets.forEach((far) => far.pause()),
+    close: () => proxy.close(),
+  };
+}
+
 function createAnswer(bytes: number): CallResult {
   return ok({
     ...{ status: 200, contentType: "", unusedAllowance: 0, loads: [] },
--- a/src/peer/peer_connection.ts
+++ b/src/peer/peer_connection.ts
@@ -86,6 +86,12 @@
           this.send({ kind: "grant", callId, grantedBytes: bodyLengthBytes });
         }
       },
+      reject: ({ kind, callId }) => {
+        // The receiver of a call says why it rejects the body in its reply.
+        if (kind === "reply") {
+          this.send({ kind: "cancel", callId });
+        }
+      },
       deliver: (head, body) => this.#deliver(head, body),
     });
     socket.setNoDelay(true);
--- a/src/peer/peer_server.ts
+++ b/src/peer/peer_server.ts
@@ -48,6 +48,8 @@
 /** Dependencies of the server. */
 export interface PeerServerOptions extends PeerConnectionOptions {
   readonly handleCall: CallHandler;
+  /** Counts a call as in progress until its reply has been sent. */
+  readonly track?: (serve: () => Promise<void>) => Promise<void>;
   /** Returns the compressed configuration transfer for a peer that has `knownVersion`. */
   readonly provideConfiguration?: (knownVersion: number) => Uint8Array;
   /** Called once for each connection that is closed by an error. */
@@ -69,6 +71,8 @@
 interface ArrivingCall {
   readonly controller: CallController;
   readonly memory: HeldMemory;
+  /** Whether its memory has been reserved. */
+  isReserved: boolean;
 }
 
 /** A connection accepted from a peer, with the calls running for it. */
@@ -106,16 +110,21 @@
     const { remainingMs, retryAllowance: unusedAllowance } = head.context;
     const memory = new HeldMemory(this.#options.memory);
     const controller = new CallController();
-    this.#arriving.set(callId, { controller, memory });
+    const arriving = { controller, memory, isReserved: !isPaced };
+    this.#arriving.set(callId, arriving);
     if (!isPaced) {
       memory.force(bytes);
       return true;
     }
     const { signal } = controller;
     const maxWaitMs = Math.min(MAX_BODY_WAIT_MS, remainingMs * BODY_WAIT_RATIO);
-    if (await memory.reserve(bytes, { signal, maxWaitMs })) {
+    arriving.isReserved = await memory.reserve(bytes, { signal, maxWaitMs });
+    if (arriving.isReserved) {
       return true;
     }
+    if (this.#arriving.get(callId) !== arriving) {
+      return false; // Cancelled, or arrived without waiting for the grant.
+    }
     this.#forgetArriving(callId);
     const retryAfterMs = memory.budget.estimateWaitMs(bytes);
     await this.#reply(
@@ -126,12 +135,18 @@
   }
 
   onCall(call: CallMessage, body: Uint8Array): void {
-    const { memory } = this.#arriving.get(call.callId) ?? {};
+    const arriving = this.#arriving.get(call.callId);
     this.#arriving.delete(call.callId);
-    void this.#serve(deductTransit(this.#transitTimer, call), {
-      body,
-      memory: memory ?? createMemory(this.#options.memory, body),
-    });
+    if (arriving && !arriving.isReserved) {
+      arriving.controller.abort();
+      arriving.memory.force(body.length);
+    }
+    const serve = () =>
+      this.#serve(deductTransit(this.#transitTimer, call), {
+        body,
+        memory: arriving?.memory ?? createMemory(this.#options.memory, body),
+      });
+    void (this.#options.track?.(serve) ?? serve());
   }
 
   onReply(): void {
