Let responses of finished calls go first, and nothing be held up for long

- What had run waited for memory behind every call that had not, so that its work could be thrown away.
Responses now have a rank of their own.
- A body that needed nearly the whole budget held up every other one of more than 64 KiB, with 0.9 of the budget free.
It now does so for 250 ms.
- A nested call without memory for its response did not return its retry allowance to its parent.

--- a/src/backend/http_backend_client.ts
+++ b/src/backend/http_backend_client.ts
@@ -8,6 +8,7 @@
 import type { CallSignal } from "../cancellation/mod.ts";
 import { HEADERS } from "../constants/mod.ts";
 import type { Announcement } from "../generated/types.ts";
+import { RESPONSE_RANK } from "../memory/mod.ts";
 import { collectBody } from "../http/collect_body.ts";
 import {
   createRefusal,
@@ -62,6 +63,7 @@
       const collected = await collectBody(response.body, {
         maxBytes: options.maxBodyBytes,
         ...{ memory: options.memory, signal: options.signal },
+        classRank: RESPONSE_RANK,
       });
       if (collected.isErr()) {
         return err(createUnknownOutcome(REASONS.answerTooLarge));
--- a/src/backend/response_body.ts
+++ b/src/backend/response_body.ts
@@ -7,6 +7,7 @@
 
 import { Buffer } from "node:buffer";
 import type { CallSignal } from "../cancellation/mod.ts";
+import { RESPONSE_RANK } from "../memory/mod.ts";
 import type { HeldMemory } from "../memory/mod.ts";
 
 /** First step of a reservation for a body without a stated length, in bytes; each later one doubles what is reserved. */
@@ -82,7 +83,10 @@
       return;
     }
     reader.pause();
-    void memory.reserve(bytes, { signal }).then((isReserved) => {
+    void memory.reserve(bytes, {
+      signal,
+      classRank: RESPONSE_RANK,
+    }).then((isReserved) => {
       if (isReserved) {
         reader.resume();
       } else {
--- a/src/memory/garbage_collection.ts
+++ b/src/memory/garbage_collection.ts
@@ -6,7 +6,7 @@
  */
 
 /** Bytes released since the last collection at which the next one is due. */
-const COLLECTION_BYTES = 33_554_432;
+const COLLECTION_BYTES = 16_777_216;
 
 /** Starts a collection each time that enough bytes have been released. */
 export class GarbageCollection {
--- a/src/memory/memory_budget.ts
+++ b/src/memory/memory_budget.ts
@@ -19,6 +19,12 @@
 /** Share of the budget that large bodies may use. */
 const LARGE_BODY_RATIO = 0.9;
 
+/** Rank of responses of calls that have run, which go before all calls that have not. */
+export const RESPONSE_RANK = -1;
+
+/** Time for which a waiting body may hold up others that have room, in milliseconds. */
+const MAX_BLOCKING_MS = 250;
+
 /** Options of a {@link MemoryBudget}. */
 export interface MemoryBudgetOptions {
   readonly clock: Clock;
@@ -39,6 +45,8 @@
 interface Waiter {
   readonly bytes: number;
   readonly classRank: number;
+  /** Start of the wait, in monotonic milliseconds. */
+  readonly sinceMs: number;
   readonly settle: (isAcquired: boolean) => void;
 }
 
@@ -107,6 +115,7 @@
       const waiter: Waiter = {
         bytes,
         classRank,
+        sinceMs: this.#clock.monotonicMs(),
         settle: (isAcquired) => {
           cancelTimer();
           signal.removeEventListener("abort", giveUp);
@@ -142,10 +151,16 @@
   /** Whether another acquisition of the same kind waits that goes first. */
   #isPreceded(bytes: number, classRank: number): boolean {
     return this.#waiters.some((waiter) =>
-      isLarge(waiter.bytes) === isLarge(bytes) && waiter.classRank <= classRank
+      isLarge(waiter.bytes) === isLarge(bytes) &&
+      waiter.classRank <= classRank && this.#mayBlock(waiter)
     );
   }
 
+  /** Whether a body without room still holds up others; one that needs much would otherwise do so for long. */
+  #mayBlock({ sinceMs }: Waiter): boolean {
+    return this.#clock.monotonicMs() - sinceMs < MAX_BLOCKING_MS;
+  }
+
   #hasRoom(bytes: number): boolean {
     const limitBytes = isLarge(bytes) ? this.maxBodyBytes : this.capacityBytes;
     return this.#heldBytes + bytes <= limitBytes;
@@ -157,6 +172,9 @@
     );
     this.#waiters.splice(index < 0 ? this.#waiters.length : index, 0, waiter);
     this.#waitingBytes += waiter.bytes;
+    if (isLarge(waiter.bytes)) {
+      this.#clock.schedule(MAX_BLOCKING_MS, () => this.#admitWaiting());
+    }
   }
 
   #admitWaiting(): void {
@@ -171,7 +189,7 @@
         if (!isLarge(bytes)) {
           return;
         }
-        isLargeBlocked = true;
+        isLargeBlocked ||= this.#mayBlock(waiter);
         index += 1;
         continue;
       }
--- a/src/memory/memory_budget_test.ts
+++ b/src/memory/memory_budget_test.ts
@@ -2,7 +2,7 @@
 import { suite } from "uvu";
 import { CallController } from "../cancellation/mod.ts";
 import { ManualClock } from "../testing/manual_clock.ts";
-import { HeldMemory, MemoryBudget } from "./mod.ts";
+import { HeldMemory, MemoryBudget, RESPONSE_RANK } from "./mod.ts";
 import type { AcquireOptions } from "./mod.ts";
 
 const CAPACITY_BYTES = 1_000_000;
@@ -87,6 +87,31 @@
   assert.is(budget.failedCount, 3);
 });
 
+// Guards against work that has been done and is thrown away, since calls that have not run take its memory.
+test("responses of calls that have run go before calls that have not", async () => {
+  const { budget, order, acquire } = createFixture();
+  budget.force(CAPACITY_BYTES);
+  void acquire("urgent call", LARGE_BYTES, { classRank: 0 });
+  void acquire("response", LARGE_BYTES, { classRank: RESPONSE_RANK });
+  budget.release(CAPACITY_BYTES - 2 * LARGE_BYTES);
+  await settle();
+  assert.equal(order, ["response"]);
+});
+
+// Guards against one body that needs much room and holds up all others of more than 64 KiB.
+test("a body without room holds up others that have room for a short time only", async () => {
+  const { clock, budget, order, acquire } = createFixture();
+  budget.force(SMALL_BYTES);
+  void acquire("huge", 0.89 * CAPACITY_BYTES);
+  void acquire("other", LARGE_BYTES);
+  await settle();
+  assert.equal(order, []);
+  clock.advance(250);
+  await settle();
+  assert.equal(order, ["other"]);
+  assert.is(budget.heldBytes, SMALL_BYTES + LARGE_BYTES);
+});
+
 test("estimates when there is room from what was released lately", () => {
   const { clock, budget } = createFixture();
   const idleEstimateMs = budget.estimateWaitMs(LARGE_BYTES);
--- a/src/memory/mod.ts
+++ b/src/memory/mod.ts
@@ -4,5 +4,5 @@
 
 export { computeBodyBudgetBytes } from "./compute_body_budget_bytes.ts";
 export { HeldMemory } from "./held_memory.ts";
-export { MemoryBudget } from "./memory_budget.ts";
+export { MemoryBudget, RESPONSE_RANK } from "./memory_budget.ts";
 export type { AcquireOptions } from "./memory_budget.ts";
--- a/src/request/serve_routed_call.ts
+++ b/src/request/serve_routed_call.ts
@@ -94,17 +94,13 @@
   call: OutboundCall,
   parent: ActiveCall | undefined,
 ): Promise<CallResult> {
-  const reserved = await reserveResponse(environment, call);
-  if (reserved.isErr()) {
-    return err(reserved.error);
-  }
   if (!parent) {
-    const result = await dispatchCall(environment, call);
+    const result = await reserveAndDispatch(environment, call);
     reportOutcome(environment, call, result);
     return result;
   }
   parent.nestedCallTimer.start();
-  const result = await dispatchCall(environment, call);
+  const result = await reserveAndDispatch(environment, call);
   parent.nestedCallTimer.stop();
   const { unusedAllowance } = result.isOk() ? result.value : result.error;
   parent.allowance.takeBack(call.context.retryAllowance, unusedAllowance);
@@ -112,6 +108,16 @@
   return result;
 }
 
+async function reserveAndDispatch(
+  environment: CallEnvironment,
+  call: OutboundCall,
+): Promise<CallResult> {
+  const reserved = await reserveResponse(environment, call);
+  return reserved.isErr()
+    ? err(reserved.error)
+    : await dispatchCall(environment, call);
+}
+
 /** Reports to admission control whether the caller was served; a cancelled call says nothing about capacity and counts as served. */
 function reportOutcome(
   { configuration, entryAdmission }: CallEnvironment,
