Tell which requests ran when a backend server ended

Callers of a service whose instances crash got 502 and 503; the logs showed broken runs by request id only, so they could not tell whether the crashes had one request in common.

The daemon beside a backend server now finds out that it ended: its connections break at about the same time, and its port refuses connections, or another process announces itself. It logs server-crash with the fingerprints of the calls that ran, and counts celeryhollow_server_crashes_total. A fingerprint is a keyed hash of method, target, path, body and caller, so that two requests with different ids can be told to be the same. Responses that break off alone and servers that said that they leave are not counted.

Nothing is decided by it yet.

--- a/src/backend/backend_client.ts
+++ b/src/backend/backend_client.ts
@@ -6,6 +6,7 @@
 import type { Announcement, CallContext } from "../generated/types.ts";
 import type { HeldMemory } from "../memory/mod.ts";
 import type { CallResult } from "../outcome/mod.ts";
+import type { PortState } from "./probe_port.ts";
 import { NO_STATEMENT } from "./server_statement.ts";
 import type { ServerStatement } from "./server_statement.ts";
 
@@ -34,8 +35,13 @@
   readonly maxBodyBytes: number;
   /** Called as soon as the head of a response to this call has arrived, whether the call succeeds or not. */
   readonly observeStatement?: (statement: ServerStatement) => void;
+  /** Called if the connection broke without an abort or was refused, before the call's promise resolves. */
+  readonly observeBreak?: (connectionBreak: ConnectionBreak) => void;
 }
 
+/** How a call found that the backend server may have ended: its connection `broken`, or a new one `refused`. */
+export type ConnectionBreak = "broken" | "refused";
+
 /** Sends calls to the backend server on this VM. */
 export abstract class BackendClient {
   /** Sends a call; one that may have started is never reported as refused. */
@@ -60,6 +66,9 @@
     return NO_STATEMENT;
   }
 
+  /** Finds out whether the backend server accepts connections; never rejects. */
+  abstract probe(announcement: Announcement): Promise<PortState>;
+
   /** Closes idle connections. */
   abstract close(): Promise<void>;
 }
--- a/src/backend/backend_registry.ts
+++ b/src/backend/backend_registry.ts
@@ -38,6 +38,7 @@
   #isDrained = false;
   #isUnreachable = false;
   #serverCount = 0;
+  #announcementCount = 0;
   #departure: ServerIdentity | undefined;
 
   constructor(clock: Clock, timeoutMs = ANNOUNCEMENT_TIMEOUT_MS) {
@@ -69,6 +70,11 @@
     return this.#serverCount;
   }
 
+  /** Number of announcements that were accepted, renewals included. */
+  get announcementCount(): number {
+    return this.#announcementCount;
+  }
+
   /** Whether an announcement is from the server that announced itself last. */
   isCurrent({ port, instanceId, startedAtMs }: Announcement): boolean {
     const current = this.#announcement;
@@ -111,6 +117,7 @@
       this.#leavingSinceMs = undefined;
     }
     this.#announcement = announcement;
+    this.#announcementCount += 1;
     this.#isUnreachable = false;
     this.#renewedAtMs = this.#clock.monotonicMs();
     this.#notify();
--- a/src/backend/http_backend_client.ts
+++ b/src/backend/http_backend_client.ts
@@ -18,7 +18,13 @@
 } from "../outcome/mod.ts";
 import type { CallResult } from "../outcome/mod.ts";
 import { BackendClient } from "./backend_client.ts";
-import type { BackendCall, BackendCallOptions } from "./backend_client.ts";
+import type {
+  BackendCall,
+  BackendCallOptions,
+  ConnectionBreak,
+} from "./backend_client.ts";
+import { probePort } from "./probe_port.ts";
+import type { PortState } from "./probe_port.ts";
 
 /** Codes of errors that occur before any data is sent. */
 const NOT_SENT_CODES: ReadonlySet<string> = new Set([
@@ -27,6 +33,16 @@
   "EADDRNOTAVAIL",
 ]);
 
+/** Error code if nothing listens at the address. */
+const CONNECTION_REFUSED_CODE = "ECONNREFUSED";
+
+/** Codes of errors with which a connection ends. */
+const BROKEN_CODES: ReadonlySet<string> = new Set([
+  "ECONNRESET",
+  "EPIPE",
+  "UND_ERR_SOCKET",
+]);
+
 /** Sends calls over HTTP to the backend server at the announced port. */
 export class HttpBackendClient extends BackendClient {
   readonly #address: string;
@@ -81,12 +97,19 @@
         loads: [],
       });
     } catch (cause) {
-      return err(
-        classifyError(cause as Error & { code?: string }, options.signal),
-      );
+      const error = cause as Error & { code?: string };
+      const connectionBreak = classifyBreak(error);
+      if (connectionBreak && !options.signal.aborted) {
+        options.observeBreak?.(connectionBreak);
+      }
+      return err(classifyError(error, options.signal));
     }
   }
 
+  override probe({ port }: Announcement): Promise<PortState> {
+    return probePort(this.#address, port);
+  }
+
   override async close(): Promise<void> {
     await this.#pool?.close();
   }
@@ -133,6 +156,15 @@
     headers["transfer-encoding"] !== undefined;
 }
 
+function classifyBreak(
+  { code = "" }: { code?: string },
+): ConnectionBreak | undefined {
+  if (code === CONNECTION_REFUSED_CODE) {
+    return "refused";
+  }
+  return BROKEN_CODES.has(code) ? "broken" : undefined;
+}
+
 function classifyError(cause: Error & { code?: string }, signal: CallSignal) {
   if (NOT_SENT_CODES.has(cause.code ?? "")) {
     return createRefusal(REASONS.noBackendServer);
--- a/src/backend/mod.ts
+++ b/src/backend/mod.ts
@@ -3,7 +3,11 @@
  */
 
 export { BackendClient } from "./backend_client.ts";
-export type { BackendCall, BackendCallOptions } from "./backend_client.ts";
+export type {
+  BackendCall,
+  BackendCallOptions,
+  ConnectionBreak,
+} from "./backend_client.ts";
 export { BackendConnectionPool } from "./backend_connection_pool.ts";
 export type {
   BackendExchange,
@@ -16,5 +20,7 @@
 export { formatServerId, parseServerId } from "./format_server_id.ts";
 export { NO_STATEMENT } from "./server_statement.ts";
 export type { ServerStatement } from "./server_statement.ts";
+export { probePort } from "./probe_port.ts";
+export type { PortState } from "./probe_port.ts";
 export { readServerStatement } from "./read_server_statement.ts";
 export { HttpBackendClient } from "./http_backend_client.ts";
--- a/src/daemon/create_daemon_components.ts
+++ b/src/daemon/create_daemon_components.ts
@@ -26,6 +26,7 @@
   UdpTransport,
 } from "../membership/mod.ts";
 import { computeBodyBudgetBytes, MemoryBudget } from "../memory/mod.ts";
+import { CrashRecorder, Fingerprinter } from "../quarantine/mod.ts";
 import { HeartbeatTimer } from "../peer/mod.ts";
 import type { DialPeer, PeerConnectionOptions } from "../peer/mod.ts";
 import {
@@ -218,6 +219,9 @@
     ...{ settings, self, clock, random, journal, metrics, configuration },
     routing: overrides.routing ?? "adaptive",
   });
+  const backend = new BackendRegistry(clock, overrides.announcementTimeoutMs);
+  const backendClient = overrides.createBackendClient?.(clock) ??
+    new HttpBackendClient(settings.address);
   const environment: CallEnvironment = {
     settings,
     clock,
@@ -231,9 +235,12 @@
       ...connectionOptions,
       reportReplacement: outbound.reportReplacement,
     }),
-    backend: new BackendRegistry(clock, overrides.announcementTimeoutMs),
-    backendClient: overrides.createBackendClient?.(clock) ??
-      new HttpBackendClient(settings.address),
+    backend,
+    backendClient,
+    crashes: new CrashRecorder({
+      ...{ backend, backendClient, clock, journal, metrics },
+      fingerprinter: new Fingerprinter(fleetToken),
+    }),
     ...createAdmission(isProtected, {
       clock,
       journal,
--- a/src/request/run_call.ts
+++ b/src/request/run_call.ts
@@ -8,6 +8,7 @@
 import { err } from "neverthrow";
 import { CallController } from "../cancellation/mod.ts";
 import { BACKEND_STATES, formatServerId } from "../backend/mod.ts";
+import type { ConnectionBreak } from "../backend/mod.ts";
 import type { LoadSignal } from "../generated/types.ts";
 import { createRefusal, REASONS } from "../outcome/mod.ts";
 import type { CallResult, Reason } from "../outcome/mod.ts";
@@ -157,8 +158,9 @@
   environment: CallEnvironment,
   call: OutboundCall,
 ): Promise<BackendRun> {
-  const { activeCalls, backend, backendClient, clock, journal, memory } =
+  const { activeCalls, backend, backendClient, clock, crashes, journal } =
     environment;
+  const { memory } = environment;
   const announcement = backend.announcement;
   if (!announcement) {
     return { result: err(createRefusal(REASONS.noBackendServer)), nestedMs: 0 };
@@ -176,6 +178,8 @@
     controller.signal,
     backendClient.selectCallToken(context),
   );
+  const run = crashes.begin(announcement, call);
+  let connectionBreak: ConnectionBreak | undefined;
   const result = await backendClient.call(announcement, {
     method: call.method,
     path: call.path,
@@ -198,7 +202,8 @@
         announcement,
         requestId: context.requestId,
       }),
-  });
+    observeBreak: (observed) => connectionBreak = observed,
+  }).finally(() => crashes.finish(run, connectionBreak));
   activeCalls.end(activeCall);
   cancelDeadline();
   stopFollowing();
--- a/src/telemetry/decision_journal.ts
+++ b/src/telemetry/decision_journal.ts
@@ -30,6 +30,7 @@
   serverLimit: "server-limit",
   serverLeaving: "server-leaving",
   serverLimitInvalid: "server-limit-invalid",
+  serverCrash: "server-crash",
   unknownOutcome: "unknown-outcome",
   runFailed: "run-failed",
 } as const;
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -137,6 +137,13 @@
     registers: [this.registry],
   });
 
+  /** Backend servers of this VM that ended while they ran calls. */
+  readonly serverCrashes = new Counter({
+    name: "celeryhollow_server_crashes_total",
+    help: "Backend servers of this VM that ended while they ran calls",
+    registers: [this.registry],
+  });
+
   /** Current concurrency limit of the backend server. */
   readonly limit = new Gauge({
     name: "celeryhollow_limit",
--- a/src/testing/fault_injection/fault_injection_node.ts
+++ b/src/testing/fault_injection/fault_injection_node.ts
@@ -32,6 +32,7 @@
   serveEntryCall,
   servePeerCall,
 } from "../../request/mod.ts";
+import { CrashRecorder, Fingerprinter } from "../../quarantine/mod.ts";
 import type { CallEnvironment, EntryCall } from "../../request/mod.ts";
 import {
   AllowanceRetryPolicy,
@@ -207,6 +208,8 @@
     });
     const inboundAdmission = new UnprotectedAdmission();
     inboundAdmission.setCapacity(16);
+    const metrics = new DaemonMetrics();
+    const journal = new DecisionJournal(clock);
     const { incarnation } = self;
     const keyOptions = { incarnation, fleetToken: FLEET_TOKEN, clock };
     return {
@@ -214,10 +217,8 @@
         fleetToken: FLEET_TOKEN,
         maxBodyBytes: 1_000_000,
       } as DaemonSettings,
-      ...{ clock, peers, configuration, inboundAdmission },
+      ...{ clock, peers, configuration, inboundAdmission, metrics, journal },
       log: createSilentLogger(),
-      metrics: new DaemonMetrics(),
-      journal: new DecisionJournal(clock),
       membership: new SharedMembership(directory, self),
       memory: createTestBudget(),
       backend: registry,
@@ -237,6 +238,10 @@
       activeCalls: new ActiveCalls(clock),
       responseSizes: new ResponseSizes(),
       leavingServers: new LeavingServers(),
+      crashes: new CrashRecorder({
+        ...{ backend: registry, backendClient: this.backend, clock },
+        ...{ journal, metrics, fingerprinter: new Fingerprinter(FLEET_TOKEN) },
+      }),
     };
   }
 }
--- a/src/testing/fault_injection/recording_backend.ts
+++ b/src/testing/fault_injection/recording_backend.ts
@@ -4,7 +4,11 @@
 
 import { err, ok } from "neverthrow";
 import { BackendClient } from "../../backend/mod.ts";
-import type { BackendCall, BackendCallOptions } from "../../backend/mod.ts";
+import type {
+  BackendCall,
+  BackendCallOptions,
+  PortState,
+} from "../../backend/mod.ts";
 import type { Announcement } from "../../generated/types.ts";
 import { createUnknownOutcome, REASONS } from "../../outcome/mod.ts";
 import type { CallResult } from "../../outcome/mod.ts";
@@ -44,6 +48,10 @@
     return Promise.resolve();
   }
 
+  override probe(): Promise<PortState> {
+    return Promise.resolve(this.isCrashed ? "unknown" : "open");
+  }
+
   override async call(
     _announcement: Announcement,
     call: BackendCall,
