Refuse requests under which three servers have ended

Cause: nothing remembers a failure by what was asked. A call's history ends with the call, and a call whose server ended is retried on another instance.

The daemon beside a server that ends now tells all others which requests ran. A request under which three servers ended, with no clean run since, is refused as not run by every daemon for ten minutes, with the time until then as Retry-After; from the second end on it is not retried. A request that runs cleanly is cleared by runs up to a second before the end, so that a popular one is not blamed if all servers end at once. Notices are gossip records that older builds keep and pass on; each failure domain keeps copies of the others', so that a daemon that starts or was cut off gets them.

--- a/src/daemon/create_daemon_components.ts
+++ b/src/daemon/create_daemon_components.ts
@@ -26,7 +26,7 @@
   UdpTransport,
 } from "../membership/mod.ts";
 import { computeBodyBudgetBytes, MemoryBudget } from "../memory/mod.ts";
-import { CrashRecorder, Fingerprinter } from "../quarantine/mod.ts";
+import { CrashRecorder, Fingerprinter, Quarantine } from "../quarantine/mod.ts";
 import { HeartbeatTimer } from "../peer/mod.ts";
 import type { DialPeer, PeerConnectionOptions } from "../peer/mod.ts";
 import {
@@ -222,6 +222,11 @@
   const backend = new BackendRegistry(clock, overrides.announcementTimeoutMs);
   const backendClient = overrides.createBackendClient?.(clock) ??
     new HttpBackendClient(settings.address);
+  const fingerprinter = new Fingerprinter(fleetToken);
+  const quarantine = new Quarantine({
+    ...{ clock, fingerprinter, journal, metrics },
+    publish: (notice) => membership.announceNotice(notice),
+  });
   const environment: CallEnvironment = {
     settings,
     clock,
@@ -237,9 +242,10 @@
     }),
     backend,
     backendClient,
+    quarantine,
     crashes: new CrashRecorder({
       ...{ backend, backendClient, clock, journal, metrics },
-      fingerprinter: new Fingerprinter(fleetToken),
+      ...{ fingerprinter, quarantine, daemon: self },
     }),
     ...createAdmission(isProtected, {
       clock,
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -142,6 +142,9 @@
     this.#membership.onPeerConfigurationVersion((notice) =>
       this.#configurationDistributor.handleVersionNotice(notice)
     );
+    this.#membership.onNotice((notice) =>
+      environment.quarantine.receive(notice)
+    );
     this.#membership.onDeparture((serverId) => this.#followDeparture(serverId));
     await this.#membership.start();
     if (this.#stopping) {
@@ -340,8 +343,9 @@
   }
 
   #runHousekeeping(): void {
-    const { membership, peers, successors } = this.environment;
+    const { membership, peers, quarantine, successors } = this.environment;
     this.#memoryWatch.check();
+    quarantine.removeExpired();
     this.#publishBackendState();
     const members = membership.listAll();
     successors.update(members);
--- a/src/membership/anti_entropy.ts
+++ b/src/membership/anti_entropy.ts
@@ -124,10 +124,10 @@
 
   #listIncludingDead(scope: string): MemberRecord[] {
     const { table } = this.#context;
-    const dead = table.listDead().filter(({ failureDomain }) =>
-      failureDomain === scope
-    );
-    return [...table.listDomain(scope), ...dead];
+    const others = [...table.listDead(), ...table.listNotices()].filter((
+      { failureDomain },
+    ) => failureDomain === scope);
+    return [...table.listDomain(scope), ...others];
   }
 
   #holdsAllRecords(failureDomain: string): boolean {
--- a/src/membership/cross_domain_gossip.ts
+++ b/src/membership/cross_domain_gossip.ts
@@ -9,6 +9,7 @@
 import { chooseDelegates } from "./choose_delegates.ts";
 import { chooseSample, formatGossipAddress } from "./gossip_context.ts";
 import type { GossipContext } from "./gossip_context.ts";
+import { isCopy } from "./notice_record.ts";
 import type { RemoteContacts } from "./remote_contacts.ts";
 import { divideIntoDatagrams } from "./take_within_bytes.ts";
 
@@ -70,12 +71,15 @@
 
   /**
    * Queues a change in this daemon's failure domain for the other failure
-   * domains, if this daemon is a delegate. Suspicions are not forwarded.
+   * domains, if this daemon is a delegate. Suspicions and copies of notices are
+   * not forwarded.
    */
   handleChange(record: MemberRecord): void {
     const { isDelegate, table } = this.#context;
     const isLocal = record.failureDomain === table.self.failureDomain;
-    if (!isLocal || record.state === "suspect" || !isDelegate()) {
+    const isForwarded = isLocal && record.state !== "suspect" &&
+      !isCopy(record);
+    if (!isForwarded || !isDelegate()) {
       return;
     }
     this.#pending.delete(record.incarnation);
--- a/src/membership/gossip_membership.ts
+++ b/src/membership/gossip_membership.ts
@@ -6,6 +6,7 @@
 
 import type { ConfigurationHolder } from "../configuration/mod.ts";
 import type { GossipMessage, MemberRecord } from "../generated/types.ts";
+import type { RequestNotice } from "../quarantine/mod.ts";
 import type { ObjectStore } from "../store/mod.ts";
 import { DECISIONS } from "../telemetry/mod.ts";
 import type { DecisionJournal, Logger, SentBytes } from "../telemetry/mod.ts";
@@ -24,9 +25,10 @@
 import { InstanceView } from "./instance_view.ts";
 import { LossReporter } from "./loss_reporter.ts";
 import type { ReportLoss } from "./loss_reporter.ts";
-import { MemberTable } from "./member_table.ts";
+import { MemberTable, MERGE_OUTCOMES } from "./member_table.ts";
 import { Membership } from "./membership.ts";
 import type { OwnRecordChange } from "./membership.ts";
+import { copyNotice, createNoticeRecords, isNotice } from "./notice_record.ts";
 import { RecordPuller } from "./record_puller.ts";
 import { parseGossipAddress } from "./parse_gossip_address.ts";
 import { PeriodicTasks, TICK_INTERVAL_MS } from "./periodic_tasks.ts";
@@ -146,6 +148,7 @@
       interest: this.#interest,
       contacts: this.#contacts,
       seenRumors: this.#seenRumors,
+      handleNotice: (notice) => this.notifyNotice(notice),
     });
     this.#losses = new LossReporter(
       context,
@@ -197,7 +200,7 @@
   }
 
   override listAll(): readonly MemberRecord[] {
-    return this.#table.list();
+    return this.#table.list().filter((record) => !isNotice(record));
   }
 
   override markLeaving(incarnation: string): void {
@@ -244,6 +247,14 @@
     }
   }
 
+  override announceNotice(notice: RequestNotice): void {
+    for (const record of createNoticeRecords(this.self, notice)) {
+      this.#table.merge(record);
+    }
+    this.#spreader.spread();
+    this.#crossDomain.flush();
+  }
+
   override announceConfigurationVersion(): void {
     this.#spreader.announceConfigurationVersion();
     this.#crossDomain.announceConfigurationVersion();
@@ -307,6 +318,15 @@
     }
   }
 
+  /** Adds the copy of a notice of another failure domain to this one, on its members' behalf. */
+  #copyNotice(record: MemberRecord): void {
+    const copy = this.isDelegate ? copyNotice(record, this.self) : undefined;
+    if (copy && this.#table.merge(copy) === MERGE_OUTCOMES.changed) {
+      // Also if the original came in a reply, which is not passed on.
+      this.#rumors.add(copy);
+    }
+  }
+
   #handleChange(
     record: MemberRecord,
     previous: MemberRecord | undefined,
@@ -323,6 +343,10 @@
       }
       return;
     }
+    if (isNotice(record)) {
+      this.#copyNotice(record);
+      return;
+    }
     const serverId = readDeparture(record);
     if (serverId !== undefined) {
       if (formatGossipAddress(record) === formatGossipAddress(this.self)) {
--- a/src/membership/member_digests.ts
+++ b/src/membership/member_digests.ts
@@ -5,6 +5,7 @@
 
 import type { MemberRecord } from "../generated/types.ts";
 import { hashText } from "../hashing/mod.ts";
+import { isNotice } from "./notice_record.ts";
 
 /** Number of digest buckets per failure domain. */
 export const DIGEST_BUCKETS = 64;
@@ -18,7 +19,7 @@
 
   /** Adds a record to its bucket's digest, or removes it if already added. */
   toggle(record: MemberRecord): void {
-    if (record.state === "dead") {
+    if (record.state === "dead" && !isNotice(record)) {
       return;
     }
     const buckets = this.#buckets.get(record.failureDomain) ??
--- a/src/membership/member_table.ts
+++ b/src/membership/member_table.ts
@@ -9,6 +9,7 @@
 import { formatGossipAddress } from "./gossip_context.ts";
 import { startedAfter } from "./started_after.ts";
 import { MemberIndex } from "./member_index.ts";
+import { isExpiredNotice, isNotice } from "./notice_record.ts";
 import { MemberDigests } from "./member_digests.ts";
 import { supersedes } from "./supersedes.ts";
 
@@ -18,6 +19,9 @@
 /** Maximum number of dead members kept. */
 const MAX_DEAD_MEMBERS = 4_096;
 
+/** Maximum number of records that carry notices; beyond it, the oldest is removed. */
+const MAX_NOTICES = 1_024;
+
 /** Number of records, including dead members, at which records of new members are rejected. */
 const MAX_MEMBERS = 20_000;
 
@@ -62,6 +66,8 @@
   readonly #byService = new MemberIndex();
   readonly #byDomain = new MemberIndex();
   readonly #deadSinceMs = new Map<string, number>();
+  /** Incarnations of the records that carry notices, oldest first. */
+  readonly #notices = new Set<string>();
   readonly #ownIncarnation: string;
   #position = 0;
 
@@ -116,6 +122,11 @@
     return this.#getRecords(new Set(this.#deadSinceMs.keys()));
   }
 
+  /** Lists the records that carry notices, oldest first. */
+  listNotices(): MemberRecord[] {
+    return this.#getRecords(this.#notices);
+  }
+
   /** Yields the records that changed after a position, in order of change. */
   *listChangedAfter(
     position: number,
@@ -144,6 +155,9 @@
     if (!known && this.#entries.size >= MAX_MEMBERS) {
       return MERGE_OUTCOMES.rejected;
     }
+    if (isNotice(record)) {
+      return this.#mergeNotice(record, known);
+    }
     const next = this.#resolveAddressConflict(record);
     const hasConflict = next !== record;
     if (known && !hasConflict && isEviction(next, known)) {
@@ -155,6 +169,25 @@
     return MERGE_OUTCOMES.changed;
   }
 
+  #mergeNotice(
+    record: MemberRecord,
+    known: MemberRecord | undefined,
+  ): MergeOutcome {
+    const isRejected = record.state !== "dead" ||
+      isExpiredNotice(record, this.#options.clock.nowMs());
+    if (isRejected) {
+      return MERGE_OUTCOMES.rejected;
+    }
+    this.#change(record, known);
+    this.#notices.delete(record.incarnation);
+    this.#notices.add(record.incarnation);
+    const [oldest = ""] = this.#notices;
+    if (this.#notices.size > MAX_NOTICES) {
+      this.remove(oldest);
+    }
+    return MERGE_OUTCOMES.changed;
+  }
+
   /** Updates this daemon's own record and increments its version. */
   changeSelf(change: Partial<MemberRecord>): void {
     const known = this.self;
@@ -169,6 +202,18 @@
       this.#entries.delete(incarnation);
       this.#deadSinceMs.delete(incarnation);
     }
+    this.#notices.delete(incarnation);
+  }
+
+  /** Removes notices that have expired. */
+  removeExpiredNotices(): void {
+    const nowMs = this.#options.clock.nowMs();
+    for (const incarnation of this.#notices) {
+      const record = this.get(incarnation);
+      if (!record || isExpiredNotice(record, nowMs)) {
+        this.remove(incarnation);
+      }
+    }
   }
 
   /** Removes dead members whose retention time has passed or that exceed the maximum number. */
@@ -261,6 +306,9 @@
       position: this.#position,
     });
     this.digests.toggle(record);
+    if (isNotice(record)) {
+      return;
+    }
     this.#indexAddress(record);
     if (record.state === "dead") {
       const nowMs = this.#options.clock.monotonicMs();
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -3,6 +3,7 @@
  */
 
 import type { MemberRecord } from "../generated/types.ts";
+import type { RequestNotice } from "../quarantine/mod.ts";
 
 /** Fields that a daemon may change in its own record. */
 export type OwnRecordChange = Partial<
@@ -25,6 +26,9 @@
 /** Called with the id of a backend server of this VM whose departure an earlier process of this daemon announced. */
 export type DepartureListener = (serverId: string) => void;
 
+/** Called with each notice that another daemon sent; the same one may come several times. */
+export type NoticeListener = (notice: RequestNotice) => void;
+
 /** Control traffic, in bytes. */
 export interface MembershipTraffic {
   readonly sentBytes: number;
@@ -35,6 +39,7 @@
 export abstract class Membership {
   readonly #configurationListeners = new Set<PeerConfigurationListener>();
   readonly #departureListeners = new Set<DepartureListener>();
+  readonly #noticeListeners = new Set<NoticeListener>();
 
   /** This daemon's own record. */
   abstract get self(): MemberRecord;
@@ -74,6 +79,21 @@
     this.#departureListeners.forEach((listener) => listener(serverId));
   }
 
+  /** Sends all other daemons a notice of a request that crashes backend servers. */
+  announceNotice(_notice: RequestNotice): void {
+    // Without gossip, each daemon knows only of its own backend server.
+  }
+
+  /** Calls `listener` for each notice of another daemon. */
+  onNotice(listener: NoticeListener): void {
+    this.#noticeListeners.add(listener);
+  }
+
+  /** Notifies the listeners of a notice. */
+  protected notifyNotice(notice: RequestNotice): void {
+    this.#noticeListeners.forEach((listener) => listener(notice));
+  }
+
   /** Excludes an instance that refused a call because it is leaving. */
   markLeaving(_incarnation: string): void {
     // Without gossip, the next record of the instance carries the state.
--- a/src/membership/periodic_tasks.ts
+++ b/src/membership/periodic_tasks.ts
@@ -99,6 +99,7 @@
     rejoiner.rejoinLostMember();
     rejoiner.introduceAfterStart();
     this.#context.table.removeExpiredDead();
+    this.#context.table.removeExpiredNotices();
     if (nowMs >= this.#nextCleanupAtMs) {
       this.#nextCleanupAtMs = nowMs + CLEANUP_INTERVAL_MS;
       this.#removeUnneededRecords();
--- a/src/membership/record_receiver.ts
+++ b/src/membership/record_receiver.ts
@@ -5,9 +5,11 @@
  */
 
 import type { GossipMessage, MemberRecord } from "../generated/types.ts";
+import type { RequestNotice } from "../quarantine/mod.ts";
 import { formatGossipAddress } from "./gossip_context.ts";
 import type { GossipContext } from "./gossip_context.ts";
 import { MERGE_OUTCOMES } from "./member_table.ts";
+import { readNotice } from "./notice_record.ts";
 import type { RemoteContacts } from "./remote_contacts.ts";
 import type { SeenRumors } from "./seen_rumors.ts";
 import type { ServiceInterest } from "./service_interest.ts";
@@ -17,6 +19,8 @@
   readonly interest: ServiceInterest;
   readonly contacts: RemoteContacts;
   readonly seenRumors: SeenRumors;
+  /** Called for each notice, known ones included. */
+  readonly handleNotice: (notice: RequestNotice) => void;
 }
 
 /** Processes the records received by one daemon. */
@@ -45,6 +49,10 @@
     this.#isReceivingReply = message.kind === "push" &&
       message.isReply === true;
     for (const record of message.records) {
+      const notice = readNotice(record);
+      if (notice) {
+        this.#options.handleNotice(notice);
+      }
       if (this.#receiveRecord(record)) {
         newer ??= table.get(record.incarnation);
       }
--- a/src/outcome/outcome.ts
+++ b/src/outcome/outcome.ts
@@ -47,6 +47,7 @@
   backendRefused: "backend-refused",
   linkBudget: "link-budget",
   notReady: "not-ready",
+  quarantined: "quarantined",
 } as const;
 
 /** One of {@link REASONS}. */
--- a/src/quarantine/crash_recorder.ts
+++ b/src/quarantine/crash_recorder.ts
@@ -8,13 +8,18 @@
   BackendRegistry,
   ConnectionBreak,
 } from "../backend/mod.ts";
-import type { Announcement, CallContext } from "../generated/types.ts";
+import type {
+  Announcement,
+  CallContext,
+  MemberRecord,
+} from "../generated/types.ts";
 import { DECISIONS } from "../telemetry/mod.ts";
 import type { DaemonMetrics, DecisionJournal } from "../telemetry/mod.ts";
 import type { Clock } from "../time/mod.ts";
 import { CrashDetector } from "./crash_detector.ts";
 import type { ServerCrash, TrackedRun } from "./crash_detector.ts";
 import type { Fingerprinter } from "./fingerprinter.ts";
+import type { Quarantine } from "./quarantine.ts";
 import type { IdentifiedCall } from "./request_identity.ts";
 
 /** Maximum number of calls that are named in the journal. */
@@ -31,6 +36,10 @@
   readonly backendClient: BackendClient;
   readonly clock: Clock;
   readonly fingerprinter: Fingerprinter;
+  /** Decides what follows for the requests. */
+  readonly quarantine: Quarantine;
+  /** Identity of this process and IP address of its VM. */
+  readonly daemon: Pick<MemberRecord, "incarnation" | "address">;
   readonly journal: DecisionJournal;
   readonly metrics: DaemonMetrics;
 }
@@ -41,7 +50,7 @@
   readonly #detector: CrashDetector<RecordedCall>;
   #announcementCount = 0;
   /** Server that said that it leaves; calls that its planned end cuts off did not cause it. */
-  #leavingServerId = "";
+  #leavingProcess = "";
 
   constructor(options: CrashRecorderOptions) {
     this.#options = options;
@@ -59,7 +68,7 @@
 
   /** Records that a call starts to run on a server. */
   begin(server: Announcement, call: RecordedCall): TrackedRun<RecordedCall> {
-    return this.#detector.begin(formatServerId(server), call);
+    return this.#detector.begin(this.#formatProcess(server), call);
   }
 
   /** Records the end of a run; resolves when it is known whether the server has ended with it, as far as can be told at once. */
@@ -75,27 +84,40 @@
     const { announcement, announcementCount, isServerLeaving } =
       this.#options.backend;
     if (announcement && isServerLeaving) {
-      this.#leavingServerId = formatServerId(announcement);
+      this.#leavingProcess = this.#formatProcess(announcement);
     }
     if (announcement && announcementCount !== this.#announcementCount) {
       this.#announcementCount = announcementCount;
-      this.#detector.observeServer(formatServerId(announcement));
+      this.#detector.observeServer(this.#formatProcess(announcement));
     }
   }
 
+  /** Formats the id of a server process; servers without an id are told apart by their number. */
+  #formatProcess(server: Announcement): string {
+    const { serverCount } = this.#options.backend;
+    return `${formatServerId(server)}#${serverCount}`;
+  }
+
   #record({ serverId, calls }: ServerCrash<RecordedCall>): void {
-    const { fingerprinter, journal, metrics } = this.#options;
-    if (serverId === this.#leavingServerId) {
+    const { daemon, fingerprinter, journal, metrics, quarantine } =
+      this.#options;
+    if (serverId === this.#leavingProcess) {
       return;
     }
+    const service = calls[0]?.service ?? "";
+    const { address: vmAddress, incarnation } = daemon;
+    const fingerprints = quarantine.recordCrash({
+      processId: fingerprinter.hashId(`${incarnation} ${serverId}`),
+      ...{ vmAddress, service, calls },
+    });
     const named = calls.slice(-MAX_NAMED_CALLS);
     metrics.serverCrashes.inc();
     journal.record(DECISIONS.serverCrash, {
       serverId,
-      service: calls[0]?.service ?? "",
+      service,
       calls: calls.length,
       requestIds: named.map(({ context }) => context.requestId).join(),
-      fingerprints: named.map((call) => fingerprinter.compute(call)).join(),
+      fingerprints: fingerprints.slice(-MAX_NAMED_CALLS).join(),
     });
   }
 }
--- a/src/quarantine/mod.ts
+++ b/src/quarantine/mod.ts
@@ -7,5 +7,13 @@
 export type { ServerCrash, TrackedRun } from "./crash_detector.ts";
 export { CrashRecorder } from "./crash_recorder.ts";
 export type { RecordedCall } from "./crash_recorder.ts";
-export { Fingerprinter } from "./fingerprinter.ts";
+export type { Crash, Suspect } from "./crash_table.ts";
+export { FINGERPRINT_LENGTH, Fingerprinter } from "./fingerprinter.ts";
+export { Quarantine } from "./quarantine.ts";
+export type { ObservedCrash, QuarantineOptions } from "./quarantine.ts";
 export type { IdentifiedCall } from "./request_identity.ts";
+export type {
+  CleanRunNotice,
+  CrashNotice,
+  RequestNotice,
+} from "./request_notice.ts";
--- a/src/request/call_environment.ts
+++ b/src/request/call_environment.ts
@@ -18,7 +18,7 @@
 } from "../idempotency/mod.ts";
 import type { Membership } from "../membership/mod.ts";
 import type { MemoryBudget } from "../memory/mod.ts";
-import type { CrashRecorder } from "../quarantine/mod.ts";
+import type { CrashRecorder, Quarantine } from "../quarantine/mod.ts";
 import type { CallJoiner, RetryPolicy } from "../retry/mod.ts";
 import type { LoadBalancer, TrafficSplitter } from "../routing/mod.ts";
 import type {
@@ -60,6 +60,8 @@
   readonly activeCalls: ActiveCalls;
   readonly responseSizes: ResponseSizes;
   readonly leavingServers: LeavingServers;
+  /** Requests that are refused because they crash backend servers. */
+  readonly quarantine: Quarantine;
   /** Calls that the backend server of this VM runs, to tell what ran when it ended. */
   readonly crashes: CrashRecorder;
 }
--- a/src/request/dispatch_call.ts
+++ b/src/request/dispatch_call.ts
@@ -38,7 +38,12 @@
   environment: CallEnvironment,
   call: OutboundCall,
 ): Promise<CallResult> {
-  const { clock, journal, retryPolicy } = environment;
+  const { clock, journal, quarantine, retryPolicy } = environment;
+  const refusal = quarantine.check(call);
+  if (refusal) {
+    const unusedAllowance = call.context.retryAllowance;
+    return err({ ...refusal, unusedAllowance });
+  }
   const { requestId, isRepeatable } = call.context;
   const { service } = call;
   const history = new AttemptHistory();
@@ -88,7 +93,7 @@
       isRepeatable,
       remainingMs: call.deadlineAtMs - clock.monotonicMs(),
     };
-    const isExhausted = call.signal.aborted ||
+    const isExhausted = call.signal.aborted || quarantine.deniesRetry(call) ||
       attempts >= (call.maxAttempts ?? Number.POSITIVE_INFINITY);
     if (isExhausted || !retryPolicy.acquireRetry(retryContext)) {
       const { reason } = failure;
--- a/src/request/run_call.ts
+++ b/src/request/run_call.ts
@@ -75,6 +75,10 @@
   call: OutboundCall,
 ): Promise<CallResult> {
   const { backend, clock, inboundAdmission, metrics } = environment;
+  const quarantined = refuseQuarantined(environment, call);
+  if (quarantined) {
+    return quarantined;
+  }
   const refusalReason = findRefusalReason(environment, call);
   if (refusalReason) {
     return err(
@@ -105,9 +109,13 @@
   const startedAtMs = clock.monotonicMs();
   const announcement = backend.announcement;
   const reasonAfterQueue = findRefusalReason(environment, call);
-  const { result, nestedMs } = announcement && !reasonAfterQueue
-    ? await callBackend(environment, call)
-    : { result: createRefusedResult(call, reasonAfterQueue), nestedMs: 0 };
+  const refusedResult = refuseQuarantined(environment, call) ??
+    (announcement && !reasonAfterQueue
+      ? undefined
+      : createRefusedResult(call, reasonAfterQueue));
+  const { result, nestedMs } = refusedResult
+    ? { result: refusedResult, nestedMs: 0 }
+    : await callBackend(environment, call);
   const durationMs = clock.monotonicMs() - startedAtMs;
   permit.value.release({
     durationMs,
@@ -118,6 +126,15 @@
   return result;
 }
 
+function refuseQuarantined(
+  { quarantine }: CallEnvironment,
+  call: OutboundCall,
+): CallResult | undefined {
+  const refusal = quarantine.check(call);
+  const unusedAllowance = call.context.retryAllowance;
+  return refusal && err({ ...refusal, unusedAllowance });
+}
+
 function createRefusedResult(
   call: OutboundCall,
   reason: Reason = REASONS.noBackendServer,
@@ -160,7 +177,7 @@
 ): Promise<BackendRun> {
   const { activeCalls, backend, backendClient, clock, crashes, journal } =
     environment;
-  const { memory } = environment;
+  const { memory, quarantine } = environment;
   const announcement = backend.announcement;
   if (!announcement) {
     return { result: err(createRefusal(REASONS.noBackendServer)), nestedMs: 0 };
@@ -209,6 +226,7 @@
   stopFollowing();
   if (result.isOk()) {
     environment.responseSizes.record(call, result.value.body.length);
+    quarantine.recordCleanRun(call);
   }
   if (result.isErr() && result.error.reason === REASONS.noBackendServer) {
     backend.markUnreachable();
@@ -227,7 +245,9 @@
   }
   const retryState = {
     unusedAllowance: activeCall.allowance.close(),
-    isGivenUp: activeCall.hasNestedFailure,
+    // A daemon that does not know of the crash yet would retry on another VM.
+    isGivenUp: activeCall.hasNestedFailure ||
+      (connectionBreak === "broken" && quarantine.deniesRetry(call)),
   };
   return {
     result: result.map((answer) => ({
--- a/src/request/serve_routed_call.ts
+++ b/src/request/serve_routed_call.ts
@@ -140,7 +140,8 @@
 
 function isUnreached({ reason }: CallFailure): boolean {
   return reason === REASONS.noInstance ||
-    reason === REASONS.limitedService || UNREACHED_REASONS.has(reason);
+    reason === REASONS.limitedService || reason === REASONS.quarantined ||
+    UNREACHED_REASONS.has(reason);
 }
 
 function prepareCall(
--- a/src/telemetry/decision_journal.ts
+++ b/src/telemetry/decision_journal.ts
@@ -31,6 +31,8 @@
   serverLeaving: "server-leaving",
   serverLimitInvalid: "server-limit-invalid",
   serverCrash: "server-crash",
+  requestQuarantined: "request-quarantined",
+  requestReleased: "request-released",
   unknownOutcome: "unknown-outcome",
   runFailed: "run-failed",
 } as const;
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -144,6 +144,13 @@
     registers: [this.registry],
   });
 
+  /** Requests that are refused because they crash backend servers. */
+  readonly quarantinedRequests = new Gauge({
+    name: "celeryhollow_quarantined_requests",
+    help: "Requests that are refused because they crash backend servers",
+    registers: [this.registry],
+  });
+
   /** Current concurrency limit of the backend server. */
   readonly limit = new Gauge({
     name: "celeryhollow_limit",
--- a/src/testing/fault_injection/fault_injection_node.ts
+++ b/src/testing/fault_injection/fault_injection_node.ts
@@ -32,7 +32,11 @@
   serveEntryCall,
   servePeerCall,
 } from "../../request/mod.ts";
-import { CrashRecorder, Fingerprinter } from "../../quarantine/mod.ts";
+import {
+  CrashRecorder,
+  Fingerprinter,
+  Quarantine,
+} from "../../quarantine/mod.ts";
 import type { CallEnvironment, EntryCall } from "../../request/mod.ts";
 import {
   AllowanceRetryPolicy,
@@ -210,6 +214,11 @@
     inboundAdmission.setCapacity(16);
     const metrics = new DaemonMetrics();
     const journal = new DecisionJournal(clock);
+    const fingerprinter = new Fingerprinter(FLEET_TOKEN);
+    const quarantine = new Quarantine({
+      ...{ clock, fingerprinter, journal, metrics },
+      publish: () => undefined,
+    });
     const { incarnation } = self;
     const keyOptions = { incarnation, fleetToken: FLEET_TOKEN, clock };
     return {
@@ -238,9 +247,10 @@
       activeCalls: new ActiveCalls(clock),
       responseSizes: new ResponseSizes(),
       leavingServers: new LeavingServers(),
+      quarantine,
       crashes: new CrashRecorder({
         ...{ backend: registry, backendClient: this.backend, clock },
-        ...{ journal, metrics, fingerprinter: new Fingerprinter(FLEET_TOKEN) },
+        ...{ journal, metrics, fingerprinter, quarantine, daemon: self },
       }),
     };
   }
