Keep quarantined requests in the store, for a fleet whose daemons all end

Callers whose fleet was restarted as a whole, twice while a request that crashes servers went on coming, saw four more servers end under it than the first three (bound: 3): the notices lived in the daemons alone.

The daemon beside the last server that ended now writes the request to one object of the store, and each daemon reads that object once after its start. Both are repeated while the store is away; nothing waits for them. Without a quarantine this costs one read for each start of a daemon.

--- a/src/daemon/create_daemon_components.ts
+++ b/src/daemon/create_daemon_components.ts
@@ -26,7 +26,12 @@
   UdpTransport,
 } from "../membership/mod.ts";
 import { computeBodyBudgetBytes, MemoryBudget } from "../memory/mod.ts";
-import { CrashRecorder, Fingerprinter, Quarantine } from "../quarantine/mod.ts";
+import {
+  CrashRecorder,
+  Fingerprinter,
+  Quarantine,
+  QuarantineArchive,
+} from "../quarantine/mod.ts";
 import { HeartbeatTimer } from "../peer/mod.ts";
 import type { DialPeer, PeerConnectionOptions } from "../peer/mod.ts";
 import {
@@ -96,6 +101,7 @@
 /** The components of a daemon. */
 export interface DaemonComponents {
   readonly environment: CallEnvironment;
+  readonly quarantineArchive: QuarantineArchive;
   readonly store: HttpObjectStore;
   readonly membership: GossipMembership;
   readonly configurationDistributor: ConfigurationDistributor;
@@ -275,6 +281,9 @@
   };
   return {
     environment,
+    quarantineArchive: new QuarantineArchive({
+      ...{ store: rateLimitedStore, quarantine, self, clock, random, log },
+    }),
     store,
     membership,
     configurationDistributor,
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -18,6 +18,7 @@
 import type { CallResult } from "../outcome/mod.ts";
 import { handOverKeys, servePeerCall } from "../request/mod.ts";
 import type { CallEnvironment } from "../request/mod.ts";
+import type { QuarantineArchive } from "../quarantine/mod.ts";
 import type { HttpObjectStore } from "../store/mod.ts";
 import { DECISIONS, FaultReporter, MemoryWatch } from "../telemetry/mod.ts";
 import { bindEndpoint } from "./bind_endpoint.ts";
@@ -56,6 +57,7 @@
     this.#resolveStopped = resolve;
   });
   readonly #store: HttpObjectStore;
+  readonly #quarantineArchive: QuarantineArchive;
   readonly #membership: GossipMembership;
   readonly #configurationDistributor: ConfigurationDistributor;
   readonly #peerServer: PeerServer;
@@ -76,6 +78,7 @@
     this.environment = components.environment;
     this.faults = new FaultReporter(components.environment);
     this.#store = components.store;
+    this.#quarantineArchive = components.quarantineArchive;
     this.#membership = components.membership;
     this.#configurationDistributor = components.configurationDistributor;
     this.#outbound = components.outbound;
@@ -151,6 +154,7 @@
       return;
     }
     void this.#configurationDistributor.run(this.#stopSignal.signal);
+    void this.#quarantineArchive.load();
     environment.configuration.subscribe(({ document }) => {
       this.#checkFailureDomain();
       const services = document.services.map(({ name }) => name);
@@ -224,6 +228,7 @@
     this.#listeners.forEach((listener) => listener.closeConnections());
     this.#stopHousekeeping();
     this.#stopSignal.abort();
+    this.#quarantineArchive.stop();
     await this.#membership.stop();
     await this.#peerServer.close();
     peers.close();
--- a/src/quarantine/crash_table.ts
+++ b/src/quarantine/crash_table.ts
@@ -69,6 +69,11 @@
     return this.#entries.keys();
   }
 
+  /** Whether a request is remembered. */
+  has(fingerprint: string): boolean {
+    return this.#entries.has(fingerprint);
+  }
+
   /** Adds a crash. Returns whether it was not known. */
   addCrash(fingerprint: string, crash: Crash): boolean {
     const entry = this.#entries.get(fingerprint) ??
--- a/src/quarantine/mod.ts
+++ b/src/quarantine/mod.ts
@@ -11,6 +11,7 @@
 export { FINGERPRINT_LENGTH, Fingerprinter } from "./fingerprinter.ts";
 export { Quarantine } from "./quarantine.ts";
 export type { ObservedCrash, QuarantineOptions } from "./quarantine.ts";
+export { QuarantineArchive } from "./quarantine_archive.ts";
 export type { IdentifiedCall } from "./request_identity.ts";
 export type {
   CleanRunNotice,
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -35,6 +35,15 @@
   readonly calls: readonly IdentifiedCall[];
 }
 
+/** A request whose quarantine begins or ends. */
+export interface QuarantineChange extends Suspect {
+  /** Whether it ends because this daemon saw a clean run or an operator asked it. */
+  readonly isClearedHere: boolean;
+}
+
+/** Called for each change. */
+export type QuarantineListener = (change: QuarantineChange) => void;
+
 /** Dependencies of a {@link Quarantine}. */
 export interface QuarantineOptions {
   readonly clock: Clock;
@@ -53,6 +62,7 @@
   /** First parts of the fingerprints in the table. */
   readonly #targets = new Set<string>();
   readonly #quarantined = new Set<string>();
+  readonly #listeners = new Set<QuarantineListener>();
   #nextCleanupAtMs = 0;
 
   constructor(options: QuarantineOptions) {
@@ -135,6 +145,16 @@
     return wasQuarantined;
   }
 
+  /** Calls `listener` when a quarantine begins or ends. */
+  onChange(listener: QuarantineListener): void {
+    this.#listeners.add(listener);
+  }
+
+  /** Whether servers have ended under a request, quarantined or not. */
+  knows(fingerprint: string): boolean {
+    return this.#table.has(fingerprint);
+  }
+
   /** Lists the requests that are quarantined. */
   list(): Suspect[] {
     return this.#table.list(QUARANTINE_CRASHES, this.#options.clock.nowMs());
@@ -196,12 +216,13 @@
       ...{ kind: "clean-run", fingerprint },
       atMs: Math.round(atMs),
     };
-    this.receive(notice);
+    this.#table.addCleanRun(fingerprint, notice.atMs);
+    this.#followChange(fingerprint, true);
     this.#options.publish(notice);
   }
 
-  /** Logs the begin and the end of a quarantine. */
-  #followChange(fingerprint: string): void {
+  /** Logs the begin and the end of a quarantine, and notifies the listeners. */
+  #followChange(fingerprint: string, isClearedHere = false): void {
     const { clock, journal, metrics } = this.#options;
     const nowMs = clock.nowMs();
     const crashes = this.#table.listCrashes(fingerprint, nowMs);
@@ -226,5 +247,8 @@
         agesMs: crashes.map(({ atMs }) => Math.round(nowMs - atMs)).join(),
       },
     );
+    this.#listeners.forEach((listener) =>
+      listener({ fingerprint, crashes, isClearedHere })
+    );
   }
 }
