Let operators list and release quarantined requests

A request that is refused because it crashed servers could be seen in the logs of each daemon only, and came back after ten minutes at the earliest, even if the service had been repaired.

celeryhollow quarantine lists the requests with the VMs and ages of the servers that ended; celeryhollow release allows one again on all daemons, which learn it as they learn of clean runs. Fingerprints contain no hyphen, so that none is taken for an option.

--- a/src/cli/create_cli.ts
+++ b/src/cli/create_cli.ts
@@ -9,6 +9,7 @@
 import { ExplainCommand } from "./explain_command.ts";
 import { HistoryCommand } from "./history_command.ts";
 import { InitCommand } from "./init_command.ts";
+import { QuarantineCommand, ReleaseCommand } from "./quarantine_command.ts";
 import { RollbackCommand } from "./rollback_command.ts";
 import { ShowCommand } from "./show_command.ts";
 import { StatusCommand } from "./status_command.ts";
@@ -34,6 +35,8 @@
   cli.register(ExplainCommand);
   cli.register(DrainCommand);
   cli.register(UndrainCommand);
+  cli.register(QuarantineCommand);
+  cli.register(ReleaseCommand);
   cli.register(InitCommand);
   cli.register(ValidateCommand);
   cli.register(DiffCommand);
--- a/src/daemon/create_admin_app.ts
+++ b/src/daemon/create_admin_app.ts
@@ -1,6 +1,6 @@
 /**
  * HTTP admin API for operators: health, readiness, metrics, status,
- * journal, drain and stop.
+ * journal, quarantine, drain and stop.
  */
 
 import { timingSafeEqual } from "node:crypto";
@@ -35,7 +35,7 @@
   environment: CallEnvironment,
   options: AdminOptions,
 ): Hono {
-  const { backend, journal, metrics, settings } = environment;
+  const { backend, journal, metrics, quarantine, settings } = environment;
   const app = new Hono();
   app.get("/health", (context) => context.json({ status: "alive" }));
   app.get("/ready", (context) => {
@@ -75,6 +75,11 @@
       }),
     );
   });
+  app.get("/v1/quarantine", (context) => context.json(quarantine.list()));
+  app.post("/v1/quarantine/:fingerprint/release", (context) => {
+    const isReleased = quarantine.release(context.req.param("fingerprint"));
+    return context.json({ isReleased });
+  });
   app.post("/v1/drain", (context) => {
     backend.drain();
     return context.json({ state: backend.state });
--- a/src/membership/notice_record.ts
+++ b/src/membership/notice_record.ts
@@ -29,7 +29,7 @@
 const KINDS = { crash: "crash", cleanRun: "clean-run" } as const;
 
 /** Matches the incarnation of a notice: address of the daemon, kind, subject, part, and the failure domain of a copy. */
-const PATTERN = /^[^!]+!(crash|clean-run)\/([A-Za-z0-9_-]+)\/(\d+)(@.+)?$/;
+const PATTERN = /^[^!]+!(crash|clean-run)\/([^!/@]+)\/(\d+)(@.+)?$/;
 
 /**
  * Creates the records that carry a notice.
--- a/src/quarantine/crash_table.ts
+++ b/src/quarantine/crash_table.ts
@@ -31,7 +31,7 @@
 
 /** A backend server that ended while it ran a request. */
 export interface Crash {
-  /** Identifies the process of the server; letters, digits, `-` and `_`. */
+  /** Identifies the process of the server; contains none of `!`, `/` and `@`. */
   readonly processId: string;
   /** IP address of the VM. */
   readonly vmAddress: string;
--- a/src/quarantine/fingerprinter.ts
+++ b/src/quarantine/fingerprinter.ts
@@ -11,7 +11,7 @@
 import { listIdentityParts } from "./request_identity.ts";
 import type { IdentifiedCall } from "./request_identity.ts";
 
-/** Lengths of the parts, in base64url characters of 6 bits. */
+/** Lengths of the parts, in characters of 6 bits. */
 const TARGET_LENGTH = 8;
 const BODY_LENGTH = 4;
 
@@ -82,7 +82,9 @@
   }
 
   #hash(data: BinaryLike): string {
-    return createHmac("sha256", this.#key).update(data).digest("base64url");
+    // Without a hyphen, which would make an option of an argument that it begins.
+    return createHmac("sha256", this.#key).update(data).digest("base64url")
+      .replaceAll("-", ".");
   }
 }
 
--- a/src/quarantine/fingerprinter_test.ts
+++ b/src/quarantine/fingerprinter_test.ts
@@ -54,6 +54,16 @@
   assert.is.not(fingerprinter.compute({ ...other, context }), nested);
 });
 
+test("a fingerprint can be the argument of a command and a part of a path", () => {
+  for (let index = 0; index < 200; index += 1) {
+    const path = `/rounds/${index}`;
+    assert.match(
+      fingerprinter.compute({ ...CALL, path }),
+      /^[A-Za-z0-9_.]{12}$/,
+    );
+  }
+});
+
 test("fingerprints differ with the secret of the fleet", () => {
   assert.is.not(
     new Fingerprinter("other").compute(CALL),
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -141,6 +141,9 @@
   /** Releases a request, on behalf of an operator. Returns whether it was quarantined. */
   release(fingerprint: string): boolean {
     const wasQuarantined = this.#quarantined.has(fingerprint);
+    if (!this.#table.has(fingerprint)) {
+      return false;
+    }
     this.#publishCleanRun(fingerprint, this.#options.clock.nowMs());
     return wasQuarantined;
   }
