Find the end of a server behind a proxy, and lose no call that broke before it

The end was then told by the next announcement, 2.5 s later; by that time another broken call had replaced the ones that broke with the server, and the crash was held against that one.

A connection that is closed or reset at once now counts as refused, and all calls of a server that broke in the 15 s before its end is known are kept.

--- a/src/backend/probe_port.ts
+++ b/src/backend/probe_port.ts
@@ -7,10 +7,16 @@
 /** Timeout of a probe, in milliseconds; the backend server is on this VM. */
 const PROBE_TIMEOUT_MS = 200;
 
-/** Error code if nothing listens at the address. */
-const CONNECTION_REFUSED_CODE = "ECONNREFUSED";
+/** Time for which an accepted connection has to stay open, in milliseconds; a proxy accepts it and closes it when it finds no server behind. */
+const ACCEPTED_MS = 20;
 
-/** What a connection attempt tells of a port: `unknown` if it was neither accepted nor refused in time. */
+/** Error codes if nothing listens at the address, or nothing behind a proxy there. */
+const REFUSED_CODES: ReadonlySet<string> = new Set([
+  "ECONNREFUSED",
+  "ECONNRESET",
+]);
+
+/** What a connection attempt tells of a port: `refused` also if the connection was closed at once, `unknown` if it was neither accepted nor refused in time. */
 export type PortState = "open" | "refused" | "unknown";
 
 /**
@@ -30,12 +36,18 @@
       resolve(state);
       socket.destroy();
     };
-    socket.once("connect", () => finish("open"));
+    socket.once(
+      "connect",
+      () => setTimeout(() => finish("open"), ACCEPTED_MS),
+    );
     socket.once("timeout", () => finish("unknown"));
+    socket.once("end", () => finish("refused"));
     socket.on(
       "error",
-      (error: Error & { code?: string }) =>
-        finish(error.code === CONNECTION_REFUSED_CODE ? "refused" : "unknown"),
+      ({ code = "" }: Error & { code?: string }) =>
+        finish(REFUSED_CODES.has(code) ? "refused" : "unknown"),
     );
+    // Ends are only noticed while the socket is read.
+    socket.resume();
   });
 }
--- a/src/quarantine/crash_detector.ts
+++ b/src/quarantine/crash_detector.ts
@@ -48,14 +48,18 @@
   readonly report: (crash: ServerCrash<Call>) => void;
 }
 
-/** Calls of one server process that were broken at about the same time. */
+/** A call that was broken, and when. */
+interface BrokenRun<Call> {
+  readonly run: TrackedRun<Call>;
+  readonly atMs: number;
+}
+
+/** Broken calls of one server process. */
 interface BrokenGroup<Call> {
   readonly serverId: string;
-  readonly runs: TrackedRun<Call>[];
-  readonly sinceMs: number;
-  /** Resolves when the server was found ended or running, as far as its port and other calls tell. */
-  readonly judged: Promise<void>;
-  isJudged: boolean;
+  readonly runs: BrokenRun<Call>[];
+  /** Resolves when the server was found ended or running, as far as its port and other calls tell; undefined once that is done. */
+  judgement: Promise<void> | undefined;
 }
 
 /** Tracks the running calls of the backend server on this VM. */
@@ -90,44 +94,38 @@
     if (connectionBreak === "refused") {
       this.#confirm(run.serverId);
     } else if (connectionBreak === "broken") {
-      const group = this.#joinGroup(run);
-      await group.judged;
+      await this.#judgeLater(this.#joinGroup(run));
     }
   }
 
   /** Records an announcement: one of another process tells that the previous one has ended. */
   observeServer(serverId: string): void {
     const group = this.#group;
-    if (!group) {
-      return;
-    }
-    const ageMs = this.#options.clock.monotonicMs() - group.sinceMs;
-    if (group.serverId === serverId || ageMs > ANNOUNCEMENT_WAIT_MS) {
+    if (group?.serverId === serverId) {
       this.#group = undefined;
-    } else {
+    } else if (group) {
       this.#confirm(group.serverId);
     }
   }
 
   #joinGroup(run: TrackedRun<Call>): BrokenGroup<Call> {
-    const { clock } = this.#options;
-    const known = this.#group;
-    if (known?.serverId === run.serverId && !known.isJudged) {
-      if (known.runs.length < MAX_BROKEN_CALLS) {
-        known.runs.push(run);
-      }
-      return known;
-    }
     const { serverId } = run;
-    const group: BrokenGroup<Call> = {
-      ...{ serverId, runs: [run], sinceMs: clock.monotonicMs() },
-      judged: clock.sleep(SETTLE_MS).then(() => this.#judge(group)),
-      isJudged: false,
-    };
+    const group: BrokenGroup<Call> = this.#group?.serverId === serverId
+      ? this.#group
+      : { serverId, runs: [], judgement: undefined };
     this.#group = group;
+    if (group.runs.length < MAX_BROKEN_CALLS) {
+      group.runs.push({ run, atMs: this.#options.clock.monotonicMs() });
+    }
     return group;
   }
 
+  #judgeLater(group: BrokenGroup<Call>): Promise<void> {
+    const { clock } = this.#options;
+    group.judgement ??= clock.sleep(SETTLE_MS).then(() => this.#judge(group));
+    return group.judgement;
+  }
+
   async #judge(group: BrokenGroup<Call>): Promise<void> {
     const { clock, probePort } = this.#options;
     for (
@@ -140,12 +138,12 @@
     if (!this.#isStillRunning(group) && await probePort() === "refused") {
       this.#confirm(group.serverId);
     }
-    group.isJudged = true;
+    group.judgement = undefined;
   }
 
   /** Whether a call that began before the last broken one is still running on the same server. */
   #isStillRunning({ serverId, runs }: BrokenGroup<Call>): boolean {
-    const lastOrder = Math.max(...runs.map(({ order }) => order));
+    const lastOrder = Math.max(...runs.map(({ run }) => run.order));
     return [...this.#running].some((run) =>
       run.serverId === serverId && run.order < lastOrder
     );
@@ -157,7 +155,12 @@
       return;
     }
     this.#group = undefined;
-    const runs = [...group.runs].sort((one, other) => one.order - other.order);
-    this.#options.report({ serverId, calls: runs.map(({ call }) => call) });
+    const sinceMs = this.#options.clock.monotonicMs() - ANNOUNCEMENT_WAIT_MS;
+    const runs = group.runs.filter(({ atMs }) => atMs >= sinceMs)
+      .map(({ run }) => run)
+      .sort((one, other) => one.order - other.order);
+    if (runs.length > 0) {
+      this.#options.report({ serverId, calls: runs.map(({ call }) => call) });
+    }
   }
 }
--- a/src/quarantine/crash_detector_test.ts
+++ b/src/quarantine/crash_detector_test.ts
@@ -95,6 +95,16 @@
   assert.equal(crashes, []);
 });
 
+test("calls that break one after the other are counted to the end that an announcement tells", async () => {
+  const { detector, crashes, wait } = createDetector("open");
+  void detector.finish(detector.begin(SERVER, "a"), "broken");
+  await wait(JUDGED_MS);
+  void detector.finish(detector.begin(SERVER, "b"), "broken");
+  await wait(JUDGED_MS);
+  detector.observeServer(NEXT_SERVER);
+  assert.equal(crashes, [{ serverId: SERVER, calls: ["a", "b"] }]);
+});
+
 test("aborted calls are not counted to the end of their server", async () => {
   const { detector, crashes, wait } = createDetector("refused");
   const aborted = detector.begin(SERVER, "aborted");
