--- a/src/daemon/create_daemon_components.ts
+++ b/src/daemon/create_daemon_components.ts
@@ -2,6 +2,7 @@
  * Creation of the components of one daemon.
  */
 
+import { UnlimitedAllowances } from "../allowance/mod.ts";
 import { LearnedPaths, ThrottledEntryAdmission } from "../admission/mod.ts";
 import { BackendRegistry, HttpBackendClient } from "../backend/mod.ts";
 import type { BackendClient } from "../backend/mod.ts";
@@ -278,6 +279,7 @@
     activeCalls: new ActiveCalls(clock),
     responseSizes: new ResponseSizes(),
     leavingServers: new LeavingServers(),
+    allowances: new UnlimitedAllowances(),
   };
   return {
     environment,
--- a/src/outcome/outcome.ts
+++ b/src/outcome/outcome.ts
@@ -48,6 +48,8 @@
   linkBudget: "link-budget",
   notReady: "not-ready",
   quarantined: "quarantined",
+  unauthorized: "unauthorized",
+  overAllowance: "over-allowance",
 } as const;
 
 /** One of {@link REASONS}. */
--- a/src/request/call_environment.ts
+++ b/src/request/call_environment.ts
@@ -7,6 +7,7 @@
   InboundAdmission,
   LearnedPaths,
 } from "../admission/mod.ts";
+import type { AllowanceControl } from "../allowance/mod.ts";
 import type { BackendClient, BackendRegistry } from "../backend/mod.ts";
 import type { ConfigurationHolder } from "../configuration/mod.ts";
 import type { DaemonSettings } from "../generated/types.ts";
@@ -60,6 +61,8 @@
   readonly activeCalls: ActiveCalls;
   readonly responseSizes: ResponseSizes;
   readonly leavingServers: LeavingServers;
+  /** Rates of client accounts over all daemons. */
+  readonly allowances: AllowanceControl;
   /** Requests that are refused because they crash backend servers. */
   readonly quarantine: Quarantine;
   /** Calls that the backend server of this VM runs, to tell what ran when it ended. */
--- a/src/testing/fault_injection/fault_injection_node.ts
+++ b/src/testing/fault_injection/fault_injection_node.ts
@@ -5,6 +5,7 @@
  */
 
 import { Socket } from "node:net";
+import { UnlimitedAllowances } from "../../allowance/mod.ts";
 import {
   LearnedPaths,
   UnprotectedAdmission,
@@ -247,6 +248,7 @@
       activeCalls: new ActiveCalls(clock),
       responseSizes: new ResponseSizes(),
       leavingServers: new LeavingServers(),
+      allowances: new UnlimitedAllowances(),
       quarantine,
       crashes: new CrashRecorder({
         ...{ backend: registry, backendClient: this.backend, clock },
