Share the slots and what entries admit among client accounts

Cause: within a class, one account's burst took the capacity of all.

Change: the gate serves accounts by start-time fair queueing over slot time, within a class and separately for nested calls; a call waits only behind what goes before it, and a full queue displaces the newest call of the account that is last in turn. Nested calls of one account go by a hash of their tree, the same at every gate. Accounts whose allowance is used up go last. The entry divides what a kind admits by max-min fairness over the demand of 8 s, and cuts an account that gates serve less often to slightly more than it was served. Without accounts the order of calls and the admit ratio are unchanged, with tests of both.

--- a/src/admission/adaptive_admission.ts
+++ b/src/admission/adaptive_admission.ts
@@ -6,10 +6,9 @@
  */
 
 import { err, ok } from "neverthrow";
-import type { Result } from "neverthrow";
 import type { LoadSignal } from "../generated/types.ts";
 import { createRefusal, REASONS } from "../outcome/mod.ts";
-import type { Reason, Refusal } from "../outcome/mod.ts";
+import type { Reason } from "../outcome/mod.ts";
 import type { Clock } from "../time/mod.ts";
 import { AdmissionJournal } from "./admission_journal.ts";
 import type { AdmissionTelemetry } from "./admission_journal.ts";
@@ -18,14 +17,17 @@
 import { ConcurrencyLimit } from "./concurrency_limit.ts";
 import { countReservedSlots } from "./count_reserved_slots.ts";
 import { DemandWindow } from "./demand_window.ts";
+import { FairShares } from "./fair_shares.ts";
+import type { OpenShare } from "./fair_shares.ts";
 import { IdleMeter } from "./idle_meter.ts";
 import { InboundAdmission } from "./inbound_admission.ts";
 import type { InboundCall, Permit } from "./inbound_admission.ts";
-import { MemberUsage } from "./member_usage.ts";
 import { RequestPacer } from "./request_pacer.ts";
 import { SlotTracker } from "./slot_tracker.ts";
-import { WaitingQueue } from "./waiting_queue.ts";
-import type { OrderOptions, Waiter } from "./waiting_queue.ts";
+import { createWaitingCall } from "./waiting_call.ts";
+import type { AdmissionResult, WaitingCall } from "./waiting_call.ts";
+import { isDisplacedBy, WaitingQueue } from "./waiting_queue.ts";
+import type { OrderOptions } from "./waiting_queue.ts";
 
 /** Largest expected queue delay at which a call is enqueued, as a share of its queue timeout. */
 const MAX_ENQUEUE_DELAY_RATIO = 0.8;
@@ -52,13 +54,8 @@
   readonly instance: number;
   /** Lists the share of the limit reserved for each class, the most important first. */
   readonly listReservedRatios: () => readonly number[];
-}
-
-type AdmissionResult = Result<Permit, Refusal>;
-
-interface WaitingCall extends Waiter {
-  readonly isLastResort: boolean;
-  readonly settle: (result: AdmissionResult) => void;
+  /** Whether an account has used up its allowance, so that its calls go last. */
+  readonly isAllowanceUsedUp?: ((account: string) => boolean) | undefined;
 }
 
 /** Concurrency limit, queue and demand estimate of one backend server. */
@@ -69,7 +66,7 @@
   readonly #slots: SlotTracker;
   readonly #demand = new DemandWindow();
   readonly #ratioController = new AdmitRatioController();
-  readonly #usage = new MemberUsage();
+  readonly #shares = new FairShares();
   readonly #idle = new IdleMeter();
   readonly #journal: AdmissionJournal;
   readonly #pacer: RequestPacer;
@@ -156,7 +153,9 @@
     const { isLimited } = this.#pacer;
     const isNext = !isLimited || this.#queue.length === 0;
     if (isNext && this.#mayRun(call.classRank)) {
-      return ok(this.#grant(call.classRank, call.context.member));
+      return ok(
+        this.#grant(call.classRank, this.#shares.open(call, this.#nowMs)),
+      );
     }
     const isTurnedAway = isLimited && !this.#pacer.isOpen && !call.isLastResort;
     return isTurnedAway
@@ -181,8 +180,7 @@
 
   get #order(): OrderOptions {
     return {
-      nowMs: this.#nowMs,
-      usage: this.#usage,
+      holdMs: this.#slots.holdMs,
       isNewestFirst: this.#queueDelayMs > NEWEST_FIRST_DELAY_MS,
     };
   }
@@ -190,7 +188,7 @@
   #wait(call: InboundCall): Promise<AdmissionResult> {
     return new Promise((resolve) => {
       const waiter = this.#createWaiter(call, resolve);
-      if (!this.#canRunInTime(waiter)) {
+      if (!this.#canRunInTime(waiter) || !this.#makeRoom(waiter)) {
         waiter.settle(
           this.#refuse(this.#selectReason(REASONS.overloadedInstance)),
         );
@@ -224,9 +222,23 @@
 
   #canRunInTime(waiter: WaitingCall): boolean {
     const remainingMs = waiter.expiresAtMs - this.#nowMs;
-    const delayMs = (this.#queue.countAhead(waiter) + 1) * this.#msPerCall;
-    return delayMs <= remainingMs * MAX_ENQUEUE_DELAY_RATIO &&
-      this.#queue.length < MAX_WAITING;
+    const ahead = this.#queue.countAhead(waiter, this.#slots.holdMs);
+    const delayMs = (ahead + 1) * this.#msPerCall;
+    return delayMs <= remainingMs * MAX_ENQUEUE_DELAY_RATIO;
+  }
+
+  /** Makes room in a full queue at the expense of the account with the most calls. */
+  #makeRoom(waiter: WaitingCall): boolean {
+    if (this.#queue.length < MAX_WAITING) {
+      return true;
+    }
+    const last = this.#queue.findLast(this.#slots.holdMs);
+    if (!last || !isDisplacedBy(last, waiter)) {
+      return false;
+    }
+    this.#journal.recordDisplacement(last, waiter);
+    this.#removeWaiter(last, this.#selectReason(REASONS.overloadedInstance));
+    return true;
   }
 
   #createWaiter(
@@ -247,19 +259,18 @@
     );
     const cancelWait = () => this.#removeWaiter(waiter, REASONS.cancelled);
     call.signal.addEventListener("abort", cancelWait);
-    const waiter: WaitingCall = {
-      classRank: call.classRank,
-      isLastResort: call.isLastResort ?? false,
-      member: call.context.member,
-      isNested,
-      arrivedAtMs: nowMs,
-      expiresAtMs: nowMs + timeoutMs,
+    const { isAllowanceUsedUp } = this.#options;
+    const waiter = createWaitingCall(call, {
+      open: this.#shares.open(call, nowMs),
+      nowMs,
+      timeoutMs,
+      isOverAllowance: isAllowanceUsedUp?.(call.context.member) ?? false,
       settle: (result) => {
         cancelExpiry();
         call.signal.removeEventListener("abort", cancelWait);
         resolve(result);
       },
-    };
+    });
     return waiter;
   }
 
@@ -304,15 +315,17 @@
         });
   }
 
-  #grant(classRank: number, member: string): Permit {
+  #grant(classRank: number, { clock, share }: OpenShare): Permit {
+    const holdMs = this.#slots.estimateHoldMs(classRank);
     const running = this.#slots.begin(classRank);
     this.#pacer.take();
     const concurrency = this.#slots.running.count;
-    this.#usage.record(member, running.startedAtMs);
+    clock.charge(share, { nowMs: running.startedAtMs, holdMs });
     this.#updateIdleMeter();
     return {
       release: (completion) => {
         this.#slots.end(running, completion);
+        clock.close(share, completion.durationMs - holdMs);
         // Under a limit of requests, calls tell nothing of how many slots there are.
         if (!this.#pacer.isLimited) {
           this.#limit.observe({
@@ -337,7 +350,7 @@
         break;
       }
       this.#queue.remove(next);
-      next.settle(ok(this.#grant(next.classRank, next.member)));
+      next.settle(ok(this.#grant(next.classRank, next.open)));
     }
     this.#scheduleNextGrant();
     this.#updateIdleMeter();
--- a/src/admission/adaptive_throttle.ts
+++ b/src/admission/adaptive_throttle.ts
@@ -38,6 +38,9 @@
   #recentlyEnded = 0;
   #recentlyServed = 0;
   #inProgress = 0;
+  /** In-progress requests and served ones, each with the weight of its arrival. */
+  #inProgressWeight = 0;
+  #servedWeight = 0;
   #updatedAtMs: number;
 
   constructor(clock: Clock) {
@@ -53,20 +56,22 @@
 
   /** Records that a request was admitted. */
   recordStart(): void {
+    this.#decay();
     this.#inProgress += 1;
+    this.#inProgressWeight += 1;
   }
 
   /** Discards an admitted request whose outcome says nothing about capacity. */
   discardRequest(): void {
     this.#decay();
-    this.#inProgress -= 1;
+    this.#takeInProgress();
     this.#requests = Math.max(0, this.#requests - 1);
   }
 
   /** Records the end of an admitted request. */
   recordEnd(isServed: boolean): void {
     this.#decay();
-    this.#inProgress -= 1;
+    this.#servedWeight += this.#takeInProgress() * Number(isServed);
     this.#served += Number(isServed);
     this.#recentlyEnded += 1;
     this.#recentlyServed += Number(isServed);
@@ -80,18 +85,69 @@
    */
   computeAdmitRatio(headroom: number): number {
     this.#decay();
+    return this.#computeRatio(
+      this.#served + this.#inProgress * this.#successRatio,
+      headroom,
+    );
+  }
+
+  /**
+   * Computes the admit ratio with requests counted at the time of their arrival.
+   * None counts both while it is in progress and when it ends, so the headroom
+   * does not grow with the time that requests take.
+   *
+   * @param headroom - Multiple of the served requests that may be admitted; above 1
+   * @returns The admit ratio, from {@link MIN_ADMIT_RATIO} to 1
+   */
+  computeArrivalAdmitRatio(headroom: number): number {
+    this.#decay();
+    return this.#computeRatio(this.#servedByArrival, headroom);
+  }
+
+  /** Estimates the share of the arriving requests that is served. */
+  estimateServedRatio(): number {
+    this.#decay();
+    return this.#requests < MIN_REQUESTS
+      ? 1
+      : Math.min(1, this.#servedByArrival / this.#requests);
+  }
+
+  /** Whether enough requests were admitted lately and nearly all of them served. */
+  get isHealthy(): boolean {
+    return this.#requests >= MIN_REQUESTS &&
+      this.#successRatio >= HEALTHY_SUCCESS_RATIO;
+  }
+
+  get #successRatio(): number {
+    return (this.#recentlyServed + 1) / (this.#recentlyEnded + 1);
+  }
+
+  get #servedByArrival(): number {
+    return this.#servedWeight + this.#inProgressWeight * this.#successRatio;
+  }
+
+  #computeRatio(expected: number, headroom: number): number {
     if (this.#requests < MIN_REQUESTS) {
       return 1;
     }
-    const successRatio = (this.#recentlyServed + 1) / (this.#recentlyEnded + 1);
-    const factor = successRatio >= HEALTHY_SUCCESS_RATIO
+    const factor = this.#successRatio >= HEALTHY_SUCCESS_RATIO
       ? Math.max(RECOVERY_HEADROOM, headroom)
       : headroom;
-    const expected = this.#served + this.#inProgress * successRatio + 1;
-    const ratio = factor * expected / this.#requests;
+    const ratio = factor * (expected + 1) / this.#requests;
     return Math.min(1, Math.max(MIN_ADMIT_RATIO, ratio));
   }
 
+  /** Takes the mean weight of the requests in progress out of their sum. */
+  #takeInProgress(): number {
+    if (this.#inProgress === 0) {
+      return 0;
+    }
+    const weight = this.#inProgressWeight / this.#inProgress;
+    this.#inProgressWeight -= weight;
+    this.#inProgress -= 1;
+    return weight;
+  }
+
   #decay(): void {
     const nowMs = this.#clock.monotonicMs();
     const ageMs = nowMs - this.#updatedAtMs;
@@ -99,6 +155,8 @@
     const weight = Math.exp(-ageMs / TIME_CONSTANT_MS);
     this.#requests *= weight;
     this.#served *= weight;
+    this.#servedWeight *= weight;
+    this.#inProgressWeight *= weight;
     const successRatioWeight = Math.exp(
       -ageMs / SUCCESS_RATIO_TIME_CONSTANT_MS,
     );
--- a/src/admission/admission_journal.ts
+++ b/src/admission/admission_journal.ts
@@ -5,6 +5,7 @@
 
 import type { DaemonMetrics, DecisionJournal } from "../telemetry/mod.ts";
 import { DECISIONS } from "../telemetry/mod.ts";
+import type { WaitingCall } from "./waiting_call.ts";
 
 /** Smallest change of the lowest admit ratio that is recorded. */
 const MIN_RECORDED_CHANGE = 0.1;
@@ -46,6 +47,20 @@
     this.#limit = limit;
   }
 
+  /** Records that a waiting call was refused in favor of one of an account with less use. */
+  recordDisplacement(
+    { className, member, requestId }: WaitingCall,
+    by: WaitingCall,
+  ): void {
+    const { journal, metrics } = this.#telemetry;
+    metrics.accountRefusals.inc({ class: className, stage: "queue" });
+    journal.record(DECISIONS.accountDisplacement, {
+      class: className,
+      account: member,
+      byAccount: by.member,
+    }, requestId);
+  }
+
   /** Updates the metrics, and journals the admit ratios, by class rank, if the lowest has changed significantly. */
   recordAdmitRatios(ratios: readonly number[], estimate: LoadEstimate): void {
     const { journal, metrics } = this.#telemetry;
--- a/src/admission/entry_admission.ts
+++ b/src/admission/entry_admission.ts
@@ -22,6 +22,12 @@
   readonly mark: AdmissionMark | undefined;
 }
 
+/** Outcome of an admitted request. */
+export interface EntryOutcome {
+  readonly member: string;
+  readonly isServed: boolean;
+}
+
 /** Decides which requests are admitted and may start a chain of calls. */
 export abstract class EntryAdmission {
   /** Admits or refuses a request before it starts. */
@@ -31,12 +37,12 @@
   abstract observe(loads: readonly LoadSignal[]): void;
 
   /** Records whether an admitted request was served. */
-  recordOutcome(_request: CompiledRequest, _isServed: boolean): void {
+  recordOutcome(_request: CompiledRequest, _outcome: EntryOutcome): void {
     // No-op by default; overridden by implementations that use outcomes.
   }
 
   /** Records that an admitted request reached no instance, so its outcome says nothing about the capacity of the fleet. */
-  recordUnreached(_request: CompiledRequest): void {
+  recordUnreached(_request: CompiledRequest, _member: string): void {
     // No-op by default; overridden by implementations that use outcomes.
   }
 
--- a/src/admission/mod.ts
+++ b/src/admission/mod.ts
@@ -8,7 +8,11 @@
   EntryAdmission,
   UnprotectedEntryAdmission,
 } from "./entry_admission.ts";
-export type { EntryGrant, EntryRequest } from "./entry_admission.ts";
+export type {
+  EntryGrant,
+  EntryOutcome,
+  EntryRequest,
+} from "./entry_admission.ts";
 export { hashText } from "../hashing/mod.ts";
 export { InboundAdmission } from "./inbound_admission.ts";
 export type {
--- a/src/admission/throttled_entry_admission.ts
+++ b/src/admission/throttled_entry_admission.ts
@@ -14,9 +14,14 @@
 import type { DaemonMetrics, DecisionJournal } from "../telemetry/mod.ts";
 import { DECISIONS } from "../telemetry/mod.ts";
 import type { Clock, RandomSource } from "../time/mod.ts";
+import { AccountDemand } from "./account_demand.ts";
 import { AdaptiveThrottle } from "./adaptive_throttle.ts";
 import { EntryAdmission } from "./entry_admission.ts";
-import type { EntryGrant, EntryRequest } from "./entry_admission.ts";
+import type {
+  EntryGrant,
+  EntryOutcome,
+  EntryRequest,
+} from "./entry_admission.ts";
 
 /** Headroom of the least important class. */
 const MIN_HEADROOM = 1.25;
@@ -33,6 +38,9 @@
 /** Maximum number of request kinds; reaching it clears the throttles. */
 const MAX_REQUEST_KINDS = 4_096;
 
+/** Maximum number of request kinds whose accounts are counted, which bounds the state to 4,096 accounts. */
+const MAX_DIVIDED_KINDS = 64;
+
 /** Dependencies of the entry admission. */
 export interface ThrottledEntryOptions {
   readonly clock: Clock;
@@ -43,10 +51,25 @@
   readonly readLowestRank: () => number;
 }
 
+interface ThrottledKind {
+  readonly throttle: AdaptiveThrottle;
+  /** Undefined if there are too many kinds to count accounts for each. */
+  readonly accounts: AccountDemand | undefined;
+}
+
+interface RefusalOptions {
+  readonly requestId: string;
+  readonly member: string;
+  /** Admit ratio of the account. */
+  readonly ratio: number;
+  /** Admit ratio of all accounts together. */
+  readonly kindRatio: number;
+}
+
 /** Admits requests by the share of their kind that was recently served. */
 export class ThrottledEntryAdmission extends EntryAdmission {
   readonly #options: ThrottledEntryOptions;
-  readonly #throttles = new Map<string, AdaptiveThrottle>();
+  readonly #kinds = new Map<string, ThrottledKind>();
 
   constructor(options: ThrottledEntryOptions) {
     super();
@@ -54,27 +77,46 @@
   }
 
   override check(
-    { request, requestId }: EntryRequest,
+    { request, requestId, member }: EntryRequest,
   ): Result<EntryGrant, Refusal> {
     const { random, readLowestRank } = this.#options;
-    const throttle = this.#findOrCreateThrottle(request.name);
+    const { throttle, accounts } = this.#findOrCreateKind(request);
     throttle.recordRequest();
+    accounts?.recordRequest(member);
     const steps = Math.max(0, readLowestRank() - request.classRank);
     const headroom = MIN_HEADROOM * HEADROOM_FACTOR ** steps;
-    const ratio = throttle.computeAdmitRatio(headroom);
+    const kindRatio = accounts?.isShared
+      ? throttle.computeArrivalAdmitRatio(headroom)
+      : throttle.computeAdmitRatio(headroom);
+    const ratio = accounts?.isShared
+      ? accounts.computeRatio(member, {
+        ratio: kindRatio,
+        servedRatio: throttle.estimateServedRatio(),
+      })
+      : kindRatio;
     if (ratio < 1 && random.nextFloat() >= ratio) {
-      return err(this.#refuse(request, requestId, ratio));
+      return err(
+        this.#refuse(request, { requestId, member, ratio, kindRatio }),
+      );
     }
     throttle.recordStart();
+    accounts?.recordStart(member);
     return ok({ mark: undefined });
   }
 
-  override recordOutcome({ name }: CompiledRequest, isServed: boolean): void {
-    this.#findOrCreateThrottle(name).recordEnd(isServed);
+  override recordOutcome(
+    request: CompiledRequest,
+    { member, isServed }: EntryOutcome,
+  ): void {
+    const { throttle, accounts } = this.#findOrCreateKind(request);
+    throttle.recordEnd(isServed);
+    accounts?.recordEnd(member, isServed);
   }
 
-  override recordUnreached({ name }: CompiledRequest): void {
-    this.#findOrCreateThrottle(name).discardRequest();
+  override recordUnreached(request: CompiledRequest, member: string): void {
+    const { throttle, accounts } = this.#findOrCreateKind(request);
+    throttle.discardRequest();
+    accounts?.discardRequest(member);
   }
 
   override observe(_loads: readonly LoadSignal[]): void {
@@ -85,24 +127,29 @@
     return [];
   }
 
-  #findOrCreateThrottle(name: string): AdaptiveThrottle {
-    const known = this.#throttles.get(name);
+  #findOrCreateKind({ name }: CompiledRequest): ThrottledKind {
+    const known = this.#kinds.get(name);
     if (known) {
       return known;
     }
-    if (this.#throttles.size >= MAX_REQUEST_KINDS) {
-      this.#throttles.clear();
+    if (this.#kinds.size >= MAX_REQUEST_KINDS) {
+      this.#kinds.clear();
     }
-    const throttle = new AdaptiveThrottle(this.#options.clock);
-    this.#throttles.set(name, throttle);
-    return throttle;
+    const { clock } = this.#options;
+    const kind = {
+      throttle: new AdaptiveThrottle(clock),
+      accounts: this.#kinds.size < MAX_DIVIDED_KINDS
+        ? new AccountDemand(clock)
+        : undefined,
+    };
+    this.#kinds.set(name, kind);
+    return kind;
   }
 
   /** Suggests a longer retry delay the lower the admit ratio is, with jitter. */
   #refuse(
     { className, service }: CompiledRequest,
-    requestId: string,
-    ratio: number,
+    { requestId, member, ratio, kindRatio }: RefusalOptions,
   ): Refusal {
     const { journal, metrics, random } = this.#options;
     const meanMs = Math.min(
@@ -111,10 +158,15 @@
     );
     const retryAfterMs = Math.ceil(meanMs * (0.5 + random.nextFloat()));
     metrics.entryRefusals.inc({ class: className, service });
+    if (ratio < kindRatio) {
+      metrics.accountRefusals.inc({ class: className, stage: "entry" });
+    }
     journal.record(DECISIONS.entryRefusal, {
       service,
       class: className,
       admitRatio: Number(ratio.toFixed(3)),
+      ...member !== "" &&
+        { account: member, kindRatio: Number(kindRatio.toFixed(3)) },
       retryAfterMs,
     }, requestId);
     return createRefusal(REASONS.overloadedEntry, { retryAfterMs });
--- a/src/admission/throttled_entry_admission_test.ts
+++ b/src/admission/throttled_entry_admission_test.ts
@@ -4,6 +4,7 @@
 import { DaemonMetrics, DecisionJournal } from "../telemetry/mod.ts";
 import { ManualClock } from "../testing/manual_clock.ts";
 import { RandomSource } from "../time/mod.ts";
+import { AdaptiveThrottle } from "./adaptive_throttle.ts";
 import type { EntryAdmission } from "./entry_admission.ts";
 import { UnprotectedEntryAdmission } from "./entry_admission.ts";
 import { ThrottledEntryAdmission } from "./throttled_entry_admission.ts";
@@ -36,11 +37,14 @@
 
 const KINDS = [createRequest("delivery", 0), createRequest("rounds", 2)];
 
-function createAdmission(clock: ManualClock): EntryAdmission {
+function createAdmission(
+  clock: ManualClock,
+  journal = new DecisionJournal(clock),
+): EntryAdmission {
   return new ThrottledEntryAdmission({
     clock,
     random: new RandomSource(11),
-    journal: new DecisionJournal(clock),
+    journal,
     metrics: new DaemonMetrics(),
     readLowestRank: () => 2,
   });
@@ -68,7 +72,7 @@
         capacity -= calls;
         const isServed = calls === FAN_OUT &&
           random.nextFloat() < (1 - load.shedRatio) ** FAN_OUT;
-        admission.recordOutcome(request, isServed);
+        admission.recordOutcome(request, { member: "", isServed });
         served[kind] = (served[kind] ?? 0) + Number(isServed);
       }
     }
@@ -85,7 +89,7 @@
     if (admission.check({ request, member: "", requestId: "" }).isOk()) {
       admitted += 1;
       const isServed = random.nextFloat() < (1 - shedRatio) ** FAN_OUT;
-      admission.recordOutcome(request, isServed);
+      admission.recordOutcome(request, { member: "", isServed });
     }
   }
   return admitted;
@@ -143,7 +147,7 @@
   const admitted: boolean[] = [];
   for (let step = 0; step < 200 && request; step += 1) {
     for (const { isServed } of takeDue(pending, step)) {
-      admission.recordOutcome(request, isServed);
+      admission.recordOutcome(request, { member: "", isServed });
     }
     const isOk = admission.check({ request, member: "", requestId: "" }).isOk();
     admitted.push(isOk);
@@ -178,7 +182,7 @@
   let refused = 0;
   for (let step = 0; step < 200 && request; step += 1) {
     takeDue(pending, step).forEach(() =>
-      admission.recordOutcome(request, true)
+      admission.recordOutcome(request, { member: "", isServed: true })
     );
     const grant = admission.check({ request, member: "", requestId: "" });
     refused += Number(grant.isErr());
@@ -198,7 +202,7 @@
     const grant = admission.check({ request, member: "", requestId: "" });
     refused += Number(grant.isErr());
     if (grant.isOk()) {
-      admission.recordUnreached(request);
+      admission.recordUnreached(request, "");
     }
     clock.advance(20);
   }
@@ -213,7 +217,7 @@
     const grant = request &&
       admission.check({ request, member: "", requestId: "" });
     if (request && grant?.isOk()) {
-      admission.recordOutcome(request, false);
+      admission.recordOutcome(request, { member: "", isServed: false });
     }
     return grant?.isErr() ? grant.error.retryAfterMs : 0;
   }).filter((waitMs) => waitMs > 0);
@@ -221,4 +225,58 @@
   assert.ok(Math.max(...waits) > 1_000);
 });
 
+// Without accounts, everything is decided as before there were any.
+test("without accounts, exactly the admit ratio of the kind decides", () => {
+  const clock = new ManualClock();
+  const admission = createAdmission(clock);
+  const [, request] = KINDS;
+  const throttle = new AdaptiveThrottle(clock);
+  const random = new RandomSource(11);
+  const outcomes = new RandomSource(2);
+  let refused = 0;
+  for (let each = 0; each < 2_000 && request; each += 1) {
+    throttle.recordRequest();
+    const ratio = throttle.computeAdmitRatio(1.25);
+    const isExpected = ratio >= 1 || random.nextFloat() < ratio;
+    const grant = admission.check({ request, member: "", requestId: "" });
+    assert.is(grant.isOk(), isExpected);
+    if (grant.isErr()) {
+      refused += 1;
+      random.nextFloat(); // Jitter of the retry delay.
+    } else {
+      const isServed = outcomes.nextFloat() < (each < 1_000 ? 0.3 : 1);
+      throttle.recordStart();
+      throttle.recordEnd(isServed);
+      admission.recordOutcome(request, { member: "", isServed });
+    }
+    clock.advance(20);
+  }
+  assert.ok(refused > 100, `${refused} refused`);
+});
+
+// A small account would wait for the overload of a large one.
+test("the retry delay follows the ratio of the account, and the journal names it", () => {
+  const clock = new ManualClock();
+  const journal = new DecisionJournal(clock);
+  const admission = createAdmission(clock, journal);
+  const [, request] = KINDS;
+  const refusedMembers = new Set<string>();
+  for (let each = 0; each < 4_000 && request; each += 1) {
+    const member = each % 20 === 0 ? "small" : "large";
+    const grant = admission.check({ request, member, requestId: "" });
+    if (grant.isErr() && each > 400) {
+      refusedMembers.add(member);
+    } else if (grant.isOk()) {
+      const isServed = member === "small" || each % 4 === 0;
+      admission.recordOutcome(request, { member, isServed });
+    }
+    clock.advance(10);
+  }
+  assert.equal([...refusedMembers], ["large"]);
+  const [entry] = journal.list({ kind: "entry-refusal" });
+  assert.is(entry?.facts.account, "large");
+  const { admitRatio = 1, kindRatio = 0 } = entry?.facts ?? {};
+  assert.ok(admitRatio < kindRatio, `${admitRatio} of ${kindRatio}`);
+});
+
 test.run();
--- a/src/admission/waiting_queue.ts
+++ b/src/admission/waiting_queue.ts
@@ -2,14 +2,21 @@
  * Priority queue of calls that wait for a slot of the backend server.
  */
 
-import type { MemberUsage } from "./member_usage.ts";
+import type { OpenShare } from "./fair_shares.ts";
 
 /** A waiting call. */
 export interface Waiter {
   readonly classRank: number;
+  /** Name of the account; empty without accounts. */
   readonly member: string;
+  /** Share of the slots that the call counts towards. */
+  readonly open: OpenShare;
+  /** Whether the account has used up its allowance, so that its calls go last. */
+  readonly isOverAllowance: boolean;
   /** Whether the call is nested, so that its chain has already done work elsewhere. */
   readonly isNested: boolean;
+  /** Rank of the request tree among the nested calls of an account; 0 without accounts. */
+  readonly treeRank: number;
   /** Arrival time, in monotonic milliseconds. */
   readonly arrivedAtMs: number;
   /** When the call is refused if it has no slot, in monotonic milliseconds. */
@@ -18,8 +25,8 @@
 
 /** Tie-breakers among calls of the same class. */
 export interface OrderOptions {
-  readonly nowMs: number;
-  readonly usage: MemberUsage;
+  /** Expected slot hold time of a call, in milliseconds. */
+  readonly holdMs: number;
   /** Whether new chains of a class are served in LIFO instead of FIFO order. */
   readonly isNewestFirst: boolean;
 }
@@ -43,19 +50,41 @@
     return this.#waiters.delete(waiter);
   }
 
-  /** Counts the waiting calls that get a slot before a call that arrives now. */
-  countAhead(waiter: Waiter): number {
+  /**
+   * Counts the waiting calls that get a slot before a call that arrives now. Of
+   * another account, only those count that fair sharing puts before it.
+   */
+  countAhead(waiter: Waiter, holdMs: number): number {
     let ahead = 0;
+    const others = new Map<OpenShare["share"], number>();
+    let own = 0;
     for (const other of this.#waiters) {
-      ahead += Number(precedesOnArrival(other, waiter));
+      const difference = compareTier(other, waiter);
+      if (difference !== 0) {
+        ahead += Number(difference < 0);
+      } else if (other.open.share === waiter.open.share) {
+        own += Number(!other.isNested || compareNested(other, waiter) <= 0);
+      } else {
+        const { share } = other.open;
+        others.set(share, (others.get(share) ?? 0) + 1);
+      }
     }
-    return ahead;
+    const startMs = readStartMs(waiter) + own * holdMs;
+    const { clock } = waiter.open;
+    for (const [share, waiting] of others) {
+      const leadMs = startMs - clock.computeStartMs(share);
+      const before = Math.floor(leadMs / holdMs) + 1;
+      ahead += Math.max(0, Math.min(waiting, before));
+    }
+    return ahead + own;
   }
 
   /**
    * Finds the call that gets the next slot, among the classes that may run. The
-   * most important class goes first. Within a class, nested calls go first, by
-   * expiry, then new chains, those of Members with less recent usage first.
+   * most important class goes first. Within a class, nested calls go first, then
+   * new chains. Within these, the account goes first that has used the least
+   * slot time, and of an account its nested calls by
+   * the rank of their tree, without accounts by expiry.
    *
    * @param options - Tie-breakers
    * @param mayRun - Whether a class may use a slot
@@ -77,40 +106,81 @@
     return best;
   }
 
+  /** Finds the newest call of the account that is last in turn, among the calls that go last. */
+  findLast(holdMs: number): T | undefined {
+    let lastTier: T | undefined;
+    for (const waiter of this.#waiters) {
+      if (!lastTier || compareTier(waiter, lastTier) > 0) {
+        lastTier = waiter;
+      }
+    }
+    const endsMs = new Map<OpenShare["share"], number>();
+    let last: T | undefined;
+    for (const waiter of this.#waiters) {
+      if (lastTier && compareTier(waiter, lastTier) === 0) {
+        const { share } = waiter.open;
+        const endMs = (endsMs.get(share) ?? readStartMs(waiter)) + holdMs;
+        endsMs.set(share, endMs);
+        const lastEndMs = last ? endsMs.get(last.open.share) ?? 0 : 0;
+        last = endMs >= lastEndMs ? waiter : last;
+      }
+    }
+    return last;
+  }
+
   /** Lists all waiting calls in the order in which they get slots. */
   listInOrder(options: OrderOptions): T[] {
-    return [...this.#waiters].sort((one, other) =>
-      isBefore(one, other, options) ? -1 : 1
+    const inOwnOrder = [...this.#waiters].sort((one, other) =>
+      compareTier(one, other) || compareWithinAccount(one, other, options)
     );
+    const nextStartsMs = new Map<OpenShare["share"], number>();
+    const starts = inOwnOrder.map((waiter) => {
+      const { share } = waiter.open;
+      const startMs = nextStartsMs.get(share) ?? readStartMs(waiter);
+      nextStartsMs.set(share, startMs + options.holdMs);
+      return { waiter, startMs };
+    });
+    return starts.sort((one, other) =>
+      compareTier(one.waiter, other.waiter) || one.startMs - other.startMs
+    ).map(({ waiter }) => waiter);
   }
 }
 
-/** Whether a waiting call precedes one that arrives now, without usage and recency. */
-function precedesOnArrival(one: Waiter, other: Waiter): boolean {
-  if (one.classRank !== other.classRank) {
-    return one.classRank < other.classRank;
-  }
-  if (one.isNested !== other.isNested) {
-    return one.isNested;
-  }
-  return !one.isNested || one.expiresAtMs <= other.expiresAtMs;
+/** Whether a waiting call is refused in favor of a new one of another account. */
+export function isDisplacedBy(last: Waiter, waiter: Waiter): boolean {
+  return last.member !== waiter.member &&
+    (compareTier(waiter, last) || readStartMs(waiter) - readStartMs(last)) <= 0;
+}
+
+function readStartMs({ open: { clock, share } }: Waiter): number {
+  return clock.computeStartMs(share);
 }
 
 function isBefore(one: Waiter, other: Waiter, options: OrderOptions): boolean {
-  const { nowMs, usage, isNewestFirst } = options;
-  if (one.classRank !== other.classRank) {
-    return one.classRank < other.classRank;
-  }
-  if (one.isNested || other.isNested) {
-    return one.isNested && (!other.isNested ||
-      one.expiresAtMs < other.expiresAtMs);
-  }
-  const difference = Math.round(usage.estimate(one.member, nowMs)) -
-    Math.round(usage.estimate(other.member, nowMs));
-  if (difference !== 0) {
-    return difference < 0;
+  return (compareTier(one, other) ||
+    readStartMs(one) - readStartMs(other) ||
+    compareWithinAccount(one, other, options)) < 0;
+}
+
+/** Compares what precedes the shares of accounts: class, nested calls, and accounts within their allowance. */
+function compareTier(one: Waiter, other: Waiter): number {
+  return one.classRank - other.classRank ||
+    Number(other.isNested) - Number(one.isNested) ||
+    Number(one.isOverAllowance) - Number(other.isOverAllowance);
+}
+
+function compareWithinAccount(
+  one: Waiter,
+  other: Waiter,
+  { isNewestFirst }: OrderOptions,
+): number {
+  if (one.isNested) {
+    return compareNested(one, other);
   }
-  return isNewestFirst
-    ? one.arrivedAtMs > other.arrivedAtMs
-    : one.arrivedAtMs < other.arrivedAtMs;
+  const differenceMs = one.arrivedAtMs - other.arrivedAtMs;
+  return isNewestFirst ? -differenceMs : differenceMs;
+}
+
+function compareNested(one: Waiter, other: Waiter): number {
+  return one.treeRank - other.treeRank || one.expiresAtMs - other.expiresAtMs;
 }
--- /dev/null
+++ b/src/admission/waiting_queue_test.ts
@@ -0,0 +1,82 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { RandomSource } from "../time/mod.ts";
+import { FairClock } from "./fair_clock.ts";
+import { WaitingQueue } from "./waiting_queue.ts";
+import type { Waiter } from "./waiting_queue.ts";
+
+const HOLD_MS = 20;
+
+/** The order without accounts, as it was before accounts shared the slots. */
+function precedes(one: Waiter, other: Waiter, isNewestFirst: boolean): boolean {
+  if (one.classRank !== other.classRank) {
+    return one.classRank < other.classRank;
+  }
+  if (one.isNested || other.isNested) {
+    return one.isNested && (!other.isNested ||
+      one.expiresAtMs < other.expiresAtMs);
+  }
+  return isNewestFirst
+    ? one.arrivedAtMs > other.arrivedAtMs
+    : one.arrivedAtMs < other.arrivedAtMs;
+}
+
+/** The count without accounts: new chains of the same class all go first. */
+function precedesOnArrival(one: Waiter, other: Waiter): boolean {
+  if (one.classRank !== other.classRank) {
+    return one.classRank < other.classRank;
+  }
+  if (one.isNested !== other.isNested) {
+    return one.isNested;
+  }
+  return !one.isNested || one.expiresAtMs <= other.expiresAtMs;
+}
+
+function createWaiters(random: RandomSource, count: number): Waiter[] {
+  const clocks = Array.from({ length: 6 }, () => new FairClock(0));
+  return Array.from({ length: count }, (_, index) => {
+    const classRank = random.nextInteger(3);
+    const isNested = random.nextFloat() < 0.5;
+    const clock = clocks[2 * classRank + Number(isNested)] ?? new FairClock(0);
+    const share = clock.open("", index);
+    if (random.nextFloat() < 0.5) {
+      clock.charge(share, { nowMs: index, holdMs: HOLD_MS });
+    }
+    return {
+      ...{ classRank, isNested, member: "", open: { clock, share } },
+      ...{ isOverAllowance: false, treeRank: 0 },
+      arrivedAtMs: random.nextInteger(50),
+      expiresAtMs: 100 + random.nextInteger(50),
+    };
+  });
+}
+
+// Without accounts, everything is decided as before there were any.
+test("without accounts, the order and the count of calls ahead are those of classes, nested calls and age", () => {
+  const random = new RandomSource(4);
+  for (let round = 0; round < 300; round += 1) {
+    const queue = new WaitingQueue<Waiter>();
+    const waiters = createWaiters(random, 2 + random.nextInteger(30));
+    const isNewestFirst = round % 2 === 0;
+    const options = { holdMs: HOLD_MS, isNewestFirst };
+    waiters.slice(1).forEach((waiter) => queue.add(waiter));
+    const [arriving, ...others] = waiters;
+    const expected = [...others].sort((one, other) =>
+      precedes(one, other, isNewestFirst) ? -1 : 1
+    );
+    assert.equal(
+      queue.listInOrder(options).map((waiter) => others.indexOf(waiter)),
+      expected.map((waiter) => others.indexOf(waiter)),
+    );
+    const first = others.reduce((best, waiter) =>
+      precedes(waiter, best, isNewestFirst) ? waiter : best
+    );
+    assert.is(queue.findNext(options, () => true), first);
+    if (arriving) {
+      const ahead = others.filter((each) => precedesOnArrival(each, arriving));
+      assert.is(queue.countAhead(arriving, HOLD_MS), ahead.length);
+    }
+  }
+});
+
+test.run();
--- a/src/daemon/create_admission.ts
+++ b/src/daemon/create_admission.ts
@@ -22,6 +22,7 @@
   readonly metrics: DaemonMetrics;
   readonly configuration: ConfigurationHolder;
   readonly incarnation: string;
+  readonly isAllowanceUsedUp: (account: string) => boolean;
 }
 
 /** Admission control at both of its stages: at the entry and before the backend server. */
@@ -51,6 +52,7 @@
     };
   }
   const { clock, journal, metrics, configuration, incarnation } = dependencies;
+  const { isAllowanceUsedUp } = dependencies;
   const listReservedRatios = () =>
     configuration.current?.document.classes.map(({ reservedRatio }) =>
       reservedRatio
@@ -63,6 +65,7 @@
       metrics,
       instance: hashText(incarnation),
       listReservedRatios,
+      isAllowanceUsedUp,
     }),
   };
 }
--- a/src/daemon/create_daemon_components.ts
+++ b/src/daemon/create_daemon_components.ts
@@ -260,6 +260,7 @@
       metrics,
       configuration,
       incarnation,
+      isAllowanceUsedUp: (account) => environment.allowances.isUsedUp(account),
     }),
     ...overrides.throttlesByOutcome && {
       entryAdmission: new ThrottledEntryAdmission({
--- a/src/request/serve_routed_call.ts
+++ b/src/request/serve_routed_call.ts
@@ -131,11 +131,14 @@
     return;
   }
   if (result.isErr() && isUnreached(result.error)) {
-    entryAdmission.recordUnreached(request);
+    entryAdmission.recordUnreached(request, context.member);
     return;
   }
   const isServed = result.isOk() && !isErrorAnswer(result);
-  entryAdmission.recordOutcome(request, isServed || signal.aborted);
+  entryAdmission.recordOutcome(request, {
+    member: context.member,
+    isServed: isServed || signal.aborted,
+  });
 }
 
 function isUnreached({ reason }: CallFailure): boolean {
--- a/src/telemetry/decision_journal.ts
+++ b/src/telemetry/decision_journal.ts
@@ -14,6 +14,7 @@
 export const DECISIONS = {
   refusal: "refusal",
   entryRefusal: "entry-refusal",
+  accountDisplacement: "account-displacement",
   limitChange: "limit-change",
   admitLevelChange: "admit-level-change",
   ejection: "ejection",
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -174,6 +174,14 @@
     registers: [this.registry],
   });
 
+  /** Refusals of a client account because of its use of what the accounts of a class share, by class and stage (`entry` or `queue`). */
+  readonly accountRefusals = new Counter({
+    name: "celeryhollow_account_refusals_total",
+    help: "Refusals of accounts that asked for more than their fair share",
+    labelNames: ["class", "stage"] as const,
+    registers: [this.registry],
+  });
+
   /** Remembered idempotency keys, by the role in which this daemon remembers them. */
   readonly keysRemembered = new Gauge({
     name: "celeryhollow_keys_remembered",
--- a/src/testing/deep_chain_load.ts
+++ b/src/testing/deep_chain_load.ts
@@ -184,7 +184,7 @@
     const durationMs = this.#nowMs - startedAtMs;
     const isServed = isAnswered && durationMs <= TARGET_LATENCY_MS;
     count.served += Number(isServed);
-    entry.recordOutcome(kind.request, isAnswered);
+    entry.recordOutcome(kind.request, { member: "", isServed: isAnswered });
   }
 
   #expireCalls(): void {
--- a/src/testing/many_entries_load.ts
+++ b/src/testing/many_entries_load.ts
@@ -138,7 +138,7 @@
           nowMs,
         )
       ) {
-        entries[entry]?.recordOutcome(kind.request, isServed);
+        entries[entry]?.recordOutcome(kind.request, { member: "", isServed });
         const { name } = kind.request;
         start.served[name] = (start.served[name] ?? 0) + Number(isServed);
         start.wasted += Number(!isServed);
