Compare call durations with those of the same kind in the concurrency limit

Cause: seen in a trace of the load of whole trees: a gate of 18 slots with lookups of 30 ms and direct calls of 475 ms took the mixture for a slowdown, tried lower limits and kept them, since the throughput depends on the mixture more than on the limit. It ran 10 to 12 calls.

Change: with client accounts, durations are compared with the fastest call of the same class and kind (nested or not). Without accounts there is one kind, as before.

--- a/src/admission/adaptive_admission.ts
+++ b/src/admission/adaptive_admission.ts
@@ -315,7 +315,7 @@
         });
   }
 
-  #grant(classRank: number, { clock, share }: OpenShare): Permit {
+  #grant(classRank: number, { clock, share, kind }: OpenShare): Permit {
     const holdMs = this.#slots.estimateHoldMs(classRank);
     const running = this.#slots.begin(classRank);
     this.#pacer.take();
@@ -333,6 +333,7 @@
             isShed: completion.isShed,
             isSaturated: this.#queue.length > 0,
             concurrency,
+            kind,
           });
         }
         this.#journal.recordLimit(this.#limit.value, this.#slots.holdMs);
--- a/src/admission/concurrency_limit.ts
+++ b/src/admission/concurrency_limit.ts
@@ -44,6 +44,8 @@
   readonly isSaturated: boolean;
   /** Calls in flight when this one started, including itself. */
   readonly concurrency: number;
+  /** Kind of the call; calls of different kinds may take very different times. 0 by default. */
+  readonly kind?: number;
 }
 
 interface Trial {
@@ -58,7 +60,8 @@
 interface Period {
   startedAtMs: number;
   calls: number;
-  totalMs: number;
+  /** Total duration by kind. */
+  readonly totalsMs: number[];
 }
 
 /** Adapts the concurrency limit to observed sheds, durations and throughput. */
@@ -68,7 +71,8 @@
   #learned = Number.POSITIVE_INFINITY;
   #shedLimit: ShedLimit;
   #isNextTrialLower = true;
-  #minDurationMs = Number.POSITIVE_INFINITY;
+  /** Duration of the fastest call by kind. */
+  #minDurationsMs: number[] = [];
   #period: Period | undefined;
   #trial: Trial | undefined;
   #backoffMs = INITIAL_BACKOFF_MS;
@@ -96,7 +100,7 @@
     this.#ceiling = slots;
     this.#learned = slots;
     this.#shedLimit = new ShedLimit(this.#clock, slots);
-    this.#minDurationMs = Number.POSITIVE_INFINITY;
+    this.#minDurationsMs = [];
     this.#abandonTrial();
   }
 
@@ -107,36 +111,45 @@
       return;
     }
     this.#shedLimit.recordAccepted(sample.concurrency);
-    this.#minDurationMs = Math.min(
-      this.#minDurationMs,
-      Math.max(1, sample.ownDurationMs),
+    const { kind = 0, ownDurationMs } = sample;
+    this.#minDurationsMs[kind] = Math.min(
+      this.#minDurationsMs[kind] ?? Number.POSITIVE_INFINITY,
+      Math.max(1, ownDurationMs),
     );
     if (!sample.isSaturated) {
       this.#abandonTrial();
       return;
     }
-    this.#recordDuration(sample.ownDurationMs);
+    this.#recordDuration(ownDurationMs, kind);
   }
 
-  #recordDuration(ownDurationMs: number): void {
+  #recordDuration(ownDurationMs: number, kind: number): void {
     const nowMs = this.#clock.monotonicMs();
     const period = this.#period ??= {
       startedAtMs: nowMs,
       calls: 0,
-      totalMs: 0,
+      totalsMs: [],
     };
     period.calls += 1;
-    period.totalMs += ownDurationMs;
+    period.totalsMs[kind] = (period.totalsMs[kind] ?? 0) + ownDurationMs;
     if (period.calls < this.value * CALLS_PER_SLOT) {
       return;
     }
     this.#period = undefined;
     const throughputPerMs = period.calls /
       Math.max(1, nowMs - period.startedAtMs);
-    this.#evaluatePeriod(throughputPerMs, period.totalMs / period.calls);
+    this.#evaluatePeriod(throughputPerMs, this.#computeSlowdown(period));
   }
 
-  #evaluatePeriod(throughputPerMs: number, meanDurationMs: number): void {
+  /** Computes the mean duration relative to the fastest call of the same kind. */
+  #computeSlowdown({ calls, totalsMs }: Period): number {
+    return totalsMs.reduce(
+      (sum, totalMs, kind) => sum + totalMs / (this.#minDurationsMs[kind] ?? 1),
+      0,
+    ) / calls;
+  }
+
+  #evaluatePeriod(throughputPerMs: number, slowdown: number): void {
     const nowMs = this.#clock.monotonicMs();
     const trial = this.#trial;
     this.#trial = undefined;
@@ -153,7 +166,7 @@
     if (trial) {
       this.#backoffMs = INITIAL_BACKOFF_MS;
     }
-    if (meanDurationMs <= this.#minDurationMs * SLOWDOWN_FACTOR) {
+    if (slowdown <= SLOWDOWN_FACTOR) {
       this.#learned = Math.min(this.#ceiling, this.#learned + 1);
     } else if (nowMs >= this.#nextTrialAtMs) {
       this.#beginTrial(throughputPerMs);
--- a/src/admission/concurrency_limit_test.ts
+++ b/src/admission/concurrency_limit_test.ts
@@ -1,6 +1,7 @@
 import * as assert from "uvu/assert";
 import { suite } from "uvu";
 import { ManualClock } from "../testing/manual_clock.ts";
+import { RandomSource } from "../time/mod.ts";
 import { ConcurrencyLimit } from "./concurrency_limit.ts";
 
 const test = suite("adaptive concurrency limit");
@@ -118,6 +119,24 @@
   assert.ok(limit.value >= SLOTS * 0.8, `limit ${limit.value}`);
 });
 
+// A gate that takes a mixture of short and long calls for a slowdown loses slots of the scarcest service.
+test("keeps the limit when calls of one kind take much longer than those of another", () => {
+  const { clock, limit } = createFixture();
+  const random = new RandomSource(3);
+  for (let batch = 0; batch < 2_000; batch += 1) {
+    const kind = random.nextInteger(2);
+    const ownDurationMs = kind === 0 ? 30 : 475;
+    clock.advance(ownDurationMs);
+    for (let call = 0; call < limit.value; call += 1) {
+      limit.observe({
+        ...{ ownDurationMs, isShed: false, isSaturated: true, kind },
+        concurrency: limit.value,
+      });
+    }
+    assert.is(limit.value, SLOTS);
+  }
+});
+
 test("allows no calls when no slots are announced", () => {
   const { limit } = createFixture();
   limit.setCeiling(0);
--- a/src/admission/fair_shares.ts
+++ b/src/admission/fair_shares.ts
@@ -14,6 +14,8 @@
 export interface OpenShare {
   readonly clock: FairClock;
   readonly share: AccountShare;
+  /** Number of the class and kind of call; 0 for all calls without accounts. */
+  readonly kind: number;
 }
 
 /** Fair clocks by class and kind of call. */
@@ -25,6 +27,7 @@
     const rank = Math.min(MAX_RANKS - 1, classRank);
     const index = 2 * rank + Number(context.depth > 0);
     const clock = this.#clocks[index] ??= new FairClock(nowMs);
-    return { clock, share: clock.open(context.member, nowMs) };
+    const share = clock.open(context.member, nowMs);
+    return { clock, share, kind: context.member === "" ? 0 : index };
   }
 }
--- a/src/admission/waiting_queue_test.ts
+++ b/src/admission/waiting_queue_test.ts
@@ -43,7 +43,7 @@
       clock.charge(share, { nowMs: index, holdMs: HOLD_MS });
     }
     return {
-      ...{ classRank, isNested, member: "", open: { clock, share } },
+      ...{ classRank, isNested, member: "", open: { clock, share, kind: 0 } },
       ...{ isOverAllowance: false, treeRank: 0 },
       arrivedAtMs: random.nextInteger(50),
       expiresAtMs: 100 + random.nextInteger(50),
