Admit with accounts what the scarcest service of a request's tree carries

Cause: the entry throttle knows outcomes only. A trace of many_entries_load_test shows 96 % of its checks below the 6 requests from which it acts; where it acts, the headroom of more important classes (2.25 and more) admits twice what a scarce service carries, and a tree of eight calls there fails with any one.

Change: with client accounts in the configuration, entries follow the admit ratios in the load signals that replies carry anyway, divided among accounts as before, and daemons relay those of overloaded services downstream (at most six, two a service). Late nested calls of accounts lower the ratios that a gate asks for, since calls that expire hide the overload from its queue. A class without recent calls is refused while a more important one takes all slots.

--- a/src/admission/account_demand.ts
+++ b/src/admission/account_demand.ts
@@ -101,13 +101,17 @@
    * the fair level are admitted whole, and the others are cut to it. An account
    * that gates serve less often than the others is cut to slightly more than it
    * was lately served, also while all accounts together need no cut, and one
-   * whose admitted requests are all served is admitted more.
+   * whose admitted requests are all served is admitted more, unless a service
+   * has asked for the ratio.
    *
    * @param account - Name of the account
    * @param kind - Admit ratio of all accounts together, and the share of their requests that is served
    * @returns The admit ratio of the account
    */
-  computeRatio(account: string, { ratio, servedRatio }: KindRatios): number {
+  computeRatio(
+    account: string,
+    { ratio, servedRatio, isSignaled = false }: KindRatios,
+  ): number {
     const floor = Math.min(ratio, servedRatio * MIN_RELATIVE_RATIO);
     const known = this.#demands.get(account);
     let fairRatio = 1;
@@ -122,7 +126,7 @@
         return 1;
       }
     }
-    if (known?.throttle.isHealthy) {
+    if (!isSignaled && known?.throttle.isHealthy) {
       return Math.max(
         fairRatio,
         known.throttle.computeArrivalAdmitRatio(ACCOUNT_HEADROOM),
@@ -192,6 +196,8 @@
   readonly ratio: number;
   /** Share of the arriving requests that is served. */
   readonly servedRatio: number;
+  /** Whether a service asks for the admit ratio, so that it is known and not estimated from outcomes. */
+  readonly isSignaled?: boolean;
 }
 
 function read({ requests, updatedAtMs }: Demand, nowMs: number): number {
--- a/src/admission/adaptive_admission.ts
+++ b/src/admission/adaptive_admission.ts
@@ -22,6 +22,7 @@
 import { IdleMeter } from "./idle_meter.ts";
 import { InboundAdmission } from "./inbound_admission.ts";
 import type { InboundCall, Permit } from "./inbound_admission.ts";
+import { LateCallMeter } from "./late_call_meter.ts";
 import { RequestPacer } from "./request_pacer.ts";
 import { SlotTracker } from "./slot_tracker.ts";
 import { createWaitingCall } from "./waiting_call.ts";
@@ -68,6 +69,7 @@
   readonly #ratioController = new AdmitRatioController();
   readonly #shares = new FairShares();
   readonly #idle = new IdleMeter();
+  readonly #lateCalls = new LateCallMeter();
   readonly #journal: AdmissionJournal;
   readonly #pacer: RequestPacer;
   #requestsPerSecond: number | undefined;
@@ -188,10 +190,9 @@
   #wait(call: InboundCall): Promise<AdmissionResult> {
     return new Promise((resolve) => {
       const waiter = this.#createWaiter(call, resolve);
+      this.#lateCalls.recordArrival(waiter);
       if (!this.#canRunInTime(waiter) || !this.#makeRoom(waiter)) {
-        waiter.settle(
-          this.#refuse(this.#selectReason(REASONS.overloadedInstance)),
-        );
+        this.#settleLate(waiter, REASONS.overloadedInstance);
         return;
       }
       if (this.#queue.length === 0) {
@@ -212,10 +213,7 @@
       const remainingMs = waiter.expiresAtMs - this.#nowMs;
       if (delayMs > remainingMs * MAX_QUEUED_DELAY_RATIO) {
         delayMs -= msPerCall;
-        this.#removeWaiter(
-          waiter,
-          this.#selectReason(REASONS.overloadedInstance),
-        );
+        this.#removeWaiter(waiter, REASONS.overloadedInstance);
       }
     }
   }
@@ -237,7 +235,7 @@
       return false;
     }
     this.#journal.recordDisplacement(last, waiter);
-    this.#removeWaiter(last, this.#selectReason(REASONS.overloadedInstance));
+    this.#removeWaiter(last, REASONS.overloadedInstance);
     return true;
   }
 
@@ -254,8 +252,7 @@
     });
     const cancelExpiry = this.#options.clock.schedule(
       timeoutMs,
-      () =>
-        this.#removeWaiter(waiter, this.#selectReason(REASONS.queueExpired)),
+      () => this.#removeWaiter(waiter, REASONS.queueExpired),
     );
     const cancelWait = () => this.#removeWaiter(waiter, REASONS.cancelled);
     call.signal.addEventListener("abort", cancelWait);
@@ -276,14 +273,25 @@
 
   #removeWaiter(waiter: WaitingCall, reason: Reason): void {
     if (this.#queue.remove(waiter)) {
-      waiter.settle(this.#refuse(reason));
+      this.#settleLate(waiter, reason);
       this.#updateIdleMeter();
     }
   }
 
+  #settleLate(waiter: WaitingCall, reason: Reason): void {
+    if (
+      reason === REASONS.overloadedInstance || reason === REASONS.queueExpired
+    ) {
+      this.#lateCalls.recordLate(waiter);
+    }
+    waiter.settle(this.#refuse(this.#selectReason(reason)));
+  }
+
   /** A call that waits in vain under a limit shows no overload. */
   #selectReason(reason: Reason): Reason {
-    return this.#pacer.isLimited ? REASONS.limitedInstance : reason;
+    return this.#pacer.isLimited && reason !== REASONS.cancelled
+      ? REASONS.limitedInstance
+      : reason;
   }
 
   #refuse(reason: Reason): AdmissionResult {
@@ -392,6 +400,8 @@
       msPerCall: this.#msPerCall,
       isIdle: () => this.#idle.read(nowMs),
       reservedRatios,
+      usableRatio: this.#lateCalls.update(nowMs),
+      refusesUnseen: this.#lateCalls.hasAccounts,
     });
     if (isUpdated) {
       this.#refuseLateWaiters();
--- a/src/admission/admit_ratio_controller.ts
+++ b/src/admission/admit_ratio_controller.ts
@@ -54,6 +54,10 @@
   /** Whether slots were idle for a significant part of the time since the last update. */
   readonly isIdle: () => boolean;
   readonly reservedRatios: readonly number[];
+  /** Share of the slots to allocate while calls get no slot in time; 1 otherwise. */
+  readonly usableRatio?: number;
+  /** Whether a class of which no calls were seen lately is refused while more important ones take all slots; false by default. */
+  readonly refusesUnseen?: boolean;
 }
 
 /**
@@ -124,6 +128,7 @@
       slots: this.#computeEffectiveSlots(input, demands),
       holdTimesMs: input.holdTimesMs,
       reservedRatios: input.reservedRatios,
+      refusesUnseen: input.refusesUnseen,
     });
     return true;
   }
@@ -149,7 +154,8 @@
     const lowestClassSlots = neededSlots.filter((each) => each > 0).at(-1) ?? 0;
     const protectedSlots = neededSlots.reduce((sum, each) => sum + each, 0) -
       lowestClassSlots;
-    const corrected = slots * this.#growth * computeCorrection(input);
+    const corrected = slots * this.#growth * computeCorrection(input) *
+      (input.usableRatio ?? 1);
     return Math.max(
       corrected,
       Math.min(protectedSlots, slots * MAX_PROTECTED_RATIO),
--- a/src/admission/compute_admit_ratios.ts
+++ b/src/admission/compute_admit_ratios.ts
@@ -15,6 +15,8 @@
   readonly holdTimesMs: readonly number[];
   /** Share of the slots reserved for each class, the most important first. */
   readonly reservedRatios: readonly number[];
+  /** Whether a class of which no calls were seen lately is refused while more important ones take all slots; false by default. */
+  readonly refusesUnseen?: boolean | undefined;
 }
 
 /** Shortfall below which a class counts as fully served despite rounding errors, in slots. */
@@ -51,7 +53,7 @@
   demands: readonly ClassDemand[],
   allocation: SlotAllocation,
 ): number[] {
-  const { slots, holdTimesMs, reservedRatios } = allocation;
+  const { slots, holdTimesMs, reservedRatios, refusesUnseen } = allocation;
   const needed = demands.map(({ arrivingPerSecond }, rank) =>
     computeBusySlots(arrivingPerSecond, holdTimesMs[rank] ?? 1)
   );
@@ -62,6 +64,9 @@
   return demands.map(({ offeredPerSecond }, rank) => {
     const guaranteed = reserved[rank] ?? 0;
     const rest = (needed[rank] ?? 0) - guaranteed;
+    if (refusesUnseen && needed[rank] === 0 && free <= SLOT_EPSILON) {
+      return MIN_ADMIT_RATIO;
+    }
     const granted = Math.max(0, Math.min(rest, free));
     free -= granted;
     const offered = computeBusySlots(offeredPerSecond, holdTimesMs[rank] ?? 1);
--- a/src/admission/fair_shares_load_test.ts
+++ b/src/admission/fair_shares_load_test.ts
@@ -6,22 +6,21 @@
 import { test } from "uvu";
 import * as assert from "uvu/assert";
 import type { CompiledRequest } from "../configuration/mod.ts";
-import { DaemonMetrics, DecisionJournal } from "../telemetry/mod.ts";
 import { CallTreeLoad } from "../testing/call_tree_load.ts";
 import type {
   TreeCall,
   TreeCount,
-  TreeFleet,
   TreeSource,
 } from "../testing/call_tree_load.ts";
+import { createTreeFleet } from "../testing/create_tree_fleet.ts";
 import { ManualClock } from "../testing/manual_clock.ts";
-import { RandomSource } from "../time/mod.ts";
-import { AdaptiveAdmission } from "./adaptive_admission.ts";
-import { ThrottledEntryAdmission } from "./throttled_entry_admission.ts";
 
 const SEEDS = [1, 2, 3];
 const INSTANCES = 12;
-const SLOTS = 2;
+const SERVICES = {
+  front: { instances: INSTANCES, slots: 2 },
+  roomy: { instances: INSTANCES, slots: 100 },
+};
 const WORK_MS = 100;
 const TIME_LIMIT_MS = 1_500;
 const TARGET_LATENCY_MS = 500;
@@ -76,35 +75,6 @@
   ];
 }
 
-function createFleet(clock: ManualClock, seed: number): TreeFleet {
-  const metrics = new DaemonMetrics();
-  const journal = new DecisionJournal(clock);
-  const createGate = (slots: number, instance: number) => {
-    const gate = new AdaptiveAdmission({
-      ...{ clock, journal, metrics, instance },
-      listReservedRatios: () => [0, 0, 0],
-    });
-    gate.setCapacity(slots);
-    return gate;
-  };
-  const createGates = (slots: number) =>
-    Array.from({ length: INSTANCES }, (_, index) => createGate(slots, index));
-  return {
-    entries: Array.from(
-      { length: INSTANCES },
-      (_, index) =>
-        new ThrottledEntryAdmission({
-          ...{ clock, journal, metrics, readLowestRank: () => 2 },
-          random: new RandomSource(seed * INSTANCES + index + 1),
-        }),
-    ),
-    gatesByService: new Map([
-      ["front", createGates(SLOTS)],
-      ["roomy", createGates(100)],
-    ]),
-  };
-}
-
 interface RunOptions {
   readonly seed: number;
   /** When all daemons lose their counts, in milliseconds; never if undefined. */
@@ -116,8 +86,9 @@
   { seed, lossAtMs = Number.POSITIVE_INFINITY }: RunOptions,
 ): Promise<readonly TreeCount[]> {
   const clock = new ManualClock();
-  const first = createFleet(clock, seed);
-  const second = createFleet(clock, seed + 100);
+  const fleetOptions = { clock, seed, entries: INSTANCES, services: SERVICES };
+  const first = createTreeFleet(fleetOptions);
+  const second = createTreeFleet({ ...fleetOptions, seed: seed + 100 });
   return new CallTreeLoad({
     ...{ clock, seed, sources },
     durationMs: DURATION_MS,
--- /dev/null
+++ b/src/admission/late_call_meter_test.ts
@@ -0,0 +1,70 @@
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { computeAdmitRatios } from "./compute_admit_ratios.ts";
+import { FairClock } from "./fair_clock.ts";
+import { LateCallMeter } from "./late_call_meter.ts";
+import type { Waiter } from "./waiting_queue.ts";
+
+function createWaiter(member: string, isNested: boolean): Waiter {
+  const clock = new FairClock(0);
+  return {
+    ...{ classRank: 1, member, isNested, isOverAllowance: false, treeRank: 0 },
+    open: { clock, share: clock.open(member, 0), kind: 0 },
+    ...{ arrivedAtMs: 0, expiresAtMs: 100 },
+  };
+}
+
+/** Records 20 calls each 50 ms, of which some are late, and returns the last factor. */
+function run(
+  meter: LateCallMeter,
+  { waiter, late, fromMs }: { waiter: Waiter; late: number; fromMs: number },
+): number {
+  let factor = 1;
+  for (let atMs = fromMs; atMs < fromMs + 5_000; atMs += 50) {
+    for (let call = 0; call < 20; call += 1) {
+      meter.recordArrival(waiter);
+      if (call < late) {
+        meter.recordLate(waiter);
+      }
+    }
+    factor = meter.update(atMs);
+  }
+  return factor;
+}
+
+// The queue stays short because calls expire, so that its length shows no overload.
+test("late nested calls of accounts lower the factor, and it recovers", () => {
+  const meter = new LateCallMeter();
+  const waiter = createWaiter("a", true);
+  assert.ok(run(meter, { waiter, late: 4, fromMs: 0 }) < 0.7);
+  assert.ok(run(meter, { waiter, late: 0, fromMs: 5_000 }) > 0.8);
+});
+
+// Without accounts, entries do not follow the ratios, and everything is decided as before.
+test("calls without an account and first calls of requests change nothing", () => {
+  const meter = new LateCallMeter();
+  const nested = createWaiter("", true);
+  assert.is(run(meter, { waiter: nested, late: 20, fromMs: 0 }), 1);
+  assert.not(meter.hasAccounts);
+  const first = createWaiter("a", false);
+  assert.is(run(meter, { waiter: first, late: 20, fromMs: 5_000 }), 1);
+});
+
+// A ratio of 1 for a class that was refused until none of it arrived admits a burst of it.
+test("a class without recent calls is refused while a more important one takes all slots", () => {
+  const demands = [
+    { offeredPerSecond: 40, arrivingPerSecond: 40 },
+    { offeredPerSecond: 0, arrivingPerSecond: 0 },
+  ];
+  const slots = {
+    ...{ slots: 2, holdTimesMs: [100, 100], reservedRatios: [0, 0] },
+  };
+  const [, unseen] = computeAdmitRatios(demands, {
+    ...slots,
+    refusesUnseen: true,
+  });
+  assert.is(unseen, 0.01);
+  assert.is(computeAdmitRatios(demands, slots)[1], 1);
+});
+
+test.run();
--- a/src/admission/load_signal_cache.ts
+++ b/src/admission/load_signal_cache.ts
@@ -89,8 +89,14 @@
   /**
    * Lists the signals to relay: those of services that are or recently were
    * overloaded, so that the end of an overload spreads as fast as its start.
+   *
+   * @param services - Services to list
+   * @param maxInstances - Maximum number of instances per service, the latest signals first
    */
-  listOverloadSignals(services: readonly string[]): LoadSignal[] {
+  listOverloadSignals(
+    services: readonly string[],
+    maxInstances = MAX_INSTANCES,
+  ): LoadSignal[] {
     const nowMs = this.#clock.monotonicMs();
     return services
       .filter((service) => {
@@ -98,7 +104,8 @@
         return cached && nowMs - cached.overloadedAtMs < RETENTION_MS;
       })
       .flatMap((service) =>
-        this.#listUnexpired(service).map(({ signal }) => signal)
+        this.#listUnexpired(service).slice(-maxInstances)
+          .map(({ signal }) => signal)
       );
   }
 
--- a/src/admission/load_signal_entry_admission.ts
+++ b/src/admission/load_signal_entry_admission.ts
@@ -10,7 +10,6 @@
 
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
-import type { CompiledRequest } from "../configuration/mod.ts";
 import type { AdmissionMark, LoadSignal } from "../generated/types.ts";
 import { createRefusal, REASONS } from "../outcome/mod.ts";
 import type { Refusal } from "../outcome/mod.ts";
@@ -19,6 +18,7 @@
 import type { Clock } from "../time/mod.ts";
 import { EntryAdmission } from "./entry_admission.ts";
 import type { EntryGrant, EntryRequest } from "./entry_admission.ts";
+import { findPathMark } from "./find_path_mark.ts";
 import { hashText } from "../hashing/mod.ts";
 import { LoadSignalCache } from "./load_signal_cache.ts";
 
@@ -64,7 +64,7 @@
   }
 
   override check(entry: EntryRequest): Result<EntryGrant, Refusal> {
-    const mark = this.#findMark(entry.request);
+    const mark = findPathMark(this.#loadSignals, entry.request);
     if (!mark) {
       return ok({ mark: undefined });
     }
@@ -75,17 +75,6 @@
     return err(this.#refuse(entry, { mark, memberPlace }));
   }
 
-  #findMark(request: CompiledRequest): AdmissionMark | undefined {
-    const ratios = request.path.map((service) => ({
-      service,
-      ratio: this.#loadSignals.computeAdmitRatio(service, request.classRank),
-    })).sort((one, other) => one.ratio - other.ratio);
-    const [lowest, second] = ratios;
-    return lowest && lowest.ratio < 1
-      ? { ...lowest, otherRatio: second?.ratio ?? 1 }
-      : undefined;
-  }
-
   #computePlace({ member, requestId }: EntryRequest): MemberPlace {
     const name = member === "" ? requestId : member;
     const offsetMs = hashText(name) % ROTATION_MS;
--- a/src/admission/throttled_entry_admission.ts
+++ b/src/admission/throttled_entry_admission.ts
@@ -17,6 +17,8 @@
 import { AccountDemand } from "./account_demand.ts";
 import { AdaptiveThrottle } from "./adaptive_throttle.ts";
 import { EntryAdmission } from "./entry_admission.ts";
+import { findPathMark } from "./find_path_mark.ts";
+import { LoadSignalCache } from "./load_signal_cache.ts";
 import type {
   EntryGrant,
   EntryOutcome,
@@ -41,6 +43,10 @@
 /** Maximum number of request kinds whose accounts are counted, which bounds the state to 4,096 accounts. */
 const MAX_DIVIDED_KINDS = 64;
 
+/** Maximum number of load signals that a reply relays, and of one service; they bound its size to 800 bytes more. */
+const MAX_RELAYED = 6;
+const MAX_RELAYED_PER_SERVICE = 2;
+
 /** Dependencies of the entry admission. */
 export interface ThrottledEntryOptions {
   readonly clock: Clock;
@@ -49,6 +55,8 @@
   readonly metrics: DaemonMetrics;
   /** Rank of the least important class. */
   readonly readLowestRank: () => number;
+  /** Whether the configuration has client accounts; without them, load signals are neither used nor relayed. */
+  readonly hasAccounts?: (() => boolean) | undefined;
 }
 
 interface ThrottledKind {
@@ -69,29 +77,36 @@
 /** Admits requests by the share of their kind that was recently served. */
 export class ThrottledEntryAdmission extends EntryAdmission {
   readonly #options: ThrottledEntryOptions;
+  readonly #signals: LoadSignalCache;
   readonly #kinds = new Map<string, ThrottledKind>();
 
   constructor(options: ThrottledEntryOptions) {
     super();
     this.#options = options;
+    this.#signals = new LoadSignalCache(options.clock);
   }
 
   override check(
     { request, requestId, member }: EntryRequest,
   ): Result<EntryGrant, Refusal> {
-    const { random, readLowestRank } = this.#options;
+    const { hasAccounts, random, readLowestRank } = this.#options;
     const { throttle, accounts } = this.#findOrCreateKind(request);
     throttle.recordRequest();
     accounts?.recordRequest(member);
     const steps = Math.max(0, readLowestRank() - request.classRank);
     const headroom = MIN_HEADROOM * HEADROOM_FACTOR ** steps;
-    const kindRatio = accounts?.isShared
+    const mark = hasAccounts?.()
+      ? findPathMark(this.#signals, request)
+      : undefined;
+    const throttleRatio = accounts?.isShared
       ? throttle.computeArrivalAdmitRatio(headroom)
       : throttle.computeAdmitRatio(headroom);
+    const kindRatio = Math.min(throttleRatio, mark?.ratio ?? 1);
     const ratio = accounts?.isShared
       ? accounts.computeRatio(member, {
         ratio: kindRatio,
         servedRatio: throttle.estimateServedRatio(),
+        isSignaled: mark !== undefined,
       })
       : kindRatio;
     if (ratio < 1 && random.nextFloat() >= ratio) {
@@ -101,7 +116,12 @@
     }
     throttle.recordStart();
     accounts?.recordStart(member);
-    return ok({ mark: undefined });
+    const otherRatio = Math.min(throttleRatio, mark?.otherRatio ?? 1);
+    return ok({
+      mark: mark && ratio < 1
+        ? { ...mark, ratio, otherRatio: Math.max(ratio, otherRatio) }
+        : undefined,
+    });
   }
 
   override recordOutcome(
@@ -119,12 +139,17 @@
     accounts?.discardRequest(member);
   }
 
-  override observe(_loads: readonly LoadSignal[]): void {
-    // Load signals are ignored: outcomes say more than the load of single instances.
+  override observe(loads: readonly LoadSignal[]): void {
+    if (this.#options.hasAccounts?.()) {
+      loads.forEach((signal) => this.#signals.observe(signal));
+    }
   }
 
-  override listOverloadSignals(_services: readonly string[]): LoadSignal[] {
-    return [];
+  override listOverloadSignals(services: readonly string[]): LoadSignal[] {
+    return this.#options.hasAccounts?.()
+      ? this.#signals.listOverloadSignals(services, MAX_RELAYED_PER_SERVICE)
+        .slice(0, MAX_RELAYED)
+      : [];
   }
 
   #findOrCreateKind({ name }: CompiledRequest): ThrottledKind {
--- a/src/admission/throttled_entry_admission_test.ts
+++ b/src/admission/throttled_entry_admission_test.ts
@@ -279,4 +279,51 @@
   assert.ok(admitRatio < kindRatio, `${admitRatio} of ${kindRatio}`);
 });
 
+function createSignal(instance: number, admitPermille: number[]) {
+  return {
+    ...{ service: "deep", inFlight: 20, queued: 9, limit: 20, instance },
+    ...{ sequence: 1, demandPerSecond: 100, admitPermille },
+    admitLevel: Math.min(...admitPermille) / 1_000,
+  };
+}
+
+// Outcomes alone let an entry with few requests admit trees that fail after most of their calls.
+test("with accounts, the entry admits what the scarcest service of the path asks for", () => {
+  const clock = new ManualClock();
+  const options = {
+    ...{ clock, journal: new DecisionJournal(clock) },
+    ...{ metrics: new DaemonMetrics(), readLowestRank: () => 2 },
+  };
+  const countAdmitted = (hasAccounts: boolean) => {
+    const admission = new ThrottledEntryAdmission({
+      ...{ ...options, random: new RandomSource(4) },
+      hasAccounts: () => hasAccounts,
+    });
+    const request = { ...createRequest("rounds", 2), path: ["front", "deep"] };
+    [1, 2, 3].forEach((instance) =>
+      admission.observe([createSignal(instance, [1_000, 1_000, 300])])
+    );
+    const grants = Array.from({ length: 1_000 }, (_, each) => {
+      const member = `account-${each % 4}`;
+      const grant = admission.check({ request, member, requestId: "" });
+      if (grant.isOk()) {
+        admission.recordOutcome(request, { member, isServed: true });
+      }
+      return grant;
+    });
+    return {
+      admitted: grants.filter((grant) => grant.isOk()).length,
+      relayed: admission.listOverloadSignals(["deep"]).length,
+      mark: grants.find((grant) => grant.isOk())?.unwrapOr(undefined)?.mark,
+    };
+  };
+  const shared = countAdmitted(true);
+  assert.ok(Math.abs(shared.admitted - 300) < 60, `${shared.admitted}`);
+  assert.is(shared.relayed, 2);
+  assert.is(shared.mark?.service, "deep");
+  assert.equal(countAdmitted(false), {
+    ...{ admitted: 1_000, relayed: 0, mark: undefined },
+  });
+});
+
 test.run();
--- a/src/testing/call_tree_load.ts
+++ b/src/testing/call_tree_load.ts
@@ -10,6 +10,7 @@
   InboundAdmission,
 } from "../admission/mod.ts";
 import type { CompiledRequest } from "../configuration/mod.ts";
+import type { AdmissionMark, LoadSignal } from "../generated/types.ts";
 import { RandomSource } from "../time/mod.ts";
 import type { ManualClock } from "./manual_clock.ts";
 
@@ -71,11 +72,20 @@
 /** Time after the last arrival for requests to end, in milliseconds. */
 const DRAIN_MS = 6_000;
 
+/** Load signals of nested calls that a reply relays. */
+const MAX_RELAYED = 2;
+
 interface RunningTree {
+  readonly mark: AdmissionMark | undefined;
   readonly source: TreeSource;
   readonly requestId: string;
 }
 
+interface TreeReply {
+  readonly isAnswered: boolean;
+  readonly loads: readonly LoadSignal[];
+}
+
 interface TreeStep {
   readonly tree: RunningTree;
   readonly call: TreeCall;
@@ -143,19 +153,23 @@
     const { request, member, root } = source;
     const requestId = `request-${this.#arrivals}`;
     count.offered += Number(isCounted);
-    const grant = entry.check({ request, member, requestId });
+    const grant = entry.check({
+      request: { ...request, path: listServices(root) },
+      ...{ member, requestId },
+    });
     if (grant.isErr()) {
       const { retryAfterMs = 0 } = grant.error;
       count.maxRetryAfterMs = Math.max(count.maxRetryAfterMs, retryAfterMs);
       return;
     }
     count.admitted += Number(isCounted);
-    const isServed = await this.#call({
-      tree: { source, requestId },
+    const { isAnswered: isServed, loads } = await this.#call({
+      tree: { source, requestId, mark: grant.value.mark },
       call: root,
       depth: 0,
       deadlineAtMs: arrivedAtMs + root.timeLimitMs,
     });
+    entry.observe(loads);
     entry.recordOutcome(request, { member, isServed });
     if (isCounted && isServed) {
       const durationMs = clock.monotonicMs() - arrivedAtMs;
@@ -164,7 +178,8 @@
     }
   }
 
-  async #call(step: TreeStep): Promise<boolean> {
+  async #call(step: TreeStep): Promise<TreeReply> {
+    let loads: readonly LoadSignal[] = [];
     const { clock, findFleet } = this.#options;
     const tried = new Set<InboundAdmission>();
     for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt += 1) {
@@ -173,28 +188,35 @@
       ) ?? [];
       const gate = this.#chooseGate(gates, tried);
       if (!gate || clock.monotonicMs() >= step.deadlineAtMs) {
-        return false;
+        return { isAnswered: false, loads };
       }
       tried.add(gate);
       const permit = await gate.acquire(this.#createCall(step));
       if (permit.isOk()) {
         const startedAtMs = clock.monotonicMs();
-        const { isAnswered, ownDurationMs } = await this.#work(step);
+        const work = await this.#work(step);
+        const { isAnswered, ownDurationMs } = work;
+        loads = work.loads;
         const durationMs = clock.monotonicMs() - startedAtMs;
         const completion: CallCompletion = {
           ...{ durationMs, ownDurationMs, isAnswered, isShed: false },
         };
         permit.value.release(completion);
-        return isAnswered && clock.monotonicMs() <= step.deadlineAtMs;
+        return {
+          isAnswered: isAnswered && clock.monotonicMs() <= step.deadlineAtMs,
+          loads: [gate.describeLoad(step.call.service), ...loads],
+        };
       }
+      loads = [gate.describeLoad(step.call.service)];
     }
-    return false;
+    return { isAnswered: false, loads };
   }
 
   /** Runs the work of a call, and its nested calls until one of them fails. */
   async #work(
     { call, tree, depth, deadlineAtMs }: TreeStep,
-  ): Promise<{ readonly isAnswered: boolean; readonly ownDurationMs: number }> {
+  ): Promise<TreeReply & { readonly ownDurationMs: number }> {
+    const loads: LoadSignal[] = [];
     const { clock } = this.#options;
     const ownDurationMs = call.workMs * (0.5 + this.#random.nextFloat());
     await new Promise<void>((resolve) =>
@@ -202,15 +224,17 @@
     );
     for (const nested of call.calls ?? []) {
       const limitAtMs = clock.monotonicMs() + nested.timeLimitMs;
-      const isAnswered = await this.#call({
+      const reply = await this.#call({
         ...{ tree, call: nested, depth: depth + 1 },
         deadlineAtMs: Math.min(deadlineAtMs, limitAtMs),
       });
-      if (!isAnswered) {
-        return { isAnswered: false, ownDurationMs };
+      loads.push(...reply.loads.filter(({ admitLevel }) => admitLevel < 1));
+      loads.splice(0, loads.length - MAX_RELAYED);
+      if (!reply.isAnswered) {
+        return { isAnswered: false, ownDurationMs, loads };
       }
     }
-    return { isAnswered: true, ownDurationMs };
+    return { isAnswered: true, ownDurationMs, loads };
   }
 
   /** Chooses the less loaded of two random instances that were not tried yet. */
@@ -238,6 +262,7 @@
         depth,
         isRepeatable: true,
         isBulk: false,
+        ...tree.mark && { admission: tree.mark },
       },
       service: call.service,
       deadlineAtMs,
@@ -246,3 +271,7 @@
     };
   }
 }
+
+function listServices({ service, calls = [] }: TreeCall): string[] {
+  return [...new Set([service, ...calls.flatMap(listServices)])];
+}
--- /dev/null
+++ b/src/testing/create_tree_fleet.ts
@@ -0,0 +1,75 @@
+/**
+ * Entries and gates of services for {@link CallTreeLoad}.
+ */
+
+import {
+  AdaptiveAdmission,
+  ThrottledEntryAdmission,
+} from "../admission/mod.ts";
+import { DaemonMetrics, DecisionJournal } from "../telemetry/mod.ts";
+import { RandomSource } from "../time/mod.ts";
+import type { TreeFleet } from "./call_tree_load.ts";
+import type { ManualClock } from "./manual_clock.ts";
+
+/** Instances of a service and their slots. */
+export interface TreeService {
+  readonly instances: number;
+  readonly slots: number;
+}
+
+/** Options of {@link createTreeFleet}. */
+export interface TreeFleetOptions {
+  readonly clock: ManualClock;
+  readonly seed: number;
+  readonly entries: number;
+  /** Whether the configuration has client accounts; true by default. */
+  readonly hasAccounts?: boolean;
+  readonly services: Readonly<Record<string, TreeService>>;
+}
+
+/** Number of classes. */
+const CLASSES = 3;
+
+/**
+ * Creates daemons without any counts.
+ *
+ * @param options - Number of entries, services and seed
+ * @returns The entries and the gates by service
+ *
+ * @example
+ * const fleet = createTreeFleet({ clock, seed: 1, entries: 12, services: { front: { instances: 12, slots: 2 } } });
+ */
+export function createTreeFleet(
+  { clock, seed, entries, services, hasAccounts = true }: TreeFleetOptions,
+): TreeFleet {
+  const metrics = new DaemonMetrics();
+  const journal = new DecisionJournal(clock);
+  const createGate = (slots: number, instance: number) => {
+    const gate = new AdaptiveAdmission({
+      ...{ clock, journal, metrics, instance },
+      listReservedRatios: () => Array(CLASSES).fill(0),
+    });
+    gate.setCapacity(slots);
+    return gate;
+  };
+  return {
+    entries: Array.from(
+      { length: entries },
+      (_, index) =>
+        new ThrottledEntryAdmission({
+          ...{ clock, journal, metrics, readLowestRank: () => CLASSES - 1 },
+          hasAccounts: () => hasAccounts,
+          random: new RandomSource(seed * entries + index + 1),
+        }),
+    ),
+    gatesByService: new Map(
+      Object.entries(services).map(([name, { instances, slots }]) => [
+        name,
+        Array.from(
+          { length: instances },
+          (_, index) => createGate(slots, index),
+        ),
+      ]),
+    ),
+  };
+}
