Authenticate callers by the keys of client accounts

Cause: the platform's configuration may name client accounts (`tenants`) and public routes. Without this, every caller is served alike and an Authorization header reaches the instances.

Accounts are compiled into look-ups by digest and name, keyed by name in patches, and left out of the digest of a configuration that has none, so that earlier builds compute the same one. The caller listener checks the key before it reads the body, and again if the configuration changed while the body arrived. Nested calls with a known parent need no key and inherit account and class. A nested call of an unknown parent is served if it comes from this VM and refused with 503 otherwise, never with 401. A request of an account takes an allowance before entry admission and returns it if no backend server has seen the request. Instances receive the account's name as `Tenant`; Authorization and a caller's Tenant are not forwarded. Histograms name the 64 busiest accounts. A daemon without a configuration answers 503 before it reads the body.

--- a/src/configuration/canonicalize_named_lists.ts
+++ b/src/configuration/canonicalize_named_lists.ts
@@ -5,7 +5,7 @@
 import type { NamedLists } from "./keyed_document.ts";
 
 /**
- * Sorts the services and requests of a document by name.
+ * Sorts the services, requests and accounts of a document by name.
  *
  * @param document - A configuration or questionnaire answers
  * @returns The same content in canonical order
@@ -18,6 +18,7 @@
     ...document,
     services: sortByName(document.services),
     requests: sortByName(document.requests),
+    ...document.accounts && { accounts: sortByName(document.accounts) },
   };
 }
 
--- a/src/configuration/compile_configuration.ts
+++ b/src/configuration/compile_configuration.ts
@@ -3,10 +3,12 @@
  */
 
 import type {
+  AccountConfiguration,
   Configuration,
   RequestConfiguration,
 } from "../generated/types.ts";
 import type {
+  CompiledAccounts,
   CompiledConfiguration,
   CompiledRequest,
 } from "./compiled_configuration.ts";
@@ -44,12 +46,27 @@
     requestsByService: groupByService(requests),
     routesByHost: groupByHost(requests),
     requestsByName: new Map(requests.map((request) => [request.name, request])),
+    accounts: document.accounts && compileAccounts(document.accounts),
     classRanks,
     callsByService,
     regionByFailureDomain: mapRegions(document),
   };
 }
 
+function compileAccounts(
+  accounts: readonly AccountConfiguration[],
+): CompiledAccounts {
+  const byKeyDigest = new Map<string, AccountConfiguration>();
+  const byName = new Map<string, AccountConfiguration>();
+  for (const account of accounts) {
+    byName.set(account.name, account);
+    for (const digest of account.keyDigests) {
+      byKeyDigest.set(digest, account);
+    }
+  }
+  return { byKeyDigest, byName };
+}
+
 function groupByService(
   requests: readonly CompiledRequest[],
 ): Map<string, CompiledRequest[]> {
@@ -106,6 +123,7 @@
       host: request.host,
       targetLatencyMs: request.targetLatencyMs ?? request.deadlineMs,
     },
+    ...request.isPublic !== undefined && { isPublic: request.isPublic },
     ...request.weightedServices && {
       weightedServices: request.weightedServices,
     },
--- a/src/configuration/compiled_configuration.ts
+++ b/src/configuration/compiled_configuration.ts
@@ -3,6 +3,7 @@
  */
 
 import type {
+  AccountConfiguration,
   Configuration,
   RequestConfiguration,
 } from "../generated/types.ts";
@@ -15,6 +16,12 @@
   readonly path: readonly string[];
 }
 
+/** Client accounts by the ways in which they are looked up. */
+export interface CompiledAccounts {
+  readonly byKeyDigest: ReadonlyMap<string, AccountConfiguration>;
+  readonly byName: ReadonlyMap<string, AccountConfiguration>;
+}
+
 /** A configuration document with its version and lookup tables. */
 export interface CompiledConfiguration {
   readonly version: number;
@@ -26,6 +33,8 @@
     ReadonlyMap<string, CompiledRequest>
   >;
   readonly requestsByName: ReadonlyMap<string, CompiledRequest>;
+  /** Client accounts; undefined if callers need no key. */
+  readonly accounts: CompiledAccounts | undefined;
   readonly classRanks: ReadonlyMap<string, number>;
   readonly callsByService: ReadonlyMap<string, readonly string[]>;
   readonly regionByFailureDomain: ReadonlyMap<string, string>;
--- a/src/configuration/digest_configuration.ts
+++ b/src/configuration/digest_configuration.ts
@@ -12,7 +12,7 @@
 const entryDigests = new WeakMap<object, string>();
 
 /**
- * Computes a digest that does not depend on the order of keys, services or requests.
+ * Computes a digest that does not depend on the order of keys, services, requests or accounts.
  *
  * @param configuration - The configuration
  * @returns The SHA-256 digest in hexadecimal
@@ -21,13 +21,15 @@
  * digestConfiguration(applied) === change.digest;
  */
 export function digestConfiguration(configuration: Configuration): string {
-  const { requests, services, ...others } = canonicalizeNamedLists(
+  const { accounts, requests, services, ...others } = canonicalizeNamedLists(
     configuration,
   );
   return digestText(JSON.stringify([
     digestValue(others),
     services.map(digestEntry),
     requests.map(digestEntry),
+    // Without accounts, the digest is that of a version without this field.
+    ...accounts ? [accounts.map(digestEntry)] : [],
   ]));
 }
 
--- a/src/configuration/document_patch.ts
+++ b/src/configuration/document_patch.ts
@@ -10,7 +10,7 @@
 export type DocumentPatch = Readonly<Record<string, unknown>>;
 
 /** Keys of the maps with many entries, of which a patch changes only a few. */
-const ENTRY_MAPS = ["services", "requests"] as const;
+const ENTRY_MAPS = ["services", "requests", "accounts"] as const;
 
 const EMPTY_DOCUMENT: NamedLists = { services: [], requests: [] };
 
@@ -70,7 +70,7 @@
     }
   }
   for (const name of ENTRY_MAPS) {
-    const entries = copy[name] as Record<string, unknown>;
+    const entries = (copy[name] ?? {}) as Record<string, unknown>;
     for (const key of Object.keys(patch[name] ?? {})) {
       if (Object.hasOwn(entries, key)) {
         entries[key] = structuredClone(entries[key]);
--- a/src/configuration/document_patch_test.ts
+++ b/src/configuration/document_patch_test.ts
@@ -27,15 +27,28 @@
     fc.integer({ min: 1, max: 9 }),
     PLAIN_OBJECTS,
   ),
+  accounts: fc.option(
+    fc.uniqueArray(
+      fc.record({
+        name: nameArbitrary,
+        keyDigests: fc.array(fc.constantFrom("x", "y")),
+      }, PLAIN_OBJECTS),
+      { selector: ({ name }) => name },
+    ),
+    { nil: undefined },
+  ),
   retryRatio: fc.constantFrom(0, 0.1),
-}).map(({ services, deadlines, retryRatio }) => {
+}).map(({ accounts, services, deadlines, retryRatio }) => {
   const [request] = createTestConfiguration().requests;
   const requests = Object.entries(deadlines).map(([name, deadlineMs]) => ({
     ...request!,
     name,
     deadlineMs,
   }));
-  return createTestConfiguration({ services, requests, retryRatio });
+  return createTestConfiguration({
+    ...accounts && { accounts },
+    ...{ services, requests, retryRatio },
+  });
 });
 
 test("a patch transforms any document into any other without mutating the original", () => {
@@ -78,6 +91,32 @@
   });
 });
 
+// Guards against a change of one key that is sent to every daemon as 100,000 accounts.
+test("the patch of one account's keys is small regardless of the number of accounts", () => {
+  const accounts = Array.from({ length: 2_000 }, (_, index) => ({
+    name: `account-${index}`,
+    keyDigests: [`digest-${index}`],
+  }));
+  const before = createTestConfiguration({ accounts });
+  const after = {
+    ...before,
+    accounts: accounts.map((each, index) =>
+      index === 7 ? { ...each, keyDigests: ["new"] } : each
+    ),
+  };
+  assert.equal(createDocumentPatch(before, after), {
+    accounts: { "account-7": { keyDigests: ["new"] } },
+  });
+});
+
+// Guards against daemons of different builds that take equal configurations for different ones.
+test("a configuration without accounts has the digest that earlier builds compute", () => {
+  assert.is(
+    digestConfiguration(createTestConfiguration()),
+    "f244052ccbf5f264b9be5482dbf768506f80352aa3420033717b519f61b57ec5",
+  );
+});
+
 test("equal content has the same digest regardless of order", () => {
   const configuration = createTestConfiguration();
   const reordered = {
--- a/src/configuration/find_inconsistencies.ts
+++ b/src/configuration/find_inconsistencies.ts
@@ -22,6 +22,7 @@
   return [
     ...findNameErrors(configuration),
     ...findUnknownNames(configuration),
+    ...findDuplicateKeys(configuration),
     ...findDuplicateRoutes(configuration),
     ...findExcessiveReservations(configuration),
     ...findCallCycles(configuration.services).map((cycle) =>
@@ -32,7 +33,8 @@
 }
 
 function findNameErrors(
-  { classes, regions, requests, services, tenants }: Configuration,
+  { accounts = [], classes, regions, requests, services, tenants }:
+    Configuration,
 ): string[] {
   const lists: Record<string, string[]> = {
     service: services.map(({ name }) => name),
@@ -41,6 +43,7 @@
     region: regions.map(({ name }) => name),
     "failure domain": regions.flatMap(({ failureDomains }) => failureDomains),
     tenant: tenants,
+    account: accounts.map(({ name }) => name),
   };
   return Object.entries(lists).flatMap(([what, names]) => [
     ...findDuplicates(names).map((name) => `${what} ${name} is listed twice`),
@@ -76,7 +79,28 @@
       ? []
       : [`request ${name} refers to unknown class ${className}`],
   ]);
-  return [...calls, ...requests];
+  const accounts = (configuration.accounts ?? []).flatMap((
+    { name, className },
+  ) =>
+    className === undefined || classes.has(className)
+      ? []
+      : [`account ${name} refers to unknown class ${className}`]
+  );
+  return [...calls, ...requests, ...accounts];
+}
+
+/** Finds accounts that share a key; the message names neither the key nor its digest. */
+function findDuplicateKeys({ accounts = [] }: Configuration): string[] {
+  const owners = new Map<string, string>();
+  return accounts.flatMap(({ name, keyDigests }) =>
+    keyDigests.flatMap((digest) => {
+      const owner = owners.get(digest) ?? name;
+      owners.set(digest, owner);
+      return owner === name
+        ? []
+        : [`accounts ${owner} and ${name} have the same key`];
+    })
+  );
 }
 
 function findDuplicateRoutes({ requests }: Configuration): string[] {
--- a/src/configuration/keyed_document.ts
+++ b/src/configuration/keyed_document.ts
@@ -1,8 +1,9 @@
 /**
- * Conversion of documents to a form whose services and requests are keyed by name.
+ * Conversion of documents to a form whose services, requests and accounts are
+ * keyed by name.
  *
  * A JSON merge patch replaces a list as a whole. In keyed form, a change to one
- * service or request is a patch of a few bytes, regardless of their number.
+ * entry is a patch of a few bytes, regardless of their number.
  */
 
 /** An entry of a list keyed by name. */
@@ -10,10 +11,11 @@
   readonly name: string;
 }
 
-/** A document whose services and requests have unique names. */
+/** A document whose services, requests and accounts have unique names. */
 export interface NamedLists {
   readonly services: readonly NamedEntry[];
   readonly requests: readonly NamedEntry[];
+  readonly accounts?: readonly NamedEntry[];
 }
 
 /** Entries keyed by name. */
@@ -23,6 +25,7 @@
 export type KeyedDocument = Readonly<Record<string, unknown>> & {
   readonly services: EntriesByName;
   readonly requests: EntriesByName;
+  readonly accounts?: EntriesByName;
 };
 
 /**
@@ -39,7 +42,8 @@
     ...document,
     services: indexByName(document.services),
     requests: indexByName(document.requests),
-  };
+    ...document.accounts && { accounts: indexByName(document.accounts) },
+  } as KeyedDocument;
 }
 
 /**
@@ -56,6 +60,7 @@
     ...keyed,
     services: toSortedList(keyed.services),
     requests: toSortedList(keyed.requests),
+    ...keyed.accounts && { accounts: toSortedList(keyed.accounts) },
   };
 }
 
--- a/src/configuration/mod.ts
+++ b/src/configuration/mod.ts
@@ -5,6 +5,7 @@
 
 export { canonicalizeNamedLists } from "./canonicalize_named_lists.ts";
 export type {
+  CompiledAccounts,
   CompiledConfiguration,
   CompiledRequest,
 } from "./compiled_configuration.ts";
--- a/src/configuration/validate_configuration_document_test.ts
+++ b/src/configuration/validate_configuration_document_test.ts
@@ -26,6 +26,40 @@
   assert.match(message, /retryRatio/);
 });
 
+const DIGEST = "a".repeat(43);
+
+// Guards against a key that gives access to whichever account happens to be listed last.
+test("duplicate accounts, shared keys and unknown classes of accounts are reported", () => {
+  const other = "b".repeat(43);
+  assert.is(
+    listFindings({ accounts: [{ name: "a", keyDigests: [DIGEST, other] }] }),
+    "",
+  );
+  assert.match(
+    listFindings({
+      accounts: [
+        { name: "a", keyDigests: [DIGEST] },
+        { name: "a", keyDigests: [other] },
+      ],
+    }),
+    "account a is listed twice",
+  );
+  const shared = listFindings({
+    accounts: [
+      { name: "a", keyDigests: [DIGEST] },
+      { name: "b", keyDigests: [other, DIGEST] },
+    ],
+  });
+  assert.match(shared, "accounts a and b have the same key");
+  assert.not.match(shared, DIGEST);
+  assert.match(
+    listFindings({
+      accounts: [{ name: "a", keyDigests: [], className: "none" }],
+    }),
+    "account a refers to unknown class none",
+  );
+});
+
 test("a call cycle is reported with its services", () => {
   const services = [
     { name: "round-planning", calls: ["delivery-ledger"] },
--- a/src/request/dispatch_call.ts
+++ b/src/request/dispatch_call.ts
@@ -79,6 +79,9 @@
         unusedAllowance: allowance,
       }));
     }
+    if (call.progress && hasReachedServer(failure)) {
+      call.progress.hasReachedServer = true;
+    }
     if (isRedirectable(failure) && redirects < MAX_REDIRECTS) {
       redirects += 1;
       attempts -= 1;
@@ -123,6 +126,11 @@
   return kind === "refused" && UNREACHED_REASONS.has(reason);
 }
 
+/** Whether a backend server has seen the call; every other refusal is made by a daemon. */
+function hasReachedServer({ kind, reason }: CallFailure): boolean {
+  return kind === "unknown" || reason === REASONS.backendRefused;
+}
+
 interface AttemptOptions {
   readonly excluded: Set<string>;
   readonly attempts: number;
--- a/src/request/mod.ts
+++ b/src/request/mod.ts
@@ -6,6 +6,8 @@
 export type { ActiveCall } from "./active_calls.ts";
 export type { CallEnvironment } from "./call_environment.ts";
 export { handOverKeys } from "./hand_over_keys.ts";
+export { identifyCaller } from "./identify_caller.ts";
+export type { CallerTarget, IdentifiedCaller } from "./identify_caller.ts";
 export { LeavingServers } from "./leaving_servers.ts";
 export { ResponseSizes } from "./response_sizes.ts";
 export { PeerClients } from "./peer_clients.ts";
--- a/src/request/outbound_call.ts
+++ b/src/request/outbound_call.ts
@@ -7,6 +7,12 @@
 import type { DispatchState } from "../idempotency/mod.ts";
 import type { HeldMemory } from "../memory/mod.ts";
 
+/** What has happened to a call over all its attempts. */
+export interface DispatchProgress {
+  /** Whether a backend server has seen the call, even if it refused it. */
+  hasReachedServer: boolean;
+}
+
 /** A call that this daemon routes, or received from another daemon to run. */
 export interface OutboundCall {
   readonly context: CallContext;
@@ -35,6 +41,8 @@
   readonly attempt: number;
   /** State of the at-most-once dispatch; present on non-repeatable calls while they are dispatched. */
   readonly dispatchState?: DispatchState | undefined;
+  /** Progress of the dispatch, for calls whose origin has to know more than the outcome. */
+  readonly progress?: DispatchProgress | undefined;
   /** Whether no instance without a limit is left, so that the call may wait for one that has a limit. */
   readonly isLastResort?: boolean | undefined;
   /** Id of the last backend server that left on the VM that the call is sent to, if this daemon knows of one. */
--- a/src/request/record_outcome.ts
+++ b/src/request/record_outcome.ts
@@ -2,6 +2,7 @@
  * Records the outcomes of calls that enter the fleet at this daemon.
  */
 
+import { REASONS } from "../outcome/mod.ts";
 import type { CallResult } from "../outcome/mod.ts";
 import { DECISIONS } from "../telemetry/mod.ts";
 import type { CallEnvironment } from "./call_environment.ts";
@@ -36,7 +37,7 @@
   const durationMs = clock.monotonicMs() - details.startedAtMs;
   const outcome = result.isOk() ? "answered" : result.error.kind;
   metrics.callDuration.observe(
-    { class: className, tenant, outcome },
+    { class: className, tenant: metrics.accounts.label(tenant), outcome },
     durationMs / 1_000,
   );
   if (result.isOk()) {
@@ -44,6 +45,10 @@
   }
   const { reason } = result.error;
   metrics.failures.inc({ class: className, outcome, reason });
+  if (reason === REASONS.unauthorized) {
+    // Callers without a key must not displace the entries of others in the journal.
+    return;
+  }
   const kind = outcome === "refused"
     ? DECISIONS.refusal
     : DECISIONS.unknownOutcome;
--- a/src/request/serve_routed_call.ts
+++ b/src/request/serve_routed_call.ts
@@ -9,19 +9,22 @@
 
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
+import type { AllowancePermit } from "../allowance/mod.ts";
 import type { CallSignal } from "../cancellation/mod.ts";
 import { findRoute } from "../configuration/mod.ts";
 import type {
   CompiledConfiguration,
   CompiledRequest,
 } from "../configuration/mod.ts";
-import type { CallContext } from "../generated/types.ts";
+
+import type { AccountConfiguration, CallContext } from "../generated/types.ts";
 import type { HeldMemory } from "../memory/mod.ts";
 import { createRefusal, REASONS, UNREACHED_REASONS } from "../outcome/mod.ts";
 import type { CallFailure, CallResult, Refusal } from "../outcome/mod.ts";
 import type { ActiveCall } from "./active_calls.ts";
 import type { CallEnvironment } from "./call_environment.ts";
 import { dispatchCall } from "./dispatch_call.ts";
+import { NOT_READY_RETRY_AFTER_MS } from "./identify_caller.ts";
 import { isErrorAnswer } from "./is_error_answer.ts";
 import type { OutboundCall } from "./outbound_call.ts";
 import { recordOutcome } from "./record_outcome.ts";
@@ -33,8 +36,8 @@
 /** Number of shares into which a call divides its retry allowance for its nested calls, which may run in parallel. */
 const ALLOWANCE_SHARES = 4;
 
-/** Retry delay suggested while there is no configuration, in milliseconds. */
-const NOT_READY_RETRY_AFTER_MS = 500;
+/** Name in `tenant` of calls without an account. */
+const NO_ACCOUNT = "other";
 
 /** A call as received over HTTP. */
 export interface RoutedCall {
@@ -52,6 +55,8 @@
   readonly requestId: string;
   /** Id of the running call that makes this one; empty for external callers. */
   readonly parentId: string;
+  /** Account of the caller; undefined without accounts and for nested calls, which have that of their parent. */
+  readonly account?: AccountConfiguration | undefined;
   /** Service of the VM on which the call originated. */
   readonly callerService: string;
   /** Time until the deadline, in milliseconds; undefined if the caller gave none. */
@@ -75,13 +80,31 @@
 ): Promise<CallResult> {
   const startedAtMs = environment.clock.monotonicMs();
   const parent = environment.activeCalls.find(routed.parentId);
-  const call = prepareCall(environment, routed, parent);
+  const account = parent ? undefined : routed.account;
+  const target = findTarget(environment, routed);
+  const permit = target.isOk() && account
+    ? await acquireAllowance(environment, routed, {
+      account,
+      route: target.value.route,
+    })
+    : undefined;
+  const call = target.andThen((found) =>
+    permit?.isErr() ? err(permit.error) : prepareCall(environment, routed, {
+      ...found,
+      ...{ parent, account, startedAtMs },
+    })
+  );
   const result: CallResult = call.isErr()
     ? err(call.error)
     : await dispatch(environment, call.value, parent);
+  if (permit?.isOk() && hasReachedNoServer(call, result)) {
+    permit.value.giveBack();
+  }
   recordOutcome(environment, result, {
     className: call.isOk() ? call.value.context.className : "none",
-    tenant: "other",
+    tenant: call.isOk()
+      ? call.value.context.tenant
+      : account?.name ?? NO_ACCOUNT,
     requestId: routed.requestId,
     startedAtMs,
     service: call.isOk() ? call.value.service : "",
@@ -89,6 +112,51 @@
   return result;
 }
 
+interface RoutedTarget {
+  readonly configuration: CompiledConfiguration;
+  readonly route: CompiledRequest;
+}
+
+function findTarget(
+  environment: CallEnvironment,
+  routed: RoutedCall,
+): Result<RoutedTarget, Refusal> {
+  const configuration = environment.configuration.current;
+  if (!configuration) {
+    const retryAfterMs = NOT_READY_RETRY_AFTER_MS;
+    return err(createRefusal(REASONS.notReady, { retryAfterMs }));
+  }
+  const route = findRoute(configuration, routed);
+  return route
+    ? ok({ configuration, route })
+    : err(createRefusal(REASONS.unknownRequest));
+}
+
+interface AllowanceTarget {
+  readonly account: AccountConfiguration;
+  readonly route: CompiledRequest;
+}
+
+function acquireAllowance(
+  { allowances, clock }: CallEnvironment,
+  { deadlineMs, requestId, signal }: RoutedCall,
+  { account, route }: AllowanceTarget,
+): Promise<Result<AllowancePermit, Refusal>> {
+  const limitMs = Math.min(route.deadlineMs, deadlineMs ?? route.deadlineMs);
+  const deadlineAtMs = clock.monotonicMs() + limitMs;
+  return allowances.acquire(account, { requestId, deadlineAtMs, signal });
+}
+
+/** Whether a request was refused before any backend server has seen it. */
+function hasReachedNoServer(
+  call: Result<OutboundCall, Refusal>,
+  result: CallResult,
+): boolean {
+  const isRefused = result.isErr() && result.error.kind === "refused";
+  return isRefused &&
+    !(call.isOk() && call.value.progress?.hasReachedServer);
+}
+
 async function dispatch(
   environment: CallEnvironment,
   call: OutboundCall,
@@ -147,44 +215,34 @@
 function prepareCall(
   environment: CallEnvironment,
   routed: RoutedCall,
-  parent: ActiveCall | undefined,
+  options: CallOptions,
 ): Result<OutboundCall, Refusal> {
-  const configuration = environment.configuration.current;
-  if (!configuration) {
-    const retryAfterMs = NOT_READY_RETRY_AFTER_MS;
-    return err(createRefusal(REASONS.notReady, { retryAfterMs }));
-  }
-  const route = findRoute(configuration, routed);
-  if (!route) {
-    return err(createRefusal(REASONS.unknownRequest));
-  }
+  const { parent, route } = options;
   const context = parent
     ? ok(createNestedContext(routed, route, parent))
-    : admit(environment, route, routed.requestId);
+    : admit(environment, routed, options);
   return context.map((callContext) =>
-    createCall(environment, callContext, {
-      routed,
-      route,
-      configuration,
-      parent,
-    })
+    createCall(environment, callContext, { ...options, routed })
   );
 }
 
 function admit(
   environment: CallEnvironment,
-  route: CompiledRequest,
-  requestId: string,
+  { requestId }: RoutedCall,
+  { account, configuration, route }: CallOptions,
 ): Result<CallContext, Refusal> {
   const path = environment.paths.list(route.name, route);
-  const request = { ...route, path };
-  return environment.entryAdmission.check({ request, member: "", requestId })
+  const className = account?.className ?? route.className;
+  const classRank = configuration.classRanks.get(className) ?? route.classRank;
+  const request = { ...route, className, classRank, path };
+  const member = account?.name ?? "";
+  return environment.entryAdmission.check({ request, member, requestId })
     .map(({ mark }) => ({
       requestId,
       requestName: route.name,
-      className: route.className,
-      member: "",
-      tenant: "other",
+      className,
+      member,
+      tenant: account?.name ?? NO_ACCOUNT,
       remainingMs: 0,
       retryAllowance: TREE_RETRY_ALLOWANCE,
       depth: 0,
@@ -210,23 +268,26 @@
   };
 }
 
-interface CallOptions {
-  readonly routed: RoutedCall;
-  readonly route: CompiledRequest;
-  readonly configuration: CompiledConfiguration;
+interface CallOptions extends RoutedTarget {
   readonly parent: ActiveCall | undefined;
+  readonly account: AccountConfiguration | undefined;
+  /** When the call was received, in monotonic milliseconds. */
+  readonly startedAtMs: number;
 }
 
 function createCall(
   environment: CallEnvironment,
   context: CallContext,
-  { routed, route, configuration, parent }: CallOptions,
+  { routed, route, configuration, parent, account, startedAtMs }:
+    & CallOptions
+    & { readonly routed: RoutedCall },
 ): OutboundCall {
   const { clock, paths, trafficSplitter } = environment;
   const nowMs = clock.monotonicMs();
+  const waitedMs = nowMs - startedAtMs;
   const remainingMs = Math.min(
-    route.deadlineMs,
-    routed.deadlineMs ?? route.deadlineMs,
+    route.deadlineMs - waitedMs,
+    (routed.deadlineMs ?? route.deadlineMs) - waitedMs,
     parent ? parent.deadlineAtMs - nowMs : Number.POSITIVE_INFINITY,
   );
   const service = (route.weightedServices &&
@@ -255,6 +316,7 @@
     dispatchState: route.isRepeatable
       ? undefined
       : { unresolvedRun: undefined },
+    ...account && { progress: { hasReachedServer: false } },
     signal: routed.signal,
   };
 }
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -3,6 +3,7 @@
  */
 
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import { AccountLabels } from "./account_labels.ts";
 import { BodyMemoryMetrics } from "./body_memory_metrics.ts";
 import { ProcessMetrics } from "./process_metrics.ts";
 import { retainServices } from "./retain_services.ts";
@@ -40,6 +41,11 @@
   /** Bytes sent to other daemons; exported by {@link sentBytes}. */
   readonly sent = new SentBytes();
 
+  /** Bounds the client accounts that {@link callDuration} names. */
+  readonly accounts = new AccountLabels((name) =>
+    void this.#removeAccount(name)
+  );
+
   /** Duration of calls at the entry, by class, client account (label `tenant`) and outcome. */
   readonly callDuration = new Histogram({
     name: "celeryhollow_call_duration_seconds",
@@ -264,6 +270,19 @@
     await retainServices([this.attempts, this.entryRefusals], services);
   }
 
+  /** Removes the values of an account that is no longer among the busiest. */
+  async #removeAccount(name: string): Promise<void> {
+    const { values } = await this.callDuration.get();
+    const series = new Map(
+      values.filter(({ labels }) => labels.tenant === name).map((
+        { labels: { class: className = "", outcome = "" } },
+      ) => [`${className} ${outcome}`, { class: className, outcome }]),
+    );
+    for (const labels of series.values()) {
+      this.callDuration.remove({ ...labels, tenant: name });
+    }
+  }
+
   /** Removes the limit of a backend server that names none or is gone. */
   clearServerLimit(): void {
     this.serverLimit.reset();
