Divide the allowances of client accounts among all daemons

Accounts with a rate were unlimited. Each daemon now owns 1/N of every allowance, delegates it for 1,000 ms to one holder, and borrows tokens there that expire after 400 ms. A daemon that reaches no holder is its own, with its share alone. Holders are chosen among the delegates of the failure domains, since only these know the whole fleet; other daemons ask a delegate for the directory. Calls to a reserved service name reach a handler registered in PeerServices and not the backend server.

--- /dev/null
+++ b/src/allowance/account_bucket.ts
@@ -0,0 +1,227 @@
+/**
+ * Tokens of one account at a holder.
+ *
+ * The bucket may go below zero: tokens for requests that wait, and for accounts
+ * that ask for more than their rate, are lent a little in advance.
+ *
+ * A part of the allowance that is too small for a single token lends one with
+ * the probability of the fraction that has accrued. Many isolated daemons with
+ * a small part each thus grant what their parts add up to, and no more.
+ */
+
+import type { RandomSource } from "../time/mod.ts";
+import { computePartialLimits } from "./compute_partial_limits.ts";
+import type { AccountLimits, PartialLimits } from "./compute_partial_limits.ts";
+import type { AccountDemand, Loan } from "./allowance_message.ts";
+
+/** Time after which the demand that a daemon reported no longer counts, in milliseconds. */
+const DEMAND_TIMEOUT_MS = 1_000;
+
+/** Demand above this multiple of the rate counts as more than the account may have. */
+const EXCESS_RATIO = 1.2;
+
+/** Bounds of the time after which a refused daemon asks again, and its part for each asking daemon, in milliseconds. */
+const MIN_ASK_AGAIN_MS = 50;
+const MAX_ASK_AGAIN_MS = 300;
+const ASK_AGAIN_PER_DAEMON_MS = 10;
+
+/** Longest time for which a refused daemon does not ask again, in milliseconds; shares may arrive meanwhile. */
+const MAX_PAUSE_MS = 1_000;
+
+/** Longest time to which refused requests are told to wait, in milliseconds. */
+const MAX_RETRY_MS = 5_000;
+
+interface Demand {
+  readonly perSecond: number;
+  readonly atMs: number;
+}
+
+/** What a loan depends on besides the bucket. */
+export interface LoanOptions {
+  readonly borrower: string;
+  readonly nowMs: number;
+  readonly random: RandomSource;
+}
+
+/** Refills at the holder's part of the rate, up to its part of the burst. */
+export class AccountBucket {
+  #limits: AccountLimits;
+  #fraction: number;
+  #part: PartialLimits;
+  #tokens: number;
+  #updatedAtMs: number;
+  /** Refused requests that were told to return and have not been due yet. */
+  #backlog = 0;
+  readonly #demands = new Map<string, Demand>();
+  /** When a daemon last reported demand, on the monotonic clock. */
+  usedAtMs: number;
+
+  constructor(
+    limits: AccountLimits,
+    { fraction, tokens, nowMs }: {
+      readonly fraction: number;
+      readonly tokens: number;
+      readonly nowMs: number;
+    },
+  ) {
+    this.#limits = limits;
+    this.#fraction = fraction;
+    this.#part = computePartialLimits(limits, fraction);
+    this.#tokens = tokens;
+    this.#updatedAtMs = nowMs;
+    this.usedAtMs = nowMs;
+  }
+
+  /** Rate and burst over all daemons. */
+  get limits(): AccountLimits {
+    return this.#limits;
+  }
+
+  /** Tokens at the last update; negative if some were lent in advance. */
+  get tokens(): number {
+    return this.#tokens;
+  }
+
+  /** Whether nothing is known of the account that a new bucket would not contain. */
+  get isFull(): boolean {
+    return this.#tokens >= this.#part.capacity * 0.99;
+  }
+
+  /** Number of daemons that have lately reported demand. */
+  get borrowerCount(): number {
+    return this.#demands.size;
+  }
+
+  /** Adds the tokens accrued up to a time. */
+  refill(nowMs: number): void {
+    const elapsedS = Math.max(0, nowMs - this.#updatedAtMs) / 1_000;
+    this.#updatedAtMs = Math.max(nowMs, this.#updatedAtMs);
+    const accrued = elapsedS * this.#part.ratePerSecond;
+    this.#backlog = Math.max(0, this.#backlog - accrued);
+    this.#tokens = Math.min(this.#part.capacity, this.#tokens + accrued);
+  }
+
+  /** Changes the part of the allowance held here; `gained` are tokens that a new part brings with it. */
+  setFraction(fraction: number, gained = 0): void {
+    this.#fraction = fraction;
+    this.#setPart(gained);
+  }
+
+  /** Follows a changed rate or burst; tokens above the new capacity are dropped. */
+  setLimits(limits: AccountLimits): void {
+    if (
+      limits.ratePerSecond !== this.#limits.ratePerSecond ||
+      limits.burst !== this.#limits.burst
+    ) {
+      this.#limits = limits;
+      this.#setPart(0);
+    }
+  }
+
+  /** Takes back unused tokens and lends new ones. The bucket must have been refilled. */
+  lend(demand: AccountDemand, options: LoanOptions): Loan {
+    const { nowMs, borrower } = options;
+    this.#recordDemand(demand, borrower, nowMs);
+    this.#tokens = Math.min(
+      this.#part.capacity,
+      this.#tokens + demand.returned,
+    );
+    const count = this.#isFractional
+      ? this.#drawToken(demand.needed, options.random)
+      : this.#takeTokens(demand, borrower);
+    const refused = Math.max(0, demand.needed - count);
+    return this.#createLoan(demand.name, count, refused);
+  }
+
+  /** Whether the part held here can never contain a whole token. */
+  get #isFractional(): boolean {
+    return this.#part.capacity + this.#part.advance < 1;
+  }
+
+  /** Tokens that may be lent, including those in advance. */
+  get #headroom(): number {
+    return this.#tokens + this.#part.advance;
+  }
+
+  #setPart(gained: number): void {
+    this.#part = computePartialLimits(this.#limits, this.#fraction);
+    this.#tokens = Math.min(this.#part.capacity, this.#tokens + gained);
+  }
+
+  #recordDemand(
+    { demandPerSecond, needed }: AccountDemand,
+    borrower: string,
+    nowMs: number,
+  ): void {
+    if (demandPerSecond > 0 || needed > 0) {
+      this.usedAtMs = nowMs;
+      this.#demands.set(borrower, { perSecond: demandPerSecond, atMs: nowMs });
+    }
+    for (const [name, { atMs }] of this.#demands) {
+      if (nowMs - atMs > DEMAND_TIMEOUT_MS) {
+        this.#demands.delete(name);
+      }
+    }
+  }
+
+  #takeTokens(
+    { needed, expected }: AccountDemand,
+    borrower: string,
+  ): number {
+    const lent = Math.min(needed, Math.max(0, Math.floor(this.#headroom)));
+    this.#tokens -= lent;
+    if (lent < needed) {
+      return lent;
+    }
+    let total = 0;
+    this.#demands.forEach(({ perSecond }) => total += perSecond);
+    const isExcessive = total > EXCESS_RATIO * this.#part.ratePerSecond;
+    const stock = isExcessive ? this.#headroom : this.#tokens;
+    const own = this.#demands.get(borrower)?.perSecond ?? 0;
+    const ahead = Math.min(
+      expected,
+      Math.max(0, Math.floor(total > 0 ? stock * own / total : 0)),
+    );
+    this.#tokens -= ahead;
+    return lent + ahead;
+  }
+
+  #drawToken(needed: number, random: RandomSource): number {
+    const probability = Math.max(0, this.#headroom);
+    if (needed === 0 || probability === 0) {
+      return 0;
+    }
+    this.#tokens = -this.#part.advance;
+    return random.nextFloat() < probability ? 1 : 0;
+  }
+
+  #createLoan(name: string, count: number, refused: number): Loan {
+    const spacingMs = this.#part.ratePerSecond > 0
+      ? 1_000 / this.#part.ratePerSecond
+      : MAX_RETRY_MS;
+    if (refused === 0) {
+      return { name, count, retryInMs: 0, spacingMs, askAgainMs: 0 };
+    }
+    const missing = Math.max(0, 1 - this.#headroom);
+    const retryInMs = Math.min(
+      MAX_RETRY_MS,
+      (missing + this.#backlog) * spacingMs,
+    );
+    this.#backlog = Math.min(
+      this.#backlog + refused,
+      MAX_RETRY_MS / spacingMs,
+    );
+    const turnMs = Math.min(
+      MAX_ASK_AGAIN_MS,
+      Math.max(
+        MIN_ASK_AGAIN_MS,
+        this.#demands.size * ASK_AGAIN_PER_DAEMON_MS,
+      ),
+    );
+    const askAgainMs = Math.max(
+      turnMs,
+      Math.min(MAX_PAUSE_MS, missing * spacingMs),
+    );
+    return { name, count, retryInMs, spacingMs, askAgainMs };
+  }
+}
--- a/src/allowance/allowance_control.ts
+++ b/src/allowance/allowance_control.ts
@@ -5,6 +5,7 @@
 import type { Result } from "neverthrow";
 import type { CallSignal } from "../cancellation/mod.ts";
 import type { Refusal } from "../outcome/mod.ts";
+import type { AllowanceStatus } from "./allowance_status.ts";
 
 /** A client account with its rate over all daemons. */
 export interface LimitedAccount {
@@ -39,4 +40,24 @@
 
   /** Whether the account has lately used all of its allowance. */
   abstract isUsedUp(accountName: string): boolean;
+
+  /** Incarnations of the daemons that have this daemon's shares, to which connections are kept. */
+  get holders(): readonly string[] {
+    return [];
+  }
+
+  /** Describes the state for operators; undefined if nothing is limited here. */
+  describe(): AllowanceStatus | undefined {
+    return undefined;
+  }
+
+  /** Updates the gauges before metrics are read. */
+  updateMetrics(): void {
+    // Nothing is measured by default.
+  }
+
+  /** Stops all timers, and refuses the requests that wait for a token. */
+  stop(): void {
+    // Nothing runs by default.
+  }
 }
--- /dev/null
+++ b/src/allowance/holder_channel.ts
@@ -0,0 +1,41 @@
+/**
+ * Messages in progress to one holder.
+ */
+
+/** Interval of messages to a holder while its groups are in use, in milliseconds. */
+const UPDATE_INTERVAL_MS = 300;
+
+/** Time after which a request for tokens without a reply does not hold back the next, in milliseconds. */
+const ASK_TIMEOUT_MS = 100;
+
+/** Decides when a message may be sent to a holder. */
+export class HolderChannel {
+  #sentAtMs = Number.NEGATIVE_INFINITY;
+  #pending = 0;
+
+  /** Whether the next periodic message is due. */
+  isDue(nowMs: number): boolean {
+    return nowMs - this.#sentAtMs >= UPDATE_INTERVAL_MS;
+  }
+
+  /** Whether tokens may be asked for: one message at a time, unless its reply is late. */
+  canAsk(nowMs: number): boolean {
+    return this.#pending === 0 || nowMs - this.#sentAtMs >= ASK_TIMEOUT_MS;
+  }
+
+  /** When the last message was sent. */
+  get sentAtMs(): number {
+    return this.#sentAtMs;
+  }
+
+  /** Records that a message is sent. */
+  begin(nowMs: number): void {
+    this.#sentAtMs = nowMs;
+    this.#pending += 1;
+  }
+
+  /** Records the reply, or that there is none. */
+  end(): void {
+    this.#pending -= 1;
+  }
+}
--- a/src/cli/daemon_status.ts
+++ b/src/cli/daemon_status.ts
@@ -2,6 +2,7 @@
  * Status of a daemon as returned by its admin API.
  */
 
+import type { AllowanceStatus } from "../allowance/mod.ts";
 import type {
   Announcement,
   LoadSignal,
@@ -19,5 +20,7 @@
   };
   readonly load: LoadSignal;
   readonly activeCalls: number;
+  /** Absent in daemons of older builds. */
+  readonly allowances?: AllowanceStatus | null;
   readonly members: readonly MemberRecord[];
 }
--- a/src/cli/explain_command.ts
+++ b/src/cli/explain_command.ts
@@ -22,6 +22,7 @@
   DECISIONS.entryRefusal,
   DECISIONS.unknownOutcome,
   DECISIONS.retryDenied,
+  DECISIONS.overAllowance,
 ]);
 
 /** A journal entry with the host name of the daemon that recorded it. */
--- a/src/cli/status_command.ts
+++ b/src/cli/status_command.ts
@@ -113,6 +113,7 @@
     ),
     "",
     `active configuration versions: ${versions.join(", ")}`,
+    ...formatAllowances(statuses),
     ...unreachable.map(({ adminUrl }) => `unreachable: ${adminUrl}`),
     ...disagreements.map(({ member, countedDeadBy, countedAliveBy }) =>
       `possible partition: ${member} responds, but ${countedDeadBy} daemons consider it dead and ${countedAliveBy} alive`
@@ -121,6 +122,37 @@
   return lines.join("\n");
 }
 
+/** Formats the holders of shares, and each account's requests summed over all daemons. */
+function formatAllowances(statuses: readonly DaemonStatus[]): string[] {
+  const holders = statuses.flatMap(({ self, allowances }) =>
+    (allowances?.held ?? []).map(({ shares, fraction, accounts, borrowers }) =>
+      `allowances: ${self.address} holds ${
+        (fraction * 100).toFixed(0)
+      }% from ${shares} daemons, for ${accounts} accounts and up to ${borrowers} borrowers each`
+    )
+  );
+  const rows = new Map<string, { granted: number; refused: number }>();
+  for (const { allowances } of statuses) {
+    for (const { name, granted, refused } of allowances?.accounts ?? []) {
+      const sum = rows.get(name) ?? { granted: 0, refused: 0 };
+      rows.set(name, {
+        granted: sum.granted + granted,
+        refused: sum.refused + refused,
+      });
+    }
+  }
+  const table = formatTable(
+    ["account", "granted", "refused"],
+    [...rows].sort(([, one], [, other]) => other.refused - one.refused)
+      .map(([name, { granted, refused }]) => [
+        name,
+        String(granted),
+        String(refused),
+      ]),
+  );
+  return rows.size > 0 ? [...holders, table] : holders;
+}
+
 function formatRow(status: DaemonStatus): string[] {
   const { self, load, isReady, configurationVersion, backend } = status;
   const { announcement, state } = backend;
--- a/src/daemon/create_admin_app.ts
+++ b/src/daemon/create_admin_app.ts
@@ -105,6 +105,7 @@
   const { configuration, inboundAdmission, membership, metrics } = environment;
   const load = inboundAdmission.describeLoad("");
   metrics.inFlight.set(load.inFlight);
+  environment.allowances.updateMetrics();
   metrics.limit.set(load.limit);
   metrics.configurationVersion.set(configuration.version);
   metrics.keysRemembered.set({ role: "holder" }, environment.keys.size);
@@ -118,8 +119,8 @@
 }
 
 function describeStatus(environment: CallEnvironment, isReady: boolean) {
-  const { activeCalls, backend, configuration, inboundAdmission, membership } =
-    environment;
+  const { activeCalls, allowances, backend, configuration } = environment;
+  const { inboundAdmission, membership } = environment;
   return {
     self: membership.self,
     isReady,
@@ -130,6 +131,7 @@
     },
     load: inboundAdmission.describeLoad(membership.self.service),
     activeCalls: activeCalls.count,
+    allowances: allowances.describe() ?? null,
     members: membership.listAll(),
   };
 }
--- a/src/daemon/create_daemon_components.ts
+++ b/src/daemon/create_daemon_components.ts
@@ -2,7 +2,11 @@
  * Creation of the components of one daemon.
  */
 
-import { UnlimitedAllowances } from "../allowance/mod.ts";
+import {
+  ALLOWANCE_SERVICE,
+  createAllowanceSubsystem,
+  SilentMembers,
+} from "../allowance/mod.ts";
 import { LearnedPaths, ThrottledEntryAdmission } from "../admission/mod.ts";
 import { BackendRegistry, HttpBackendClient } from "../backend/mod.ts";
 import type { BackendClient } from "../backend/mod.ts";
@@ -39,6 +43,7 @@
   ActiveCalls,
   LeavingServers,
   PeerClients,
+  PeerServices,
   ResponseSizes,
 } from "../request/mod.ts";
 import type { CallEnvironment } from "../request/mod.ts";
@@ -178,10 +183,14 @@
     clock,
     ...createCallLimits(timing),
   });
+  const silent = new SilentMembers();
   const membership = new GossipMembership({
     self,
     sentBytes: metrics.sent,
-    reportLoss: (loss) => reportMemberLoss(loss, { log, metrics, clock }),
+    reportLoss: (loss) => {
+      silent.add(loss.member.incarnation);
+      reportMemberLoss(loss, { log, metrics, clock });
+    },
     fleetToken,
     seeds,
     store: rateLimitedStore,
@@ -234,6 +243,16 @@
     ...{ clock, fingerprinter, journal, metrics },
     publish: (notice) => membership.announceNotice(notice),
   });
+  const peers = new PeerClients({
+    ...connectionOptions,
+    reportReplacement: outbound.reportReplacement,
+  });
+  const allowances = createAllowanceSubsystem({
+    ...{ clock, random, configuration, journal, membership, metrics },
+    ...{ peers, silent },
+  });
+  const peerServices = new PeerServices();
+  peerServices.register(ALLOWANCE_SERVICE, allowances.handle);
   const environment: CallEnvironment = {
     settings,
     clock,
@@ -243,10 +262,8 @@
     configuration,
     membership,
     memory,
-    peers: new PeerClients({
-      ...connectionOptions,
-      reportReplacement: outbound.reportReplacement,
-    }),
+    peers,
+    peerServices,
     backend,
     backendClient,
     quarantine,
@@ -279,7 +296,7 @@
     activeCalls: new ActiveCalls(clock),
     responseSizes: new ResponseSizes(),
     leavingServers: new LeavingServers(),
-    allowances: new UnlimitedAllowances(),
+    allowances: allowances.control,
   };
   return {
     environment,
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -229,6 +229,7 @@
     this.#stopHousekeeping();
     this.#stopSignal.abort();
     this.#quarantineArchive.stop();
+    this.environment.allowances.stop();
     await this.#membership.stop();
     await this.#peerServer.close();
     peers.close();
@@ -348,7 +349,8 @@
   }
 
   #runHousekeeping(): void {
-    const { membership, peers, quarantine, successors } = this.environment;
+    const { allowances, membership, peers, quarantine, successors } =
+      this.environment;
     this.#memoryWatch.check();
     quarantine.removeExpired();
     this.#publishBackendState();
@@ -356,11 +358,12 @@
     successors.update(members);
     this.#outbound.maintain(members);
     peers.retain(
-      new Set(
-        members.filter(({ state }) => state !== "dead").map((
+      new Set([
+        ...members.filter(({ state }) => state !== "dead").map((
           record,
         ) => record.incarnation),
-      ),
+        ...allowances.holders,
+      ]),
     );
   }
 }
--- a/src/membership/mod.ts
+++ b/src/membership/mod.ts
@@ -3,6 +3,7 @@
  * are in.
  */
 
+export { chooseDelegates } from "./choose_delegates.ts";
 export { createIncarnation } from "./create_incarnation.ts";
 export { GossipMembership } from "./gossip_membership.ts";
 export type { GossipMembershipOptions } from "./gossip_membership.ts";
--- a/src/request/call_environment.ts
+++ b/src/request/call_environment.ts
@@ -31,6 +31,7 @@
 import type { ActiveCalls } from "./active_calls.ts";
 import type { LeavingServers } from "./leaving_servers.ts";
 import type { PeerClients } from "./peer_clients.ts";
+import type { PeerServices } from "./peer_services.ts";
 import type { ResponseSizes } from "./response_sizes.ts";
 
 /** Components of a daemon that are used to serve requests. */
@@ -45,6 +46,8 @@
   /** Bound of the bytes held for calls. */
   readonly memory: MemoryBudget;
   readonly peers: PeerClients;
+  /** Services of the daemon itself that other daemons call. */
+  readonly peerServices: PeerServices;
   readonly backend: BackendRegistry;
   readonly backendClient: BackendClient;
   readonly entryAdmission: EntryAdmission;
--- a/src/request/peer_clients.ts
+++ b/src/request/peer_clients.ts
@@ -26,7 +26,9 @@
   }
 
   /** Returns the connection to a member, opened on first use. */
-  get(member: MemberRecord): PeerClient {
+  get(
+    member: Pick<MemberRecord, "incarnation" | "address" | "peerPort">,
+  ): PeerClient {
     const known = this.#clients.get(member.incarnation);
     if (known) {
       return known;
--- a/src/request/serve_peer_call.ts
+++ b/src/request/serve_peer_call.ts
@@ -37,6 +37,10 @@
   message: CallMessage,
   options: IncomingCallOptions,
 ): Promise<CallResult> {
+  const handle = environment.peerServices.find(message.service);
+  if (handle) {
+    return await handle(message, options);
+  }
   const { clock, configuration } = environment;
   const { context } = message;
   const classRanks = configuration.current?.classRanks;
--- a/src/telemetry/decision_journal.ts
+++ b/src/telemetry/decision_journal.ts
@@ -35,6 +35,7 @@
   requestReleased: "request-released",
   unknownOutcome: "unknown-outcome",
   runFailed: "run-failed",
+  overAllowance: "over-allowance",
 } as const;
 
 /** One of {@link DECISIONS}. */
--- a/src/testing/fault_injection/fault_injection_node.ts
+++ b/src/testing/fault_injection/fault_injection_node.ts
@@ -29,6 +29,7 @@
   handOverKeys,
   LeavingServers,
   PeerClients,
+  PeerServices,
   ResponseSizes,
   serveEntryCall,
   servePeerCall,
@@ -249,6 +250,7 @@
       responseSizes: new ResponseSizes(),
       leavingServers: new LeavingServers(),
       allowances: new UnlimitedAllowances(),
+      peerServices: new PeerServices(),
       quarantine,
       crashes: new CrashRecorder({
         ...{ backend: registry, backendClient: this.backend, clock },
