Use the momentary slowness that backend servers state

Cause: instances that share their VMs with other work are slow for some hundred milliseconds at a time. Measured latency shows a slow phase when it is over, and a call that waits at a slow VM had to stay there.

Change: Server-Load is read whole (ServerStatement.load). The gate refuses a call as not run (slow-instance) if it would finish clearly sooner at the other instance that its sender compared; dispatchCall sends it to another instance, at most twice, without a retry. Answers carry the figure and its age to other daemons as a note. The expected response time of an instance is multiplied by its momentary slowness, which fades within 600 ms. Without the fourth figure nothing acts.

--- a/src/admission/adaptive_admission.ts
+++ b/src/admission/adaptive_admission.ts
@@ -11,6 +11,8 @@
 import { createRefusal, REASONS } from "../outcome/mod.ts";
 import type { Reason, Refusal } from "../outcome/mod.ts";
 import type { Clock } from "../time/mod.ts";
+import { MomentarySlowness } from "../slowness/mod.ts";
+import type { StatedSlowness } from "../slowness/mod.ts";
 import { AdmissionJournal } from "./admission_journal.ts";
 import type { AdmissionTelemetry } from "./admission_journal.ts";
 import { AdmitRatioController } from "./admit_ratio_controller.ts";
@@ -18,6 +20,7 @@
 import { ConcurrencyLimit } from "./concurrency_limit.ts";
 import { countReservedSlots } from "./count_reserved_slots.ts";
 import { DemandWindow } from "./demand_window.ts";
+import { finishesSoonerElsewhere } from "./finishes_sooner_elsewhere.ts";
 import { IdleMeter } from "./idle_meter.ts";
 import { InboundAdmission } from "./inbound_admission.ts";
 import type { InboundCall, Permit } from "./inbound_admission.ts";
@@ -58,6 +61,7 @@
 
 interface WaitingCall extends Waiter {
   readonly isLastResort: boolean;
+  readonly elsewhereMs: number | undefined;
   readonly settle: (result: AdmissionResult) => void;
 }
 
@@ -73,6 +77,7 @@
   readonly #idle = new IdleMeter();
   readonly #journal: AdmissionJournal;
   readonly #pacer: RequestPacer;
+  readonly #slowness = new MomentarySlowness();
   #requestsPerSecond: number | undefined;
   #cancelNextGrant: (() => void) | undefined;
   /** When the queue last became non-empty, in monotonic milliseconds. */
@@ -125,6 +130,18 @@
     this.#pacer.awaitFirstResponse();
   }
 
+  override get slowness(): StatedSlowness | undefined {
+    return this.#slowness.read(this.#nowMs);
+  }
+
+  override observeSlowness(slownessRatio: number): void {
+    this.#slowness.observe(slownessRatio, this.#nowMs);
+    this.#journal.recordSlowness(slownessRatio);
+    if (slownessRatio > 1 && this.#queue.length > 0) {
+      this.#handBackWaiters();
+    }
+  }
+
   override describeLoad(service: string): LoadSignal {
     this.#updateAdmitRatios();
     const { ratios, demandPerSecond, lowestRatio } = this.#ratioController;
@@ -155,7 +172,12 @@
     }
     const { isLimited } = this.#pacer;
     const isNext = !isLimited || this.#queue.length === 0;
-    if (isNext && this.#mayRun(call.classRank)) {
+    const mayStart = isNext && this.#mayRun(call.classRank);
+    const waitMs = mayStart ? 0 : this.#usualQueueDelayMs;
+    if (this.#isHandedBack(call.elsewhereMs, waitMs)) {
+      return this.#refuse(REASONS.slowInstance);
+    }
+    if (mayStart) {
       return ok(this.#grant(call.classRank, call.context.member));
     }
     const isTurnedAway = isLimited && !this.#pacer.isOpen && !call.isLastResort;
@@ -179,6 +201,12 @@
     return this.#queue.length * this.#msPerCall;
   }
 
+  /** Expected wait of a call that arrives now, on a VM that is as fast as usual, in milliseconds. */
+  get #usualQueueDelayMs(): number {
+    return (this.#queue.length + 1) * this.#slots.usualHoldMs /
+      Math.max(1, this.#limit.value);
+  }
+
   get #order(): OrderOptions {
     return {
       nowMs: this.#nowMs,
@@ -222,6 +250,31 @@
     }
   }
 
+  /** Whether a call would finish sooner elsewhere; never without a fresh slowness figure. */
+  #isHandedBack(elsewhereMs: number | undefined, waitMs: number): boolean {
+    const nowMs = this.#nowMs;
+    return elsewhereMs !== undefined && this.#slowness.isStated(nowMs) &&
+      finishesSoonerElsewhere({
+        waitMs,
+        usualHoldMs: this.#slots.usualHoldMs,
+        slownessRatio: this.#slowness.getRatio(nowMs),
+        elsewhereMs,
+      });
+  }
+
+  /** Hands back the waiting calls that would now finish sooner elsewhere. */
+  #handBackWaiters(): void {
+    const msPerCall = this.#slots.usualHoldMs / Math.max(1, this.#limit.value);
+    let waitMs = 0;
+    for (const waiter of this.#queue.listInOrder(this.#order)) {
+      waitMs += msPerCall;
+      if (this.#isHandedBack(waiter.elsewhereMs, waitMs)) {
+        waitMs -= msPerCall;
+        this.#removeWaiter(waiter, REASONS.slowInstance);
+      }
+    }
+  }
+
   #canRunInTime(waiter: WaitingCall): boolean {
     const remainingMs = waiter.expiresAtMs - this.#nowMs;
     const delayMs = (this.#queue.countAhead(waiter) + 1) * this.#msPerCall;
@@ -250,6 +303,7 @@
     const waiter: WaitingCall = {
       classRank: call.classRank,
       isLastResort: call.isLastResort ?? false,
+      elsewhereMs: call.elsewhereMs,
       member: call.context.member,
       isNested,
       arrivedAtMs: nowMs,
@@ -280,6 +334,13 @@
       const retryAfterMs = Math.ceil(this.#pacer.intervalMs);
       return err(createRefusal(reason, { retryAfterMs }));
     }
+    if (reason === REASONS.slowInstance) {
+      this.#journal.recordHandBack({
+        slownessRatio: this.#slowness.getRatio(this.#nowMs),
+        waiting: this.#queue.length,
+        usualHoldMs: this.#slots.usualHoldMs,
+      });
+    }
     const waitMs = this.#queueDelayMs + this.#slots.holdMs;
     const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, Math.ceil(waitMs));
     return err(createRefusal(reason, { retryAfterMs }));
@@ -312,11 +373,13 @@
     this.#updateIdleMeter();
     return {
       release: (completion) => {
-        this.#slots.end(running, completion);
+        const slownessRatio = this.#slowness.getRatio(this.#nowMs);
+        this.#slots.end(running, { ...completion, slownessRatio });
         // Under a limit of requests, calls tell nothing of how many slots there are.
         if (!this.#pacer.isLimited) {
           this.#limit.observe({
-            ownDurationMs: completion.ownDurationMs,
+            // A VM that is slow at the moment says nothing of the right limit.
+            ownDurationMs: completion.ownDurationMs / slownessRatio,
             isShed: completion.isShed,
             isSaturated: this.#queue.length > 0,
             concurrency,
--- a/src/admission/adaptive_admission_test.ts
+++ b/src/admission/adaptive_admission_test.ts
@@ -318,4 +318,45 @@
   assert.is(admission.describeLoad("stock").limit, 20);
 });
 
+test("a slow VM hands a call back that would finish sooner elsewhere, until its figure is old", async () => {
+  const { admission, states, enter, release } = createFixture();
+  await enter("first");
+  await release("first", 100);
+  admission.observeSlowness(2.5);
+  await enter("movable", { elsewhereMs: 110 });
+  await enter("elsewhere as slow", { elsewhereMs: 250 });
+  await enter("of an older build");
+  assert.is(states.get("movable"), "slow-instance");
+  assert.is(states.get("elsewhere as slow"), "running");
+  assert.is(states.get("of an older build"), "running");
+  await release("elsewhere as slow", 700);
+  await enter("later", { elsewhereMs: 110 });
+  assert.is(states.get("later"), "running");
+});
+
+test("a waiting call is handed back when the VM becomes slow, and one that must stay waits on", async () => {
+  const { admission, states, enter, release } = createFixture();
+  await enter("first");
+  await release("first", 100);
+  admission.observeSlowness(1);
+  await enter("running");
+  await enter("running too");
+  await enter("movable", { elsewhereMs: 150 });
+  await enter("must stay");
+  assert.is(states.get("movable"), "waiting");
+  admission.observeSlowness(2.5);
+  await settle();
+  assert.is(states.get("movable"), "slow-instance");
+  assert.is(states.get("must stay"), "waiting");
+});
+
+test("without a slowness figure no call is handed back, whatever its sender expects elsewhere", async () => {
+  const { states, enter } = createFixture();
+  await enter("running", { elsewhereMs: 1 });
+  await enter("running too", { elsewhereMs: 1 });
+  await enter("waiting", { elsewhereMs: 1 });
+  assert.is(states.get("running"), "running");
+  assert.is(states.get("waiting"), "waiting");
+});
+
 test.run();
--- a/src/admission/admission_journal.ts
+++ b/src/admission/admission_journal.ts
@@ -9,6 +9,13 @@
 /** Smallest change of the lowest admit ratio that is recorded. */
 const MIN_RECORDED_CHANGE = 0.1;
 
+/** Figures by which a call was handed back. */
+export interface HandBackEstimate {
+  readonly slownessRatio: number;
+  readonly waiting: number;
+  readonly usualHoldMs: number;
+}
+
 /** Journal and metrics that changes are recorded in. */
 export interface AdmissionTelemetry {
   readonly journal: DecisionJournal;
@@ -46,6 +53,21 @@
     this.#limit = limit;
   }
 
+  /** Records the momentary slowness of the VM. */
+  recordSlowness(slownessRatio: number): void {
+    this.#telemetry.metrics.slowness.set(slownessRatio);
+  }
+
+  /** Records that a call was handed back, to be run on another instance. */
+  recordHandBack(estimate: HandBackEstimate): void {
+    this.#telemetry.metrics.handBacks.inc();
+    this.#telemetry.journal.record(DECISIONS.handBack, {
+      slownessRatio: Number(estimate.slownessRatio.toFixed(2)),
+      waiting: estimate.waiting,
+      usualHoldMs: Math.round(estimate.usualHoldMs),
+    });
+  }
+
   /** Updates the metrics, and journals the admit ratios, by class rank, if the lowest has changed significantly. */
   recordAdmitRatios(ratios: readonly number[], estimate: LoadEstimate): void {
     const { journal, metrics } = this.#telemetry;
--- a/src/admission/inbound_admission.ts
+++ b/src/admission/inbound_admission.ts
@@ -6,6 +6,7 @@
 import type { CallSignal } from "../cancellation/mod.ts";
 import type { CallContext, LoadSignal } from "../generated/types.ts";
 import type { Refusal } from "../outcome/mod.ts";
+import type { StatedSlowness } from "../slowness/mod.ts";
 
 /** How an admitted call completed. */
 export interface CallCompletion {
@@ -35,6 +36,8 @@
   readonly classRank: number;
   /** Whether no instance without a limit is left, so that the call may wait for one that has a limit. */
   readonly isLastResort?: boolean | undefined;
+  /** Expected time to completion at another instance, in milliseconds; absent if the call must not be handed back. */
+  readonly elsewhereMs?: number | undefined;
   /** Aborts the wait when the caller disconnects or cancels. */
   readonly signal: CallSignal;
 }
@@ -65,6 +68,16 @@
     // The baseline ignores what backend servers ask for.
   }
 
+  /** Momentary slowness of this VM; undefined without a fresh figure. */
+  get slowness(): StatedSlowness | undefined {
+    return undefined;
+  }
+
+  /** Records the momentary slowness that the backend server states. */
+  observeSlowness(_slownessRatio: number): void {
+    // The baseline ignores what backend servers state.
+  }
+
   /** Number of running and waiting calls. */
   abstract get pendingCalls(): number;
 }
--- a/src/admission/slot_tracker.ts
+++ b/src/admission/slot_tracker.ts
@@ -12,6 +12,7 @@
   readonly running = new RunningCalls();
   readonly #clock: Clock;
   readonly #holdTime = new HoldTimeEstimator();
+  readonly #usualHoldTime = new HoldTimeEstimator();
 
   constructor(clock: Clock) {
     this.#clock = clock;
@@ -23,6 +24,11 @@
     return this.#holdTime.estimateMs(meanAgeMs);
   }
 
+  /** Slot hold time of a call on a VM that is as fast as usual, in milliseconds. */
+  get usualHoldMs(): number {
+    return this.#usualHoldTime.estimateMs(0);
+  }
+
   /** Estimates the slot hold time of a call of one class, in milliseconds. */
   estimateHoldMs(classRank: number): number {
     const meanAgeMs = this.running.computeClassMeanAgeMs(
@@ -42,11 +48,18 @@
   /** Frees the slot of a call; unanswered calls do not count towards hold times. */
   end(
     call: RunningCall,
-    completion: { readonly durationMs: number; readonly isAnswered: boolean },
+    completion: {
+      readonly durationMs: number;
+      readonly isAnswered: boolean;
+      /** Momentary slowness of the VM at the end of the call; 1 if it is not stated. */
+      readonly slownessRatio: number;
+    },
   ): void {
     this.running.remove(call);
     if (completion.isAnswered) {
-      this.#holdTime.observe(completion.durationMs, call.classRank);
+      const { durationMs, slownessRatio } = completion;
+      this.#holdTime.observe(durationMs, call.classRank);
+      this.#usualHoldTime.observe(durationMs / slownessRatio, call.classRank);
     }
   }
 }
--- a/src/backend/mod.ts
+++ b/src/backend/mod.ts
@@ -19,6 +19,7 @@
 export type { BackendState } from "./backend_registry.ts";
 export { formatServerId, parseServerId } from "./format_server_id.ts";
 export { NO_STATEMENT } from "./server_statement.ts";
+export type { StatedLoad } from "./server_statement.ts";
 export type { ServerStatement } from "./server_statement.ts";
 export { probePort } from "./probe_port.ts";
 export type { PortState } from "./probe_port.ts";
--- a/src/backend/read_server_statement.ts
+++ b/src/backend/read_server_statement.ts
@@ -3,13 +3,16 @@
  */
 
 import { parseRateLimit } from "./parse_rate_limit.ts";
+import { parseStatedLoad } from "./parse_stated_load.ts";
 import { NO_STATEMENT } from "./server_statement.ts";
-import type { ServerStatement } from "./server_statement.ts";
+import type { ServerStatement, StatedLoad } from "./server_statement.ts";
 
 /** Names of the header fields, in lower case. */
 export interface StatementHeaders {
   readonly rateLimit: string;
   readonly leaving: string;
+  /** Name of the field that states the load; absent if servers state none. */
+  readonly load?: string;
 }
 
 /** Value with which a server says that it leaves. */
@@ -31,6 +34,7 @@
 ): ServerStatement {
   const limits: string[] = [];
   const leaving: string[] = [];
+  let load: StatedLoad | undefined;
   for (let index = 0; index + 1 < headers.length; index += 2) {
     const name = headers[index] ?? "";
     const value = headers[index + 1] ?? "";
@@ -38,10 +42,12 @@
       limits.push(value);
     } else if (isNamed(name, names.leaving)) {
       leaving.push(value);
+    } else if (names.load !== undefined && isNamed(name, names.load)) {
+      load = parseStatedLoad(value);
     }
   }
   if (limits.length === 0 && leaving.length === 0) {
-    return NO_STATEMENT;
+    return load ? { ...NO_STATEMENT, load } : NO_STATEMENT;
   }
   const limit = limits.length > 0 ? parseRateLimit(limits) : undefined;
   return {
@@ -49,6 +55,7 @@
     invalidLimit: limit?.isErr() ? limit.error.message : undefined,
     isLeaving: leaving.flatMap((value) => value.split(","))
       .some((value) => value.trim() === LEAVING_VALUE),
+    ...load && { load },
   };
 }
 
--- a/src/outcome/outcome.ts
+++ b/src/outcome/outcome.ts
@@ -15,6 +15,7 @@
   overloadedService: "overloaded-service",
   limitedInstance: "limited-instance",
   limitedService: "limited-service",
+  slowInstance: "slow-instance",
   memoryFull: "memory-full",
   queueExpired: "queue-expired",
   deadlineExpired: "deadline-expired",
--- a/src/request/create_attempt_report.ts
+++ b/src/request/create_attempt_report.ts
@@ -6,6 +6,7 @@
 import { REASONS } from "../outcome/mod.ts";
 import type { CallFailure, CallResult } from "../outcome/mod.ts";
 import type { AttemptReport } from "../routing/mod.ts";
+import type { StatedSlowness } from "../slowness/mod.ts";
 import { isErrorAnswer } from "./is_error_answer.ts";
 import type { OutboundCall } from "./outbound_call.ts";
 
@@ -16,6 +17,8 @@
   /** Duration of the attempt, in milliseconds. */
   readonly durationMs: number;
   readonly backendClient: BackendClient;
+  /** Momentary slowness that the reply states, if it does. */
+  readonly slowness: StatedSlowness | undefined;
 }
 
 /**
@@ -23,17 +26,17 @@
  *
  * @param call - The call
  * @param result - Outcome of the attempt
- * @param options - Duration of the attempt in milliseconds, and the client that
- *   reads the statements of backend servers
+ * @param options - Duration of the attempt in milliseconds, the client that reads
+ *   the statements of backend servers, and the slowness that the reply states
  * @returns The report
  *
  * @example
- * loadBalancer.finishAttempt(instance, createAttemptReport(call, result, { durationMs, backendClient }));
+ * loadBalancer.finishAttempt(instance, createAttemptReport(call, result, { durationMs, backendClient, slowness }));
  */
 export function createAttemptReport(
   call: OutboundCall,
   result: CallResult,
-  { durationMs, backendClient }: AttemptReportOptions,
+  { durationMs, backendClient, slowness }: AttemptReportOptions,
 ): AttemptReport {
   const { isBulk } = call.context;
   if (result.isOk()) {
@@ -49,6 +52,7 @@
       reason: "",
       isErrorAnswer: isErrorAnswer(result) && !isGivenUp,
       loads,
+      slowness,
       bodyBytes: call.body.length + body.length,
     };
   }
--- a/src/request/create_call_message.ts
+++ b/src/request/create_call_message.ts
@@ -28,6 +28,9 @@
     ...call.leavingServer === undefined
       ? []
       : [PEER_NOTES.leavingServer, call.leavingServer],
+    ...call.elsewhereMs === undefined
+      ? []
+      : [PEER_NOTES.elsewhere, String(Math.ceil(call.elsewhereMs))],
   ];
   const bodyLengthBytes = call.body.length;
   return {
--- a/src/request/dispatch_call.ts
+++ b/src/request/dispatch_call.ts
@@ -15,8 +15,10 @@
 import { followAnswerStatement } from "./follow_answer_statement.ts";
 import type { OutboundCall } from "./outbound_call.ts";
 import { createAttemptReport } from "./create_attempt_report.ts";
+import { HandBacks } from "./hand_backs.ts";
 import { runCall } from "./run_call.ts";
 import { sendOnce } from "./send_once.ts";
+import { readSlownessNote } from "./slowness_note.ts";
 
 /** Maximum number of times that a call is redirected after the instance could not run it; redirects do not use the retry allowance. */
 const MAX_REDIRECTS = 8;
@@ -48,6 +50,7 @@
   const { service } = call;
   const history = new AttemptHistory();
   const excluded = new Set<string>();
+  const handBacks = new HandBacks();
   let allowance = call.context.retryAllowance;
   let redirects = 0;
   let attempts = 0;
@@ -65,7 +68,12 @@
           remainingMs,
         },
       },
-      { excluded, attempts, hasRetryLeft: nestedAllowance < allowance },
+      {
+        excluded,
+        handBacks,
+        attempts,
+        hasRetryLeft: nestedAllowance < allowance,
+      },
     );
     allowance += getUnusedAllowance(result, nestedAllowance) -
       nestedAllowance;
@@ -125,6 +133,7 @@
 
 interface AttemptOptions {
   readonly excluded: Set<string>;
+  readonly handBacks: HandBacks;
   readonly attempts: number;
   /** Whether a retry remains at this hop if the reply is lost. */
   readonly hasRetryLeft: boolean;
@@ -133,7 +142,7 @@
 async function attemptOnce(
   environment: CallEnvironment,
   call: OutboundCall,
-  { excluded, attempts, hasRetryLeft }: AttemptOptions,
+  { excluded, handBacks, attempts, hasRetryLeft }: AttemptOptions,
 ): Promise<CallResult> {
   const {
     loadBalancer,
@@ -150,14 +159,18 @@
   const { classRank, service, context: { isBulk, isRepeatable } } = call;
   const instances = membership.listInstances(service);
   const isLastResort = !loadBalancer.hasUnlimitedInstance(instances, excluded);
-  const picked = loadBalancer.pick(instances, {
+  const pickOptions = {
     service,
     excluded,
     isBulk,
     isRepeatable,
     classRank,
     targetLatencyMs: call.targetLatencyMs,
-  });
+  };
+  let picked = loadBalancer.pick(instances, pickOptions);
+  if (picked.isErr() && handBacks.releaseInto(excluded)) {
+    picked = loadBalancer.pick(instances, pickOptions);
+  }
   if (picked.isErr()) {
     const { reason, retryAfterMs } = picked.error;
     return err(createRefusal(reason, { unusedAllowance, retryAfterMs }));
@@ -168,10 +181,13 @@
   const startedAtMs = clock.monotonicMs();
   loadBalancer.startAttempt(instance, { isBulk });
   const failsWhenSilent = hasRetryLeft && call.context.isRepeatable;
+  const elsewhereMs = handBacks.isAllowed
+    ? loadBalancer.elsewhereMs
+    : undefined;
   const leavingServer = environment.leavingServers.find(instance);
   const reply = await sendToInstance(
     environment,
-    { ...call, isLastResort, leavingServer },
+    { ...call, isLastResort, elsewhereMs, leavingServer },
     { instance, failsWhenSilent },
   );
   const result = followAnswerStatement(environment, instance, reply);
@@ -180,8 +196,12 @@
     createAttemptReport(call, result, {
       durationMs: clock.monotonicMs() - startedAtMs,
       backendClient: environment.backendClient,
+      slowness: readSlownessNote(reply),
     }),
   );
+  if (result.isErr() && result.error.reason === REASONS.slowInstance) {
+    handBacks.record(instance.incarnation);
+  }
   if (result.isErr() && result.error.reason === REASONS.leaving) {
     membership.markLeaving(instance.incarnation);
   }
--- a/src/request/observe_statement.ts
+++ b/src/request/observe_statement.ts
@@ -28,7 +28,7 @@
  */
 export function observeStatement(
   { backend, inboundAdmission, journal, metrics }: CallEnvironment,
-  { requestsPerSecond, invalidLimit, isLeaving }: ServerStatement,
+  { requestsPerSecond, invalidLimit, isLeaving, load }: ServerStatement,
   { announcement, requestId }: StatementSource,
 ): void {
   if (!backend.isCurrent(announcement)) {
@@ -45,6 +45,9 @@
     const facts = { instanceId, error: invalidLimit };
     journal.record(DECISIONS.serverLimitInvalid, facts, requestId);
   }
+  if (load?.slownessRatio !== undefined) {
+    inboundAdmission.observeSlowness(load.slownessRatio);
+  }
   const previous = inboundAdmission.requestsPerSecond;
   const current = invalidLimit === undefined ? requestsPerSecond : previous;
   inboundAdmission.setRequestRate(current);
--- a/src/request/outbound_call.ts
+++ b/src/request/outbound_call.ts
@@ -37,6 +37,8 @@
   readonly dispatchState?: DispatchState | undefined;
   /** Whether no instance without a limit is left, so that the call may wait for one that has a limit. */
   readonly isLastResort?: boolean | undefined;
+  /** Expected time to completion at another instance, in milliseconds; absent if the call must not be handed back. */
+  readonly elsewhereMs?: number | undefined;
   /** Id of the last backend server that left on the VM that the call is sent to, if this daemon knows of one. */
   readonly leavingServer?: string | undefined;
   /** Aborted when the caller no longer waits. */
--- a/src/request/peer_notes.ts
+++ b/src/request/peer_notes.ts
@@ -10,6 +10,10 @@
   lastResort: "celeryhollow-last-resort",
   /** Id of a backend server that leaves: on an answer the one that answered, on a call the last one that the sender knows of on the receiver's VM. */
   leavingServer: "celeryhollow-leaving-server",
+  /** On a call: expected time to completion at another instance, in milliseconds; the receiver may hand the call back. */
+  elsewhere: "celeryhollow-elsewhere",
+  /** On an answer: momentary slowness of the VM in percent of the usual duration of work, and the age of the figure. */
+  slowness: "celeryhollow-slowness",
 } as const;
 
 /** Header fields without their notes, and the notes by name. */
--- a/src/request/run_call.ts
+++ b/src/request/run_call.ts
@@ -18,6 +18,7 @@
 import { PEER_NOTES } from "./peer_notes.ts";
 import type { OutboundCall } from "./outbound_call.ts";
 import { reserveResponse } from "./reserve_response.ts";
+import { createSlownessNote } from "./slowness_note.ts";
 
 /** Maximum number of load signals in a reply. */
 const MAX_LOADS = 32;
@@ -46,8 +47,13 @@
 ): Promise<CallResult> {
   const result = await admitAndRun(environment, call);
   const loads = collectLoads(environment, call);
+  const notes = createSlownessNote(environment.inboundAdmission.slowness);
   return result
-    .map((answer) => ({ ...answer, loads }))
+    .map((answer) => ({
+      ...answer,
+      loads,
+      ...notes.length > 0 && { headers: [...answer.headers ?? [], ...notes] },
+    }))
     .mapErr((failure) => ({ ...failure, loads }));
 }
 
--- a/src/request/serve_peer_call.ts
+++ b/src/request/serve_peer_call.ts
@@ -60,6 +60,7 @@
     attempt: message.attempt ?? 0,
     dispatchState: undefined,
     isLastResort: notes.has(PEER_NOTES.lastResort),
+    elsewhereMs: readElsewhereMs(notes.get(PEER_NOTES.elsewhere)),
     signal: options.signal,
   };
   switch (message.purpose) {
@@ -76,6 +77,13 @@
   }
 }
 
+function readElsewhereMs(note: string | undefined): number | undefined {
+  const elsewhereMs = Number(note);
+  return note !== undefined && Number.isFinite(elsewhereMs)
+    ? elsewhereMs
+    : undefined;
+}
+
 /** Learns from another daemon that the backend server of this VM leaves, which this process may not have been told. */
 function markLeavingServer(
   { backend, journal }: CallEnvironment,
--- a/src/routing/adaptive_load_balancer.ts
+++ b/src/routing/adaptive_load_balancer.ts
@@ -12,7 +12,7 @@
 import { computeSlowStartWeight } from "./compute_slow_start_weight.ts";
 import { createCandidate } from "./create_candidate.ts";
 import type { Candidate } from "./create_candidate.ts";
-import { estimateCost } from "./estimate_wait.ts";
+import { estimateCost, estimateWaitMs } from "./estimate_wait.ts";
 import type { EstimateContext } from "./estimate_wait.ts";
 import { LoadBalancer, NO_INSTANCE } from "./load_balancer.ts";
 import type {
@@ -32,6 +32,9 @@
 /** Costs within this ratio count as equal, so that a small difference does not leave an instance unused. */
 const TIE_RATIO = 1.5;
 
+/** The same where VMs state their momentary slowness, which tells more than small differences of averages. */
+const STATED_TIE_RATIO = 1.1;
+
 /** Dependencies of the load balancer. */
 export interface AdaptiveLoadBalancerOptions {
   readonly clock: Clock;
@@ -55,6 +58,8 @@
   readonly #tiers: LocalityTiers;
   readonly #stats: InstanceStatsRegistry;
   readonly #paces: InstancePaces;
+  /** Lowest expected time to completion among the instances that the last pick compared and did not choose. */
+  #elsewhereMs = Number.POSITIVE_INFINITY;
 
   constructor(options: AdaptiveLoadBalancerOptions) {
     super();
@@ -81,6 +86,10 @@
       );
   }
 
+  override get elsewhereMs(): number | undefined {
+    return Number.isFinite(this.#elsewhereMs) ? this.#elsewhereMs : undefined;
+  }
+
   override hasUnlimitedInstance(
     records: readonly MemberRecord[],
     excluded: ReadonlySet<string>,
@@ -101,6 +110,7 @@
       this.#filterAvailable(tier, options)
     );
     const { clock } = this.#options;
+    this.#elsewhereMs = Number.POSITIVE_INFINITY;
     const search = {
       options,
       nowMs: clock.nowMs(),
@@ -213,13 +223,27 @@
     const secondContext = this.#createContext(second, tier, search);
     const firstStats = this.#stats.getStats(first);
     const secondStats = this.#stats.getStats(second);
+    const isStated = firstStats.slowness.isStated(search.monotonicMs) ||
+      secondStats.slowness.isStated(search.monotonicMs);
     const isFirstBetter = estimateCost(firstStats, firstContext) <=
-      estimateCost(secondStats, secondContext) * TIE_RATIO;
+      estimateCost(secondStats, secondContext) *
+        (isStated ? STATED_TIE_RATIO : TIE_RATIO);
+    if (isStated && first !== second) {
+      this.#noteElsewhere(
+        isFirstBetter
+          ? estimateWaitMs(secondStats, secondContext)
+          : estimateWaitMs(firstStats, firstContext),
+      );
+    }
     return isFirstBetter
       ? createCandidate(first, firstStats, firstContext)
       : createCandidate(second, secondStats, secondContext);
   }
 
+  #noteElsewhere(waitMs: number): void {
+    this.#elsewhereMs = Math.min(this.#elsewhereMs, waitMs);
+  }
+
   #createContext(
     record: MemberRecord,
     tier: LocalityTier,
--- a/src/routing/adaptive_load_balancer_test.ts
+++ b/src/routing/adaptive_load_balancer_test.ts
@@ -478,4 +478,51 @@
   assert.ok(failure.retryAfterMs > 0);
 });
 
+test("avoids a VM that states it is slow, until the figure is old", () => {
+  const fixture = createFixture([NEAR, SECOND_NEAR]);
+  run(fixture, 50);
+  const slowness = { ratio: 3, ageMs: 0 };
+  const finish = (record: MemberRecord) => {
+    fixture.loadBalancer.startAttempt(record, SMALL);
+    fixture.loadBalancer.finishAttempt(record, createReport({ slowness }));
+  };
+  finish(NEAR);
+  const first = fixture.pick()._unsafeUnwrap();
+  assert.is(first.incarnation, "second-near");
+  fixture.clock.advance(700);
+  const counts = run(fixture, 40);
+  assert.ok((counts["near"] ?? 0) > 0, "the old figure still keeps calls away");
+});
+
+test("an instance that states to be fast does not draw all calls, since own calls in flight count", () => {
+  const fixture = createFixture([NEAR, SECOND_NEAR]);
+  run(fixture, 50);
+  const state = (record: MemberRecord, ratio: number) => {
+    fixture.loadBalancer.startAttempt(record, SMALL);
+    const slowness = { ratio, ageMs: 0 };
+    fixture.loadBalancer.finishAttempt(record, createReport({ slowness }));
+  };
+  state(NEAR, 1);
+  state(SECOND_NEAR, 1.5);
+  const counts: Record<string, number> = {};
+  for (let call = 0; call < 20; call += 1) {
+    const { incarnation } = fixture.pick()._unsafeUnwrap();
+    const record = incarnation === "near" ? NEAR : SECOND_NEAR;
+    fixture.loadBalancer.startAttempt(record, SMALL);
+    counts[incarnation] = (counts[incarnation] ?? 0) + 1;
+  }
+  assert.ok((counts["second-near"] ?? 0) >= 6, JSON.stringify(counts));
+});
+
+test("tells what to expect elsewhere only where instances state their slowness", () => {
+  const fixture = createFixture([NEAR, SECOND_NEAR]);
+  run(fixture, 50);
+  fixture.pick();
+  assert.is(fixture.loadBalancer.elsewhereMs, undefined);
+  run(fixture, 2, () => ({ slowness: { ratio: 1, ageMs: 0 } }));
+  fixture.pick();
+  const { elsewhereMs = 0 } = fixture.loadBalancer;
+  assert.ok(elsewhereMs > 0 && elsewhereMs < 100, `${elsewhereMs}`);
+});
+
 test.run();
--- a/src/routing/estimate_wait.ts
+++ b/src/routing/estimate_wait.ts
@@ -42,9 +42,11 @@
   const latencyMs = stats.hasLatency
     ? stats.getLatencyMs(serviceLatencyMs, nowMs)
     : serviceLatencyMs * UNTRIED_LATENCY_RATIO + networkLatencyMs;
+  const slownessRatio = stats.slowness.getRatio(nowMs);
   const loadFactor = (stats.getLoad(nowMs) + 1) / stats.getLimit(slots);
   const overloadMs = stats.getOverloadRatio(nowMs) * OVERLOAD_COST_MS;
-  return latencyMs * Math.max(1, loadFactor) / slowStartWeight + overloadMs;
+  return latencyMs * slownessRatio * Math.max(1, loadFactor) /
+      slowStartWeight + overloadMs;
 }
 
 /**
--- a/src/routing/instance_stats.ts
+++ b/src/routing/instance_stats.ts
@@ -8,6 +8,7 @@
  */
 
 import type { LoadSignal } from "../generated/types.ts";
+import { MomentarySlowness } from "../slowness/mod.ts";
 
 /** Weight in the moving average of a latency sample above the average. */
 const RISE_WEIGHT = 0.3;
@@ -25,6 +26,7 @@
 
 /** Latency, overload and load of one instance. */
 export class InstanceStats {
+  readonly slowness = new MomentarySlowness();
   #inFlight = 0;
   #latencyMs: number | undefined;
   #latencyUpdatedAtMs = 0;
--- a/src/routing/instance_stats_registry.ts
+++ b/src/routing/instance_stats_registry.ts
@@ -23,6 +23,9 @@
 /** Maximum number of services to keep state for. */
 const MAX_SERVICES = 256;
 
+/** Slowness assumed for an instance that hands a call back. */
+const HANDED_BACK_RATIO = 2;
+
 /** Reasons that count as failures of the instance. */
 const FAILURE_REASONS: ReadonlySet<string> = new Set([
   REASONS.connectFailed,
@@ -118,6 +121,7 @@
     if (load) {
       stats.recordLoad(load, nowMs);
     }
+    this.#recordSlowness(stats, report, nowMs);
     stats.recordOverload(OVERLOAD_REASONS.has(report.reason), nowMs);
     this.#recordLatency(instance, report, nowMs);
     this.#recordHealth(instance, report);
@@ -135,6 +139,20 @@
     }
   }
 
+  /** Records the slowness that a reply states. A call that was handed back shows that the VM is slow, but not how slow. */
+  #recordSlowness(
+    stats: InstanceStats,
+    { slowness, reason }: AttemptReport,
+    nowMs: number,
+  ): void {
+    if (slowness) {
+      stats.slowness.observe(slowness.ratio, nowMs - slowness.ageMs);
+    } else if (reason === REASONS.slowInstance) {
+      const ratio = Math.max(HANDED_BACK_RATIO, stats.slowness.getRatio(nowMs));
+      stats.slowness.observe(ratio, nowMs);
+    }
+  }
+
   #recordLatency(
     instance: MemberRecord,
     { durationMs, outcome }: AttemptReport,
@@ -149,17 +167,17 @@
     ) {
       return;
     }
-    stats.recordLatency(durationMs, { serviceLatencyMs, nowMs });
-    const known = this.#serviceLatencies.get(instance.service) ?? durationMs;
+    // The estimate multiplies by the slowness of the moment, so averages are those of a VM as fast as usual.
+    const usualMs = durationMs / stats.slowness.getRatio(nowMs);
+    stats.recordLatency(usualMs, { serviceLatencyMs, nowMs });
+    const known = this.#serviceLatencies.get(instance.service) ?? usualMs;
     if (this.#serviceLatencies.size >= MAX_SERVICES) {
       this.#serviceLatencies.clear();
     }
-    const weight = durationMs > known
-      ? SERVICE_RISE_WEIGHT
-      : SERVICE_FALL_WEIGHT;
+    const weight = usualMs > known ? SERVICE_RISE_WEIGHT : SERVICE_FALL_WEIGHT;
     this.#serviceLatencies.set(
       instance.service,
-      known + weight * (durationMs - known),
+      known + weight * (usualMs - known),
     );
   }
 
--- a/src/routing/load_balancer.ts
+++ b/src/routing/load_balancer.ts
@@ -6,6 +6,7 @@
 import type { Result } from "neverthrow";
 import type { LoadSignal, MemberRecord } from "../generated/types.ts";
 import type { Reason } from "../outcome/mod.ts";
+import type { StatedSlowness } from "../slowness/mod.ts";
 
 /** Properties of a call that affect which instance is picked. */
 export interface PickOptions {
@@ -46,6 +47,8 @@
   readonly loads: readonly LoadSignal[];
   /** Requests a second to which the instance limits all daemons, undefined for none; absent if the attempt does not tell. */
   readonly limit?: { readonly requestsPerSecond: number | undefined };
+  /** Momentary slowness of the instance's VM that the reply states; absent if it states none. */
+  readonly slowness?: StatedSlowness | undefined;
   /** Total size of the request and response bodies, in bytes. */
   readonly bodyBytes: number;
 }
@@ -66,6 +69,15 @@
     return true;
   }
 
+  /**
+   * Expected time to completion at another instance than the one picked last, in
+   * milliseconds; undefined if there is none, or if the instances of its service
+   * state no slowness.
+   */
+  get elsewhereMs(): number | undefined {
+    return undefined;
+  }
+
   /** Records the start of an attempt at an instance. */
   abstract startAttempt(instance: MemberRecord, payload: PayloadInfo): void;
 
--- /dev/null
+++ b/src/slowness/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * Momentary slowness of VMs, as backend servers state it.
+ */
+
+export { MomentarySlowness } from "./momentary_slowness.ts";
+export type { StatedSlowness } from "./momentary_slowness.ts";
--- a/src/telemetry/decision_journal.ts
+++ b/src/telemetry/decision_journal.ts
@@ -15,6 +15,8 @@
   refusal: "refusal",
   entryRefusal: "entry-refusal",
   limitChange: "limit-change",
+  handBack: "hand-back",
+  spillShareChange: "spill-share-change",
   admitLevelChange: "admit-level-change",
   ejection: "ejection",
   readmission: "readmission",
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -137,6 +137,28 @@
     registers: [this.registry],
   });
 
+  /** Momentary slowness that the backend server states; 1 is the usual speed. */
+  readonly slowness = new Gauge({
+    name: "celeryhollow_slowness_ratio",
+    help: "Duration of work on this VM, relative to the usual one",
+    registers: [this.registry],
+  });
+
+  /** Calls handed back by this daemon because they finish sooner on another instance. */
+  readonly handBacks = new Counter({
+    name: "celeryhollow_hand_backs_total",
+    help: "Calls handed back to be run on another instance",
+    registers: [this.registry],
+  });
+
+  /** Share of the calls to a service that leave the failure domain, by service and domain that they go to. */
+  readonly spillShare = new Gauge({
+    name: "celeryhollow_spill_share",
+    help: "Share of calls that are sent to another failure domain",
+    labelNames: ["service", "domain"] as const,
+    registers: [this.registry],
+  });
+
   /** Backend servers of this VM that ended while they ran calls. */
   readonly serverCrashes = new Counter({
     name: "celeryhollow_server_crashes_total",
