--- a/src/admission/waiting_call.ts
+++ b/src/admission/waiting_call.ts
@@ -17,6 +17,8 @@
   readonly className: string;
   readonly requestId: string;
   readonly isLastResort: boolean;
+  /** Expected time to completion at another instance, in milliseconds; undefined if the call must not be handed back. */
+  readonly elsewhereMs: number | undefined;
   readonly settle: (result: AdmissionResult) => void;
 }
 
@@ -42,14 +44,14 @@
  * const waiter = createWaitingCall(call, { open, nowMs, timeoutMs, isOverAllowance, settle });
  */
 export function createWaitingCall(
-  { classRank, context, isLastResort = false }: InboundCall,
+  { classRank, context, elsewhereMs, isLastResort = false }: InboundCall,
   { open, nowMs, timeoutMs, isOverAllowance, settle }: WaitOptions,
 ): WaitingCall {
   const { className, depth, member, requestId } = context;
   const isNested = depth > 0;
   return {
     ...{ classRank, className, requestId, member, open, isOverAllowance },
-    ...{ isNested, isLastResort },
+    ...{ isNested, isLastResort, elsewhereMs },
     treeRank: isNested && member !== "" ? hashTree(requestId) : 0,
     arrivedAtMs: nowMs,
     expiresAtMs: nowMs + timeoutMs,
--- a/src/telemetry/decision_journal.ts
+++ b/src/telemetry/decision_journal.ts
@@ -16,6 +16,8 @@
   entryRefusal: "entry-refusal",
   accountDisplacement: "account-displacement",
   limitChange: "limit-change",
+  handBack: "hand-back",
+  spillShareChange: "spill-share-change",
   admitLevelChange: "admit-level-change",
   ejection: "ejection",
   readmission: "readmission",
