Count accounts with a class of their own apart at the entry

Cause: an account's priority takes precedence over the route's, and the counts of a kind mixed the classes: an important account would have shared with, and been refused beside, those of a less important class.

Change: the entry counts each kind by class; outcomes name the class of the request. Without accounts a kind has one class, as before.

--- a/src/admission/throttled_entry_admission.ts
+++ b/src/admission/throttled_entry_admission.ts
@@ -152,8 +152,10 @@
       : [];
   }
 
-  #findOrCreateKind({ name }: CompiledRequest): ThrottledKind {
-    const known = this.#kinds.get(name);
+  /** Finds the counts of a kind; accounts with a class of their own are counted apart, since they share with that class. */
+  #findOrCreateKind({ name, className }: CompiledRequest): ThrottledKind {
+    const key = `${name} ${className}`;
+    const known = this.#kinds.get(key);
     if (known) {
       return known;
     }
@@ -167,7 +169,7 @@
         ? new AccountDemand(clock)
         : undefined,
     };
-    this.#kinds.set(name, kind);
+    this.#kinds.set(key, kind);
     return kind;
   }
 
--- a/src/admission/throttled_entry_admission_test.ts
+++ b/src/admission/throttled_entry_admission_test.ts
@@ -279,6 +279,28 @@
   assert.ok(admitRatio < kindRatio, `${admitRatio} of ${kindRatio}`);
 });
 
+// Accounts of a more important class would share with, and be refused beside, those of a less important one.
+test("accounts with a class of their own are counted apart from others of the kind", () => {
+  const clock = new ManualClock();
+  const admission = createAdmission(clock);
+  const important = createRequest("rounds", 0);
+  const other = { ...important, className: "bulk", classRank: 2 };
+  const refused = { important: 0, other: 0 };
+  for (let each = 0; each < 2_000; each += 1) {
+    const isImportant = each % 10 === 0;
+    const member = isImportant ? "a" : "b";
+    const request = isImportant ? important : other;
+    const grant = admission.check({ request, member, requestId: "" });
+    refused[isImportant ? "important" : "other"] += Number(grant.isErr());
+    if (grant.isOk()) {
+      admission.recordOutcome(request, { member, isServed: isImportant });
+    }
+    clock.advance(5);
+  }
+  assert.is(refused.important, 0);
+  assert.ok(refused.other > 1_000, `${refused.other}`);
+});
+
 function createSignal(instance: number, admitPermille: number[]) {
   return {
     ...{ service: "deep", inFlight: 20, queued: 9, limit: 20, instance },
--- a/src/request/serve_routed_call.ts
+++ b/src/request/serve_routed_call.ts
@@ -192,12 +192,12 @@
   { context, signal }: OutboundCall,
   result: CallResult,
 ): void {
-  const request = configuration.current?.requestsByName.get(
-    context.requestName,
-  );
-  if (!request) {
+  const route = configuration.current?.requestsByName.get(context.requestName);
+  if (!route) {
     return;
   }
+  const { className } = context;
+  const request = { ...route, className };
   if (result.isErr() && isUnreached(result.error)) {
     entryAdmission.recordUnreached(request, context.member);
     return;
