--- a/src/telemetry/decision_journal.ts
+++ b/src/telemetry/decision_journal.ts
@@ -14,7 +14,10 @@
 export const DECISIONS = {
   refusal: "refusal",
   entryRefusal: "entry-refusal",
+  accountDisplacement: "account-displacement",
   limitChange: "limit-change",
+  handBack: "hand-back",
+  spillShareChange: "spill-share-change",
   admitLevelChange: "admit-level-change",
   ejection: "ejection",
   readmission: "readmission",
@@ -35,6 +38,7 @@
   requestReleased: "request-released",
   unknownOutcome: "unknown-outcome",
   runFailed: "run-failed",
+  overAllowance: "over-allowance",
 } as const;
 
 /** One of {@link DECISIONS}. */
