Add a command that checks a configuration before it is sent

Cause: `validate` finds errors only. A route hidden by another one, an account without keys or a burst without a rate is valid, and shows when callers are refused.

Change: `celeryhollow check FILE` lists errors, or else the questionable entries and what differs from the active version, as text or JSON, with exit code 8 for questionable entries. `celeryhollow-platform check` does so for the tables that the platform's operator writes and the object in the platform's store.

Result: find_questionable_entries_test 5 of 5, platform_check_command_test 2 of 2 and configuration_commands_test 10 of 10 pass; both example configurations of the repository have no questionable entry. The bundled program was run by hand on an invalid and a questionable file (exit codes 3 and 8).

--- a/src/cli/create_cli.ts
+++ b/src/cli/create_cli.ts
@@ -4,6 +4,7 @@
 
 import { Builtins, Cli } from "clipanion";
 import { ApplyCommand } from "./apply_command.ts";
+import { CheckCommand } from "./check_command.ts";
 import { DiffCommand } from "./diff_command.ts";
 import { DrainCommand, UndrainCommand } from "./drain_command.ts";
 import { ExplainCommand } from "./explain_command.ts";
@@ -39,6 +40,7 @@
   cli.register(ReleaseCommand);
   cli.register(InitCommand);
   cli.register(ValidateCommand);
+  cli.register(CheckCommand);
   cli.register(DiffCommand);
   cli.register(ApplyCommand);
   cli.register(HistoryCommand);
--- a/src/cli/exit_codes.ts
+++ b/src/cli/exit_codes.ts
@@ -20,6 +20,8 @@
   notActive: 6,
   /** `diff --exit-code` found differences. */
   differs: 7,
+  /** `check` found questionable entries in a valid configuration. */
+  questionable: 8,
 } as const;
 
 /** One of {@link EXIT_CODES}. */
@@ -30,4 +32,4 @@
   "Exit codes: 0 success; 1 other failure, such as a daemon, the object API or a file that could not be reached or read; 2 usage error; " +
   "3 invalid configuration or answers; 4 conflict with concurrent or manual changes; " +
   "5 the write may have taken effect; 6 accepted but not active on all daemons in time; " +
-  "7 diff --exit-code found differences.";
+  "7 diff --exit-code found differences; 8 check found questionable entries.";
--- a/src/configuration/mod.ts
+++ b/src/configuration/mod.ts
@@ -40,6 +40,11 @@
 export { applyDocumentPatch, createDocumentPatch } from "./document_patch.ts";
 export type { DocumentPatch } from "./document_patch.ts";
 export type { VersionNotice } from "./peer_versions.ts";
+export {
+  findQuestionableEntries,
+  QUESTIONABLE,
+} from "./find_questionable_entries.ts";
+export type { QuestionableEntry } from "./find_questionable_entries.ts";
 export { findRequest } from "./find_request.ts";
 export type { CallTarget } from "./find_request.ts";
 export { findRoute } from "./find_route.ts";
--- a/src/tools/build_programs.ts
+++ b/src/tools/build_programs.ts
@@ -1,6 +1,6 @@
 /**
- * Bundles the daemon and the operator tool into `dist/`, and the platform's daemon
- * into `target/`.
+ * Bundles the daemon, the operator tool and the check of the platform's
+ * configuration into `dist/`, and the platform's daemon into `target/`.
  */
 
 import { mkdir } from "node:fs/promises";
@@ -21,6 +21,11 @@
     target: "dist/celeryhollow.js",
     flags: [],
   },
+  {
+    source: "build/platform/check_main.js",
+    target: "dist/celeryhollow-platform.js",
+    flags: [],
+  },
 ];
 
 await Promise.all(
