--- a/src/allowance/account_bucket.ts
+++ b/src/allowance/account_bucket.ts
@@ -28,6 +28,9 @@
 /** Longest time for which a refused daemon does not ask again, in milliseconds; shares may arrive meanwhile. */
 const MAX_PAUSE_MS = 1_000;
 
+/** Time to which refused requests are told to wait while no shares are held, in milliseconds; those of other daemons or the own one count soon. */
+const NO_SHARE_RETRY_MS = 1_500;
+
 /** Longest time to which refused requests are told to wait, in milliseconds. */
 const MAX_RETRY_MS = 5_000;
 
@@ -196,9 +199,14 @@
   }
 
   #createLoan(name: string, count: number, refused: number): Loan {
+    if (this.#part.ratePerSecond === 0 && refused > 0) {
+      const retryInMs = NO_SHARE_RETRY_MS;
+      const askAgainMs = MAX_ASK_AGAIN_MS;
+      return { name, count, retryInMs, spacingMs: 0, askAgainMs };
+    }
     const spacingMs = this.#part.ratePerSecond > 0
       ? 1_000 / this.#part.ratePerSecond
-      : MAX_RETRY_MS;
+      : 0;
     if (refused === 0) {
       return { name, count, retryInMs: 0, spacingMs, askAgainMs: 0 };
     }
--- a/src/allowance/create_allowance_subsystem.ts
+++ b/src/allowance/create_allowance_subsystem.ts
@@ -201,13 +201,14 @@
 }
 
 function encodeDirectory(
-  { memberCount, candidates, digest }: FleetDirectory,
+  { memberCount, knownCount, candidates, digest }: FleetDirectory,
   request: Uint8Array,
 ): Uint8Array {
   const [knownDigest] = decodeOrEmpty(request);
   return encode(
-    knownDigest === digest ? [memberCount] : [
+    knownDigest === digest ? [memberCount, knownCount] : [
       memberCount,
+      knownCount,
       digest,
       candidates.map(({ incarnation, address, peerPort }) => [
         incarnation,
@@ -221,11 +222,14 @@
 function decodeDirectory(
   bytes: Uint8Array,
 ): Partial<FleetDirectory> | undefined {
-  const [memberCount, digest, candidates] = decodeOrEmpty(bytes);
-  if (!Number.isSafeInteger(memberCount)) {
+  const [memberCount, knownCount, digest, candidates] = decodeOrEmpty(bytes);
+  if (!Number.isSafeInteger(memberCount) || !Number.isSafeInteger(knownCount)) {
     return undefined;
   }
-  const known = { memberCount: memberCount as number };
+  const known = {
+    memberCount: memberCount as number,
+    knownCount: knownCount as number,
+  };
   if (digest === undefined) {
     return known;
   }
--- a/src/allowance/create_fleet_directory.ts
+++ b/src/allowance/create_fleet_directory.ts
@@ -12,7 +12,10 @@
 
 /** Number of daemons, and the possible holders. */
 export interface FleetDirectory {
+  /** Number of daemons among which allowances are divided. */
   readonly memberCount: number;
+  /** Number of daemons that the delegate knows itself. */
+  readonly knownCount: number;
   readonly candidates: readonly FleetMember[];
   /** Hash of the candidates, to tell whether they have changed. */
   readonly digest: number;
@@ -55,8 +58,10 @@
   ).map(({ incarnation, address, peerPort }) => ({
     ...{ incarnation, address, peerPort },
   }));
+  const knownCount = countMembers(records, silent);
   return {
-    memberCount: countMembers(records, silent),
+    memberCount: knownCount,
+    knownCount,
     candidates,
     digest: digestCandidates(candidates),
   };
--- a/src/allowance/gossip_fleet.ts
+++ b/src/allowance/gossip_fleet.ts
@@ -1,9 +1,10 @@
 /**
  * The fleet as one daemon sees it by gossip.
  *
- * Only delegates know all members. Every other daemon asks one of the delegates
- * of its failure domain for the directory, once a second while it has requests
- * of limited accounts. Until a directory has been complete for a while, the
+ * Only delegates know all members. A delegate that was started while its failure
+ * domain is partitioned does not, so delegates compare their numbers and use the
+ * highest, once a second while there are requests of limited accounts. Every other daemon asks one of the delegates
+ * of its failure domain for the directory, as often. Until a directory has been complete for a while, the
  * number of members is taken as at least that of the own failure domain times
  * the number of failure domains, since too small a number would allow too much.
  */
@@ -26,7 +27,7 @@
 /** Time after which a request for the directory is repeated, in milliseconds. */
 const RETRY_MS = 300;
 
-/** Age from which on a directory of another daemon is not relied on, in milliseconds. */
+/** Age from which on a directory or number of another daemon is not relied on, in milliseconds. */
 const MAX_AGE_MS = 5_000;
 
 /** Time for which a delegate may not know all members yet, after it has started or become one, in milliseconds. */
@@ -45,11 +46,20 @@
   ) => Promise<Partial<FleetDirectory> | undefined>;
 }
 
+interface KnownCount {
+  readonly count: number;
+  readonly atMs: number;
+}
+
 /** Follows the membership. */
 export class GossipFleet extends AllowanceFleet {
   readonly #options: GossipFleetOptions;
   readonly #listeners = new Set<() => void>();
-  #directory: FleetDirectory = { memberCount: 0, candidates: [], digest: 0 };
+  /** Numbers of members that the other delegates know. */
+  readonly #knownCounts = new Map<string, KnownCount>();
+  #directory: FleetDirectory = {
+    ...{ memberCount: 0, knownCount: 0, candidates: [], digest: 0 },
+  };
   #members: readonly FleetMember[] = [];
   #isKnown = false;
   #refreshedAtMs = Number.NEGATIVE_INFINITY;
@@ -93,6 +103,7 @@
     const records = this.#options.membership.listAll();
     const delegates = chooseDelegates(this.#listOwnDomain(records));
     if (delegates.some(({ incarnation }) => incarnation === this.self)) {
+      this.#compareCounts(delegates);
       this.#create(records, nowMs);
     } else {
       this.#delegateSinceMs = undefined;
@@ -119,17 +130,45 @@
       state !== "dead" && incarnation !== self.incarnation &&
       !unreachable.includes(failureDomain)
     );
-    this.#use({
-      ...directory,
-      memberCount: isLearning
-        ? Math.max(directory.memberCount, this.#estimate(records))
-        : directory.memberCount,
-    }, nowMs);
+    const others = [...this.#knownCounts.values()]
+      .map(({ count, atMs }) => nowMs - atMs < MAX_AGE_MS ? count : 0);
+    const estimate = isLearning ? this.#estimate(records) : 0;
+    const memberCount = Math.max(directory.knownCount, estimate, ...others);
+    this.#use({ ...directory, memberCount }, nowMs);
     if (!wasKnown) {
       this.#notify();
     }
   }
 
+  /** Requests the numbers that the other delegates know. */
+  #compareCounts(delegates: readonly MemberRecord[]): void {
+    const incarnations = delegates.map(({ incarnation }) => incarnation);
+    for (const incarnation of this.#knownCounts.keys()) {
+      if (!incarnations.includes(incarnation)) {
+        this.#knownCounts.delete(incarnation);
+      }
+    }
+    for (const delegate of delegates) {
+      if (delegate.incarnation !== this.self) {
+        void this.#options.fetchDirectory(delegate, this.#directory.digest)
+          .then((fetched) => this.#addCount(delegate.incarnation, fetched));
+      }
+    }
+  }
+
+  #addCount(
+    incarnation: string,
+    { knownCount: count = 0 }: Partial<FleetDirectory> = {},
+  ): void {
+    if (count > 0) {
+      const atMs = this.#options.clock.monotonicMs();
+      this.#knownCounts.set(incarnation, { count, atMs });
+    }
+    if (count > this.#directory.memberCount) {
+      this.#directory = { ...this.#directory, memberCount: count };
+    }
+  }
+
   #request(delegates: readonly MemberRecord[], nowMs: number): void {
     if (nowMs - this.#requestedAtMs < RETRY_MS) {
       return;
--- a/src/allowance/shared_allowances.ts
+++ b/src/allowance/shared_allowances.ts
@@ -194,7 +194,10 @@
   }
 
   override get holders(): readonly string[] {
-    return this.#groups.map(({ share }) => share.holder);
+    const nowMs = this.#options.clock.monotonicMs();
+    return this.#groups.flatMap(({ share }) =>
+      share.isDelegated(nowMs) ? [share.holder] : []
+    );
   }
 
   override updateMetrics(): void {
