Ask holders less often for accounts that many daemons ask for

A daemon asked the holder again for each account as soon as it was allowed to. Requests of an account that is used up and asked for by many daemons now wait for the next message to its holder.

--- a/src/allowance/account_bucket.ts
+++ b/src/allowance/account_bucket.ts
@@ -23,7 +23,7 @@
 /** Bounds of the time after which a refused daemon asks again, and its part for each asking daemon, in milliseconds. */
 const MIN_ASK_AGAIN_MS = 50;
 const MAX_ASK_AGAIN_MS = 300;
-const ASK_AGAIN_PER_DAEMON_MS = 10;
+const ASK_AGAIN_PER_DAEMON_MS = 30;
 
 /** Longest time for which a refused daemon does not ask again, in milliseconds; shares may arrive meanwhile. */
 const MAX_PAUSE_MS = 1_000;
@@ -189,6 +189,17 @@
     return lent + ahead;
   }
 
+  /** Number of daemons with equal demand that would be as spread as the actual demand is. */
+  #countEqualDaemons(): number {
+    let sum = 0;
+    let squares = 0;
+    for (const { perSecond } of this.#demands.values()) {
+      sum += perSecond;
+      squares += perSecond * perSecond;
+    }
+    return squares > 0 ? sum * sum / squares : 0;
+  }
+
   #drawToken(needed: number, random: RandomSource): number {
     const probability = Math.max(0, this.#headroom);
     if (needed === 0 || probability === 0) {
@@ -223,7 +234,7 @@
       MAX_ASK_AGAIN_MS,
       Math.max(
         MIN_ASK_AGAIN_MS,
-        this.#demands.size * ASK_AGAIN_PER_DAEMON_MS,
+        this.#countEqualDaemons() * ASK_AGAIN_PER_DAEMON_MS,
       ),
     );
     const askAgainMs = Math.max(
--- a/src/allowance/borrower_account.ts
+++ b/src/allowance/borrower_account.ts
@@ -20,6 +20,9 @@
 /** Time after a refusal for which an account counts as used up, in milliseconds. */
 const USED_UP_MS = 1_000;
 
+/** Interval of asking up to which an account's requests are passed on at once; with a longer one, many daemons ask for it. */
+const MAX_PROMPT_INTERVAL_MS = 100;
+
 /** Time without requests after which an account is forgotten, in milliseconds. */
 const IDLE_ACCOUNT_MS = 5_000;
 
@@ -45,6 +48,7 @@
   #requestedAtMs = 0;
   #refusedAtMs = Number.NEGATIVE_INFINITY;
   #deniedUntilMs = Number.NEGATIVE_INFINITY;
+  #askAgainMs = 0;
   /** When the account has a token for the next refused request. */
   #retryAtMs = 0;
   #spacingMs = 0;
@@ -83,6 +87,11 @@
     return nowMs - this.#refusedAtMs < USED_UP_MS;
   }
 
+  /** Whether the holder is to be asked at once; otherwise with the next message, since many daemons ask for more than there is. */
+  isPrompt(nowMs: number): boolean {
+    return this.#askAgainMs <= MAX_PROMPT_INTERVAL_MS || !this.isUsedUp(nowMs);
+  }
+
   /** Whether nothing has to be kept of the account. */
   isIdle(nowMs: number): boolean {
     return this.waiting.size === 0 &&
@@ -119,6 +128,7 @@
       request(taken);
     }
     if (loan.retryInMs > 0 || loan.askAgainMs > 0) {
+      this.#askAgainMs = loan.askAgainMs;
       this.#deniedUntilMs = nowMs + loan.askAgainMs;
       this.#retryAtMs = nowMs + loan.retryInMs;
       this.refuseWaiting();
--- a/src/allowance/holder_channel.ts
+++ b/src/allowance/holder_channel.ts
@@ -8,6 +8,9 @@
 /** Time after which a request for tokens without a reply does not hold back the next, in milliseconds. */
 const ASK_TIMEOUT_MS = 100;
 
+/** Time between two messages that ask for accounts for which many daemons ask, in milliseconds. */
+const PATIENT_INTERVAL_MS = 150;
+
 /** Decides when a message may be sent to a holder. */
 export class HolderChannel {
   #sentAtMs = Number.NEGATIVE_INFINITY;
@@ -23,9 +26,9 @@
     return this.#pending === 0 || nowMs - this.#sentAtMs >= ASK_TIMEOUT_MS;
   }
 
-  /** When the last message was sent. */
-  get sentAtMs(): number {
-    return this.#sentAtMs;
+  /** Whether tokens may be asked for that many daemons ask for. */
+  canAskPatiently(nowMs: number): boolean {
+    return this.canAsk(nowMs) && nowMs - this.#sentAtMs >= PATIENT_INTERVAL_MS;
   }
 
   /** Records that a message is sent. */
--- a/src/allowance/shared_allowances.ts
+++ b/src/allowance/shared_allowances.ts
@@ -333,7 +333,9 @@
       );
       signal.addEventListener("abort", abort);
       entry.waiting.add(request);
-      this.#ask(entry.group);
+      if (entry.isPrompt(clock.monotonicMs())) {
+        this.#ask(entry.group);
+      }
     });
   }
 
@@ -384,12 +386,15 @@
 
   /** Whether requests wait for a holder that could be asked again. */
   #mustAsk(target: FleetMember, nowMs: number): boolean {
-    if (!this.#getChannel(target).canAsk(nowMs)) {
+    const channel = this.#getChannel(target);
+    if (!channel.canAsk(nowMs)) {
       return false;
     }
-    for (const { waiting, group } of this.#accounts.values()) {
+    const isPatient = channel.canAskPatiently(nowMs);
+    for (const entry of this.#accounts.values()) {
+      const { waiting, group } = entry;
       if (
-        waiting.size > 0 &&
+        waiting.size > 0 && (isPatient || entry.isPrompt(nowMs)) &&
         this.#route(group, nowMs)?.target.incarnation === target.incarnation
       ) {
         return true;
@@ -560,7 +565,7 @@
     for (const loan of reply.loans) {
       const entry = this.#accounts.get(loan.name);
       entry?.receive(loan, token, nowMs);
-      if (entry && entry.waiting.size > 0) {
+      if (entry && entry.waiting.size > 0 && entry.isPrompt(nowMs)) {
         asked.add(entry.group);
       }
     }
