--- a/src/allowance/gossip_fleet_test.ts
+++ b/src/allowance/gossip_fleet_test.ts
@@ -20,10 +20,10 @@
 const DOMAINS = ["gent-a", "gent-b", "namur-a", "namur-b"];
 const PER_DOMAIN = 5;
 
-function createRecords(): MemberRecord[] {
+function createRecords(perDomain = PER_DOMAIN): MemberRecord[] {
   return DOMAINS.flatMap((failureDomain, domain) =>
     Array.from(
-      { length: PER_DOMAIN },
+      { length: perDomain },
       (_, index) =>
         createMemberRecord(`${failureDomain}-${index}`, {
           ...{ failureDomain, startedAtMs: 1 },
@@ -96,6 +96,19 @@
   assert.is(fleet.listCandidates().length, (DOMAINS.length - 1) * 3);
 });
 
+test("in a large fleet each failure domain has its own holder, so that its load is bounded", () => {
+  const records = createRecords(200);
+  const delegate =
+    records.find(({ incarnation }) =>
+      createFleet(incarnation, { records, known: undefined }).fleet.provide()
+    )?.incarnation ?? "";
+  const { fleet } = createFleet(delegate, { records, known: undefined });
+  fleet.refresh();
+  assert.is(fleet.memberCount, 800);
+  assert.is(fleet.listCandidates().length, 3);
+  assert.is(fleet.listMembers().length, 199);
+});
+
 test("another member uses the directory of a delegate", async () => {
   const delegates = listDelegates("gent-a");
   const records = createRecords().filter(({ failureDomain }) =>
