State until when a delegation is valid, and compute its time when it is sent

A process that was paused between the decision and the sending of a message would have delegated its share for 1,000 ms from after the pause.

--- a/src/allowance/allowance_fleet.ts
+++ b/src/allowance/allowance_fleet.ts
@@ -42,13 +42,13 @@
 /** Sends messages to other daemons. */
 export abstract class AllowanceMessenger {
   /**
-   * Sends a message whose shares are delegated for `validMs` from now; resolves
-   * to undefined if there is no reply.
+   * Sends a message whose shares are delegated until `validUntilMs` on the
+   * monotonic clock; resolves to undefined if there is no reply.
    */
   abstract update(
     member: FleetMember,
     message: AllowanceMessage,
-    options: { readonly validMs: number },
+    options: { readonly validUntilMs: number },
   ): Promise<AllowanceReply | undefined>;
 
   /** Asks a daemon for its shares. */
--- a/src/allowance/create_allowance_subsystem.ts
+++ b/src/allowance/create_allowance_subsystem.ts
@@ -99,9 +99,11 @@
   override async update(
     member: FleetMember,
     message: AllowanceMessage,
-    { validMs }: { readonly validMs: number },
+    { validUntilMs }: { readonly validUntilMs: number },
   ): Promise<AllowanceReply | undefined> {
     const body = encodeAllowanceMessage(message);
+    // Computed last, since the process may have been paused in between.
+    const validMs = validUntilMs - this.#dependencies.clock.monotonicMs();
     const reply = await this.#send(member, PATHS.update, { body, validMs });
     return reply && decodeAllowanceMessage.reply(reply);
   }
--- a/src/allowance/shared_allowances.ts
+++ b/src/allowance/shared_allowances.ts
@@ -506,10 +506,11 @@
       shares: this.#delegateShares(target, nowMs),
       demands: this.#listDemands(target, nowMs),
     };
-    const options = { validMs: DELEGATION_MS };
+    const validUntilMs = nowMs + DELEGATION_MS;
+    const { clock, messenger } = this.#options;
     const replied = this.#isSelf(target.incarnation)
-      ? this.#holder.receive(message, DELEGATION_MS)
-      : this.#options.messenger.update(target, message, options);
+      ? this.#holder.receive(message, validUntilMs - clock.monotonicMs())
+      : messenger.update(target, message, { validUntilMs });
     void replied.then((reply) => {
       channel.end();
       this.#handleReply(target, reply, nowMs);
--- a/src/testing/simulated_allowances.ts
+++ b/src/testing/simulated_allowances.ts
@@ -240,8 +240,11 @@
             : this.#countMembers(node),
       ),
       messenger: new SimulatedMessenger({
-        update: (target, message, validMs) =>
-          this.#update(node.vm, target, { message, validMs }),
+        update: (target, message, validUntilMs) =>
+          this.#update(node.vm, target, {
+            message,
+            validMs: validUntilMs - clock.monotonicMs(),
+          }),
         invite: (target, invitation) =>
           this.#invite(node.vm, target, invitation),
       }),
@@ -426,7 +429,7 @@
   readonly update: (
     target: FleetMember,
     message: AllowanceMessage,
-    validMs: number,
+    validUntilMs: number,
   ) => Promise<AllowanceReply | undefined>;
   readonly invite: (
     target: FleetMember,
@@ -445,9 +448,9 @@
   override update(
     member: FleetMember,
     message: AllowanceMessage,
-    { validMs }: { readonly validMs: number },
+    { validUntilMs }: { readonly validUntilMs: number },
   ): Promise<AllowanceReply | undefined> {
-    return this.#links.update(member, message, validMs);
+    return this.#links.update(member, message, validUntilMs);
   }
 
   override invite(
