Send calls to other failure domains by controlled shares

Cause: each call compared the nearest instances with farther ones by itself, so calls left whenever a near instance happened to be busy, and two domains sent calls to each other at the same time.

Change: a controller for each service and direction holds the share of calls that leave. It is corrected four times a second by the average load that replies state of the own domain, with damping; a share starts only if leaving pays for its delay, bytes and path, is reduced when the other domain has no room and ends at once when that one fails or fills. Calls that leave say so, answers name the domains that send calls, and a domain sends none to those. Between regions a share starts later, needs a larger gain and stays within the link budget. This acts where the configuration has accounts, or for services whose instances state their momentary slowness.

--- a/src/admission/adaptive_admission.ts
+++ b/src/admission/adaptive_admission.ts
@@ -24,6 +24,7 @@
 import { IdleMeter } from "./idle_meter.ts";
 import { InboundAdmission } from "./inbound_admission.ts";
 import type { InboundCall, Permit } from "./inbound_admission.ts";
+import { LoadAverage } from "./load_average.ts";
 import { MemberUsage } from "./member_usage.ts";
 import { RequestPacer } from "./request_pacer.ts";
 import { SlotTracker } from "./slot_tracker.ts";
@@ -75,6 +76,7 @@
   readonly #ratioController = new AdmitRatioController();
   readonly #usage = new MemberUsage();
   readonly #idle = new IdleMeter();
+  readonly #load = new LoadAverage();
   readonly #journal: AdmissionJournal;
   readonly #pacer: RequestPacer;
   readonly #slowness = new MomentarySlowness();
@@ -130,6 +132,10 @@
     this.#pacer.awaitFirstResponse();
   }
 
+  override get averageLoad(): number {
+    return this.#load.read(this.#nowMs);
+  }
+
   override get slowness(): StatedSlowness | undefined {
     return this.#slowness.read(this.#nowMs);
   }
@@ -422,6 +428,8 @@
     const isIdle = this.#queue.length === 0 &&
       this.#slots.running.count < this.#limit.value;
     this.#idle.set(isIdle, this.#nowMs);
+    const calls = this.#slots.running.count + this.#queue.length;
+    this.#load.set(calls / Math.max(1, this.#limit.value), this.#nowMs);
   }
 
   #updateAdmitRatios(): void {
--- a/src/admission/inbound_admission.ts
+++ b/src/admission/inbound_admission.ts
@@ -68,6 +68,11 @@
     // The baseline ignores what backend servers ask for.
   }
 
+  /** Running and waiting calls over the concurrency limit, averaged over some hundred milliseconds. */
+  get averageLoad(): number | undefined {
+    return undefined;
+  }
+
   /** Momentary slowness of this VM; undefined without a fresh figure. */
   get slowness(): StatedSlowness | undefined {
     return undefined;
--- a/src/daemon/create_daemon_components.ts
+++ b/src/daemon/create_daemon_components.ts
@@ -42,7 +42,7 @@
   ResponseSizes,
 } from "../request/mod.ts";
 import type { CallEnvironment } from "../request/mod.ts";
-import { TrafficSplitter } from "../routing/mod.ts";
+import { SpillReceipts, TrafficSplitter } from "../routing/mod.ts";
 import {
   createCallLimits,
   createStoreTiming,
@@ -279,6 +279,7 @@
     activeCalls: new ActiveCalls(clock),
     responseSizes: new ResponseSizes(),
     leavingServers: new LeavingServers(),
+    spillReceipts: new SpillReceipts(clock),
     allowances: new UnlimitedAllowances(),
   };
   return {
--- a/src/daemon/create_outbound_components.ts
+++ b/src/daemon/create_outbound_components.ts
@@ -24,6 +24,7 @@
   RandomLoadBalancer,
 } from "../routing/mod.ts";
 import type { LoadBalancer } from "../routing/mod.ts";
+import { reportSpillChange } from "./report_spill_change.ts";
 import { DECISIONS } from "../telemetry/mod.ts";
 import type { DaemonMetrics, DecisionJournal } from "../telemetry/mod.ts";
 import type { Clock, RandomSource } from "../time/mod.ts";
@@ -93,6 +94,10 @@
       metrics.outlierDecisions.inc({ decision: kind });
       journal.record(kind, facts);
     },
+    spillOver: {
+      isEnabled: () => configuration.current?.document.accounts !== undefined,
+      reportChange: (change) => reportSpillChange({ journal, metrics }, change),
+    },
   });
   const readRetryRatio = () => configuration.current?.document.retryRatio ?? 0;
   let position: FleetPosition = { daemons: 1, index: 0 };
--- a/src/request/call_environment.ts
+++ b/src/request/call_environment.ts
@@ -21,7 +21,11 @@
 import type { MemoryBudget } from "../memory/mod.ts";
 import type { CrashRecorder, Quarantine } from "../quarantine/mod.ts";
 import type { CallJoiner, RetryPolicy } from "../retry/mod.ts";
-import type { LoadBalancer, TrafficSplitter } from "../routing/mod.ts";
+import type {
+  LoadBalancer,
+  SpillReceipts,
+  TrafficSplitter,
+} from "../routing/mod.ts";
 import type {
   DaemonMetrics,
   DecisionJournal,
@@ -61,6 +65,8 @@
   readonly activeCalls: ActiveCalls;
   readonly responseSizes: ResponseSizes;
   readonly leavingServers: LeavingServers;
+  /** Failure domains that send calls to the backend server of this VM. */
+  readonly spillReceipts: SpillReceipts;
   /** Rates of client accounts over all daemons. */
   readonly allowances: AllowanceControl;
   /** Requests that are refused because they crash backend servers. */
--- a/src/request/create_attempt_report.ts
+++ b/src/request/create_attempt_report.ts
@@ -9,6 +9,7 @@
 import type { StatedSlowness } from "../slowness/mod.ts";
 import { isErrorAnswer } from "./is_error_answer.ts";
 import type { OutboundCall } from "./outbound_call.ts";
+import type { SpillNote } from "./spill_note.ts";
 
 const MS_PER_SECOND = 1_000;
 
@@ -19,6 +20,8 @@
   readonly backendClient: BackendClient;
   /** Momentary slowness that the reply states, if it does. */
   readonly slowness: StatedSlowness | undefined;
+  /** Load that the reply states, if it does. */
+  readonly spillNote: SpillNote | undefined;
 }
 
 /**
@@ -27,16 +30,16 @@
  * @param call - The call
  * @param result - Outcome of the attempt
  * @param options - Duration of the attempt in milliseconds, the client that reads
- *   the statements of backend servers, and the slowness that the reply states
+ *   the statements of backend servers, and the slowness and load that the reply states
  * @returns The report
  *
  * @example
- * loadBalancer.finishAttempt(instance, createAttemptReport(call, result, { durationMs, backendClient, slowness }));
+ * loadBalancer.finishAttempt(instance, createAttemptReport(call, result, { durationMs, backendClient, slowness, spillNote }));
  */
 export function createAttemptReport(
   call: OutboundCall,
   result: CallResult,
-  { durationMs, backendClient, slowness }: AttemptReportOptions,
+  { durationMs, backendClient, slowness, spillNote }: AttemptReportOptions,
 ): AttemptReport {
   const { isBulk } = call.context;
   if (result.isOk()) {
@@ -53,6 +56,7 @@
       isErrorAnswer: isErrorAnswer(result) && !isGivenUp,
       loads,
       slowness,
+      ...spillNote,
       bodyBytes: call.body.length + body.length,
     };
   }
--- a/src/request/create_call_message.ts
+++ b/src/request/create_call_message.ts
@@ -31,6 +31,9 @@
     ...call.elsewhereMs === undefined
       ? []
       : [PEER_NOTES.elsewhere, String(Math.ceil(call.elsewhereMs))],
+    ...call.spilledFrom === undefined
+      ? []
+      : [PEER_NOTES.spilledFrom, encodeURIComponent(call.spilledFrom)],
   ];
   const bodyLengthBytes = call.body.length;
   return {
--- a/src/request/dispatch_call.ts
+++ b/src/request/dispatch_call.ts
@@ -19,6 +19,7 @@
 import { runCall } from "./run_call.ts";
 import { sendOnce } from "./send_once.ts";
 import { readSlownessNote } from "./slowness_note.ts";
+import { readSpillNote } from "./spill_note.ts";
 
 /** Maximum number of times that a call is redirected after the instance could not run it; redirects do not use the retry allowance. */
 const MAX_REDIRECTS = 8;
@@ -184,10 +185,13 @@
   const elsewhereMs = handBacks.isAllowed
     ? loadBalancer.elsewhereMs
     : undefined;
+  const spilledFrom = loadBalancer.isSpill
+    ? membership.self.failureDomain
+    : undefined;
   const leavingServer = environment.leavingServers.find(instance);
   const reply = await sendToInstance(
     environment,
-    { ...call, isLastResort, elsewhereMs, leavingServer },
+    { ...call, isLastResort, elsewhereMs, spilledFrom, leavingServer },
     { instance, failsWhenSilent },
   );
   const result = followAnswerStatement(environment, instance, reply);
@@ -197,6 +201,7 @@
       durationMs: clock.monotonicMs() - startedAtMs,
       backendClient: environment.backendClient,
       slowness: readSlownessNote(reply),
+      spillNote: readSpillNote(reply),
     }),
   );
   if (result.isErr() && result.error.reason === REASONS.slowInstance) {
--- a/src/request/outbound_call.ts
+++ b/src/request/outbound_call.ts
@@ -39,6 +39,8 @@
   readonly isLastResort?: boolean | undefined;
   /** Expected time to completion at another instance, in milliseconds; absent if the call must not be handed back. */
   readonly elsewhereMs?: number | undefined;
+  /** Failure domain that the call leaves though it has instances of its own; absent if it does not. */
+  readonly spilledFrom?: string | undefined;
   /** Id of the last backend server that left on the VM that the call is sent to, if this daemon knows of one. */
   readonly leavingServer?: string | undefined;
   /** Aborted when the caller no longer waits. */
--- a/src/request/peer_notes.ts
+++ b/src/request/peer_notes.ts
@@ -14,6 +14,10 @@
   elsewhere: "celeryhollow-elsewhere",
   /** On an answer: momentary slowness of the VM in percent of the usual duration of work, and the age of the figure. */
   slowness: "celeryhollow-slowness",
+  /** On an answer: average load of the instance, and the failure domains that send calls to it. */
+  load: "celeryhollow-load",
+  /** On a call: the failure domain of the sender, which has instances of its own but sends this call elsewhere. */
+  spilledFrom: "celeryhollow-spilled-from",
 } as const;
 
 /** Header fields without their notes, and the notes by name. */
--- a/src/request/run_call.ts
+++ b/src/request/run_call.ts
@@ -12,6 +12,7 @@
 import type { LoadSignal } from "../generated/types.ts";
 import { createRefusal, REASONS } from "../outcome/mod.ts";
 import type { CallResult, Reason } from "../outcome/mod.ts";
+import type { StatedSlowness } from "../slowness/mod.ts";
 import { DECISIONS } from "../telemetry/mod.ts";
 import type { CallEnvironment } from "./call_environment.ts";
 import { observeStatement } from "./observe_statement.ts";
@@ -19,6 +20,7 @@
 import type { OutboundCall } from "./outbound_call.ts";
 import { reserveResponse } from "./reserve_response.ts";
 import { createSlownessNote } from "./slowness_note.ts";
+import { createSpillNote } from "./spill_note.ts";
 
 /** Maximum number of load signals in a reply. */
 const MAX_LOADS = 32;
@@ -45,9 +47,22 @@
   environment: CallEnvironment,
   call: OutboundCall,
 ): Promise<CallResult> {
+  const { inboundAdmission, spillReceipts } = environment;
+  if (call.spilledFrom !== undefined) {
+    spillReceipts.record(call.spilledFrom);
+  }
   const result = await admitAndRun(environment, call);
   const loads = collectLoads(environment, call);
-  const notes = createSlownessNote(environment.inboundAdmission.slowness);
+  const { slowness } = inboundAdmission;
+  const notes = isSpillControlled(environment, slowness)
+    ? [
+      ...createSlownessNote(slowness),
+      ...createSpillNote({
+        averageLoad: inboundAdmission.averageLoad,
+        spillReceipts: spillReceipts.list(),
+      }),
+    ]
+    : [];
   return result
     .map((answer) => ({
       ...answer,
@@ -57,6 +72,15 @@
     .mapErr((failure) => ({ ...failure, loads }));
 }
 
+/** Whether daemons may send calls to other failure domains by shares, for which answers state the load: the configuration has accounts, or this backend server states its slowness. */
+function isSpillControlled(
+  { configuration }: CallEnvironment,
+  slowness: StatedSlowness | undefined,
+): boolean {
+  return slowness !== undefined ||
+    configuration.current?.document.accounts !== undefined;
+}
+
 /** Returns this daemon's load, followed by the known load of overloaded downstream services. */
 function collectLoads(
   environment: CallEnvironment,
--- a/src/request/serve_peer_call.ts
+++ b/src/request/serve_peer_call.ts
@@ -17,6 +17,7 @@
 import { extractPeerNotes, PEER_NOTES } from "./peer_notes.ts";
 import { dispatchOnce } from "./dispatch_once.ts";
 import type { OutboundCall } from "./outbound_call.ts";
+import { decodeDomain } from "./spill_note.ts";
 import { runCall } from "./run_call.ts";
 import { takeOverKeys } from "./take_over_keys.ts";
 
@@ -60,6 +61,7 @@
     attempt: message.attempt ?? 0,
     dispatchState: undefined,
     isLastResort: notes.has(PEER_NOTES.lastResort),
+    spilledFrom: readDomain(notes.get(PEER_NOTES.spilledFrom)),
     elsewhereMs: readElsewhereMs(notes.get(PEER_NOTES.elsewhere)),
     signal: options.signal,
   };
@@ -77,6 +79,10 @@
   }
 }
 
+function readDomain(note: string | undefined): string | undefined {
+  return note === undefined ? undefined : decodeDomain(note);
+}
+
 function readElsewhereMs(note: string | undefined): number | undefined {
   const elsewhereMs = Number(note);
   return note !== undefined && Number.isFinite(elsewhereMs)
--- a/src/routing/adaptive_load_balancer.ts
+++ b/src/routing/adaptive_load_balancer.ts
@@ -21,6 +21,8 @@
   PickFailure,
   PickOptions,
 } from "./load_balancer.ts";
+import type { SpillChange } from "./spill_controller.ts";
+import { SpillShares } from "./spill_shares.ts";
 import { shouldSpillOver } from "./should_spill_over.ts";
 import type { LinkBudget } from "./link_budget.ts";
 import { InstancePaces } from "./instance_paces.ts";
@@ -35,6 +37,9 @@
 /** The same where VMs state their momentary slowness, which tells more than small differences of averages. */
 const STATED_TIE_RATIO = 1.1;
 
+/** Number of tiers, from the nearest, within the own failure domain. */
+const OWN_DOMAIN_TIERS = 2;
+
 /** Dependencies of the load balancer. */
 export interface AdaptiveLoadBalancerOptions {
   readonly clock: Clock;
@@ -42,6 +47,15 @@
   readonly locality: Locality;
   readonly linkBudget: LinkBudget;
   readonly reportOutlier: OutlierListener;
+  /** Control of the calls that leave the failure domain; absent if each call is decided by itself. */
+  readonly spillOver?: SpillOverOptions;
+}
+
+/** Control of the calls that leave the failure domain by shares. */
+export interface SpillOverOptions {
+  /** Whether shares apply to all services; otherwise they apply to those whose instances state their momentary slowness. */
+  readonly isEnabled: () => boolean;
+  readonly reportChange: (change: SpillChange) => void;
 }
 
 /** A pick in progress; all its candidates are compared at the same time. */
@@ -58,6 +72,8 @@
   readonly #tiers: LocalityTiers;
   readonly #stats: InstanceStatsRegistry;
   readonly #paces: InstancePaces;
+  readonly #spill: SpillShares | undefined;
+  #isSpill = false;
   /** Lowest expected time to completion among the instances that the last pick compared and did not choose. */
   #elsewhereMs = Number.POSITIVE_INFINITY;
 
@@ -67,6 +83,8 @@
     this.#tiers = new LocalityTiers(options.locality);
     this.#stats = new InstanceStatsRegistry(options);
     this.#paces = new InstancePaces(options);
+    this.#spill = options.spillOver &&
+      new SpillShares({ ...options, ...options.spillOver });
   }
 
   override pick(
@@ -90,6 +108,10 @@
     return Number.isFinite(this.#elsewhereMs) ? this.#elsewhereMs : undefined;
   }
 
+  override get isSpill(): boolean {
+    return this.#isSpill;
+  }
+
   override hasUnlimitedInstance(
     records: readonly MemberRecord[],
     excluded: ReadonlySet<string>,
@@ -111,11 +133,18 @@
     );
     const { clock } = this.#options;
     this.#elsewhereMs = Number.POSITIVE_INFINITY;
+    this.#isSpill = false;
     const search = {
       options,
       nowMs: clock.nowMs(),
       monotonicMs: clock.monotonicMs(),
     };
+    if (this.#hasSpillShare(options.service)) {
+      const picked = this.#pickByShare(tiers, availableTiers, search);
+      if (picked) {
+        return picked;
+      }
+    }
     const local = this.#pickFromTiers(
       availableTiers.filter(({ isOwnRegion }) => isOwnRegion),
       search,
@@ -137,12 +166,94 @@
     );
   }
 
+  /** Whether the calls to a service leave the failure domain by shares. */
+  #hasSpillShare(service: string): boolean {
+    const { spillOver } = this.#options;
+    return spillOver !== undefined &&
+      (spillOver.isEnabled() || this.#stats.isSlownessStated(service));
+  }
+
+  /**
+   * Picks by the shares of the service; undefined if its own failure domain has
+   * no instance that takes calls, or has failed this call, so that it may go
+   * anywhere.
+   */
+  #pickByShare(
+    tiers: readonly LocalityTier[],
+    availableTiers: readonly LocalityTier[],
+    search: Search,
+  ): Result<MemberRecord, PickFailure> | undefined {
+    const { options } = search;
+    const ownTiers = tiers.slice(0, OWN_DOMAIN_TIERS);
+    const spill = this.#spill?.update(options.service, {
+      tiers,
+      targetLatencyMs: options.targetLatencyMs,
+    });
+    if (!spill || !this.#hasUsableInstance(ownTiers, options)) {
+      return undefined;
+    }
+    const probe = this.#pickProbe(ownTiers, { isLocalOnly: true, options });
+    if (probe) {
+      this.#stats.outliers.startProbe(probe.incarnation);
+      return ok(probe);
+    }
+    const own = this.#pickFromTiers(
+      availableTiers.slice(0, OWN_DOMAIN_TIERS),
+      search,
+    );
+    if (!own && spill.isOwnDomainFailing) {
+      return undefined;
+    }
+    const domain = own || !spill.isActive
+      ? spill.choose(this.#options.random.nextFloat())
+      : spill.choose(0);
+    const other = domain === undefined
+      ? undefined
+      : this.#pickInDomain(domain, availableTiers, search);
+    if (other) {
+      this.#isSpill = true;
+      return ok(other.record);
+    }
+    return own ? ok(own.record) : err(NO_INSTANCE);
+  }
+
+  #pickInDomain(
+    domain: string,
+    availableTiers: readonly LocalityTier[],
+    search: Search,
+  ): Candidate | undefined {
+    const { options } = search;
+    for (const tier of availableTiers.slice(OWN_DOMAIN_TIERS)) {
+      const instances = tier.instances.filter(({ failureDomain }) =>
+        failureDomain === domain
+      );
+      const mayUse = tier.isOwnRegion ||
+        (!options.isBulk && this.#options.linkBudget.allows(options));
+      if (instances.length > 0 && mayUse) {
+        return this.#pickOfTwo({ ...tier, instances }, search);
+      }
+    }
+    return undefined;
+  }
+
+  #hasUsableInstance(
+    tiers: readonly LocalityTier[],
+    { classRank }: PickOptions,
+  ): boolean {
+    return tiers.some(({ instances }) =>
+      instances.some((record) =>
+        this.#isInRotation(record) && this.#paces.allows(record, classRank)
+      )
+    );
+  }
+
   override startAttempt(instance: MemberRecord, payload: PayloadInfo): void {
     this.#stats.startAttempt(instance, payload);
   }
 
   override finishAttempt(instance: MemberRecord, report: AttemptReport): void {
     this.#stats.finishAttempt(instance, report);
+    this.#spill?.record(instance, report);
     if (report.limit) {
       this.#paces.record(instance, report.limit.requestsPerSecond);
     }
@@ -290,13 +401,11 @@
 
   #hasInstanceInRegion(
     tiers: readonly LocalityTier[],
-    { classRank }: PickOptions,
+    options: PickOptions,
   ): boolean {
-    return tiers.some(({ isOwnRegion, instances }) =>
-      isOwnRegion &&
-      instances.some((record) =>
-        this.#isInRotation(record) && this.#paces.allows(record, classRank)
-      )
+    return this.#hasUsableInstance(
+      tiers.filter(({ isOwnRegion }) => isOwnRegion),
+      options,
     );
   }
 
--- a/src/routing/instance_stats_registry.ts
+++ b/src/routing/instance_stats_registry.ts
@@ -20,6 +20,9 @@
 const SERVICE_RISE_WEIGHT = 0.02;
 const SERVICE_FALL_WEIGHT = 0.1;
 
+/** Time without a slowness figure after which a service no longer counts as one whose instances state them, in milliseconds. */
+const STATED_MS = 10_000;
+
 /** Maximum number of services to keep state for. */
 const MAX_SERVICES = 256;
 
@@ -62,6 +65,8 @@
   readonly #options: InstanceStatsRegistryOptions;
   readonly #stats = new Map<string, InstanceStats>();
   readonly #serviceLatencies = new Map<string, number>();
+  /** When an instance of a service last stated its momentary slowness, in monotonic milliseconds. */
+  readonly #statedAtMs = new Map<string, number>();
   readonly #siblings = new Map<string, Siblings>();
   readonly #reservations = new Map<string, number[]>();
 
@@ -86,6 +91,13 @@
     return this.#serviceLatencies.get(service) ?? INITIAL_LATENCY_MS;
   }
 
+  /** Whether an instance of a service has stated its momentary slowness lately. */
+  isSlownessStated(service: string): boolean {
+    const atMs = this.#statedAtMs.get(service);
+    return atMs !== undefined &&
+      this.#options.clock.monotonicMs() - atMs <= STATED_MS;
+  }
+
   /** Sets the instances of a service that outlier detection compares. */
   setSiblings(service: string, tiers: readonly LocalityTier[]): void {
     if (this.#siblings.get(service)?.tiers === tiers) {
@@ -121,7 +133,7 @@
     if (load) {
       stats.recordLoad(load, nowMs);
     }
-    this.#recordSlowness(stats, report, nowMs);
+    this.#recordSlowness(instance, report, nowMs);
     stats.recordOverload(OVERLOAD_REASONS.has(report.reason), nowMs);
     this.#recordLatency(instance, report, nowMs);
     this.#recordHealth(instance, report);
@@ -141,11 +153,16 @@
 
   /** Records the slowness that a reply states. A call that was handed back shows that the VM is slow, but not how slow. */
   #recordSlowness(
-    stats: InstanceStats,
+    instance: MemberRecord,
     { slowness, reason }: AttemptReport,
     nowMs: number,
   ): void {
+    const stats = this.getStats(instance);
     if (slowness) {
+      if (this.#statedAtMs.size >= MAX_SERVICES) {
+        this.#statedAtMs.clear();
+      }
+      this.#statedAtMs.set(instance.service, nowMs);
       stats.slowness.observe(slowness.ratio, nowMs - slowness.ageMs);
     } else if (reason === REASONS.slowInstance) {
       const ratio = Math.max(HANDED_BACK_RATIO, stats.slowness.getRatio(nowMs));
--- a/src/routing/load_balancer.ts
+++ b/src/routing/load_balancer.ts
@@ -49,6 +49,10 @@
   readonly limit?: { readonly requestsPerSecond: number | undefined };
   /** Momentary slowness of the instance's VM that the reply states; absent if it states none. */
   readonly slowness?: StatedSlowness | undefined;
+  /** Average load of the instance that the reply states, relative to its limit; absent if it states none. */
+  readonly averageLoad?: number | undefined;
+  /** Failure domains whose calls have left them and run on the instance, as the reply states; absent if there are none. */
+  readonly spillReceipts?: readonly string[] | undefined;
   /** Total size of the request and response bodies, in bytes. */
   readonly bodyBytes: number;
 }
@@ -78,6 +82,11 @@
     return undefined;
   }
 
+  /** Whether the instance picked last is in another failure domain though the own one has instances in rotation, and shares control that. */
+  get isSpill(): boolean {
+    return false;
+  }
+
   /** Records the start of an attempt at an instance. */
   abstract startAttempt(instance: MemberRecord, payload: PayloadInfo): void;
 
--- a/src/routing/mod.ts
+++ b/src/routing/mod.ts
@@ -4,7 +4,10 @@
  */
 
 export { AdaptiveLoadBalancer } from "./adaptive_load_balancer.ts";
-export type { AdaptiveLoadBalancerOptions } from "./adaptive_load_balancer.ts";
+export type {
+  AdaptiveLoadBalancerOptions,
+  SpillOverOptions,
+} from "./adaptive_load_balancer.ts";
 export { countRegionDaemons } from "./count_region_daemons.ts";
 export { LoadBalancer } from "./load_balancer.ts";
 export type {
@@ -17,4 +20,6 @@
 export type { Locality } from "./locality_tiers.ts";
 export { TrafficSplitter } from "./traffic_splitter.ts";
 export type { WeightedTarget } from "./traffic_splitter.ts";
+export type { SpillChange } from "./spill_controller.ts";
+export { SpillReceipts } from "./spill_receipts.ts";
 export { RandomLoadBalancer } from "./random_load_balancer.ts";
--- a/src/routing/uneven_servers_load_test.ts
+++ b/src/routing/uneven_servers_load_test.ts
@@ -47,7 +47,7 @@
   }));
   const perSecond = loadRatio * SPEED_LEFT * VMS * SLOTS * 1_000 / WORK_MS;
   const load = new InstanceLoad({
-    ...{ vms, seed, isSlownessStated },
+    ...{ vms, seed, isSlownessStated, isSpillControlled: false },
     durationMs: DURATION_MS,
     meanWorkMs: WORK_MS,
     targetLatencyMs: LATENCY_BOUND_MS,
--- a/src/testing/fault_injection/fault_injection_node.ts
+++ b/src/testing/fault_injection/fault_injection_node.ts
@@ -45,7 +45,11 @@
   MAX_JOINABLE_CALLS,
   RetryBudget,
 } from "../../retry/mod.ts";
-import { RandomLoadBalancer, TrafficSplitter } from "../../routing/mod.ts";
+import {
+  RandomLoadBalancer,
+  SpillReceipts,
+  TrafficSplitter,
+} from "../../routing/mod.ts";
 import {
   createSilentLogger,
   DaemonMetrics,
@@ -248,6 +252,7 @@
       activeCalls: new ActiveCalls(clock),
       responseSizes: new ResponseSizes(),
       leavingServers: new LeavingServers(),
+      spillReceipts: new SpillReceipts(clock),
       allowances: new UnlimitedAllowances(),
       quarantine,
       crashes: new CrashRecorder({
--- a/src/testing/instance_load.ts
+++ b/src/testing/instance_load.ts
@@ -9,8 +9,12 @@
 import type { MemberRecord } from "../generated/types.ts";
 import { REASONS, UNREACHED_REASONS } from "../outcome/mod.ts";
 import { HandBacks } from "../request/hand_backs.ts";
-import { AdaptiveLoadBalancer, LinkBudget } from "../routing/mod.ts";
-import type { AttemptReport } from "../routing/mod.ts";
+import {
+  AdaptiveLoadBalancer,
+  LinkBudget,
+  SpillReceipts,
+} from "../routing/mod.ts";
+import type { AttemptReport, SpillChange } from "../routing/mod.ts";
 import { DaemonMetrics, DecisionJournal } from "../telemetry/mod.ts";
 import { RandomSource } from "../time/mod.ts";
 import { createMemberRecord } from "./create_member_record.ts";
@@ -29,6 +33,7 @@
 export interface LoadVm {
   readonly domain: string;
   readonly region?: string;
+  /** Slots of the instance; 0 if the VM has none. */
   readonly slots: number;
   /** Work done in a millisecond, in milliseconds; 1 is the usual speed. */
   readonly speed: number;
@@ -49,6 +54,14 @@
   readonly isSlownessStated: boolean;
   /** One-way delay between two VMs, in milliseconds. */
   readonly computeDelayMs: (from: LoadVm, to: LoadVm) => number;
+  /** Whether calls leave the failure domain by shares; if absent, the load balancers do not even have the control. */
+  readonly isSpillControlled?: boolean;
+  /** Called with each change of a share at a VM, and its time. */
+  readonly reportSpill?: (
+    vm: number,
+    change: SpillChange,
+    atMs: number,
+  ) => void;
   /** Whether a VM cannot be reached. */
   readonly isDown?: (vm: number, atMs: number) => boolean;
 }
@@ -70,6 +83,7 @@
   readonly record: MemberRecord;
   readonly admission: AdaptiveAdmission;
   readonly loadBalancer: AdaptiveLoadBalancer;
+  readonly spillReceipts: SpillReceipts;
   readonly running: Set<{ leftMs: number; readonly finish: () => void }>;
 }
 
@@ -79,6 +93,7 @@
   readonly #plan: InstanceLoadPlan;
   readonly #random: RandomSource;
   readonly #vms: readonly Vm[];
+  readonly #records: readonly MemberRecord[];
   readonly #outcomes: LoadOutcome[] = [];
   readonly #startMs = this.clock.monotonicMs();
 
@@ -86,6 +101,8 @@
     this.#plan = plan;
     this.#random = new RandomSource(plan.seed);
     this.#vms = plan.vms.map((vm, index) => this.#createVm(vm, index));
+    this.#records = this.#vms.filter(({ slots }) => slots > 0)
+      .map(({ record }) => record);
   }
 
   /** Runs the load to its end, and until the last request is done. */
@@ -111,7 +128,7 @@
 
   #createVm(vm: LoadVm, index: number): Vm {
     const { clock } = this;
-    const { seed } = this.#plan;
+    const { seed, isSpillControlled, reportSpill } = this.#plan;
     const { domain: failureDomain, region = "vlaanderen", slots } = vm;
     const record = createMemberRecord(`vm-${index}`, {
       ...{ failureDomain, region, slots },
@@ -133,10 +150,17 @@
       locality: record,
       linkBudget,
       reportOutlier: () => undefined,
+      ...isSpillControlled !== undefined && {
+        spillOver: {
+          isEnabled: () => isSpillControlled,
+          reportChange: (change) => reportSpill?.(index, change, this.#atMs),
+        },
+      },
     });
     return {
       ...vm,
       ...{ index, record, admission, loadBalancer },
+      spillReceipts: new SpillReceipts(clock),
       running: new Set(),
     };
   }
@@ -158,7 +182,7 @@
     const deadlineAtMs = this.clock.monotonicMs() + DEADLINE_MS;
     const excluded = new Set<string>();
     const handBacks = new HandBacks();
-    const records = this.#vms.map(({ record }) => record);
+    const records = this.#records;
     const counts = { attempts: 0, redirects: 0, handBacks: 0 };
     let runner = -1;
     while (
@@ -174,7 +198,7 @@
       if (picked.isErr() && handBacks.releaseInto(excluded)) {
         picked = entry.loadBalancer.pick(records, options);
       }
-      const { elsewhereMs } = entry.loadBalancer;
+      const { elsewhereMs, isSpill } = entry.loadBalancer;
       const vm = this.#vms.find(({ record }) =>
         picked.isOk() && record === picked.value
       );
@@ -185,6 +209,7 @@
       const report = await this.#attempt(entry, vm, {
         deadlineAtMs,
         elsewhereMs: handBacks.isAllowed ? elsewhereMs : undefined,
+        isSpill,
       });
       if (report.outcome === "answered") {
         runner = vm.index;
@@ -212,20 +237,25 @@
   async #attempt(
     entry: Vm,
     vm: Vm,
-    { deadlineAtMs, elsewhereMs }: {
+    { deadlineAtMs, elsewhereMs, isSpill }: {
       readonly deadlineAtMs: number;
       readonly elsewhereMs: number | undefined;
+      readonly isSpill: boolean;
     },
   ): Promise<AttemptReport> {
     const startedAtMs = this.clock.monotonicMs();
     entry.loadBalancer.startAttempt(vm.record, { isBulk: false });
     const delayMs = entry === vm ? 0 : this.#plan.computeDelayMs(entry, vm);
     await this.#sleep(delayMs);
+    if (isSpill) {
+      vm.spillReceipts.record(entry.domain);
+    }
     const answer = this.#plan.isDown?.(vm.index, this.#atMs)
       ? { outcome: "refused", reason: REASONS.connectFailed } as const
       : await this.#runAt(vm, { deadlineAtMs, elsewhereMs });
     const isConnected = answer.reason !== REASONS.connectFailed;
-    const { slowness } = vm.admission;
+    const { averageLoad, slowness } = vm.admission;
+    const spillReceipts = vm.spillReceipts.list();
     const loads = isConnected ? [vm.admission.describeLoad("stock")] : [];
     await this.#sleep(delayMs);
     const report: AttemptReport = {
@@ -233,7 +263,8 @@
       durationMs: this.clock.monotonicMs() - startedAtMs,
       isErrorAnswer: false,
       loads,
-      ...answer.outcome === "answered" && { slowness },
+      ...answer.outcome === "answered" &&
+        { averageLoad, slowness, spillReceipts },
       bodyBytes: BODY_BYTES,
       isBulk: false,
     };
