--- a/src/daemon/create_daemon_components.ts
+++ b/src/daemon/create_daemon_components.ts
@@ -47,7 +47,7 @@
   ResponseSizes,
 } from "../request/mod.ts";
 import type { CallEnvironment } from "../request/mod.ts";
-import { TrafficSplitter } from "../routing/mod.ts";
+import { SpillReceipts, TrafficSplitter } from "../routing/mod.ts";
 import {
   createCallLimits,
   createStoreTiming,
@@ -299,6 +299,7 @@
     activeCalls: new ActiveCalls(clock),
     responseSizes: new ResponseSizes(),
     leavingServers: new LeavingServers(),
+    spillReceipts: new SpillReceipts(clock),
     allowances: allowances.control,
   };
   return {
