Write and read the instance's connection directly instead of through undici

A run went through undici's request, queue, parser in WebAssembly, idle validation and streams. A request is now one write, and a response is parsed where it is read, into one buffer for all connections. What the parser does not accept counts as an unknown outcome, as before; folded header lines and transfer codings other than chunked are no longer accepted.

--- a/src/backend/backend_connection.ts
+++ b/src/backend/backend_connection.ts
@@ -1,21 +1,27 @@
 /**
  * A connection to the backend server on this VM, used by one call at a time.
  *
+ * The connection is written to and read directly, since this is done for every
+ * run: requests have no streaming body, and a response is small or counted against
+ * the memory of its call.
+ *
  * A response body without a length is delimited by the end of the connection, so
  * it is complete only if the connection was closed rather than reset. If a reset
  * arrives together with data, Node.js reports it like a close; only writing to
  * the connection afterwards distinguishes the two.
  */
 
-import type { Buffer } from "node:buffer";
-import type { CallSignal } from "../cancellation/mod.ts";
-import type { HeldMemory } from "../memory/mod.ts";
+import { Buffer } from "node:buffer";
+import { connect } from "node:net";
 import type { Socket } from "node:net";
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
-import { buildConnector, Client } from "undici";
-import type { Dispatcher } from "undici";
+import type { CallSignal } from "../cancellation/mod.ts";
+import type { HeldMemory } from "../memory/mod.ts";
+import { encodeRequestHead } from "./encode_request_head.ts";
 import { ResponseBody } from "./response_body.ts";
+import { ResponseParser } from "./response_parser.ts";
+import type { ParsedHead, ResponseHandler } from "./response_parser.ts";
 
 /** Timeout for connecting to the backend server, which is on this VM, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 1_000;
@@ -23,15 +29,27 @@
 /** Idle timeout of a connection if the backend server states none in its responses, in milliseconds. */
 const IDLE_TIMEOUT_MS = 4_000;
 
+/** Deducted from the idle timeout that a server states, so that the connection is not used just when the server closes it, in milliseconds. */
+const IDLE_MARGIN_MS = 1_000;
+
+/**
+ * Idle time after which a connection is read once more before it is used, in
+ * milliseconds, since the server may just have closed it. One that was used more
+ * recently is not, which saves a turn of the event loop for each request.
+ */
+const RECENTLY_USED_MS = 100;
+
+/** Buffer into which all connections are read; what is kept is copied out of it. */
+const READ_BUFFER = Buffer.allocUnsafeSlow(65_536);
+
 /** Limit of a response body that states no length and so may have no end, in bytes. */
 const MAX_UNSTATED_BYTES = 16_777_216;
 
-/** Statuses of responses that have no body. */
-const EMPTY_STATUSES: ReadonlySet<number> = new Set([204, 304]);
-
 /** Lowest status of a final response; lower ones are informational. */
 const FIRST_FINAL_STATUS = 200;
 
+const DEFAULT_PORT = 80;
+
 /** Data written to detect a reset: an empty line, which is not a request. */
 const PROBE = "\r\n";
 
@@ -91,146 +109,130 @@
 
 type Settle = (result: Result<BackendResponse, ExchangeFailure>) => void;
 
-/** Receives one response from undici. */
-class ResponseCollector {
+/** An exchange in progress, which receives its response. */
+class Exchange implements ResponseHandler {
   isSent = false;
+  isSettled = false;
+  /** Whether the connection can be used again. */
+  isPersistent = false;
+  idleTimeoutMs = IDLE_TIMEOUT_MS;
+  readonly parser: ResponseParser;
+  readonly request: BackendExchange;
   readonly #settle: Settle;
   readonly #connection: BackendConnection;
-  readonly #exchange: BackendExchange;
+  #head: ParsedHead | undefined;
   #maxBodyBytes: number;
   #body: ResponseBody | undefined;
-  #status = 0;
-  #headers: readonly string[] = [];
-  #isDelimited = false;
 
   constructor(
     connection: BackendConnection,
-    exchange: BackendExchange,
+    request: BackendExchange,
     settle: Settle,
   ) {
     this.#connection = connection;
-    this.#exchange = exchange;
-    this.#maxBodyBytes = exchange.maxBodyBytes;
+    this.request = request;
+    this.#maxBodyBytes = request.maxBodyBytes;
     this.#settle = settle;
+    this.parser = new ResponseParser(this, request);
   }
 
-  onRequestStart(): void {
-    this.isSent = true;
-  }
-
-  onResponseStart(
-    controller: Dispatcher.DispatchController,
-    status: number,
-    headers: Record<string, string | string[] | undefined>,
-  ): void {
+  onHead(head: ParsedHead): void {
     this.#connection.hasResponse = true;
-    if (status < FIRST_FINAL_STATUS) {
+    if (head.status < FIRST_FINAL_STATUS) {
       return;
     }
-    this.#status = status;
-    this.#headers = flattenHeaders(headers);
-    this.#isDelimited = EMPTY_STATUSES.has(status) ||
-      headers["content-length"] !== undefined ||
-      headers["transfer-encoding"] !== undefined;
-    const { memory, signal, onHead } = this.#exchange;
-    onHead?.({ status, headers: this.#headers });
-    const statedBytes = readStatedLength(headers["content-length"]);
+    this.#head = head;
+    const { status, headers, statedBytes, idleTimeoutMs } = head;
+    this.idleTimeoutMs = idleTimeoutMs === undefined
+      ? IDLE_TIMEOUT_MS
+      : idleTimeoutMs - IDLE_MARGIN_MS;
+    const { memory, signal, onHead } = this.request;
+    onHead?.({ status, headers });
     if (statedBytes === undefined) {
       this.#maxBodyBytes = Math.min(this.#maxBodyBytes, MAX_UNSTATED_BYTES);
     }
-    if (this.#isTooLarge(controller, statedBytes ?? 0)) {
+    if (this.#isTooLarge(statedBytes ?? 0)) {
       return;
     }
-    this.#body = new ResponseBody(controller, {
+    this.#body = new ResponseBody(this.#connection, {
       ...{ memory, signal, statedBytes },
-      fail: () => this.#failTooLarge(controller),
+      fail: () => this.#failTooLarge(),
     });
   }
 
-  onResponseData(
-    controller: Dispatcher.DispatchController,
-    chunk: Buffer,
-  ): void {
-    const lengthBytes = (this.#body?.lengthBytes ?? 0) + chunk.length;
-    if (!this.#isTooLarge(controller, lengthBytes)) {
-      this.#body?.add(controller, chunk);
+  onBody(part: Buffer): void {
+    if (
+      this.#body && !this.#isTooLarge(this.#body.lengthBytes + part.length)
+    ) {
+      this.#body.add(this.#connection, part);
     }
   }
 
-  onResponseEnd(): void {
+  onEnd(): void {
+    const { status = 0, headers = [], isDelimited = false } = this.#head ?? {};
     const response = {
-      status: this.#status,
-      headers: this.#headers,
+      ...{ status, headers },
       body: this.#body?.concatenate() ?? EMPTY_BODY,
     };
-    if (this.#isDelimited) {
-      this.#settle(ok(response));
+    this.isPersistent = isDelimited && this.#head?.isPersistent === true;
+    if (isDelimited || this.request.method === "HEAD") {
+      this.settle(ok(response));
       return;
     }
     this.#connection.probeReset((isReset) => {
       const message =
         "connection was reset within a response body without a length";
-      this.#settle(isReset ? err({ kind: "broken", message }) : ok(response));
+      this.settle(isReset ? err({ kind: "broken", message }) : ok(response));
     });
   }
 
-  #isTooLarge(
-    controller: Dispatcher.DispatchController,
-    lengthBytes: number,
-  ): boolean {
+  /** Ends the exchange with a failure of its connection, unless it has ended. */
+  fail({ message, code }: Error & { code?: string }): void {
+    const unsentKind = code === CONNECTION_REFUSED_CODE
+      ? "unconnected"
+      : "not-sent";
+    const kind = this.isSent ? "broken" : unsentKind;
+    const hasResponse = this.#head !== undefined;
+    this.settle(err({ kind, message, hasResponse }));
+  }
+
+  settle(result: Result<BackendResponse, ExchangeFailure>): void {
+    if (!this.isSettled) {
+      this.isSettled = true;
+      this.#settle(result);
+    }
+  }
+
+  #isTooLarge(lengthBytes: number): boolean {
     const isTooLarge = lengthBytes > this.#maxBodyBytes;
     if (isTooLarge) {
-      this.#failTooLarge(controller);
+      this.#failTooLarge();
     }
     return isTooLarge;
   }
 
-  #failTooLarge(controller: Dispatcher.DispatchController): void {
+  #failTooLarge(): void {
     const message = "response body exceeds the memory that it may use";
-    this.#settle(err({ kind: "too-large", message }));
-    controller.abort(new Error(message));
-  }
-
-  onResponseError(
-    _controller: Dispatcher.DispatchController,
-    error: Error & { code?: string },
-  ): void {
-    const unsentKind = error.code === CONNECTION_REFUSED_CODE
-      ? "unconnected"
-      : "not-sent";
-    const kind = this.isSent ? "broken" : unsentKind;
-    const hasResponse = this.#status !== 0;
-    this.#settle(err({ kind, message: error.message, hasResponse }));
+    this.settle(err({ kind: "too-large", message }));
+    void this.#connection.close(new Error(message));
   }
 }
 
 /** A connection that is opened on first use, and reopened if it was closed while idle. */
 export class BackendConnection {
-  readonly #client: Client;
+  readonly #origin: URL;
   #socket: Socket | undefined;
+  #exchange: Exchange | undefined;
+  /** Time until which the connection may be reused, on the monotonic clock of the process. */
+  #reusableUntilMs = 0;
+  #idleSinceMs = 0;
   /** Monotonic time at which the last exchange ended, in milliseconds; -Infinity before the first. */
   usedAtMs = Number.NEGATIVE_INFINITY;
   /** Whether the start of a response to the latest exchange was received, informational ones included. */
   hasResponse = false;
 
-  constructor(origin: string) {
-    // Half-open, so that probeReset can write after the server has ended the connection.
-    const connect = buildConnector({
-      timeout: CONNECT_TIMEOUT_MS,
-      allowHalfOpen: true,
-    });
-    this.#client = new Client(origin, {
-      pipelining: 1,
-      keepAliveTimeout: IDLE_TIMEOUT_MS,
-      headersTimeout: 0,
-      bodyTimeout: 0,
-      connect: (options, callback) =>
-        connect(options, (...opened) => {
-          const [error, socket] = opened;
-          this.#socket = error ? undefined : socket;
-          callback(...opened);
-        }),
-    });
+  constructor(origin: URL) {
+    this.#origin = origin;
   }
 
   /** Reports whether the ended connection was reset; a write to one that was closed still succeeds. */
@@ -242,55 +244,160 @@
     this.#socket.write(PROBE, (error) => report(Boolean(error)));
   }
 
+  /** Interrupts the reading of the response. */
+  pause(): void {
+    this.#socket?.pause();
+  }
+
+  /** Continues the reading of the response. */
+  resume(): void {
+    this.#socket?.resume();
+  }
+
   /** Sends a request and collects its response. */
   exchange(
     request: BackendExchange,
   ): Promise<Result<BackendResponse, ExchangeFailure>> {
-    const { method, path, headers, body, signal } = request;
+    const { signal } = request;
     this.hasResponse = false;
     return new Promise((resolve) => {
       const abort = () => void this.close(new Error("the call was aborted"));
-      const collector = new ResponseCollector(this, request, (result) => {
+      const exchange = new Exchange(this, request, (result) => {
         signal.removeEventListener("abort", abort);
+        this.#finish(exchange);
         resolve(result);
       });
-      signal.addEventListener("abort", abort);
-      try {
-        this.#client.dispatch({
-          method: method as Dispatcher.HttpMethod,
-          path,
-          headers: [...headers],
-          body: body.length > 0 ? body : null,
-        }, collector);
-      } catch (cause) {
-        const kind = collector.isSent ? "broken" : "not-sent";
-        resolve(err({ kind, message: (cause as Error).message }));
+      const head = encodeRequestHead(request, this.#origin.host);
+      if (head === undefined) {
+        const message = "the request cannot be sent over HTTP";
+        exchange.settle(err({ kind: "not-sent", message }));
+        return;
       }
+      signal.addEventListener("abort", abort);
+      this.#exchange = exchange;
+      this.#start(exchange, head);
     });
   }
 
   /** Closes the connection and fails the exchange in progress. */
-  async close(
+  close(
     error = new Error("the connection is no longer needed"),
   ): Promise<void> {
-    await this.#client.destroy(error);
+    const socket = this.#socket;
+    this.#socket = undefined;
+    socket?.destroy();
+    this.#exchange?.fail(error);
+    return Promise.resolve();
+  }
+
+  #start(exchange: Exchange, head: string): void {
+    const nowMs = performance.now();
+    const socket = this.#socket;
+    if (!socket || socket.destroyed || nowMs >= this.#reusableUntilMs) {
+      socket?.destroy();
+      this.#connect(exchange, head);
+    } else if (nowMs - this.#idleSinceMs < RECENTLY_USED_MS) {
+      send(socket, exchange, head);
+    } else {
+      setImmediate(() => {
+        if (exchange.isSettled) {
+          return;
+        }
+        if (this.#socket === socket && !socket.destroyed) {
+          send(socket, exchange, head);
+        } else {
+          this.#connect(exchange, head);
+        }
+      });
+    }
+  }
+
+  #connect(exchange: Exchange, head: string): void {
+    const { hostname, port } = this.#origin;
+    const socket = connect({
+      ...{ host: hostname, port: Number(port || DEFAULT_PORT) },
+      // Half-open, so that probeReset can write after the server has ended the connection.
+      ...{ allowHalfOpen: true, noDelay: true },
+      onread: {
+        buffer: READ_BUFFER,
+        callback: (lengthBytes) => {
+          this.#read(socket, READ_BUFFER.subarray(0, lengthBytes));
+          return true;
+        },
+      },
+    });
+    this.#socket = socket;
+    const timer = setTimeout(() => {
+      socket.destroy(new Error("the backend server did not accept in time"));
+    }, CONNECT_TIMEOUT_MS);
+    socket.once("connect", () => {
+      clearTimeout(timer);
+      if (this.#socket === socket && !exchange.isSettled) {
+        send(socket, exchange, head);
+      }
+    });
+    socket.on("error", (error) => this.#fail(socket, error));
+    socket.once("end", () => this.#end(socket));
+    socket.once("close", () => {
+      clearTimeout(timer);
+      this.#fail(socket, new Error("the connection was closed"));
+    });
   }
-}
 
-function readStatedLength(
-  value: string | string[] | undefined,
-): number | undefined {
-  return value === undefined ? undefined : Number(value);
+  #read(socket: Socket, bytes: Buffer): void {
+    if (this.#socket !== socket) {
+      return;
+    }
+    const exchange = this.#exchange;
+    // Nothing may arrive while no response is expected.
+    if (!exchange?.isSent || !exchange.parser.push(bytes)) {
+      this.#socket = undefined;
+      socket.destroy();
+      this.#exchange?.fail(new Error("the response is malformed"));
+    }
+  }
+
+  /** The server has ended the connection. */
+  #end(socket: Socket): void {
+    const isCompleted = this.#socket === socket &&
+      this.#exchange?.parser.finish() === true;
+    if (!isCompleted) {
+      this.#fail(socket, new Error("the server ended the connection"));
+      socket.destroy();
+    }
+  }
+
+  #fail(socket: Socket, error: Error): void {
+    if (this.#socket === socket) {
+      this.#socket = undefined;
+      this.#exchange?.fail(error);
+    }
+  }
+
+  #finish(exchange: Exchange): void {
+    if (this.#exchange !== exchange) {
+      return;
+    }
+    this.#exchange = undefined;
+    this.#idleSinceMs = performance.now();
+    this.#reusableUntilMs = this.#idleSinceMs + exchange.idleTimeoutMs;
+    if (!exchange.isPersistent) {
+      this.#socket?.destroy();
+      this.#socket = undefined;
+    }
+  }
 }
 
-function flattenHeaders(
-  headers: Record<string, string | string[] | undefined>,
-): string[] {
-  return Object.entries(headers).flatMap(([name, value]) =>
-    Array.isArray(value)
-      ? value.flatMap((item) => [name, item])
-      : value === undefined
-      ? []
-      : [name, value]
-  );
+function send(socket: Socket, exchange: Exchange, head: string): void {
+  const { body } = exchange.request;
+  exchange.isSent = true;
+  if (body.length === 0) {
+    socket.write(head, "latin1");
+    return;
+  }
+  // One system call for both.
+  socket.cork();
+  socket.write(head, "latin1");
+  socket.write(body);
+  socket.uncork();
 }
--- a/src/backend/backend_connection_pool.ts
+++ b/src/backend/backend_connection_pool.ts
@@ -50,6 +50,7 @@
   readonly #idleLimit: AdaptiveIdleLimit;
   #silence: SilenceDetector;
   #origin = "";
+  #url = new URL("http://127.0.0.1");
 
   constructor(clock: Clock) {
     this.#clock = clock;
@@ -102,6 +103,7 @@
   #switchOrigin(origin: string): void {
     if (this.#origin !== origin) {
       this.#origin = origin;
+      this.#url = new URL(origin);
       this.#silence = new SilenceDetector(this.#clock);
       void this.close();
     }
@@ -117,7 +119,7 @@
       this.#idle.pop();
       return latest;
     }
-    return new BackendConnection(this.#origin);
+    return new BackendConnection(this.#url);
   }
 
   #release(
--- a/src/backend/response_body.ts
+++ b/src/backend/response_body.ts
@@ -60,7 +60,8 @@
     if (this.#whole && this.lengthBytes <= this.#whole.length) {
       part.copy(this.#whole, offsetBytes);
     } else {
-      this.#parts.push(part);
+      // A copy, since the part is valid during the call only.
+      this.#parts.push(Buffer.from(part));
     }
     if (
       this.#options.statedBytes === undefined &&
@@ -72,8 +73,9 @@
 
   /** Returns the body. */
   concatenate(): Buffer {
+    const [first] = this.#parts;
     return this.#whole?.subarray(0, this.lengthBytes) ??
-      Buffer.concat(this.#parts);
+      (first && this.#parts.length === 1 ? first : Buffer.concat(this.#parts));
   }
 
   #reserve(reader: PausableReader, bytes: number): void {
--- /dev/null
+++ b/src/backend/response_parser_test.ts
@@ -0,0 +1,121 @@
+import { Buffer } from "node:buffer";
+import { test } from "uvu";
+import * as assert from "uvu/assert";
+import { ResponseParser } from "./response_parser.ts";
+import type { ParsedHead } from "./response_parser.ts";
+
+/** Parses a response in pieces of a given size, whose bytes are overwritten after each piece. */
+function parse(
+  text: string,
+  { method = "GET", pieceBytes = text.length, hasEnded = false } = {},
+) {
+  const heads: ParsedHead[] = [];
+  let body = "";
+  let ends = 0;
+  const parser = new ResponseParser({
+    onHead: (head) => heads.push(head),
+    onBody: (part) => body += part.toString("latin1"),
+    onEnd: () => ends += 1,
+  }, { method });
+  const bytes = Buffer.from(text, "latin1");
+  let isValid = true;
+  for (let offset = 0; offset < bytes.length && isValid; offset += pieceBytes) {
+    const piece = Buffer.from(bytes.subarray(offset, offset + pieceBytes));
+    isValid = parser.push(piece);
+    piece.fill(0);
+  }
+  const isCompletedByEnd = hasEnded && parser.finish();
+  return { heads, body, ends, isValid, isCompletedByEnd };
+}
+
+const COMPLETE: Record<string, [text: string, body: string]> = {
+  "a stated length": [
+    "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-A:  b c \r\n\r\ndone",
+    "done",
+  ],
+  "chunks": [
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n" +
+    "3;a=b\r\nabc\r\nA\r\n0123456789\r\n0\r\nX-T: 1\r\n\r\n",
+    "abc0123456789",
+  ],
+  "informational heads": [
+    "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" +
+    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+    "ok",
+  ],
+  "a status without a body": ["HTTP/1.1 204 No Content\r\n\r\n", ""],
+  "an empty reason": ["HTTP/1.1 200\r\ncontent-length: 0\r\n\r\n", ""],
+};
+
+// A response may arrive in any pieces, and the buffer it is read into is reused.
+for (const [name, [text, body]] of Object.entries(COMPLETE)) {
+  test(`a response with ${name} is complete, whatever its pieces`, () => {
+    for (let pieceBytes = 1; pieceBytes <= text.length; pieceBytes += 1) {
+      const parsed = parse(text, { pieceBytes });
+      assert.equal([parsed.isValid, parsed.ends, parsed.body], [true, 1, body]);
+    }
+  });
+}
+
+// Each of these could hide another response, or a body that was cut off.
+const MALFORMED: Record<string, string> = {
+  "no response": "garbled\r\n\r\n",
+  "two lengths":
+    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\nok",
+  "a length and chunks":
+    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n",
+  "a length that is no number":
+    "HTTP/1.1 200 OK\r\nContent-Length: +2\r\n\r\nok",
+  "another transfer coding":
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n",
+  "a folded line": "HTTP/1.1 200 OK\r\nX-A: b\r\n c\r\n\r\n",
+  "a space before the colon": "HTTP/1.1 200 OK\r\nX-A : b\r\n\r\n",
+  "a bare line feed in a value": "HTTP/1.1 200 OK\r\nX-A: b\nX-B: c\r\n\r\n",
+  "a chunk size that is no number":
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n-1\r\n",
+  "a chunk longer than its size":
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nabc\r\n0\r\n\r\n",
+  "bytes after its end":
+    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n",
+  "a change of the protocol": "HTTP/1.1 101 Switching\r\n\r\n",
+  "an endless head": `HTTP/1.1 200 OK\r\n${"X-A: b\r\n".repeat(3_000)}`,
+};
+
+for (const [name, text] of Object.entries(MALFORMED)) {
+  test(`a response with ${name} is malformed, whatever its pieces`, () => {
+    for (const pieceBytes of [1, 7, text.length]) {
+      assert.is(parse(text, { pieceBytes }).isValid, false);
+    }
+  });
+}
+
+test("the end of the connection completes only a body without a length", () => {
+  const unframed = parse("HTTP/1.1 200 OK\r\n\r\npart", { hasEnded: true });
+  assert.equal([unframed.body, unframed.isCompletedByEnd], ["part", true]);
+  const cut = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart";
+  assert.is(parse(cut, { hasEnded: true }).isCompletedByEnd, false);
+  const cutChunk =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n";
+  assert.is(parse(cutChunk, { hasEnded: true }).isCompletedByEnd, false);
+});
+
+test("a response to HEAD has no body, whatever length it states", () => {
+  const text = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n";
+  assert.is(parse(text, { method: "HEAD" }).ends, 1);
+});
+
+test("a head states fields, framing and reuse", () => {
+  const [head] = parse(
+    "HTTP/1.1 200 OK\r\nSet-Cookie: a\r\nSET-COOKIE: b\r\n" +
+      "Connection: Foo, Close\r\nKeep-Alive: timeout=5, max=9\r\n" +
+      "Content-Length: 0\r\n\r\n",
+  ).heads;
+  assert.equal(head?.headers.slice(0, 4), [
+    ...["set-cookie", "a", "set-cookie", "b"],
+  ]);
+  assert.is(head?.isDelimited, true);
+  assert.is(head?.isPersistent, false);
+  assert.is(head?.idleTimeoutMs, 5_000);
+});
+
+test.run();
