Build call and reply messages without intermediate copies

Each hop copied the call, its context and its message up to six times, mostly by object spreads that V8 executes property by property before the code is optimized. Messages are now literals, a message is copied once when it is sent, and a call that needs no memory reserved, no note removed and no connection opened passes through without another promise.

--- a/src/peer/convert_reply.ts
+++ b/src/peer/convert_reply.ts
@@ -32,27 +32,38 @@
   if (result.isOk()) {
     const { status, contentType, body, unusedAllowance, loads } = result.value;
     const { headers, isGivenUp = false } = result.value;
-    const head = createReply(callId, {
+    const head: ReplyMessage = {
+      kind: "reply",
+      callId,
       outcome: "answered",
+      reason: "",
+      retryAfterMs: 0,
       status,
       contentType,
+      bodyLengthBytes: body.length,
       unusedAllowance,
       isGivenUp,
       loads: [...loads],
-      ...headers && { headers: [...headers] },
-    });
-    return { head: { ...head, bodyLengthBytes: body.length }, body };
+    };
+    if (headers) {
+      head.headers = [...headers];
+    }
+    return { head, body };
   }
   const failure = result.error;
-  const retryAfterMs = failure.kind === "refused" ? failure.retryAfterMs : 0;
-  const head = createReply(callId, {
+  const head: ReplyMessage = {
+    kind: "reply",
+    callId,
     outcome: failure.kind,
     reason: failure.reason,
-    retryAfterMs,
+    retryAfterMs: failure.kind === "refused" ? failure.retryAfterMs : 0,
+    status: 0,
+    contentType: "",
+    bodyLengthBytes: 0,
     unusedAllowance: failure.unusedAllowance,
     isGivenUp: failure.isGivenUp ?? false,
     loads: [...failure.loads],
-  });
+  };
   return { head, body: EMPTY_BODY };
 }
 
@@ -72,40 +83,32 @@
 ): CallResult {
   const { status, contentType, unusedAllowance, loads, retryAfterMs } = reply;
   const { headers, isGivenUp = false } = reply;
-  const shared = { unusedAllowance, loads, isGivenUp };
   const reason = reply.reason as Reason;
   switch (reply.outcome) {
     case "answered":
-      return ok({
-        status,
-        contentType,
-        body,
-        ...shared,
-        ...headers && { headers },
-      });
+      return ok(
+        headers
+          ? {
+            status,
+            contentType,
+            headers,
+            body,
+            unusedAllowance,
+            isGivenUp,
+            loads,
+          }
+          : { status, contentType, body, unusedAllowance, isGivenUp, loads },
+      );
     case "refused":
+      return err(createRefusal(reason, {
+        retryAfterMs,
+        unusedAllowance,
+        loads,
+        isGivenUp,
+      }));
+    case "unknown":
       return err(
-        createRefusal(reason, { retryAfterMs, ...shared }),
+        createUnknownOutcome(reason, { unusedAllowance, loads, isGivenUp }),
       );
-    case "unknown":
-      return err(createUnknownOutcome(reason, shared));
   }
 }
-
-function createReply(
-  callId: number,
-  fields: Partial<ReplyMessage> & Pick<ReplyMessage, "outcome">,
-): ReplyMessage {
-  return {
-    kind: "reply",
-    callId,
-    reason: "",
-    retryAfterMs: 0,
-    status: 0,
-    contentType: "",
-    bodyLengthBytes: 0,
-    unusedAllowance: 0,
-    loads: [],
-    ...fields,
-  };
-}
--- a/src/peer/deduct_transit.ts
+++ b/src/peer/deduct_transit.ts
@@ -9,7 +9,8 @@
 
 /**
  * Removes the sender's note from a call, and deducts from the call's remaining
- * time what it was held up for.
+ * time what it was held up for. The received call itself is changed, since it is
+ * passed on only once.
  *
  * @param timer - Timer of the connection
  * @param call - The call, as received
@@ -22,20 +23,18 @@
   timer: TransitTimer,
   call: CallMessage,
 ): CallMessage {
-  const { headers = [], ...rest } = call;
+  const { headers = [], context } = call;
   const index = headers.lastIndexOf(SENT_AFTER_NOTE);
   const sentAfterMs = Number(headers[index + 1]);
   if (index < 0 || index % 2 !== 0 || !Number.isFinite(sentAfterMs)) {
     return call;
   }
-  const others = [...headers.slice(0, index), ...headers.slice(index + 2)];
-  const remainingMs = Math.max(
-    0,
-    call.context.remainingMs - timer.measureDelayMs(sentAfterMs),
-  );
-  return {
-    ...rest,
-    context: { ...call.context, remainingMs },
-    ...others.length > 0 && { headers: others },
-  };
+  const delayMs = timer.measureDelayMs(sentAfterMs);
+  context.remainingMs = Math.max(0, context.remainingMs - delayMs);
+  headers.splice(index, 2);
+  if (headers.length === 0) {
+    // A call that forwards no header fields has no list of them.
+    delete call.headers;
+  }
+  return call;
 }
--- a/src/peer/frame_writer.ts
+++ b/src/peer/frame_writer.ts
@@ -79,7 +79,9 @@
 
   /**
    * Writes a message and its body, inline if it fits into one chunk, otherwise
-   * in chunks. Resolves when the body no longer needs to be held.
+   * in chunks. An inline body is added to the message itself, since copies of it
+   * would be made for every call. Resolves when the body no longer needs to be
+   * held.
    */
   sendWithBody(
     head: CallMessage | ReplyMessage,
@@ -87,7 +89,8 @@
     { grantedBytes }: SendBodyOptions,
   ): Promise<void> {
     if (body.length <= CHUNK_BYTES) {
-      return new Promise((resolve) => this.send({ ...head, body }, resolve));
+      head.body = body;
+      return new Promise((resolve) => this.send(head, resolve));
     }
     this.send(head);
     const { callId } = head;
--- a/src/peer/outbound_connection.ts
+++ b/src/peer/outbound_connection.ts
@@ -196,11 +196,8 @@
     const callId = this.#nextCallId;
     this.#nextCallId += 1;
     const sentAfterMs = this.#clock.monotonicMs() - this.#helloAtMs;
-    const headers = [
-      ...call.headers ?? [],
-      SENT_AFTER_NOTE,
-      String(Math.round(sentAfterMs)),
-    ];
+    const headers = call.headers?.slice() ?? [];
+    headers.push(SENT_AFTER_NOTE, String(Math.round(sentAfterMs)));
     const sent = this.connection.sendWithBody(
       { ...call, headers, callId },
       body,
@@ -225,7 +222,11 @@
         resolve(result);
       };
       this.#pending.set(callId, {
-        ...{ settle, failsWhenSilent, progress, memory, signal },
+        settle,
+        failsWhenSilent,
+        progress,
+        memory,
+        signal,
       });
       signal.addEventListener("abort", abort);
     });
--- a/src/peer/peer_client.ts
+++ b/src/peer/peer_client.ts
@@ -25,6 +25,12 @@
   PeerConnectionOptions,
 } from "./peer_connection_handler.ts";
 
+/** Body and options of a call. */
+interface CallParts {
+  readonly body: Uint8Array;
+  readonly options: PeerCallOptions;
+}
+
 /** Sends calls to one peer daemon. */
 export class PeerClient implements OutboundConnectionListener {
   readonly #address: PeerAddress;
@@ -53,28 +59,15 @@
   }
 
   /** Sends a call. It is refused if no connection can be opened, since nothing was sent. */
-  async call(
+  call(
     call: CallWithoutId,
     body: Uint8Array,
     options: PeerCallOptions,
   ): Promise<CallResult> {
-    const unusedAllowance = call.context.retryAllowance;
-    const startedAtMs = this.#options.clock.monotonicMs();
     const outbound = this.#openIfNeeded();
-    if (!outbound.connection.isReady && !(await outbound.opened)) {
-      this.#clearCurrent(outbound);
-      return err(createRefusal(REASONS.connectFailed, { unusedAllowance }));
-    }
-    if (!this.#isExpectedPeer(outbound)) {
-      return err(createRefusal(REASONS.connectFailed, { unusedAllowance }));
-    }
-    if (options.signal.aborted) {
-      return err(createRefusal(REASONS.cancelled, { unusedAllowance }));
-    }
-    const waitedMs = this.#options.clock.monotonicMs() - startedAtMs;
-    const remainingMs = Math.max(0, call.context.remainingMs - waitedMs);
-    const context = { ...call.context, remainingMs };
-    return await outbound.call({ ...call, context }, body, options);
+    return outbound.connection.isReady
+      ? this.#send(outbound, call, { body, options })
+      : this.#sendWhenOpen(outbound, call, { body, options });
   }
 
   /** Finds out whether the connection still delivers, if nothing has been received on it for at least `idleMs` milliseconds. */
@@ -136,6 +129,41 @@
     }
   }
 
+  async #sendWhenOpen(
+    outbound: OutboundConnection,
+    call: CallWithoutId,
+    parts: CallParts,
+  ): Promise<CallResult> {
+    const { clock } = this.#options;
+    const startedAtMs = clock.monotonicMs();
+    if (!(await outbound.opened)) {
+      this.#clearCurrent(outbound);
+      const unusedAllowance = call.context.retryAllowance;
+      return err(createRefusal(REASONS.connectFailed, { unusedAllowance }));
+    }
+    const waitedMs = clock.monotonicMs() - startedAtMs;
+    const remainingMs = Math.max(0, call.context.remainingMs - waitedMs);
+    const context = { ...call.context, remainingMs };
+    return await this.#send(outbound, { ...call, context }, parts);
+  }
+
+  #send(
+    outbound: OutboundConnection,
+    call: CallWithoutId,
+    { body, options }: CallParts,
+  ): Promise<CallResult> {
+    const reason = !this.#isExpectedPeer(outbound)
+      ? REASONS.connectFailed
+      : options.signal.aborted
+      ? REASONS.cancelled
+      : undefined;
+    if (reason === undefined) {
+      return outbound.call(call, body, options);
+    }
+    const unusedAllowance = call.context.retryAllowance;
+    return Promise.resolve(err(createRefusal(reason, { unusedAllowance })));
+  }
+
   /** Whether `spare` works and leads to the same process as `outbound`. */
   #isProof(spare: OutboundConnection, outbound: OutboundConnection): boolean {
     return spare.connection.isReady &&
--- a/src/peer/peer_connection.ts
+++ b/src/peer/peer_connection.ts
@@ -357,8 +357,7 @@
   }
 
   #handleMessageHead(head: MessageWithBody): boolean {
-    const { body, ...rest } = head;
-    const inline = body as Uint8Array | undefined;
+    const inline = head.body;
     if (inline && inline.length !== head.bodyLengthBytes) {
       return this.#fail(
         "MessageInvalid",
@@ -366,9 +365,9 @@
       );
     }
     if (inline || head.bodyLengthBytes === 0) {
-      this.#deliver(rest as MessageWithBody, inline ?? EMPTY_BODY);
+      this.#deliver(head, inline ?? EMPTY_BODY);
     } else {
-      this.#incoming.begin(rest as MessageWithBody);
+      this.#incoming.begin(head);
     }
     return true;
   }
--- a/src/peer/peer_server.ts
+++ b/src/peer/peer_server.ts
@@ -195,7 +195,9 @@
     this.#running.set(call.callId, { controller, isRepeatable });
     const { signal } = controller;
     const result = await this.#options.handleCall(call, {
-      ...{ body, signal, memory },
+      body,
+      signal,
+      memory,
     });
     this.#running.delete(call.callId);
     await this.#reply(call.callId, result);
--- a/src/request/create_call_message.ts
+++ b/src/request/create_call_message.ts
@@ -23,20 +23,29 @@
 ): CallWithoutId {
   const { context, idempotencyKey, service, method, path, contentType } = call;
   const { headers, callerService } = call;
-  const notes = [
-    ...call.isLastResort ? [PEER_NOTES.lastResort, "1"] : [],
-    ...call.leavingServer === undefined
-      ? []
-      : [PEER_NOTES.leavingServer, call.leavingServer],
-  ];
-  const bodyLengthBytes = call.body.length;
-  return {
+  const message: CallWithoutId = {
     kind: "call",
     purpose,
-    ...{ context, idempotencyKey, service, method, path, contentType },
-    bodyLengthBytes,
-    ...(headers || notes.length > 0) &&
-      { headers: [...headers ?? [], ...notes] },
-    ...callerService !== undefined && { callerService },
+    context,
+    idempotencyKey,
+    service,
+    method,
+    path,
+    contentType,
+    bodyLengthBytes: call.body.length,
   };
+  const notes: string[] = [];
+  if (call.isLastResort) {
+    notes.push(PEER_NOTES.lastResort, "1");
+  }
+  if (call.leavingServer !== undefined) {
+    notes.push(PEER_NOTES.leavingServer, call.leavingServer);
+  }
+  if (headers || notes.length > 0) {
+    message.headers = [...headers ?? [], ...notes];
+  }
+  if (callerService !== undefined) {
+    message.callerService = callerService;
+  }
+  return message;
 }
--- a/src/request/dispatch_call.ts
+++ b/src/request/dispatch_call.ts
@@ -3,7 +3,7 @@
  * as far as the retry policy allows.
  */
 
-import { err } from "neverthrow";
+import { err, ok } from "neverthrow";
 import type { MemberRecord } from "../generated/types.ts";
 import { createRefusal, REASONS, UNREACHED_REASONS } from "../outcome/mod.ts";
 import type { CallFailure, CallResult } from "../outcome/mod.ts";
@@ -54,19 +54,12 @@
   for (;;) {
     attempts += 1;
     const nestedAllowance = retryPolicy.computeNestedAllowance(allowance);
-    const remainingMs = call.deadlineAtMs - clock.monotonicMs();
-    const result = await attemptOnce(
-      environment,
-      {
-        ...call,
-        context: {
-          ...call.context,
-          retryAllowance: nestedAllowance,
-          remainingMs,
-        },
-      },
-      { excluded, attempts, hasRetryLeft: nestedAllowance < allowance },
-    );
+    const result = await attemptOnce(environment, call, {
+      excluded,
+      attempts,
+      nestedAllowance,
+      hasRetryLeft: nestedAllowance < allowance,
+    });
     allowance += getUnusedAllowance(result, nestedAllowance) -
       nestedAllowance;
     const failure = history.record(result);
@@ -74,10 +67,9 @@
       if (earnsRetryBudget(call)) {
         retryPolicy.recordSuccess(service);
       }
-      return result.map((answer) => ({
-        ...answer,
-        unusedAllowance: allowance,
-      }));
+      return result.isOk()
+        ? ok({ ...result.value, unusedAllowance: allowance })
+        : result;
     }
     if (isRedirectable(failure) && redirects < MAX_REDIRECTS) {
       redirects += 1;
@@ -126,6 +118,8 @@
 interface AttemptOptions {
   readonly excluded: Set<string>;
   readonly attempts: number;
+  /** Retries that the call may use at the hops behind this one. */
+  readonly nestedAllowance: number;
   /** Whether a retry remains at this hop if the reply is lost. */
   readonly hasRetryLeft: boolean;
 }
@@ -133,7 +127,7 @@
 async function attemptOnce(
   environment: CallEnvironment,
   call: OutboundCall,
-  { excluded, attempts, hasRetryLeft }: AttemptOptions,
+  { excluded, attempts, nestedAllowance, hasRetryLeft }: AttemptOptions,
 ): Promise<CallResult> {
   const {
     loadBalancer,
@@ -143,8 +137,9 @@
     entryAdmission,
     paths,
   } = environment;
-  const unusedAllowance = call.context.retryAllowance;
-  if (call.context.remainingMs <= 0) {
+  const unusedAllowance = nestedAllowance;
+  const remainingMs = call.deadlineAtMs - clock.monotonicMs();
+  if (remainingMs <= 0) {
     return err(createRefusal(REASONS.deadlineExpired, { unusedAllowance }));
   }
   const { classRank, service, context: { isBulk, isRepeatable } } = call;
@@ -169,9 +164,14 @@
   loadBalancer.startAttempt(instance, { isBulk });
   const failsWhenSilent = hasRetryLeft && call.context.isRepeatable;
   const leavingServer = environment.leavingServers.find(instance);
+  const context = {
+    ...call.context,
+    retryAllowance: nestedAllowance,
+    remainingMs,
+  };
   const reply = await sendToInstance(
     environment,
-    { ...call, isLastResort, leavingServer },
+    { ...call, context, isLastResort, leavingServer },
     { instance, failsWhenSilent },
   );
   const result = followAnswerStatement(environment, instance, reply);
--- a/src/request/follow_answer_statement.ts
+++ b/src/request/follow_answer_statement.ts
@@ -2,6 +2,7 @@
  * Follows what the backend server of another VM says of itself in an answer.
  */
 
+import { ok } from "neverthrow";
 import type { MemberRecord } from "../generated/types.ts";
 import type { CallResult } from "../outcome/mod.ts";
 import type { CallEnvironment } from "./call_environment.ts";
@@ -24,18 +25,17 @@
   instance: MemberRecord,
   result: CallResult,
 ): CallResult {
-  return result.map((answer) => {
-    if (!answer.headers) {
-      return answer;
-    }
-    const { headers, notes } = extractPeerNotes(answer.headers);
-    const serverId = notes.get(PEER_NOTES.leavingServer);
-    if (serverId !== undefined) {
-      leavingServers.add(instance, serverId);
-    }
-    if (backendClient.readStatement(headers).isLeaving) {
-      membership.markLeaving(instance.incarnation);
-    }
-    return { ...answer, headers };
-  });
+  if (result.isErr() || !result.value.headers) {
+    return result;
+  }
+  const answer = result.value;
+  const { headers, notes } = extractPeerNotes(result.value.headers);
+  const serverId = notes.get(PEER_NOTES.leavingServer);
+  if (serverId !== undefined) {
+    leavingServers.add(instance, serverId);
+  }
+  if (backendClient.readStatement(headers).isLeaving) {
+    membership.markLeaving(instance.incarnation);
+  }
+  return headers === answer.headers ? result : ok({ ...answer, headers });
 }
--- a/src/request/reserve_response.ts
+++ b/src/request/reserve_response.ts
@@ -2,8 +2,6 @@
  * Reservation of memory for a response before its request is sent or run.
  */
 
-import { err, ok } from "neverthrow";
-import type { Result } from "neverthrow";
 import { createRefusal, REASONS } from "../outcome/mod.ts";
 import type { Refusal } from "../outcome/mod.ts";
 import type { CallEnvironment } from "./call_environment.ts";
@@ -19,34 +17,40 @@
  *
  * @param environment - Components of the daemon
  * @param call - The call, not sent yet
- * @returns Nothing, or a refusal if there is no room soon
+ * @returns Nothing if there is nothing to reserve, which is the case for most
+ *   calls; otherwise a promise of nothing, or of a refusal if there is no room soon
  *
  * @example
- * const reserved = await reserveResponse(environment, call);
+ * const refusal = await reserveResponse(environment, call);
  */
-export async function reserveResponse(
-  { clock, memory, responseSizes }: CallEnvironment,
+export function reserveResponse(
+  environment: CallEnvironment,
   call: OutboundCall,
-): Promise<Result<void, Refusal>> {
+): Promise<Refusal | undefined> | undefined {
+  const { memory, responseSizes } = environment;
   const expectedBytes = Math.min(
     responseSizes.expect(call),
     memory.maxBodyBytes,
   );
   const missingBytes = expectedBytes - call.memory.aheadBytes;
-  if (missingBytes <= 0) {
-    return ok(undefined);
-  }
+  return missingBytes > 0
+    ? reserve(environment, call, missingBytes)
+    : undefined;
+}
+
+async function reserve(
+  { clock, memory }: CallEnvironment,
+  call: OutboundCall,
+  missingBytes: number,
+): Promise<Refusal | undefined> {
   const remainingMs = call.deadlineAtMs - clock.monotonicMs();
   const isReserved = await call.memory.reserveAhead(missingBytes, {
     signal: call.signal,
     classRank: call.classRank,
     maxWaitMs: Math.min(MAX_WAIT_MS, remainingMs * WAIT_RATIO),
   });
-  if (isReserved) {
-    return ok(undefined);
-  }
-  return err(createRefusal(REASONS.memoryFull, {
+  return isReserved ? undefined : createRefusal(REASONS.memoryFull, {
     retryAfterMs: memory.estimateWaitMs(missingBytes),
     unusedAllowance: call.context.retryAllowance,
-  }));
+  });
 }
--- a/src/request/run_call.ts
+++ b/src/request/run_call.ts
@@ -5,10 +5,10 @@
  * only the backend client determines the outcome.
  */
 
-import { err } from "neverthrow";
+import { err, ok } from "neverthrow";
 import { CallController } from "../cancellation/mod.ts";
 import { BACKEND_STATES, formatServerId } from "../backend/mod.ts";
-import type { ConnectionBreak } from "../backend/mod.ts";
+import type { ConnectionBreak, ServerStatement } from "../backend/mod.ts";
 import type { LoadSignal } from "../generated/types.ts";
 import { createRefusal, REASONS } from "../outcome/mod.ts";
 import type { CallResult, Reason } from "../outcome/mod.ts";
@@ -46,9 +46,9 @@
 ): Promise<CallResult> {
   const result = await admitAndRun(environment, call);
   const loads = collectLoads(environment, call);
-  return result
-    .map((answer) => ({ ...answer, loads }))
-    .mapErr((failure) => ({ ...failure, loads }));
+  return result.isOk()
+    ? ok({ ...result.value, loads })
+    : err({ ...result.error, loads });
 }
 
 /** Returns this daemon's load, followed by the known load of overloaded downstream services. */
@@ -87,9 +87,10 @@
       }),
     );
   }
-  const reserved = await reserveResponse(environment, call);
-  if (reserved.isErr()) {
-    return err(reserved.error);
+  const reserving = reserveResponse(environment, call);
+  const unreserved = reserving && await reserving;
+  if (unreserved) {
+    return err(unreserved);
   }
   const queuedAtMs = clock.monotonicMs();
   const permit = await inboundAdmission.acquire(call);
@@ -197,7 +198,7 @@
   );
   const run = crashes.begin(announcement, call);
   let connectionBreak: ConnectionBreak | undefined;
-  const result = await backendClient.call(announcement, {
+  const request = {
     method: call.method,
     path: call.path,
     contentType: call.contentType,
@@ -207,20 +208,27 @@
     context,
     idempotencyKey: call.idempotencyKey,
     callToken: activeCall.token,
-  }, {
+  };
+  const options = {
     signal: controller.signal,
     memory: call.memory,
     maxBodyBytes: Math.min(
       environment.settings.maxBodyBytes,
       memory.maxBodyBytes,
     ),
-    observeStatement: (statement) =>
+    observeStatement: (statement: ServerStatement) =>
       observeStatement(environment, statement, {
         announcement,
         requestId: context.requestId,
       }),
-    observeBreak: (observed) => connectionBreak = observed,
-  }).finally(() => crashes.finish(run, connectionBreak));
+    observeBreak: (observed: ConnectionBreak) => connectionBreak = observed,
+  };
+  let result: CallResult;
+  try {
+    result = await backendClient.call(announcement, request, options);
+  } finally {
+    crashes.finish(run, connectionBreak);
+  }
   activeCalls.end(activeCall);
   cancelDeadline();
   stopFollowing();
@@ -243,27 +251,26 @@
     );
     controller.abort(reason);
   }
-  const retryState = {
-    unusedAllowance: activeCall.allowance.close(),
-    // A daemon that does not know of the crash yet would retry on another VM.
-    isGivenUp: activeCall.hasNestedFailure ||
-      (connectionBreak === "broken" && quarantine.deniesRetry(call)),
-  };
+  const nestedMs = activeCall.nestedCallTimer.totalMs;
+  const unusedAllowance = activeCall.allowance.close();
+  // A daemon that does not know of the crash yet would retry on another VM.
+  const isGivenUp = activeCall.hasNestedFailure ||
+    (connectionBreak === "broken" && quarantine.deniesRetry(call));
+  if (result.isErr()) {
+    const failure = { ...result.error, unusedAllowance, isGivenUp };
+    return { result: err(failure), nestedMs };
+  }
+  const answer = { ...result.value, unusedAllowance, isGivenUp };
+  const { headers } = answer;
+  if (!headers || !backendClient.readStatement(headers).isLeaving) {
+    return { result: ok(answer), nestedMs };
+  }
+  const serverId = formatServerId(announcement);
   return {
-    result: result.map((answer) => ({
+    result: ok({
       ...answer,
-      ...retryState,
-      ...answer.headers &&
-        backendClient.readStatement(answer.headers).isLeaving &&
-        {
-          headers: [
-            ...answer.headers,
-            PEER_NOTES.leavingServer,
-            formatServerId(announcement),
-          ],
-        },
-    }))
-      .mapErr((failure) => ({ ...failure, ...retryState })),
-    nestedMs: activeCall.nestedCallTimer.totalMs,
+      headers: [...headers, PEER_NOTES.leavingServer, serverId],
+    }),
+    nestedMs,
   };
 }
--- a/src/request/serve_routed_call.ts
+++ b/src/request/serve_routed_call.ts
@@ -108,14 +108,16 @@
   return result;
 }
 
-async function reserveAndDispatch(
+function reserveAndDispatch(
   environment: CallEnvironment,
   call: OutboundCall,
 ): Promise<CallResult> {
-  const reserved = await reserveResponse(environment, call);
-  return reserved.isErr()
-    ? err(reserved.error)
-    : await dispatchCall(environment, call);
+  const reserved = reserveResponse(environment, call);
+  return reserved
+    ? reserved.then((refusal) =>
+      refusal ? err(refusal) : dispatchCall(environment, call)
+    )
+    : dispatchCall(environment, call);
 }
 
 /** Reports to admission control whether the caller was served; a cancelled call says nothing about capacity and counts as served. */
