Keep the timers of calls in slots behind one timer of the system

A run schedules three to four time limits, nearly all of which are cancelled. Each cost a list of its own in Node.js, since their delays differ, and an insertion into its heap. Time limits of 250 ms and more may now fire up to 4 ms late.

--- a/src/time/clock.ts
+++ b/src/time/clock.ts
@@ -3,6 +3,11 @@
  * control time.
  */
 
+import { CoarseTimers, MIN_COARSE_DELAY_MS } from "./coarse_timers.ts";
+
+/** Longest delay of a coarse timer, in milliseconds; the few longer ones would only lengthen the list of slots. */
+const MAX_COARSE_DELAY_MS = 60_000;
+
 /** Provides the current time and timers. */
 export abstract class Clock {
   /** Returns the wall-clock time in milliseconds since the Unix epoch. */
@@ -31,8 +36,10 @@
   }
 }
 
-/** System clock. */
+/** System clock. Timers of a quarter of a second and more may be a few milliseconds late (see `coarse_timers.ts`). */
 export class SystemClock extends Clock {
+  readonly #coarseTimers = new CoarseTimers();
+
   override nowMs(): number {
     return Date.now();
   }
@@ -42,6 +49,9 @@
   }
 
   override schedule(delayMs: number, callback: () => void): () => void {
+    if (delayMs >= MIN_COARSE_DELAY_MS && delayMs <= MAX_COARSE_DELAY_MS) {
+      return this.#coarseTimers.schedule(delayMs, callback);
+    }
     const timer = setTimeout(callback, delayMs);
     return () => clearTimeout(timer);
   }
