Count the characters of a text in a message only if it may be too long

The generated validators went through every character of every text of a call, header fields included, to compare their number with a limit that the UTF-16 length already keeps.

--- a/src/request/create_attempt_report.ts
+++ b/src/request/create_attempt_report.ts
@@ -42,7 +42,7 @@
       headers,
     );
     return {
-      ...invalidLimit === undefined && { limit: { requestsPerSecond } },
+      limit: invalidLimit === undefined ? { requestsPerSecond } : undefined,
       durationMs,
       isBulk,
       outcome: "answered",
--- a/src/request/run_call.ts
+++ b/src/request/run_call.ts
@@ -227,7 +227,10 @@
   try {
     result = await backendClient.call(announcement, request, options);
   } finally {
-    crashes.finish(run, connectionBreak);
+    const judged = crashes.finish(run, connectionBreak);
+    if (connectionBreak) {
+      await judged;
+    }
   }
   activeCalls.end(activeCall);
   cancelDeadline();
--- a/src/tools/generate_schema_code.ts
+++ b/src/tools/generate_schema_code.ts
@@ -107,7 +107,22 @@
     platform: "neutral",
     mainFields: ["main"],
   });
-  return `${GENERATED_BANNER}\n${bundled.outputFiles[0]?.text ?? ""}`;
+  const code = bundled.outputFiles[0]?.text ?? "";
+  return `${GENERATED_BANNER}\n${skipCounting(code)}`;
+}
+
+/**
+ * Lets a validator count the characters of a text only if it has more UTF-16 units
+ * than the characters allowed. Messages are validated for each call, and a text
+ * never has fewer units than characters.
+ */
+function skipCounting(code: string): string {
+  return code
+    .replace(
+      /if \((func\d+)\((data\d*)\) > (\d+)\)/g,
+      "if ($2.length > $3 && $1($2) > $3)",
+    )
+    .replace(/if \(func\d+\((data\d*)\) < 1\)/g, "if ($1.length < 1)");
 }
 
 function generateValidatorModule(schemas: readonly NamedSchema[]): string {
