--- a/src/request/dispatch_call.ts
+++ b/src/request/dispatch_call.ts
@@ -3,7 +3,7 @@
  * as far as the retry policy allows.
  */
 
-import { err } from "neverthrow";
+import { err, ok } from "neverthrow";
 import type { MemberRecord } from "../generated/types.ts";
 import { createRefusal, REASONS, UNREACHED_REASONS } from "../outcome/mod.ts";
 import type { CallFailure, CallResult } from "../outcome/mod.ts";
@@ -58,24 +58,13 @@
   for (;;) {
     attempts += 1;
     const nestedAllowance = retryPolicy.computeNestedAllowance(allowance);
-    const remainingMs = call.deadlineAtMs - clock.monotonicMs();
-    const result = await attemptOnce(
-      environment,
-      {
-        ...call,
-        context: {
-          ...call.context,
-          retryAllowance: nestedAllowance,
-          remainingMs,
-        },
-      },
-      {
-        excluded,
-        handBacks,
-        attempts,
-        hasRetryLeft: nestedAllowance < allowance,
-      },
-    );
+    const result = await attemptOnce(environment, call, {
+      excluded,
+      handBacks,
+      attempts,
+      nestedAllowance,
+      hasRetryLeft: nestedAllowance < allowance,
+    });
     allowance += getUnusedAllowance(result, nestedAllowance) -
       nestedAllowance;
     const failure = history.record(result);
@@ -83,10 +72,9 @@
       if (earnsRetryBudget(call)) {
         retryPolicy.recordSuccess(service);
       }
-      return result.map((answer) => ({
-        ...answer,
-        unusedAllowance: allowance,
-      }));
+      return result.isOk()
+        ? ok({ ...result.value, unusedAllowance: allowance })
+        : result;
     }
     if (call.progress && hasReachedServer(failure)) {
       call.progress.hasReachedServer = true;
@@ -144,6 +132,8 @@
   readonly excluded: Set<string>;
   readonly handBacks: HandBacks;
   readonly attempts: number;
+  /** Retries that the call may use at the hops behind this one. */
+  readonly nestedAllowance: number;
   /** Whether a retry remains at this hop if the reply is lost. */
   readonly hasRetryLeft: boolean;
 }
@@ -151,7 +141,13 @@
 async function attemptOnce(
   environment: CallEnvironment,
   call: OutboundCall,
-  { excluded, handBacks, attempts, hasRetryLeft }: AttemptOptions,
+  {
+    excluded,
+    handBacks,
+    attempts,
+    nestedAllowance,
+    hasRetryLeft,
+  }: AttemptOptions,
 ): Promise<CallResult> {
   const {
     loadBalancer,
@@ -161,8 +157,9 @@
     entryAdmission,
     paths,
   } = environment;
-  const unusedAllowance = call.context.retryAllowance;
-  if (call.context.remainingMs <= 0) {
+  const unusedAllowance = nestedAllowance;
+  const remainingMs = call.deadlineAtMs - clock.monotonicMs();
+  if (remainingMs <= 0) {
     return err(createRefusal(REASONS.deadlineExpired, { unusedAllowance }));
   }
   const { classRank, service, context: { isBulk, isRepeatable } } = call;
@@ -197,9 +194,14 @@
     ? membership.self.failureDomain
     : undefined;
   const leavingServer = environment.leavingServers.find(instance);
+  const context = {
+    ...call.context,
+    retryAllowance: nestedAllowance,
+    remainingMs,
+  };
   const reply = await sendToInstance(
     environment,
-    { ...call, isLastResort, elsewhereMs, spilledFrom, leavingServer },
+    { ...call, context, isLastResort, elsewhereMs, spilledFrom, leavingServer },
     { instance, failsWhenSilent },
   );
   const result = followAnswerStatement(environment, instance, reply);
