Let entries with accounts refuse only if several instances of a service are overloaded

Cause: an entry averaged the ratios of all instances, so that a single slow one had it refuse requests that the others could have served.

Change: on the users' platform a service counts only if 0.4 of its instances, by demand, ask for less than 1.

--- a/src/admission/find_path_mark.ts
+++ b/src/admission/find_path_mark.ts
@@ -4,13 +4,17 @@
 
 import type { CompiledRequest } from "../configuration/mod.ts";
 import type { AdmissionMark } from "../generated/types.ts";
-import type { LoadSignalCache } from "./load_signal_cache.ts";
+import type {
+  AdmitRatioOptions,
+  LoadSignalCache,
+} from "./load_signal_cache.ts";
 
 /**
  * Finds the lowest admit ratio that a service on the path of a request asks for.
  *
  * @param signals - Load signals of the services
  * @param request - The request with its path
+ * @param options - How many instances of a service must be overloaded
  * @returns The service with its ratio, and the next higher ratio; undefined if nothing has to be refused
  *
  * @example
@@ -19,10 +23,11 @@
 export function findPathMark(
   signals: LoadSignalCache,
   { path, classRank }: Pick<CompiledRequest, "path" | "classRank">,
+  options: AdmitRatioOptions = {},
 ): AdmissionMark | undefined {
   const ratios = path.map((service) => ({
     service,
-    ratio: signals.computeAdmitRatio(service, classRank),
+    ratio: signals.computeAdmitRatio(service, classRank, options),
   })).sort((one, other) => one.ratio - other.ratio);
   const [lowest, second] = ratios;
   return lowest && lowest.ratio < 1
--- a/src/admission/load_signal_cache.ts
+++ b/src/admission/load_signal_cache.ts
@@ -40,6 +40,12 @@
   overloadedAtMs: number;
 }
 
+/** How the admit ratio of a service follows from those of its instances. */
+export interface AdmitRatioOptions {
+  /** Share of the instances that must ask for less than 1; with fewer, the ratio is 1. 0 by default. */
+  readonly minOverloadedShare?: number;
+}
+
 /** Latest load signals by service and instance. */
 export class LoadSignalCache {
   readonly #clock: Clock;
@@ -69,21 +75,36 @@
     evictOldest(instances, MAX_INSTANCES);
   }
 
-  /** Computes the admit ratio of a class, weighted over the cached instances of the service. */
-  computeAdmitRatio(service: string, classRank: number): number {
+  /**
+   * Computes the admit ratio of a class, weighted over the cached instances of the service.
+   *
+   * @param service - Name of the service
+   * @param classRank - Rank of the class
+   * @param options - How many instances must be overloaded
+   * @returns The admit ratio, from 0 to 1
+   */
+  computeAdmitRatio(
+    service: string,
+    classRank: number,
+    { minOverloadedShare = 0 }: AdmitRatioOptions = {},
+  ): number {
     const nowMs = this.#clock.monotonicMs();
     let demand = 0;
     let admitted = 0;
+    let overloaded = 0;
     for (const { signal, receivedAtMs } of this.#listUnexpired(service)) {
       const ageMs = nowMs - receivedAtMs;
       const weight = Math.max(1, signal.demandPerSecond ?? 0) *
         2 ** (-ageMs / HALF_LIFE_MS);
       const recovered = Math.max(0, ageMs - FRESH_MS) / RECOVERY_MS;
       demand += weight;
-      admitted += weight *
-        Math.min(1, readRatio(signal, classRank) + recovered);
+      const ratio = Math.min(1, readRatio(signal, classRank) + recovered);
+      admitted += weight * ratio;
+      overloaded += ratio < 1 ? weight : 0;
     }
-    return demand === 0 ? 1 : admitted / demand;
+    return demand === 0 || overloaded < demand * minOverloadedShare
+      ? 1
+      : admitted / demand;
   }
 
   /**
--- a/src/admission/throttled_entry_admission.ts
+++ b/src/admission/throttled_entry_admission.ts
@@ -43,6 +43,9 @@
 /** Maximum number of request kinds whose accounts are counted, which bounds the state to 4,096 accounts. */
 const MAX_DIVIDED_KINDS = 64;
 
+/** Share of a service's instances that must be overloaded for an entry to refuse; with fewer, calls go to the others. */
+const MIN_OVERLOADED_SHARE = 0.4;
+
 /** Maximum number of load signals that a reply relays, and of one service; they bound its size to 800 bytes more. */
 const MAX_RELAYED = 6;
 const MAX_RELAYED_PER_SERVICE = 2;
@@ -96,7 +99,9 @@
     const steps = Math.max(0, readLowestRank() - request.classRank);
     const headroom = MIN_HEADROOM * HEADROOM_FACTOR ** steps;
     const mark = hasAccounts?.()
-      ? findPathMark(this.#signals, request)
+      ? findPathMark(this.#signals, request, {
+        minOverloadedShare: MIN_OVERLOADED_SHARE,
+      })
       : undefined;
     const throttleRatio = accounts?.isShared
       ? throttle.computeArrivalAdmitRatio(headroom)
--- a/src/admission/throttled_entry_admission_test.ts
+++ b/src/admission/throttled_entry_admission_test.ts
@@ -309,6 +309,26 @@
   };
 }
 
+// A single slow instance is avoided by routing; refusals for it would waste the capacity of the others.
+test("with accounts, the entry admits everything while only one of three instances is overloaded", () => {
+  const clock = new ManualClock();
+  const admission = new ThrottledEntryAdmission({
+    ...{ clock, journal: new DecisionJournal(clock) },
+    ...{ metrics: new DaemonMetrics(), readLowestRank: () => 2 },
+    ...{ random: new RandomSource(4), hasAccounts: () => true },
+  });
+  const request = { ...createRequest("rounds", 2), path: ["deep"] };
+  admission.observe([createSignal(1, [10])]);
+  [2, 3].forEach((instance) =>
+    admission.observe([createSignal(instance, [1_000])])
+  );
+  for (let each = 0; each < 100; each += 1) {
+    const member = `account-${each % 4}`;
+    assert.ok(admission.check({ request, member, requestId: "" }).isOk());
+    admission.recordOutcome(request, { member, isServed: true });
+  }
+});
+
 // Outcomes alone let an entry with few requests admit trees that fail after most of their calls.
 test("with accounts, the entry admits what the scarcest service of the path asks for", () => {
   const clock = new ManualClock();
