--- a/src/admission/adaptive_admission.ts
+++ b/src/admission/adaptive_admission.ts
@@ -26,6 +26,7 @@
 import { InboundAdmission } from "./inbound_admission.ts";
 import type { InboundCall, Permit } from "./inbound_admission.ts";
 import { LateCallMeter } from "./late_call_meter.ts";
+import { LoadAverage } from "./load_average.ts";
 import { RequestPacer } from "./request_pacer.ts";
 import { SlotTracker } from "./slot_tracker.ts";
 import { createWaitingCall } from "./waiting_call.ts";
@@ -73,6 +74,7 @@
   readonly #shares = new FairShares();
   readonly #idle = new IdleMeter();
   readonly #lateCalls = new LateCallMeter();
+  readonly #load = new LoadAverage();
   readonly #journal: AdmissionJournal;
   readonly #pacer: RequestPacer;
   readonly #slowness = new MomentarySlowness();
@@ -128,6 +130,10 @@
     this.#pacer.awaitFirstResponse();
   }
 
+  override get averageLoad(): number {
+    return this.#load.read(this.#nowMs);
+  }
+
   override get slowness(): StatedSlowness | undefined {
     return this.#slowness.read(this.#nowMs);
   }
@@ -442,6 +448,8 @@
     const isIdle = this.#queue.length === 0 &&
       this.#slots.running.count < this.#limit.value;
     this.#idle.set(isIdle, this.#nowMs);
+    const calls = this.#slots.running.count + this.#queue.length;
+    this.#load.set(calls / Math.max(1, this.#limit.value), this.#nowMs);
   }
 
   #updateAdmitRatios(): void {
--- a/src/allowance/shared_allowances.ts
+++ b/src/allowance/shared_allowances.ts
@@ -194,7 +194,10 @@
   }
 
   override get holders(): readonly string[] {
-    return this.#groups.map(({ share }) => share.holder);
+    const nowMs = this.#options.clock.monotonicMs();
+    return this.#groups.flatMap(({ share }) =>
+      share.isDelegated(nowMs) ? [share.holder] : []
+    );
   }
 
   override updateMetrics(): void {
@@ -330,7 +333,9 @@
       );
       signal.addEventListener("abort", abort);
       entry.waiting.add(request);
-      this.#ask(entry.group);
+      if (entry.isPrompt(clock.monotonicMs())) {
+        this.#ask(entry.group);
+      }
     });
   }
 
@@ -369,7 +374,8 @@
     });
     for (const target of targets.values()) {
       const channel = this.#getChannel(target);
-      if (channel.isDue(nowMs) || this.#mustAsk(target, nowMs)) {
+      const hasRequests = this.#accounts.size > 0;
+      if (channel.isDue(nowMs, hasRequests) || this.#mustAsk(target, nowMs)) {
         this.#send(target, nowMs);
       }
     }
@@ -381,12 +387,15 @@
 
   /** Whether requests wait for a holder that could be asked again. */
   #mustAsk(target: FleetMember, nowMs: number): boolean {
-    if (!this.#getChannel(target).canAsk(nowMs)) {
+    const channel = this.#getChannel(target);
+    if (!channel.canAsk(nowMs)) {
       return false;
     }
-    for (const { waiting, group } of this.#accounts.values()) {
+    const isPatient = channel.canAskPatiently(nowMs);
+    for (const entry of this.#accounts.values()) {
+      const { waiting, group } = entry;
       if (
-        waiting.size > 0 &&
+        waiting.size > 0 && (isPatient || entry.isPrompt(nowMs)) &&
         this.#route(group, nowMs)?.target.incarnation === target.incarnation
       ) {
         return true;
@@ -497,10 +506,11 @@
       shares: this.#delegateShares(target, nowMs),
       demands: this.#listDemands(target, nowMs),
     };
-    const options = { validMs: DELEGATION_MS };
+    const validUntilMs = nowMs + DELEGATION_MS;
+    const { clock, messenger } = this.#options;
     const replied = this.#isSelf(target.incarnation)
-      ? this.#holder.receive(message, DELEGATION_MS)
-      : this.#options.messenger.update(target, message, options);
+      ? this.#holder.receive(message, validUntilMs - clock.monotonicMs())
+      : messenger.update(target, message, { validUntilMs });
     void replied.then((reply) => {
       channel.end();
       this.#handleReply(target, reply, nowMs);
@@ -557,7 +567,7 @@
     for (const loan of reply.loans) {
       const entry = this.#accounts.get(loan.name);
       entry?.receive(loan, token, nowMs);
-      if (entry && entry.waiting.size > 0) {
+      if (entry && entry.waiting.size > 0 && entry.isPrompt(nowMs)) {
         asked.add(entry.group);
       }
     }
