--- a/src/admission/throttled_entry_admission.ts
+++ b/src/admission/throttled_entry_admission.ts
@@ -43,6 +43,9 @@
 /** Maximum number of request kinds whose accounts are counted, which bounds the state to 4,096 accounts. */
 const MAX_DIVIDED_KINDS = 64;
 
+/** Share of a service's instances that must be overloaded for an entry to refuse; with fewer, calls go to the others. */
+const MIN_OVERLOADED_SHARE = 0.4;
+
 /** Maximum number of load signals that a reply relays, and of one service; they bound its size to 800 bytes more. */
 const MAX_RELAYED = 6;
 const MAX_RELAYED_PER_SERVICE = 2;
@@ -55,7 +58,7 @@
   readonly metrics: DaemonMetrics;
   /** Rank of the least important class. */
   readonly readLowestRank: () => number;
-  /** Whether the configuration has client accounts; without them, load signals are neither used nor relayed. */
+  /** Whether the configuration has client accounts; without them, load signals are neither used nor relayed. If not set, accounts are told apart without the signals. */
   readonly hasAccounts?: (() => boolean) | undefined;
 }
 
@@ -96,7 +99,9 @@
     const steps = Math.max(0, readLowestRank() - request.classRank);
     const headroom = MIN_HEADROOM * HEADROOM_FACTOR ** steps;
     const mark = hasAccounts?.()
-      ? findPathMark(this.#signals, request)
+      ? findPathMark(this.#signals, request, {
+        minOverloadedShare: MIN_OVERLOADED_SHARE,
+      })
       : undefined;
     const throttleRatio = accounts?.isShared
       ? throttle.computeArrivalAdmitRatio(headroom)
@@ -154,7 +159,8 @@
 
   /** Finds the counts of a kind; accounts with a class of their own are counted apart, since they share with that class. */
   #findOrCreateKind({ name, className }: CompiledRequest): ThrottledKind {
-    const key = `${name} ${className}`;
+    const hasAccounts = this.#options.hasAccounts?.() ?? true;
+    const key = hasAccounts ? `${name} ${className}` : name;
     const known = this.#kinds.get(key);
     if (known) {
       return known;
@@ -165,7 +171,7 @@
     const { clock } = this.#options;
     const kind = {
       throttle: new AdaptiveThrottle(clock),
-      accounts: this.#kinds.size < MAX_DIVIDED_KINDS
+      accounts: hasAccounts && this.#kinds.size < MAX_DIVIDED_KINDS
         ? new AccountDemand(clock)
         : undefined,
     };
