Do not refuse accounts within their allowance whose requests move

Daemons now hold at most the advance together, return expired tokens at the next tick, borrow ahead only if they had requests, and a bucket keeps 4 tokens and 50 ms of the rate beyond the burst.

--- a/src/allowance/account_bucket.ts
+++ b/src/allowance/account_bucket.ts
@@ -17,8 +17,11 @@
 /** Time after which the demand that a daemon reported no longer counts, in milliseconds. */
 const DEMAND_TIMEOUT_MS = 1_000;
 
-/** Demand above this multiple of the rate counts as more than the account may have. */
-const EXCESS_RATIO = 1.2;
+/** Time after a refusal for which an account counts as asking for more than it may have, in milliseconds. */
+const EXCESS_MS = 1_000;
+
+/** Part of the advance that is not used up by tokens that daemons hold, since tokens on their way back are not known of. */
+const RESERVE = 2;
 
 /** Bounds of the time after which a refused daemon asks again, and its part for each asking daemon, in milliseconds. */
 const MIN_ASK_AGAIN_MS = 50;
@@ -36,6 +39,8 @@
 
 interface Demand {
   readonly perSecond: number;
+  /** Tokens that the daemon has and may not use. */
+  readonly held: number;
   readonly atMs: number;
 }
 
@@ -56,6 +61,7 @@
   /** Refused requests that were told to return and have not been due yet. */
   #backlog = 0;
   readonly #demands = new Map<string, Demand>();
+  #refusedAtMs = Number.NEGATIVE_INFINITY;
   /** When a daemon last reported demand, on the monotonic clock. */
   usedAtMs: number;
 
@@ -131,11 +137,16 @@
     );
     const count = this.#isFractional
       ? this.#drawToken(demand.needed, options.random)
-      : this.#takeTokens(demand, borrower);
+      : this.#takeTokens(demand, { borrower, nowMs });
     const refused = Math.max(0, demand.needed - count);
     return this.#createLoan(demand.name, count, refused);
   }
 
+  /** Records that requests were refused in the end, not only until further shares arrived. */
+  recordRefusal(nowMs: number): void {
+    this.#refusedAtMs = nowMs;
+  }
+
   /** Whether the part held here can never contain a whole token. */
   get #isFractional(): boolean {
     return this.#part.capacity + this.#part.advance < 1;
@@ -152,13 +163,15 @@
   }
 
   #recordDemand(
-    { demandPerSecond, needed }: AccountDemand,
+    { demandPerSecond, needed, held }: AccountDemand,
     borrower: string,
     nowMs: number,
   ): void {
     if (demandPerSecond > 0 || needed > 0) {
       this.usedAtMs = nowMs;
-      this.#demands.set(borrower, { perSecond: demandPerSecond, atMs: nowMs });
+      this.#demands.set(borrower, {
+        ...{ perSecond: demandPerSecond, held, atMs: nowMs },
+      });
     }
     for (const [name, { atMs }] of this.#demands) {
       if (nowMs - atMs > DEMAND_TIMEOUT_MS) {
@@ -169,7 +182,7 @@
 
   #takeTokens(
     { needed, expected }: AccountDemand,
-    borrower: string,
+    { borrower, nowMs }: Pick<LoanOptions, "borrower" | "nowMs">,
   ): number {
     const lent = Math.min(needed, Math.max(0, Math.floor(this.#headroom)));
     this.#tokens -= lent;
@@ -177,15 +190,27 @@
       return lent;
     }
     let total = 0;
-    this.#demands.forEach(({ perSecond }) => total += perSecond);
-    const isExcessive = total > EXCESS_RATIO * this.#part.ratePerSecond;
-    const stock = isExcessive ? this.#headroom : this.#tokens;
-    const own = this.#demands.get(borrower)?.perSecond ?? 0;
+    let held = 0;
+    for (const demand of this.#demands.values()) {
+      total += demand.perSecond;
+      held += demand.held;
+    }
+    const isExcessive = nowMs - this.#refusedAtMs < EXCESS_MS;
+    const known = this.#demands.get(borrower);
+    const own = known?.perSecond ?? 0;
+    // An account within its allowance may move all its requests to another
+    // daemon. What other daemons then still hold is lent in advance.
+    const stock = isExcessive
+      ? this.#headroom
+      : Math.min(this.#tokens, this.#part.advance - held - RESERVE);
     const ahead = Math.min(
       expected,
       Math.max(0, Math.floor(total > 0 ? stock * own / total : 0)),
     );
     this.#tokens -= ahead;
+    if (known && ahead > 0) {
+      this.#demands.set(borrower, { ...known, held: known.held + ahead });
+    }
     return lent + ahead;
   }
 
--- a/src/allowance/allowance_history_test.ts
+++ b/src/allowance/allowance_history_test.ts
@@ -221,6 +221,22 @@
   assertNoRefusals(fleet, "bursts");
 });
 
+for (const seed of [202, 203, 204]) {
+  test(`accounts within their allowance are not refused when all requests move to another daemon, seed ${seed}`, async () => {
+    const fleet = createFleet({ seed });
+    const chooseVm = (atMs: number) => Math.floor(atMs / 400) % DAEMONS;
+    const sources = Object.entries(LIMITS).map(([account, limits]) => ({
+      ...{ account, chooseVm, conforming: limits },
+      perSecond: (atMs: number) =>
+        atMs < WARM_UP_MS ? 0 : limits.ratePerSecond * 1.2,
+    }));
+    await play(fleet, { seed, sources, durationMs: 30_000 });
+    const refused = fleet.events.filter(({ isGranted }) => !isGranted);
+    assert.equal(refused.slice(0, 3), [], `${refused.length} refused`);
+    assert.ok(fleet.events.length > 5_000);
+  });
+}
+
 for (const seed of SEEDS) {
   test(`no more is granted while daemons are restarted one after the other, seed ${seed}`, async () => {
     const fleet = createFleet({ seed });
--- a/src/allowance/allowance_holder.ts
+++ b/src/allowance/allowance_holder.ts
@@ -103,6 +103,13 @@
         this.#lendMissing(sender, demand, loans[index])
       );
     }
+    demands.forEach((demand, index) => {
+      if ((loans[index]?.count ?? 0) < demand.needed) {
+        this.#getBucket(demand).recordRefusal(
+          this.#options.clock.monotonicMs(),
+        );
+      }
+    });
     return { wantedGroups: this.#listWantedGroups(), loans };
   }
 
--- a/src/allowance/allowance_message.ts
+++ b/src/allowance/allowance_message.ts
@@ -20,6 +20,8 @@
   readonly needed: number;
   /** Further tokens that are likely to be used before they expire. */
   readonly expected: number;
+  /** Tokens that the sender has and may still use. */
+  readonly held: number;
   /** Requests a second, including refused ones. */
   readonly demandPerSecond: number;
   /** Tokens of the receiver that were not used. */
--- a/src/allowance/borrowed_tokens.ts
+++ b/src/allowance/borrowed_tokens.ts
@@ -28,9 +28,10 @@
     return this.#batches.reduce((sum, { count }) => sum + count, 0);
   }
 
-  /** Whether there are tokens to use or to return. */
-  get isEmpty(): boolean {
-    return this.#batches.length === 0 && this.#unused.size === 0;
+  /** Whether there are tokens to return. */
+  hasUnused(nowMs: number): boolean {
+    this.#removeExpired(nowMs);
+    return this.#unused.size > 0;
   }
 
   /** Adds borrowed tokens; those that have expired are returned later. */
--- a/src/allowance/borrower_account.ts
+++ b/src/allowance/borrower_account.ts
@@ -46,6 +46,8 @@
   #limits: AccountLimits;
   readonly #demand = new RateEstimator();
   #requestedAtMs = 0;
+  /** Whether there were requests since the last message; without any, demand has moved elsewhere, and nothing is borrowed ahead. */
+  #hasNewRequests = false;
   #refusedAtMs = Number.NEGATIVE_INFINITY;
   #deniedUntilMs = Number.NEGATIVE_INFINITY;
   #askAgainMs = 0;
@@ -74,6 +76,7 @@
     }
     this.#limits = limits;
     this.#requestedAtMs = nowMs;
+    this.#hasNewRequests = true;
     this.#demand.record(nowMs);
   }
 
@@ -103,14 +106,18 @@
     const demandPerSecond = this.#demand.perSecond(nowMs);
     const returned = this.tokens.takeUnused(holder, nowMs);
     const needed = this.waiting.size;
-    const likely = Math.floor(demandPerSecond * EXPECTED_S);
-    const expected = Math.max(0, likely - needed - this.tokens.count(nowMs));
+    const likely = this.#hasNewRequests
+      ? Math.floor(demandPerSecond * EXPECTED_S)
+      : 0;
+    this.#hasNewRequests = false;
+    const held = this.tokens.count(nowMs);
+    const expected = Math.max(0, likely - needed - held);
     return needed === 0 && returned === 0 && demandPerSecond < MIN_DEMAND
       ? undefined
       : {
         name: this.name,
         ...this.#limits,
-        ...{ needed, expected, returned },
+        ...{ needed, expected, held, returned },
         demandPerSecond: Math.round(demandPerSecond * 100) / 100,
       };
   }
--- a/src/allowance/compute_partial_limits.ts
+++ b/src/allowance/compute_partial_limits.ts
@@ -3,9 +3,10 @@
  *
  * Within any 5 s an account may exceed its rate and burst by a tenth of both and
  * 20 requests. Part of that covers tokens that were lent shortly before (400 ms
- * of the rate). The rest allows a bucket to hold a little without a burst, and
+ * of the rate). The rest allows a bucket to hold a little more than the burst, and
  * to lend a little in advance, so that neither a low rate nor the time between
- * two messages wastes the allowance.
+ * two messages wastes the allowance. A full bucket gains nothing while a request
+ * for a token is on its way, up to 60 ms across regions.
  */
 
 /** Rate and burst of an account over all daemons. */
@@ -46,7 +47,7 @@
   const minStock = MIN_STOCK_S * ratePerSecond + MIN_STOCK;
   return {
     ratePerSecond: ratePerSecond * fraction,
-    capacity: Math.max(burst, minStock) * fraction,
+    capacity: (burst + minStock) * fraction,
     advance: minStock * fraction,
   };
 }
--- a/src/allowance/decode_allowance_message.ts
+++ b/src/allowance/decode_allowance_message.ts
@@ -24,7 +24,16 @@
   "name",
   "number",
   [["number", "number", "number"]],
-  [["name", "number", "number", "number", "number", "number", "number"]],
+  [[
+    "name",
+    "number",
+    "number",
+    "number",
+    "number",
+    "number",
+    "number",
+    "number",
+  ]],
 ];
 
 const INVITATION_FORM: readonly Form[] = ["name", "groups"];
@@ -35,7 +44,8 @@
 ];
 
 type ShareItem = [number, number, number];
-type DemandItem = [string, number, number, number, number, number, number];
+type DemandItem = [string, ...DemandCounts];
+type DemandCounts = [number, number, number, number, number, number, number];
 type LoanItem = [string, number, number, number, number];
 
 /** Decodes messages and replies; undefined if they are not of the expected form. */
@@ -59,10 +69,10 @@
       })),
       demands: demands.map((item) => {
         const [name, ratePerSecond, burst, ...counts] = item;
-        const [needed, expected, demandPerSecond, returned] = counts;
+        const [needed, expected, held, demandPerSecond, returned] = counts;
         return {
           ...{ name, ratePerSecond, burst },
-          ...{ needed, expected, demandPerSecond, returned },
+          ...{ needed, expected, held, demandPerSecond, returned },
         };
       }),
     };
--- a/src/allowance/encode_allowance_message.ts
+++ b/src/allowance/encode_allowance_message.ts
@@ -50,6 +50,7 @@
       demand.burst,
       demand.needed,
       demand.expected,
+      demand.held,
       demand.demandPerSecond,
       demand.returned,
     ]),
--- a/src/allowance/shared_allowances.ts
+++ b/src/allowance/shared_allowances.ts
@@ -385,19 +385,20 @@
     }
   }
 
-  /** Whether requests wait for a holder that could be asked again. */
+  /** Whether requests wait for a holder that could be asked again, or expired tokens can be returned to it. */
   #mustAsk(target: FleetMember, nowMs: number): boolean {
     const channel = this.#getChannel(target);
     if (!channel.canAsk(nowMs)) {
       return false;
     }
     const isPatient = channel.canAskPatiently(nowMs);
+    const isTarget = this.#groups.map((_, group) =>
+      this.#route(group, nowMs)?.target.incarnation === target.incarnation
+    );
     for (const entry of this.#accounts.values()) {
-      const { waiting, group } = entry;
-      if (
-        waiting.size > 0 && (isPatient || entry.isPrompt(nowMs)) &&
-        this.#route(group, nowMs)?.target.incarnation === target.incarnation
-      ) {
+      const mustAsk = entry.waiting.size > 0 &&
+        (isPatient || entry.isPrompt(nowMs));
+      if (isTarget[entry.group] && (mustAsk || entry.tokens.hasUnused(nowMs))) {
         return true;
       }
     }
