Let the share of a restarted daemon count 1.2 s after its process started

Cause: the wait counted from the creation of the control, not from the start of the process. The predecessor's last delegation was sent before that start and ends 1 s later. Change: 1 s and two margins of 100 ms after the start of the process.

--- a/src/allowance/create_allowance_subsystem.ts
+++ b/src/allowance/create_allowance_subsystem.ts
@@ -3,6 +3,7 @@
  * of a daemon.
  */
 
+import process from "node:process";
 import { decode, encode } from "cbor-x";
 import { err, ok } from "neverthrow";
 import { CallController } from "../cancellation/mod.ts";
@@ -28,6 +29,8 @@
 import { SharedAllowances } from "./shared_allowances.ts";
 import type { SilentMembers } from "./silent_members.ts";
 
+const MS_PER_SECOND = 1_000;
+
 /** Service name by which daemons send each other messages about allowances. */
 export const ALLOWANCE_SERVICE = "celeryhollow-allowances";
 
@@ -79,6 +82,7 @@
     messenger: sender,
     metrics: new AllowanceMetrics(dependencies.metrics.registry),
     readLimits: createLimitsReader(dependencies),
+    processAgeMs: process.uptime() * MS_PER_SECOND,
   });
   return {
     control,
--- a/src/allowance/own_share.ts
+++ b/src/allowance/own_share.ts
@@ -16,17 +16,21 @@
  */
 const EXPIRY_MARGIN_MS = 100;
 
-/** Time after the start of the process before its share counts, in milliseconds; its predecessor may have delegated it. */
-export const STARTING_MS = 2_000;
+/**
+ * Time after the start of the process before its share counts, in milliseconds.
+ * Its predecessor may have delegated the share until its end, which was before
+ * that start.
+ */
+const STARTING_MS = DELEGATION_MS + 2 * EXPIRY_MARGIN_MS;
 
 /** Location of one share. */
 export class OwnShare {
   #holder = "";
   #untilMs: number;
 
-  /** Creates the share of a process that starts now. */
-  constructor(nowMs: number) {
-    this.#untilMs = nowMs + STARTING_MS - EXPIRY_MARGIN_MS;
+  /** Creates the share of a process that started at `startedAtMs` on its monotonic clock. */
+  constructor(startedAtMs: number) {
+    this.#untilMs = startedAtMs + STARTING_MS - EXPIRY_MARGIN_MS;
   }
 
   /** Incarnation of the holder, or of the last one; empty before the first. */
--- a/src/allowance/shared_allowances.ts
+++ b/src/allowance/shared_allowances.ts
@@ -77,6 +77,8 @@
   readonly messenger: AllowanceMessenger;
   /** Returns an account's limits in the active configuration; undefined if it names none. */
   readonly readLimits: (name: string) => AccountLimits | undefined;
+  /** Time since the start of the process, in milliseconds; 0 by default. */
+  readonly processAgeMs?: number;
   readonly journal?: DecisionJournal | undefined;
   readonly metrics?: AllowanceMetrics | undefined;
 }
@@ -116,15 +118,15 @@
   constructor(options: SharedAllowancesOptions) {
     super();
     this.#options = options;
-    const { clock, fleet, random, readLimits } = options;
+    const { clock, fleet, random, readLimits, processAgeMs = 0 } = options;
     this.#self = { incarnation: fleet.self, address: "", peerPort: 0 };
     this.#holder = new AllowanceHolder({
       ...{ clock, random, readLimits },
       gather: (group) => this.#invite(group),
     });
-    const nowMs = clock.monotonicMs();
+    const startedAtMs = clock.monotonicMs() - processAgeMs;
     this.#groups = Array.from({ length: GROUP_COUNT }, () => ({
-      share: new OwnShare(nowMs),
+      share: new OwnShare(startedAtMs),
       usedUntilMs: Number.NEGATIVE_INFINITY,
       invitedAtMs: Number.NEGATIVE_INFINITY,
       ranking: [],
