--- a/src/routing/spill_over_load_test.ts
+++ b/src/routing/spill_over_load_test.ts
@@ -187,9 +187,9 @@
       computeDelayMs: (from, to) => from.domain === to.domain ? 0.5 : 30,
     };
     const settled = { fromMs: 3_000, toMs: 10_000 };
-    const full = await runLoad((domain) => domain === 1 ? 0.1 : 0.8, changes);
+    const full = await runLoad((domain) => domain === 1 ? 0.1 : 0.9, changes);
     const leftFull = computeRatio(full.outcomes, settled, hasLeft);
-    assert.ok(leftFull <= 0.02, `${leftFull} left at 0.8 of the capacity`);
+    assert.ok(leftFull <= 0.02, `${leftFull} left at 0.9 of the capacity`);
     const over = await runLoad((domain) => domain === 1 ? 0.1 : 1.5, changes);
     const served = computeRatio(over.outcomes, settled, isServed);
     const left = computeRatio(over.outcomes, settled, hasLeft);
