Close gaps in the key check and on the connection to the backend server

Found by a review of the change. Cause and change: a caller could pass the key check and the allowance with the id of its own running request, since any request with a known parent counted as a nested call; now only requests from this VM without a key do. A response whose memory was still being reserved returned its connection, still paused, to the pool, and the late failure of the reservation broke the next exchange; such a connection is closed. The end of an idle connection that was read before its reuse failed the waiting request as not sent; it is now sent on a new connection. A response before the request was sent whole kept the connection; it is closed. A stated length of a HEAD, 204 or 304 response reserved memory.

--- a/src/backend/backend_connection.ts
+++ b/src/backend/backend_connection.ts
@@ -20,7 +20,7 @@
 import type { HeldMemory } from "../memory/mod.ts";
 import { encodeRequestHead } from "./encode_request_head.ts";
 import { ResponseBody } from "./response_body.ts";
-import { ResponseParser } from "./response_parser.ts";
+import { EMPTY_STATUSES, ResponseParser } from "./response_parser.ts";
 import type { ParsedHead, ResponseHandler } from "./response_parser.ts";
 
 /** Timeout for connecting to the backend server, which is on this VM, in milliseconds. */
@@ -142,7 +142,10 @@
       return;
     }
     this.#head = head;
-    const { status, headers, statedBytes, idleTimeoutMs } = head;
+    const { status, headers, idleTimeoutMs } = head;
+    const hasBody = this.request.method !== "HEAD" &&
+      !EMPTY_STATUSES.has(status);
+    const statedBytes = hasBody ? head.statedBytes : 0;
     this.idleTimeoutMs = idleTimeoutMs === undefined
       ? IDLE_TIMEOUT_MS
       : idleTimeoutMs - IDLE_MARGIN_MS;
@@ -174,7 +177,9 @@
       ...{ status, headers },
       body: this.#body?.concatenate() ?? EMPTY_BODY,
     };
-    this.isPersistent = isDelimited && this.#head?.isPersistent === true;
+    // A body that arrived whole may still wait for memory; reading is interrupted until then.
+    this.isPersistent = isDelimited && this.#head?.isPersistent === true &&
+      !this.#body?.isWaiting;
     if (isDelimited || this.request.method === "HEAD") {
       this.settle(ok(response));
       return;
@@ -212,6 +217,9 @@
   }
 
   #failTooLarge(): void {
+    if (this.isSettled) {
+      return;
+    }
     const message = "response body exceeds the memory that it may use";
     this.settle(err({ kind: "too-large", message }));
     void this.#connection.close(new Error(message));
@@ -261,7 +269,11 @@
     const { signal } = request;
     this.hasResponse = false;
     return new Promise((resolve) => {
-      const abort = () => void this.close(new Error("the call was aborted"));
+      const abort = () => {
+        const error = new Error("the call was aborted");
+        void this.close(error);
+        exchange.fail(error);
+      };
       const exchange = new Exchange(this, request, (result) => {
         signal.removeEventListener("abort", abort);
         this.#finish(exchange);
@@ -274,7 +286,6 @@
         return;
       }
       signal.addEventListener("abort", abort);
-      this.#exchange = exchange;
       this.#start(exchange, head);
     });
   }
@@ -295,14 +306,18 @@
     const socket = this.#socket;
     if (!socket || socket.destroyed || nowMs >= this.#reusableUntilMs) {
       socket?.destroy();
+      this.#exchange = exchange;
       this.#connect(exchange, head);
     } else if (nowMs - this.#idleSinceMs < RECENTLY_USED_MS) {
+      this.#exchange = exchange;
       send(socket, exchange, head);
     } else {
+      // The end of an idle connection is read first; it does not end this exchange.
       setImmediate(() => {
         if (exchange.isSettled) {
           return;
         }
+        this.#exchange = exchange;
         if (this.#socket === socket && !socket.destroyed) {
           send(socket, exchange, head);
         } else {
@@ -381,7 +396,9 @@
     this.#exchange = undefined;
     this.#idleSinceMs = performance.now();
     this.#reusableUntilMs = this.#idleSinceMs + exchange.idleTimeoutMs;
-    if (!exchange.isPersistent) {
+    // A server that has answered before it read the whole request may never read the rest.
+    const isSentWhole = this.#socket?.writableLength === 0;
+    if (!exchange.isPersistent || !isSentWhole) {
       this.#socket?.destroy();
       this.#socket = undefined;
     }
--- a/src/backend/response_body.ts
+++ b/src/backend/response_body.ts
@@ -39,6 +39,8 @@
   #reservedBytes = 0;
   /** Number of bytes received. */
   lengthBytes = 0;
+  /** Whether reading is interrupted until memory has been reserved. */
+  isWaiting = false;
 
   constructor(reader: PausableReader, options: ResponseBodyOptions) {
     this.#options = options;
@@ -84,11 +86,13 @@
     if (!memory || memory.tryReserve(bytes)) {
       return;
     }
+    this.isWaiting = true;
     reader.pause();
     void memory.reserve(bytes, {
       signal,
       classRank: RESPONSE_RANK,
     }).then((isReserved) => {
+      this.isWaiting = false;
       if (isReserved) {
         reader.resume();
       } else {
--- a/src/backend/response_parser.ts
+++ b/src/backend/response_parser.ts
@@ -24,7 +24,7 @@
 const SWITCHING_PROTOCOLS = 101;
 
 /** Statuses of responses that have no body. */
-const EMPTY_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+export const EMPTY_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
 const CRLF = "\r\n";
 const HEAD_END = "\r\n\r\n";
--- a/src/request/identify_caller.ts
+++ b/src/request/identify_caller.ts
@@ -41,6 +41,8 @@
   readonly configuration: CompiledConfiguration;
   /** Undefined for calls that need no key, and for nested calls, which have the account of their parent. */
   readonly account: AccountConfiguration | undefined;
+  /** Id of the running call that makes this one; empty if it is a caller's, whatever its id looks like. */
+  readonly parentId: string;
 }
 
 /**
@@ -83,22 +85,25 @@
     return err(createRefusal(REASONS.notReady, { retryAfterMs }));
   }
   const { parentId, key, isFromThisVm } = target;
-  const caller = { configuration, account: undefined };
-  if (!configuration.accounts || activeCalls.find(parentId)) {
-    return ok(caller);
+  const nestedCaller = { configuration, account: undefined, parentId };
+  if (!configuration.accounts) {
+    return ok(nestedCaller);
+  }
+  // A caller knows the id of its own request. Only the backend server of this VM
+  // makes nested calls, and it has no key.
+  const isNested = parentId !== "" && key === undefined && isFromThisVm();
+  if (isNested && activeCalls.find(parentId)) {
+    return ok(nestedCaller);
   }
   const route = findRoute(configuration, target);
   if (!route) {
     return err(createRefusal(REASONS.unknownRequest));
   }
-  // A nested call whose parent this process does not know, since the daemon was
-  // restarted or the parent's caller is gone. Such a call has no key, and callers
-  // must not avoid the check by an id of that form.
-  if (parentId !== "" && key === undefined && !route.isPublic) {
-    return isFromThisVm()
-      ? ok(caller)
-      : err(createRefusal(REASONS.parentEnded));
+  // This process may not know the parent of a nested call, since the daemon was
+  // restarted or the parent's caller is gone.
+  if (isNested && !route.isPublic) {
+    return ok(nestedCaller);
   }
   return authenticateCaller(configuration, route, key)
-    .map((account) => ({ configuration, account }));
+    .map((account) => ({ configuration, account, parentId: "" }));
 }
--- a/src/request/identify_caller_test.ts
+++ b/src/request/identify_caller_test.ts
@@ -70,15 +70,20 @@
   assert.is(identify({ path: "/none/1" }), REASONS.unknownRequest);
 });
 
-test("a nested call of a running parent needs no key", () => {
-  assert.is(identify({ parentId: RUNNING_PARENT }), "none");
+// Guards against callers that avoid the key check and the allowance by the id of their own running request.
+test("a nested call of a running parent needs no key, if it was made on this VM", () => {
+  const parentId = RUNNING_PARENT;
+  assert.is(identify({ parentId, isFromThisVm: () => true }), "none");
+  assert.is(identify({ parentId }), REASONS.unauthorized);
+  assert.is(identify({ parentId, key: "other" }), REASONS.unauthorized);
+  assert.is(identify({ parentId, key: "key" }), "north");
 });
 
 // Guards against callers that leave out the key by an id of the form of a nested call, and against a false 401.
 test("a nested call of an unknown parent is served only if it was made on this VM", () => {
   const parentId = "unknown";
   assert.is(identify({ parentId, isFromThisVm: () => true }), "none");
-  assert.is(identify({ parentId }), REASONS.parentEnded);
+  assert.is(identify({ parentId }), REASONS.unauthorized);
   assert.is(identify({ parentId, key: "key" }), "north");
   assert.is(identify({ parentId, key: "other" }), REASONS.unauthorized);
 });
