--- a/src/admission/account_share.ts
+++ b/src/admission/account_share.ts
@@ -31,8 +31,9 @@
     this.#grants += 1;
   }
 
-  /** Recent arrivals, as of the last record. */
-  get arrivals(): number {
+  /** Returns the recent arrivals. */
+  readArrivals(nowMs: number): number {
+    this.#decay(nowMs);
     return this.#arrivals;
   }
 
--- a/src/admission/compute_admit_ratios.ts
+++ b/src/admission/compute_admit_ratios.ts
@@ -64,7 +64,9 @@
   return demands.map(({ offeredPerSecond }, rank) => {
     const guaranteed = reserved[rank] ?? 0;
     const rest = (needed[rank] ?? 0) - guaranteed;
-    if (refusesUnseen && needed[rank] === 0 && free <= SLOT_EPSILON) {
+    const isUnreserved = (reservedRatios[rank] ?? 0) === 0;
+    const isUnseen = needed[rank] === 0 && isUnreserved;
+    if (refusesUnseen && isUnseen && free <= SLOT_EPSILON) {
       return MIN_ADMIT_RATIO;
     }
     const granted = Math.max(0, Math.min(rest, free));
--- a/src/admission/fair_clock.ts
+++ b/src/admission/fair_clock.ts
@@ -104,10 +104,12 @@
     }
     this.#nextPruneAtMs = nowMs + PRUNE_INTERVAL_MS;
     const shares = [...this.#shares];
-    const mean = shares.reduce((sum, [, { arrivals }]) => sum + arrivals, 0) /
+    // Compared at one time; otherwise a past burst would keep its place.
+    const mean =
+      shares.reduce((sum, [, share]) => sum + share.readArrivals(nowMs), 0) /
       shares.length;
     for (const [account, share] of shares) {
-      if (share.openCalls === 0 && share.arrivals <= mean) {
+      if (share.openCalls === 0 && share.readArrivals(nowMs) <= mean) {
         this.#shares.delete(account);
         const bucket = this.#buckets[hashText(account) % BUCKETS] ??=
           new AccountShare(nowMs);
--- a/src/allowance/allowance_holder.ts
+++ b/src/allowance/allowance_holder.ts
@@ -37,7 +37,7 @@
 const CLEANUP_INTERVAL_MS = 5_000;
 
 /** Maximum number of buckets, about 10 MB. */
-const MAX_BUCKETS = 20_000;
+const MAX_BUCKETS = 100_000;
 
 /** Maximum number of daemons whose latest sequence number is kept. */
 const MAX_SENDERS = 20_000;
--- a/src/allowance/token_requests.ts
+++ b/src/allowance/token_requests.ts
@@ -90,12 +90,12 @@
   #refuse(entry: BorrowerAccount, requestId: string, cause: string): Refusal {
     const { clock, fleet, journal, metrics, random, getHolder } = this.#options;
     const nowMs = clock.monotonicMs();
-    const retryAfterMs = cause === "no-holder"
-      ? Math.ceil(NO_HOLDER_RETRY_MS * (1 + random.nextFloat()))
-      : entry.refuse(nowMs, random);
-    if (cause === "no-holder") {
-      entry.refuse(nowMs, random);
-    }
+    const hasHolder = cause !== "no-holder";
+    const retryAfterMs = hasHolder
+      ? entry.refuse(nowMs, random)
+      : Math.ceil(NO_HOLDER_RETRY_MS * (1 + random.nextFloat()));
+    // Without a reply it is not known whether the allowance is used up.
+    entry.refused += hasHolder ? 0 : 1;
     metrics?.recordRefused(entry.name);
     const { ratePerSecond, burst } = entry.limits;
     journal?.record(DECISIONS.overAllowance, {
