Do not keep the first response of an instance's connection

The listeners of a connection referred to the exchange that opened it, and so to its response, for as long as the connection was kept: platform/program_memory_test saw 469 and 399 MB resident. They refer to the exchange in progress instead, and the buffer for a large body is allocated only once its memory has been reserved.

--- a/src/backend/backend_connection.ts
+++ b/src/backend/backend_connection.ts
@@ -118,6 +118,8 @@
   idleTimeoutMs = IDLE_TIMEOUT_MS;
   readonly parser: ResponseParser;
   readonly request: BackendExchange;
+  /** Encoded head of the request. */
+  readonly head: string;
   readonly #settle: Settle;
   readonly #connection: BackendConnection;
   #head: ParsedHead | undefined;
@@ -126,11 +128,12 @@
 
   constructor(
     connection: BackendConnection,
-    request: BackendExchange,
+    { request, head }: { request: BackendExchange; head: string },
     settle: Settle,
   ) {
     this.#connection = connection;
     this.request = request;
+    this.head = head;
     this.#maxBodyBytes = request.maxBodyBytes;
     this.#settle = settle;
     this.parser = new ResponseParser(this, request);
@@ -260,22 +263,21 @@
   ): Promise<Result<BackendResponse, ExchangeFailure>> {
     const { signal } = request;
     this.hasResponse = false;
+    const head = encodeRequestHead(request, this.#origin.host);
+    if (head === undefined) {
+      const message = "the request cannot be sent over HTTP";
+      return Promise.resolve(err({ kind: "not-sent", message }));
+    }
     return new Promise((resolve) => {
       const abort = () => void this.close(new Error("the call was aborted"));
-      const exchange = new Exchange(this, request, (result) => {
+      const exchange = new Exchange(this, { request, head }, (result) => {
         signal.removeEventListener("abort", abort);
         this.#finish(exchange);
         resolve(result);
       });
-      const head = encodeRequestHead(request, this.#origin.host);
-      if (head === undefined) {
-        const message = "the request cannot be sent over HTTP";
-        exchange.settle(err({ kind: "not-sent", message }));
-        return;
-      }
       signal.addEventListener("abort", abort);
       this.#exchange = exchange;
-      this.#start(exchange, head);
+      this.#start(exchange);
     });
   }
 
@@ -290,29 +292,30 @@
     return Promise.resolve();
   }
 
-  #start(exchange: Exchange, head: string): void {
+  #start(exchange: Exchange): void {
     const nowMs = performance.now();
     const socket = this.#socket;
     if (!socket || socket.destroyed || nowMs >= this.#reusableUntilMs) {
       socket?.destroy();
-      this.#connect(exchange, head);
+      this.#connect();
     } else if (nowMs - this.#idleSinceMs < RECENTLY_USED_MS) {
-      send(socket, exchange, head);
+      send(socket, exchange);
     } else {
       setImmediate(() => {
         if (exchange.isSettled) {
           return;
         }
         if (this.#socket === socket && !socket.destroyed) {
-          send(socket, exchange, head);
+          send(socket, exchange);
         } else {
-          this.#connect(exchange, head);
+          this.#connect();
         }
       });
     }
   }
 
-  #connect(exchange: Exchange, head: string): void {
+  /** Opens a connection, on which the exchange in progress is sent. The listeners must not refer to the exchange: they would keep its response for as long as the connection. */
+  #connect(): void {
     const { hostname, port } = this.#origin;
     const socket = connect({
       ...{ host: hostname, port: Number(port || DEFAULT_PORT) },
@@ -332,8 +335,8 @@
     }, CONNECT_TIMEOUT_MS);
     socket.once("connect", () => {
       clearTimeout(timer);
-      if (this.#socket === socket && !exchange.isSettled) {
-        send(socket, exchange, head);
+      if (this.#socket === socket && this.#exchange) {
+        send(socket, this.#exchange);
       }
     });
     socket.on("error", (error) => this.#fail(socket, error));
@@ -388,8 +391,8 @@
   }
 }
 
-function send(socket: Socket, exchange: Exchange, head: string): void {
-  const { body } = exchange.request;
+function send(socket: Socket, exchange: Exchange): void {
+  const { head, request: { body } } = exchange;
   exchange.isSent = true;
   if (body.length === 0) {
     socket.write(head, "latin1");
--- a/src/backend/response_body.ts
+++ b/src/backend/response_body.ts
@@ -37,6 +37,8 @@
   /** Body of a stated length; parts are copied, as each may be a view of a larger buffer. */
   #whole: Buffer | undefined;
   #reservedBytes = 0;
+  /** Whether memory is awaited; what had been read with the head then arrives nevertheless. */
+  #isWaiting = false;
   /** Number of bytes received. */
   lengthBytes = 0;
 
@@ -52,10 +54,11 @@
   add(reader: PausableReader, part: Buffer): void {
     const offsetBytes = this.lengthBytes;
     this.lengthBytes += part.length;
-    // Allocated with the first part, when memory has been reserved.
+    // Allocated with the first part after memory has been reserved.
     const { statedBytes = 0 } = this.#options;
-    if (statedBytes > FIRST_STEP_BYTES) {
-      this.#whole ??= Buffer.allocUnsafeSlow(statedBytes);
+    if (statedBytes > FIRST_STEP_BYTES && !this.#isWaiting && !this.#whole) {
+      this.#whole = Buffer.allocUnsafeSlow(statedBytes);
+      Buffer.concat(this.#parts.splice(0)).copy(this.#whole);
     }
     if (this.#whole && this.lengthBytes <= this.#whole.length) {
       part.copy(this.#whole, offsetBytes);
@@ -84,11 +87,13 @@
     if (!memory || memory.tryReserve(bytes)) {
       return;
     }
+    this.#isWaiting = true;
     reader.pause();
     void memory.reserve(bytes, {
       signal,
       classRank: RESPONSE_RANK,
     }).then((isReserved) => {
+      this.#isWaiting = false;
       if (isReserved) {
         reader.resume();
       } else {
