--- a/src/backend/response_body.ts
+++ b/src/backend/response_body.ts
@@ -39,7 +39,7 @@
   #reservedBytes = 0;
   /** Number of bytes received. */
   lengthBytes = 0;
-  /** Whether reading is interrupted until memory has been reserved. */
+  /** Whether reading is interrupted until memory has been reserved; what had been read with the head then arrives nevertheless. */
   isWaiting = false;
 
   constructor(reader: PausableReader, options: ResponseBodyOptions) {
@@ -54,10 +54,11 @@
   add(reader: PausableReader, part: Buffer): void {
     const offsetBytes = this.lengthBytes;
     this.lengthBytes += part.length;
-    // Allocated with the first part, when memory has been reserved.
+    // Allocated with the first part after memory has been reserved.
     const { statedBytes = 0 } = this.#options;
-    if (statedBytes > FIRST_STEP_BYTES) {
-      this.#whole ??= Buffer.allocUnsafeSlow(statedBytes);
+    if (statedBytes > FIRST_STEP_BYTES && !this.isWaiting && !this.#whole) {
+      this.#whole = Buffer.allocUnsafeSlow(statedBytes);
+      Buffer.concat(this.#parts.splice(0)).copy(this.#whole);
     }
     if (this.#whole && this.lengthBytes <= this.#whole.length) {
       part.copy(this.#whole, offsetBytes);
