--- a/src/admission/adaptive_admission.ts
+++ b/src/admission/adaptive_admission.ts
@@ -10,48 +10,31 @@
 import { createRefusal, REASONS } from "../outcome/mod.ts";
 import type { Reason } from "../outcome/mod.ts";
 import type { Clock } from "../time/mod.ts";
-import { MomentarySlowness } from "../slowness/mod.ts";
 import type { StatedSlowness } from "../slowness/mod.ts";
 import { AdmissionJournal } from "./admission_journal.ts";
 import type { AdmissionTelemetry } from "./admission_journal.ts";
-import { AdmitRatioController } from "./admit_ratio_controller.ts";
-import { computeQueueTimeoutMs } from "./compute_queue_timeout_ms.ts";
+import { AdmissionRefuser } from "./admission_refuser.ts";
+import { AdmitRatioUpdater } from "./admit_ratio_updater.ts";
 import { ConcurrencyLimit } from "./concurrency_limit.ts";
-import { countReservedSlots } from "./count_reserved_slots.ts";
-import { DemandWindow } from "./demand_window.ts";
+import { createLoadSignal } from "./create_load_signal.ts";
 import { FairShares } from "./fair_shares.ts";
-import type { OpenShare } from "./fair_shares.ts";
-import { finishesSoonerElsewhere } from "./finishes_sooner_elsewhere.ts";
-import { IdleMeter } from "./idle_meter.ts";
+import { HandBackDecider } from "./hand_back_decider.ts";
 import { InboundAdmission } from "./inbound_admission.ts";
-import type { InboundCall, Permit } from "./inbound_admission.ts";
-import { LateCallMeter } from "./late_call_meter.ts";
+import type { InboundCall } from "./inbound_admission.ts";
 import { LoadAverage } from "./load_average.ts";
+import { PaceTimer } from "./pace_timer.ts";
+import { QueueEstimator } from "./queue_estimator.ts";
 import { RequestPacer } from "./request_pacer.ts";
+import { SlotGate } from "./slot_gate.ts";
+import { SlotGrants } from "./slot_grants.ts";
 import { SlotTracker } from "./slot_tracker.ts";
-import { createWaitingCall } from "./waiting_call.ts";
 import type { AdmissionResult, WaitingCall } from "./waiting_call.ts";
+import { WaiterFactory } from "./waiter_factory.ts";
 import { isDisplacedBy, WaitingQueue } from "./waiting_queue.ts";
-import type { OrderOptions } from "./waiting_queue.ts";
-
-/** Largest expected queue delay at which a call is enqueued, as a share of its queue timeout. */
-const MAX_ENQUEUE_DELAY_RATIO = 0.8;
-
-/** Largest expected queue delay at which a queued call stays, as a share of its remaining queue timeout. */
-const MAX_QUEUED_DELAY_RATIO = 1.25;
 
 /** Maximum queue length, whatever the remaining time of the calls. */
 const MAX_WAITING = 2_000;
 
-/** Queue delay above which the newest calls go first, in milliseconds. */
-const NEWEST_FIRST_DELAY_MS = 100;
-
-/** Lower bound of the suggested retry delay, in milliseconds. */
-const MIN_RETRY_AFTER_MS = 50;
-
-const MS_PER_SECOND = 1_000;
-const PERMILLE = 1_000;
-
 /** Dependencies and settings of the admission. */
 export interface AdaptiveAdmissionOptions extends AdmissionTelemetry {
   readonly clock: Clock;
@@ -69,27 +52,60 @@
   readonly #limit: ConcurrencyLimit;
   readonly #queue = new WaitingQueue<WaitingCall>();
   readonly #slots: SlotTracker;
-  readonly #demand = new DemandWindow();
-  readonly #ratioController = new AdmitRatioController();
   readonly #shares = new FairShares();
-  readonly #idle = new IdleMeter();
-  readonly #lateCalls = new LateCallMeter();
   readonly #load = new LoadAverage();
   readonly #journal: AdmissionJournal;
   readonly #pacer: RequestPacer;
-  readonly #slowness = new MomentarySlowness();
+  readonly #estimator: QueueEstimator;
+  readonly #handBacks: HandBackDecider;
+  readonly #ratios: AdmitRatioUpdater;
+  readonly #gate: SlotGate;
+  readonly #waiters: WaiterFactory;
+  readonly #refuser: AdmissionRefuser;
+  readonly #grants: SlotGrants;
+  readonly #paceTimer: PaceTimer;
   #requestsPerSecond: number | undefined;
-  #cancelNextGrant: (() => void) | undefined;
   /** When the queue last became non-empty, in monotonic milliseconds. */
   #queuedSinceMs = 0;
 
   constructor(options: AdaptiveAdmissionOptions) {
     super();
     this.#options = options;
-    this.#limit = new ConcurrencyLimit(options.clock);
-    this.#slots = new SlotTracker(options.clock);
-    this.#journal = new AdmissionJournal(options);
-    this.#pacer = new RequestPacer(options.clock);
+    const { clock, isAllowanceUsedUp, listReservedRatios } = options;
+    const queue = this.#queue;
+    const limit = this.#limit = new ConcurrencyLimit(clock);
+    const slots = this.#slots = new SlotTracker(clock);
+    const journal = this.#journal = new AdmissionJournal(options);
+    const pacer = this.#pacer = new RequestPacer(clock);
+    const sources = { limit, pacer, queue, slots };
+    const estimator = this.#estimator = new QueueEstimator(sources);
+    this.#handBacks = new HandBackDecider({ estimator, queue, slots });
+    this.#ratios = new AdmitRatioUpdater({
+      ...{ estimator, journal, limit, listReservedRatios, slots },
+    });
+    this.#gate = new SlotGate({
+      ...{ limit, listReservedRatios, pacer, slots },
+      ratioController: this.#ratios.controller,
+    });
+    this.#waiters = new WaiterFactory({
+      ...{ clock, isAllowanceUsedUp, slots },
+      shares: this.#shares,
+      remove: (waiter, reason) => this.#removeWaiter(waiter, reason),
+    });
+    const onOpen = () => this.#grantNext();
+    this.#paceTimer = new PaceTimer({ clock, onOpen, pacer, queue });
+    const { slowness } = this.#handBacks;
+    this.#refuser = new AdmissionRefuser({
+      ...{ clock, estimator, journal, pacer, queue, slots, slowness },
+    });
+    this.#grants = new SlotGrants({
+      ...{ clock, journal, limit, pacer, queue, slots, slowness },
+      onGranted: () => this.#updateIdleMeter(),
+      onReleased: () => {
+        this.#grantNext();
+        this.#updateAdmitRatios();
+      },
+    });
   }
 
   override get pendingCalls(): number {
@@ -116,7 +132,7 @@
     this.#requestsPerSecond = requestsPerSecond;
     this.#pacer.setLimit(requestsPerSecond);
     if (this.#pacer.isLimited) {
-      this.#queue.listInOrder(this.#order)
+      this.#queue.listInOrder(this.#estimator.order)
         .filter(({ isLastResort }) => !isLastResort)
         .forEach((waiter) =>
           this.#removeWaiter(waiter, REASONS.limitedInstance)
@@ -135,36 +151,33 @@
   }
 
   override get slowness(): StatedSlowness | undefined {
-    return this.#slowness.read(this.#nowMs);
+    return this.#handBacks.slowness.read(this.#nowMs);
   }
 
   override observeSlowness(slownessRatio: number): void {
-    this.#slowness.observe(slownessRatio, this.#nowMs);
+    this.#handBacks.slowness.observe(slownessRatio, this.#nowMs);
     this.#journal.recordSlowness(slownessRatio);
     if (slownessRatio > 1 && this.#queue.length > 0) {
-      this.#handBackWaiters();
+      this.#handBacks.listHandedBack(this.#nowMs).forEach((waiter) =>
+        this.#removeWaiter(waiter, REASONS.slowInstance)
+      );
     }
   }
 
   override describeLoad(service: string): LoadSignal {
     this.#updateAdmitRatios();
-    const { ratios, demandPerSecond, lowestRatio } = this.#ratioController;
-    return {
+    return createLoadSignal({
       service,
       inFlight: this.#slots.running.count,
       queued: this.#queue.length,
       limit: this.#limit.value,
-      admitLevel: lowestRatio,
       instance: this.#options.instance,
       sequence: Math.floor(this.#options.clock.nowMs()),
-      demandPerSecond: Math.round(demandPerSecond),
-      ...lowestRatio < 1 &&
-        { admitPermille: ratios.map((ratio) => Math.ceil(ratio * PERMILLE)) },
-    };
+    }, this.#ratios.controller);
   }
 
   override async acquire(call: InboundCall): Promise<AdmissionResult> {
-    this.#demand.record({
+    this.#ratios.demand.record({
       atMs: this.#nowMs,
       classRank: call.classRank,
       service: call.service,
@@ -176,19 +189,22 @@
     }
     const { isLimited } = this.#pacer;
     const isNext = !isLimited || this.#queue.length === 0;
-    const mayStart = isNext && this.#mayRun(call.classRank);
-    const waitMs = mayStart ? 0 : this.#usualQueueDelayMs;
-    if (this.#isHandedBack(call.elsewhereMs, waitMs)) {
-      return this.#refuse(REASONS.slowInstance);
+    const mayStart = isNext && this.#gate.mayRun(call.classRank);
+    const waitMs = mayStart ? 0 : this.#estimator.usualDelayMs;
+    if (this.#handBacks.isHandedBack(call, { waitMs, nowMs: this.#nowMs })) {
+      return this.#refuser.refuse(REASONS.slowInstance);
     }
     if (mayStart) {
       return ok(
-        this.#grant(call.classRank, this.#shares.open(call, this.#nowMs)),
+        this.#grants.grant(
+          call.classRank,
+          this.#shares.open(call, this.#nowMs),
+        ),
       );
     }
     const isTurnedAway = isLimited && !this.#pacer.isOpen && !call.isLastResort;
     return isTurnedAway
-      ? this.#refuse(REASONS.limitedInstance)
+      ? this.#refuser.refuse(REASONS.limitedInstance)
       : await this.#wait(call);
   }
 
@@ -196,35 +212,17 @@
     return this.#options.clock.monotonicMs();
   }
 
-  get #msPerCall(): number {
-    return Math.max(
-      this.#pacer.intervalMs,
-      this.#slots.holdMs / Math.max(1, this.#limit.value),
-    );
-  }
-
-  get #queueDelayMs(): number {
-    return this.#queue.length * this.#msPerCall;
-  }
-
-  /** Expected wait of a call that arrives now, on a VM that is as fast as usual, in milliseconds. */
-  get #usualQueueDelayMs(): number {
-    return (this.#queue.length + 1) * this.#slots.usualHoldMs /
-      Math.max(1, this.#limit.value);
-  }
-
-  get #order(): OrderOptions {
-    return {
-      holdMs: this.#slots.holdMs,
-      isNewestFirst: this.#queueDelayMs > NEWEST_FIRST_DELAY_MS,
-    };
-  }
-
   #wait(call: InboundCall): Promise<AdmissionResult> {
     return new Promise((resolve) => {
-      const waiter = this.#createWaiter(call, resolve);
-      this.#lateCalls.recordArrival(waiter);
-      if (!this.#canRunInTime(waiter) || !this.#makeRoom(waiter)) {
+      const queuedForMs = this.#queue.length === 0
+        ? 0
+        : this.#nowMs - this.#queuedSinceMs;
+      const waiter = this.#waiters.create(call, { queuedForMs, resolve });
+      this.#ratios.lateCalls.recordArrival(waiter);
+      if (
+        !this.#estimator.canRunInTime(waiter, this.#nowMs) ||
+        !this.#makeRoom(waiter)
+      ) {
         this.#settleLate(waiter, REASONS.overloadedInstance);
         return;
       }
@@ -232,57 +230,11 @@
         this.#queuedSinceMs = this.#nowMs;
       }
       this.#queue.add(waiter);
-      this.#scheduleNextGrant();
+      this.#paceTimer.update();
       this.#updateIdleMeter();
     });
   }
 
-  /** Refuses waiting calls that more important ones have delayed too long. */
-  #refuseLateWaiters(): void {
-    const msPerCall = this.#msPerCall;
-    let delayMs = 0;
-    for (const waiter of this.#queue.listInOrder(this.#order)) {
-      delayMs += msPerCall;
-      const remainingMs = waiter.expiresAtMs - this.#nowMs;
-      if (delayMs > remainingMs * MAX_QUEUED_DELAY_RATIO) {
-        delayMs -= msPerCall;
-        this.#removeWaiter(waiter, REASONS.overloadedInstance);
-      }
-    }
-  }
-
-  /** Whether a call would finish sooner elsewhere; never without a fresh slowness figure. */
-  #isHandedBack(elsewhereMs: number | undefined, waitMs: number): boolean {
-    const nowMs = this.#nowMs;
-    return elsewhereMs !== undefined && this.#slowness.isStated(nowMs) &&
-      finishesSoonerElsewhere({
-        waitMs,
-        usualHoldMs: this.#slots.usualHoldMs,
-        slownessRatio: this.#slowness.getRatio(nowMs),
-        elsewhereMs,
-      });
-  }
-
-  /** Hands back the waiting calls that would now finish sooner elsewhere. */
-  #handBackWaiters(): void {
-    const msPerCall = this.#slots.usualHoldMs / Math.max(1, this.#limit.value);
-    let waitMs = 0;
-    for (const waiter of this.#queue.listInOrder(this.#order)) {
-      waitMs += msPerCall;
-      if (this.#isHandedBack(waiter.elsewhereMs, waitMs)) {
-        waitMs -= msPerCall;
-        this.#removeWaiter(waiter, REASONS.slowInstance);
-      }
-    }
-  }
-
-  #canRunInTime(waiter: WaitingCall): boolean {
-    const remainingMs = waiter.expiresAtMs - this.#nowMs;
-    const ahead = this.#queue.countAhead(waiter, this.#slots.holdMs);
-    const delayMs = (ahead + 1) * this.#msPerCall;
-    return delayMs <= remainingMs * MAX_ENQUEUE_DELAY_RATIO;
-  }
-
   /** Makes room in a full queue at the expense of the account with the most calls. */
   #makeRoom(waiter: WaitingCall): boolean {
     if (this.#queue.length < MAX_WAITING) {
@@ -297,38 +249,6 @@
     return true;
   }
 
-  #createWaiter(
-    call: InboundCall,
-    resolve: (result: AdmissionResult) => void,
-  ): WaitingCall {
-    const nowMs = this.#nowMs;
-    const isNested = call.context.depth > 0;
-    const timeoutMs = computeQueueTimeoutMs(call.deadlineAtMs - nowMs, {
-      isNested,
-      holdMs: this.#slots.holdMs,
-      queuedForMs: this.#queue.length === 0 ? 0 : nowMs - this.#queuedSinceMs,
-    });
-    const cancelExpiry = this.#options.clock.schedule(
-      timeoutMs,
-      () => this.#removeWaiter(waiter, REASONS.queueExpired),
-    );
-    const cancelWait = () => this.#removeWaiter(waiter, REASONS.cancelled);
-    call.signal.addEventListener("abort", cancelWait);
-    const { isAllowanceUsedUp } = this.#options;
-    const waiter = createWaitingCall(call, {
-      open: this.#shares.open(call, nowMs),
-      nowMs,
-      timeoutMs,
-      isOverAllowance: isAllowanceUsedUp?.(call.context.member) ?? false,
-      settle: (result) => {
-        cancelExpiry();
-        call.signal.removeEventListener("abort", cancelWait);
-        resolve(result);
-      },
-    });
-    return waiter;
-  }
-
   #removeWaiter(waiter: WaitingCall, reason: Reason): void {
     if (this.#queue.remove(waiter)) {
       this.#settleLate(waiter, reason);
@@ -340,146 +260,39 @@
     if (
       reason === REASONS.overloadedInstance || reason === REASONS.queueExpired
     ) {
-      this.#lateCalls.recordLate(waiter);
+      this.#ratios.lateCalls.recordLate(waiter);
     }
-    waiter.settle(this.#refuse(this.#selectReason(reason)));
-  }
-
-  /** A call that waits in vain under a limit shows no overload. */
-  #selectReason(reason: Reason): Reason {
-    return this.#pacer.isLimited && reason !== REASONS.cancelled
-      ? REASONS.limitedInstance
-      : reason;
-  }
-
-  #refuse(reason: Reason): AdmissionResult {
-    if (reason === REASONS.limitedInstance) {
-      const retryAfterMs = Math.ceil(this.#pacer.intervalMs);
-      return err(createRefusal(reason, { retryAfterMs }));
-    }
-    if (reason === REASONS.slowInstance) {
-      this.#journal.recordHandBack({
-        slownessRatio: this.#slowness.getRatio(this.#nowMs),
-        waiting: this.#queue.length,
-        usualHoldMs: this.#slots.usualHoldMs,
-      });
-    }
-    const waitMs = this.#queueDelayMs + this.#slots.holdMs;
-    const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, Math.ceil(waitMs));
-    return err(createRefusal(reason, { retryAfterMs }));
-  }
-
-  #mayRun(classRank: number): boolean {
-    const limit = Math.min(
-      this.#limit.value,
-      this.#pacer.maxConcurrentRequests,
-    );
-    const freeSlots = limit - this.#slots.running.count;
-    return freeSlots > 0 && this.#pacer.isOpen &&
-      freeSlots > countReservedSlots(this.#slots.running, {
-          classRank,
-          limit,
-          reservedRatios: this.#options.listReservedRatios(),
-          countNeededSlots: (rank) =>
-            this.#ratioController.countNeededSlots(
-              rank,
-              this.#slots.estimateHoldMs(rank),
-            ),
-        });
-  }
-
-  #grant(classRank: number, { clock, share, kind }: OpenShare): Permit {
-    const holdMs = this.#slots.estimateHoldMs(classRank);
-    const running = this.#slots.begin(classRank);
-    this.#pacer.take();
-    const concurrency = this.#slots.running.count;
-    clock.charge(share, { nowMs: running.startedAtMs, holdMs });
-    this.#updateIdleMeter();
-    return {
-      release: (completion) => {
-        const slownessRatio = this.#slowness.getRatio(this.#nowMs);
-        this.#slots.end(running, { ...completion, slownessRatio });
-        clock.close(share, completion.durationMs - holdMs);
-        // Under a limit of requests, calls tell nothing of how many slots there are.
-        if (!this.#pacer.isLimited) {
-          this.#limit.observe({
-            // A VM that is slow at the moment says nothing of the right limit.
-            ownDurationMs: completion.ownDurationMs / slownessRatio,
-            isShed: completion.isShed,
-            isSaturated: this.#queue.length > 0,
-            concurrency,
-            kind,
-          });
-        }
-        this.#journal.recordLimit(this.#limit.value, this.#slots.holdMs);
-        this.#grantNext();
-        this.#updateAdmitRatios();
-      },
-    };
+    waiter.settle(this.#refuser.refuseWaiter(reason));
   }
 
   #grantNext(): void {
-    const order = this.#order;
+    const { order } = this.#estimator;
+    const mayRun = (rank: number) => this.#gate.mayRun(rank);
     for (;;) {
-      const next = this.#queue.findNext(order, (rank) => this.#mayRun(rank));
+      const next = this.#queue.findNext(order, mayRun);
       if (!next) {
         break;
       }
       this.#queue.remove(next);
-      next.settle(ok(this.#grant(next.classRank, next.open)));
+      next.settle(ok(this.#grants.grant(next.classRank, next.open)));
     }
-    this.#scheduleNextGrant();
+    this.#paceTimer.update();
     this.#updateIdleMeter();
   }
 
-  /** Wakes the queue when the pace lets the next call pass. */
-  #scheduleNextGrant(): void {
-    this.#cancelNextGrant?.();
-    this.#cancelNextGrant = undefined;
-    if (this.#queue.length > 0 && !this.#pacer.isOpen) {
-      this.#cancelNextGrant = this.#options.clock.schedule(
-        this.#pacer.delayMs,
-        () => this.#grantNext(),
-      );
-    }
-  }
-
   #updateIdleMeter(): void {
     const isIdle = this.#queue.length === 0 &&
       this.#slots.running.count < this.#limit.value;
-    this.#idle.set(isIdle, this.#nowMs);
+    this.#ratios.idle.set(isIdle, this.#nowMs);
     const calls = this.#slots.running.count + this.#queue.length;
     this.#load.set(calls / Math.max(1, this.#limit.value), this.#nowMs);
   }
 
   #updateAdmitRatios(): void {
-    const nowMs = this.#nowMs;
-    if (!this.#ratioController.isDue(nowMs)) {
-      return;
-    }
-    const reservedRatios = this.#options.listReservedRatios();
-    const isUpdated = this.#ratioController.update({
-      nowMs,
-      demands: () => this.#demand.estimate(nowMs, reservedRatios.length),
-      slots: this.#limit.value,
-      holdTimesMs: reservedRatios.map((_, rank) =>
-        this.#slots.estimateHoldMs(rank)
-      ),
-      queueDelayMs: this.#queueDelayMs,
-      msPerCall: this.#msPerCall,
-      isIdle: () => this.#idle.read(nowMs),
-      reservedRatios,
-      usableRatio: this.#lateCalls.update(nowMs),
-      refusesUnseen: this.#lateCalls.hasAccounts,
+    this.#ratios.update(this.#nowMs, () => {
+      this.#estimator.listLate(this.#nowMs).forEach((waiter) =>
+        this.#removeWaiter(waiter, REASONS.overloadedInstance)
+      );
     });
-    if (isUpdated) {
-      this.#refuseLateWaiters();
-      this.#journal.recordAdmitRatios(this.#ratioController.ratios, {
-        demandPerSecond: this.#ratioController.demandPerSecond,
-        capacityPerSecond: MS_PER_SECOND / this.#msPerCall,
-        queueDelayMs: this.#queueDelayMs,
-        holdMs: this.#slots.holdMs,
-      });
-    }
   }
 }
--- /dev/null
+++ b/src/admission/admit_ratio_updater.ts
@@ -0,0 +1,71 @@
+/**
+ * Keeps the admit ratios of a backend server up to date with its demand, its
+ * idle time and the calls that wait in vain.
+ */
+
+import type { AdmissionJournal } from "./admission_journal.ts";
+import { AdmitRatioController } from "./admit_ratio_controller.ts";
+import type { ConcurrencyLimit } from "./concurrency_limit.ts";
+import { DemandWindow } from "./demand_window.ts";
+import { IdleMeter } from "./idle_meter.ts";
+import { LateCallMeter } from "./late_call_meter.ts";
+import type { QueueEstimator } from "./queue_estimator.ts";
+import type { SlotTracker } from "./slot_tracker.ts";
+
+const MS_PER_SECOND = 1_000;
+
+/** What the ratios are computed from, besides the demand. */
+export interface AdmitRatioUpdaterOptions {
+  readonly limit: ConcurrencyLimit;
+  readonly slots: SlotTracker;
+  readonly estimator: QueueEstimator;
+  readonly journal: AdmissionJournal;
+  /** Lists the share of the limit reserved for each class, the most important first. */
+  readonly listReservedRatios: () => readonly number[];
+}
+
+/** Gathers the figures behind the admit ratios, and updates the ratios when due. */
+export class AdmitRatioUpdater {
+  readonly controller = new AdmitRatioController();
+  readonly demand = new DemandWindow();
+  readonly idle = new IdleMeter();
+  readonly lateCalls = new LateCallMeter();
+  readonly #options: AdmitRatioUpdaterOptions;
+
+  constructor(options: AdmitRatioUpdaterOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Updates the ratios if they are due. If they were updated, calls
+   * `refuseLate` before it records them.
+   */
+  update(nowMs: number, refuseLate: () => void): void {
+    if (!this.controller.isDue(nowMs)) {
+      return;
+    }
+    const { estimator, limit, slots } = this.#options;
+    const reservedRatios = this.#options.listReservedRatios();
+    const isUpdated = this.controller.update({
+      nowMs,
+      demands: () => this.demand.estimate(nowMs, reservedRatios.length),
+      slots: limit.value,
+      holdTimesMs: reservedRatios.map((_, rank) => slots.estimateHoldMs(rank)),
+      queueDelayMs: estimator.delayMs,
+      msPerCall: estimator.msPerCall,
+      isIdle: () => this.idle.read(nowMs),
+      reservedRatios,
+      usableRatio: this.lateCalls.update(nowMs),
+      refusesUnseen: this.lateCalls.hasAccounts,
+    });
+    if (isUpdated) {
+      refuseLate();
+      this.#options.journal.recordAdmitRatios(this.controller.ratios, {
+        demandPerSecond: this.controller.demandPerSecond,
+        capacityPerSecond: MS_PER_SECOND / estimator.msPerCall,
+        queueDelayMs: estimator.delayMs,
+        holdMs: slots.holdMs,
+      });
+    }
+  }
+}
