--- a/src/routing/compute_spill_gain.ts
+++ b/src/routing/compute_spill_gain.ts
@@ -3,7 +3,7 @@
  */
 
 import type { DomainLoad } from "./domain_load.ts";
-import type { SpillTarget } from "./spill_controller.ts";
+import type { SpillTarget } from "./spill_direction.ts";
 
 /** Cost to the caller of a call that is refused because of load: a multiple of the target latency, and at least this, in milliseconds. */
 const REFUSAL_COST_RATIO = 2;
--- a/src/routing/spill_shares.ts
+++ b/src/routing/spill_shares.ts
@@ -8,7 +8,8 @@
 import type { AttemptReport } from "./load_balancer.ts";
 import type { Locality, LocalityTier } from "./locality_tiers.ts";
 import { SpillController } from "./spill_controller.ts";
-import type { SpillChange, SpillTarget } from "./spill_controller.ts";
+import type { SpillChange } from "./spill_controller.ts";
+import type { SpillTarget } from "./spill_direction.ts";
 
 /** Maximum number of services to keep state for. */
 const MAX_SERVICES = 256;
