--- a/src/allowance/allowance_holder.ts
+++ b/src/allowance/allowance_holder.ts
@@ -12,14 +12,14 @@
   AccountDemand,
   AllowanceMessage,
   AllowanceReply,
-  DelegatedShare,
   Loan,
 } from "./allowance_message.ts";
 import type { HeldGroup } from "./allowance_status.ts";
 import { chooseGroup, GROUP_COUNT } from "./choose_group.ts";
 import { computePartialLimits } from "./compute_partial_limits.ts";
 import type { AccountLimits } from "./compute_partial_limits.ts";
-import { DelegatedShares } from "./delegated_shares.ts";
+import { HolderGroup } from "./holder_group.ts";
+import { SenderSequences } from "./sender_sequences.ts";
 
 /** Time after the last demand for which shares of a group are still asked for, in milliseconds. */
 const DEMAND_RETENTION_MS = 3_000;
@@ -39,9 +39,6 @@
 /** Maximum number of buckets, about 10 MB. */
 const MAX_BUCKETS = 20_000;
 
-/** Maximum number of daemons whose latest sequence number is kept. */
-const MAX_SENDERS = 20_000;
-
 /** Dependencies of a holder. */
 export interface AllowanceHolderOptions {
   readonly clock: Clock;
@@ -52,18 +49,11 @@
   readonly gather: (group: number) => void;
 }
 
-interface Group {
-  readonly shares: DelegatedShares;
-  readonly buckets: Map<string, AccountBucket>;
-  usedAtMs: number;
-  gatherUntilMs: number;
-}
-
 /** Lends tokens of the accounts whose shares are held here. */
 export class AllowanceHolder {
   readonly #options: AllowanceHolderOptions;
-  readonly #groups: readonly Group[];
-  readonly #sequences = new Map<string, number>();
+  readonly #groups: readonly HolderGroup[];
+  readonly #sequences = new SenderSequences();
   #waiting: (() => void)[] = [];
   #bucketCount = 0;
   /** Buckets that were forgotten although they were not full had been used until then. */
@@ -72,12 +62,10 @@
 
   constructor(options: AllowanceHolderOptions) {
     this.#options = options;
-    this.#groups = Array.from({ length: GROUP_COUNT }, () => ({
-      shares: new DelegatedShares(),
-      buckets: new Map<string, AccountBucket>(),
-      usedAtMs: Number.NEGATIVE_INFINITY,
-      gatherUntilMs: 0,
-    }));
+    this.#groups = Array.from(
+      { length: GROUP_COUNT },
+      () => new HolderGroup(),
+    );
   }
 
   /**
@@ -90,11 +78,17 @@
     message: AllowanceMessage,
     remainingMs: number,
   ): Promise<AllowanceReply> {
-    if (!this.#isNew(message)) {
+    const { sender, sequence, shares, demands } = message;
+    if (!this.#sequences.record(sender, sequence)) {
       return { wantedGroups: [], loans: [] };
     }
-    const { sender, shares, demands } = message;
-    shares.forEach((share) => this.#addShare(sender, share, remainingMs));
+    shares.forEach((share) => {
+      const nowMs = this.#options.clock.monotonicMs();
+      const group = this.#groups[share.group];
+      if (group?.addShare(sender, share, { nowMs, remainingMs })) {
+        this.#wake();
+      }
+    });
     demands.forEach((demand) => this.#recordUse(demand));
     let loans = demands.map((demand) => this.#lend(sender, demand));
     while (this.#mustWait(demands, loans)) {
@@ -115,12 +109,8 @@
 
   /** Takes a daemon's share away at once, which only the daemon itself can do for its own. */
   revoke(owner: string, groupIndex: number): void {
-    const group = this.#groups[groupIndex];
-    if (group?.shares.has(owner)) {
-      this.#settle(group);
-      group.shares.remove(owner);
-      this.#applyFraction(group);
-    }
+    const nowMs = this.#options.clock.monotonicMs();
+    this.#groups[groupIndex]?.revoke(owner, nowMs);
   }
 
   /** Whether a daemon's share of a group is held here. */
@@ -129,7 +119,7 @@
     if (!group) {
       return false;
     }
-    this.#settle(group);
+    group.settle(this.#options.clock.monotonicMs());
     return group.shares.has(owner);
   }
 
@@ -145,7 +135,7 @@
     if (!group) {
       return 0;
     }
-    this.#settle(group);
+    group.settle(this.#options.clock.monotonicMs());
     return group.shares.fraction;
   }
 
@@ -158,7 +148,7 @@
     }
     this.#cleanupAtMs = nowMs + CLEANUP_INTERVAL_MS;
     for (const group of this.#groups) {
-      this.#settle(group);
+      group.settle(this.#options.clock.monotonicMs());
       for (const [name, bucket] of group.buckets) {
         bucket.refill(nowMs);
         if (nowMs - bucket.usedAtMs > IDLE_BUCKET_MS && bucket.isFull) {
@@ -172,72 +162,11 @@
   /** Describes the groups of which shares are held here. */
   describe(): HeldGroup[] {
     return this.#groups.map((group, index) => {
-      this.#settle(group);
-      const { shares, buckets } = group;
-      let borrowers = 0;
-      buckets.forEach(({ borrowerCount }) =>
-        borrowers = Math.max(borrowers, borrowerCount)
-      );
-      return {
-        group: index,
-        shares: shares.count,
-        fraction: shares.fraction,
-        accounts: buckets.size,
-        borrowers,
-      };
+      group.settle(this.#options.clock.monotonicMs());
+      return { group: index, ...group.describe() };
     }).filter(({ shares }) => shares > 0);
   }
 
-  /** Whether a message has not been received before and is not older than another one of its sender. */
-  #isNew({ sender, sequence }: AllowanceMessage): boolean {
-    if (sequence <= (this.#sequences.get(sender) ?? 0)) {
-      return false;
-    }
-    this.#sequences.delete(sender);
-    this.#sequences.set(sender, sequence);
-    if (this.#sequences.size > MAX_SENDERS) {
-      const [oldest = ""] = this.#sequences.keys();
-      this.#sequences.delete(oldest);
-    }
-    return true;
-  }
-
-  #addShare(
-    sender: string,
-    { group: groupIndex, memberCount, unusedMs }: DelegatedShare,
-    remainingMs: number,
-  ): void {
-    const group = this.#groups[groupIndex];
-    if (!group || remainingMs <= 0 || memberCount < 1) {
-      return;
-    }
-    const { shares, buckets } = group;
-    this.#settle(group);
-    const nowMs = this.#options.clock.monotonicMs();
-    const fraction = 1 / memberCount;
-    const isChange = shares.isChange(sender, fraction);
-    if (isChange) {
-      buckets.forEach((bucket) => bucket.refill(nowMs));
-    }
-    const untilMs = nowMs + remainingMs;
-    const isGain = shares.add(sender, { fraction, unusedMs, nowMs, untilMs });
-    if (!isChange) {
-      return;
-    }
-    for (const bucket of buckets.values()) {
-      const { ratePerSecond, capacity } = computePartialLimits(
-        bucket.limits,
-        fraction,
-      );
-      const accrued = ratePerSecond * unusedMs / 1_000;
-      bucket.setFraction(
-        shares.fraction,
-        isGain ? Math.min(capacity, accrued) : 0,
-      );
-    }
-    this.#wake();
-  }
-
   #recordUse({ name, needed, demandPerSecond }: AccountDemand): void {
     const groupIndex = chooseGroup(name);
     const group = this.#groups[groupIndex];
@@ -297,7 +226,7 @@
     if (!group) {
       throw new Error(`no group for account ${name}`);
     }
-    this.#settle(group);
+    group.settle(this.#options.clock.monotonicMs());
     const known = group.buckets.get(name);
     if (known) {
       known.setLimits(limits);
@@ -331,27 +260,6 @@
     }
   }
 
-  /** Ends expired delegations, each with what had accrued until then. */
-  #settle(group: Group): void {
-    const nowMs = this.#options.clock.monotonicMs();
-    const { shares, buckets } = group;
-    for (
-      let expiryMs = shares.findExpiry(nowMs);
-      expiryMs !== undefined;
-      expiryMs = shares.findExpiry(nowMs)
-    ) {
-      for (const bucket of buckets.values()) {
-        bucket.refill(expiryMs);
-      }
-      shares.removeExpired(expiryMs);
-      this.#applyFraction(group);
-    }
-  }
-
-  #applyFraction({ buckets, shares }: Group): void {
-    buckets.forEach((bucket) => bucket.setFraction(shares.fraction));
-  }
-
   #wake(): void {
     const waiting = this.#waiting;
     this.#waiting = [];
