--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -4,11 +4,6 @@
  */
 
 import { err } from "neverthrow";
-import {
-  BACKEND_STATES,
-  formatServerId,
-  parseServerId,
-} from "../backend/mod.ts";
 import { createConfigurationTransfer } from "../configuration/mod.ts";
 import type { ConfigurationDistributor } from "../configuration/mod.ts";
 import type { DaemonSettings } from "../generated/types.ts";
@@ -21,19 +16,18 @@
 import type { QuarantineArchive } from "../quarantine/mod.ts";
 import type { HttpObjectStore } from "../store/mod.ts";
 import { DECISIONS, FaultReporter, MemoryWatch } from "../telemetry/mod.ts";
+import { BackendFollower } from "./backend_follower.ts";
 import { bindEndpoint } from "./bind_endpoint.ts";
 import { createDaemonComponents } from "./create_daemon_components.ts";
 import type { DaemonOverrides } from "./create_daemon_components.ts";
 import type { OutboundComponents } from "./create_outbound_components.ts";
 import { createDefaultListeners } from "./create_default_listeners.ts";
 import type { Listener, ListenerContext } from "./listener.ts";
+import { RequestTracker } from "./request_tracker.ts";
 
 /** Interval of the periodic maintenance, in milliseconds. */
 const HOUSEKEEPING_INTERVAL_MS = 500;
 
-/** Interval at which a stopping daemon checks for requests in progress, in milliseconds. */
-const DRAIN_POLL_MS = 20;
-
 /** Share of the drain timeout that is reserved for finishing requests in progress after the listeners have closed. */
 const FINAL_DRAIN_RATIO = 0.5;
 
@@ -66,16 +60,21 @@
   readonly #listeners: readonly Listener[];
   readonly #issuesKeys: boolean;
   readonly #memoryWatch: MemoryWatch;
+  readonly #requests: RequestTracker;
+  readonly #backendFollower: BackendFollower;
   #stopHousekeeping: () => void = () => undefined;
   #stopping: Promise<void> | undefined;
-  #requestsInProgress = 0;
-  #knownServerCount = 0;
-  #announcedDeparture = "";
 
   constructor(settings: DaemonSettings, overrides: DaemonOverrides = {}) {
     const components = createDaemonComponents(settings, overrides);
     const { configuration, log } = components.environment;
     this.environment = components.environment;
+    this.#requests = new RequestTracker(components.environment.clock);
+    this.#backendFollower = new BackendFollower({
+      environment: components.environment,
+      membership: components.membership,
+      isStopping: () => this.#stopping !== undefined,
+    });
     this.faults = new FaultReporter(components.environment);
     this.#store = components.store;
     this.#quarantineArchive = components.quarantineArchive;
@@ -87,7 +86,7 @@
       ...components.environment,
       limitBytes: overrides.memoryLimitBytes ?? Number.POSITIVE_INFINITY,
       describe: () => ({
-        requestsInProgress: this.#requestsInProgress,
+        requestsInProgress: this.#requests.count,
         heldBytes: components.environment.memory.heldBytes,
         waitingBytes: components.environment.memory.waitingBytes,
       }),
@@ -101,7 +100,7 @@
         this.#containFault(() =>
           servePeerCall(this.environment, call, options)
         ),
-      track: (serve) => this.#track(serve),
+      track: (serve) => this.#requests.track(serve),
       provideConfiguration: (knownVersion) =>
         createConfigurationTransfer(configuration, knownVersion),
       reportError: (error, remoteAddress) =>
@@ -148,7 +147,9 @@
     this.#membership.onNotice((notice) =>
       environment.quarantine.receive(notice)
     );
-    this.#membership.onDeparture((serverId) => this.#followDeparture(serverId));
+    this.#membership.onDeparture((serverId) =>
+      this.#backendFollower.followDeparture(serverId)
+    );
     await this.#membership.start();
     if (this.#stopping) {
       return;
@@ -160,7 +161,7 @@
       const services = document.services.map(({ name }) => name);
       void environment.metrics.retainServices(new Set(services));
     });
-    environment.backend.subscribe(() => this.#publishBackendState());
+    environment.backend.subscribe(() => this.#backendFollower.publish());
     let dueAtMs = clock.monotonicMs() + HOUSEKEEPING_INTERVAL_MS;
     this.#stopHousekeeping = clock.scheduleEvery(
       HOUSEKEEPING_INTERVAL_MS,
@@ -200,10 +201,10 @@
   async #stop(): Promise<void> {
     const { backend, clock, journal, log, peers, settings } = this.environment;
     journal.record(DECISIONS.leaving, {
-      requestsInProgress: this.#requestsInProgress,
+      requestsInProgress: this.#requests.count,
     });
     log.info(
-      { requestsInProgress: this.#requestsInProgress },
+      { requestsInProgress: this.#requests.count },
       "daemon-stopping",
     );
     this.#membership.updateSelf({ state: "leaving" });
@@ -217,14 +218,14 @@
       MAX_FINAL_DRAIN_MS,
       settings.drainTimeoutMs * FINAL_DRAIN_RATIO,
     );
-    await this.#waitUntilIdle(0, deadlineMs - finalDrainMs);
+    await this.#requests.waitUntilIdle(0, deadlineMs - finalDrainMs);
     await sendLateOutcomes();
     this.#listeners.forEach((listener) => listener.close());
-    await this.#waitUntilIdle(
+    await this.#requests.waitUntilIdle(
       IDLE_PERIOD_MS,
       Math.min(deadlineMs, clock.monotonicMs() + MAX_IDLE_WAIT_MS),
     );
-    await this.#waitUntilIdle(0, deadlineMs);
+    await this.#requests.waitUntilIdle(0, deadlineMs);
     this.#listeners.forEach((listener) => listener.closeConnections());
     this.#stopHousekeeping();
     this.#stopSignal.abort();
@@ -237,43 +238,17 @@
     log.info({}, "daemon-stopped");
   }
 
-  /** Waits until no request has been in progress for a period, or until the deadline on the monotonic clock. */
-  async #waitUntilIdle(
-    idlePeriodMs: number,
-    deadlineMs: number,
-  ): Promise<void> {
-    const { clock } = this.environment;
-    let lastBusyAtMs = clock.monotonicMs();
-    while (clock.monotonicMs() < deadlineMs) {
-      if (this.#requestsInProgress > 0) {
-        lastBusyAtMs = clock.monotonicMs();
-      } else if (clock.monotonicMs() - lastBusyAtMs >= idlePeriodMs) {
-        return;
-      }
-      await clock.sleep(DRAIN_POLL_MS);
-    }
-  }
-
   #createListenerContext(): ListenerContext {
     return {
       environment: this.environment,
       faults: this.faults,
       isReady: () => this.isReady,
       isStopping: () => this.#stopping !== undefined,
-      track: (run) => this.#track(run),
+      track: (run) => this.#requests.track(run),
       stop: () => this.stop(),
     };
   }
 
-  async #track<T>(run: () => Promise<T>): Promise<T> {
-    this.#requestsInProgress += 1;
-    try {
-      return await run();
-    } finally {
-      this.#requestsInProgress -= 1;
-    }
-  }
-
   /** Warns if the configuration does not contain this daemon's failure domain; members of such a domain find no other members. */
   #checkFailureDomain(): void {
     const { configuration, log, settings } = this.environment;
@@ -284,76 +259,12 @@
     }
   }
 
-  #publishBackendState(): void {
-    const { backend, inboundAdmission } = this.environment;
-    const { announcement, state, warmAtMs } = backend;
-    const service = state === BACKEND_STATES.absent
-      ? ""
-      : announcement?.service ?? "";
-    const slots = announcement?.slots ?? 0;
-    const self = this.#membership.self;
-    const memberState = state === BACKEND_STATES.leaving || this.#stopping
-      ? "leaving"
-      : "alive";
-    this.#followServer();
-    this.#announceDeparture();
-    inboundAdmission.setCapacity(slots);
-    if (
-      self.service !== service || self.slots !== slots ||
-      self.warmAtMs !== warmAtMs || self.state !== memberState
-    ) {
-      this.#membership.updateSelf({
-        service,
-        slots,
-        warmAtMs,
-        state: memberState,
-      });
-    }
-  }
-
-  /** Announces the latest departure once, since members forget it after a while. */
-  #announceDeparture(): void {
-    const { departure } = this.environment.backend;
-    const serverId = departure && formatServerId(departure);
-    if (serverId !== undefined && serverId !== this.#announcedDeparture) {
-      this.#announcedDeparture = serverId;
-      this.#membership.announceDeparture(serverId);
-    }
-  }
-
-  /** Learns from members that a backend server has left, which an earlier process of this daemon acknowledged. */
-  #followDeparture(serverId: string): void {
-    const { backend, journal } = this.environment;
-    if (backend.departure && formatServerId(backend.departure) === serverId) {
-      return;
-    }
-    backend.leave(parseServerId(serverId));
-    journal.record(DECISIONS.serverLeaving, { serverId, toldBy: "member" });
-  }
-
-  /** Forgets what the previous backend server has said. The first one may have said something to an earlier process. */
-  #followServer(): void {
-    const { backend, backendClient, inboundAdmission, metrics } =
-      this.environment;
-    const isFirst = this.#knownServerCount === 0;
-    if (this.#knownServerCount === backend.serverCount) {
-      return;
-    }
-    this.#knownServerCount = backend.serverCount;
-    metrics.clearServerLimit();
-    if (isFirst && backendClient.hasStatements) {
-      inboundAdmission.awaitFirstStatement();
-    } else {
-      inboundAdmission.setRequestRate(undefined);
-    }
-  }
-
   #runHousekeeping(): void {
     const { allowances, membership, peers, quarantine, successors } =
       this.environment;
     this.#memoryWatch.check();
     quarantine.removeExpired();
-    this.#publishBackendState();
+    this.#backendFollower.publish();
     const members = membership.listAll();
     successors.update(members);
     this.#outbound.maintain(members);
