--- a/src/measure/processor_time/measured_fleet.ts
+++ b/src/measure/processor_time/measured_fleet.ts
@@ -83,7 +83,7 @@
     const storeAddress = `127.${this.#network}.4.1`;
     await this.#store.listen(storeAddress, FLEET_PORTS.store);
     const routes = [
-      { name: "root", path: "/root/", service: "front" },
+      { name: "root", path: "/tree/", service: "front" },
       { name: "nested", path: "/nested/", service: "back" },
     ].map((route) => ({ ...route, timeoutMs: TIME_LIMIT_MS }));
     const configuration = createOperatorConfiguration(1, routes);
@@ -169,7 +169,7 @@
         agent: this.#agent,
         host: this.#addresses[0],
         port: FLEET_PORTS.callers,
-        path: `/root/${this.#requestCount}`,
+        path: `/tree/${this.#requestCount}`,
         headers: {
           host: HOST,
           [WIRE_HEADERS.requestId]: requestId,
