--- a/src/configuration/configuration_distributor.ts
+++ b/src/configuration/configuration_distributor.ts
@@ -6,9 +6,7 @@
  * fetches the missing changes from a peer that has it, nearest first.
  */
 
-import type VError from "verror";
 import { DEFAULT_CONTACT_MS } from "../store/mod.ts";
-import type { StoreVersion } from "../store/mod.ts";
 import { DECISIONS } from "../telemetry/mod.ts";
 import type { DecisionJournal, Logger } from "../telemetry/mod.ts";
 import type { Clock, RandomSource } from "../time/mod.ts";
@@ -20,15 +18,15 @@
 } from "./choose_watchers.ts";
 import type { ConfigurationHolder } from "./configuration_holder.ts";
 import { ConfigurationUpdater } from "./configuration_updater.ts";
+import { ConfigurationProgress } from "./configuration_progress.ts";
 import type { ConfigurationPeers } from "./configuration_peers.ts";
-import type {
-  AcceptedHead,
-  ConfigurationSource,
-} from "./configuration_source.ts";
+import type { ConfigurationSource } from "./configuration_source.ts";
+import { HeadActivator } from "./head_activator.ts";
 import { isVersionConfirmed } from "./is_version_confirmed.ts";
 import { PeerFetcher } from "./peer_fetcher.ts";
 import { PeerVersions } from "./peer_versions.ts";
 import type { VersionNotice } from "./peer_versions.ts";
+import type { RefusedVersion } from "./refused_version.ts";
 import { StorePoller } from "./store_poller.ts";
 import type { StorePosition } from "./store_poller.ts";
 
@@ -49,6 +47,8 @@
   readonly checkTurnMs?: number;
   /** Reports each start and end of a store call. */
   readonly reportPosition?: (position: StorePosition) => void;
+  /** Reports each refusal of a configuration. */
+  readonly reportRefusal?: (refused: RefusedVersion) => void;
 }
 
 /** Interval at which a daemon checks whether it is a watcher, in milliseconds. */
@@ -84,10 +84,13 @@
  * it can obtain.
  */
 export class ConfigurationDistributor {
+  /** The versions that this daemon knows of, with the refused one. */
+  readonly progress: ConfigurationProgress;
   readonly #options: ConfigurationDistributorOptions;
   readonly #peerVersions = new PeerVersions();
   readonly #poller: StorePoller;
   readonly #updater: ConfigurationUpdater;
+  readonly #headActivator: HeadActivator;
   readonly #fetcher: PeerFetcher;
   readonly #startedAtMs: number;
   #isConfirmed = false;
@@ -99,11 +102,19 @@
 
   constructor(options: ConfigurationDistributorOptions) {
     this.#options = options;
+    this.progress = new ConfigurationProgress(options);
     this.#poller = new StorePoller(options);
     this.#updater = new ConfigurationUpdater({
       ...options,
+      progress: this.progress,
       announce: () => options.peers.announce(),
     });
+    this.#headActivator = new HeadActivator({
+      ...options,
+      poller: this.#poller,
+      progress: this.progress,
+      updater: this.#updater,
+    });
     this.#fetcher = new PeerFetcher({
       ...options,
       updater: this.#updater,
@@ -156,8 +167,9 @@
 
   async #runOnce(): Promise<void> {
     this.#updateRole();
+    this.progress.remind();
     if (this.#mustPollStore() || this.#mustCheckStore()) {
-      await this.#poller.poll((head) => this.#applyHead(head));
+      await this.#poller.poll((head) => this.#headActivator.apply(head));
       return;
     }
     await this.#options.clock.sleep(
@@ -238,51 +250,4 @@
     });
     this.#checkTurn = checker === incarnation ? turn : undefined;
   }
-
-  /** Activates the state of a head; returns false if the store has to be read again. */
-  async #applyHead(head: AcceptedHead): Promise<boolean> {
-    const { holder } = this.#options;
-    const { storeVersion } = head;
-    if (head.version === undefined || this.#updater.isNewer(head.version)) {
-      const { current } = holder;
-      const state = await head.readState(
-        current && {
-          version: current.version,
-          configuration: current.document,
-          answers: null,
-        },
-      );
-      if (state.isErr()) {
-        return this.#handleStateError(state.error, head.version, storeVersion);
-      }
-      const patches = head.changes.filter(({ version }) =>
-        version > holder.version
-      ).flatMap(({ patch }) => patch === undefined ? [] : [patch]);
-      this.#updater.activate({ ...state.value, patches }, "store");
-    }
-    this.#poller.record(storeVersion, head.version ?? 0);
-    return true;
-  }
-
-  /**
-   * Skips an invalid configuration until the next one; returns false to retry
-   * after any other error.
-   */
-  #handleStateError(
-    error: VError,
-    version: number | undefined,
-    storeVersion: StoreVersion,
-  ): boolean {
-    const { message, name } = error;
-    if (name !== "ConfigurationInvalid") {
-      this.#options.log.warn(
-        { version: version ?? 0, error: message },
-        "configuration-unreadable",
-      );
-      return false;
-    }
-    this.#updater.rejectStored(version, message);
-    this.#poller.record(storeVersion, 0);
-    return true;
-  }
 }
--- a/src/configuration/configuration_updater.ts
+++ b/src/configuration/configuration_updater.ts
@@ -8,14 +8,13 @@
  */
 
 import { DECISIONS } from "../telemetry/mod.ts";
-import type {
-  DecisionFacts,
-  DecisionJournal,
-  Logger,
-} from "../telemetry/mod.ts";
+import type { DecisionJournal, Logger } from "../telemetry/mod.ts";
 import type { ConfigurationHolder } from "./configuration_holder.ts";
+import type { ConfigurationProgress } from "./configuration_progress.ts";
 import type { TransferredConfiguration } from "./configuration_transfer.ts";
 import type { VersionNotice } from "./peer_versions.ts";
+import { describeRefusedVersion, REFUSAL_SOURCES } from "./refused_version.ts";
+import type { RefusedCopy } from "./refused_version.ts";
 
 /** A version as one peer has it. */
 export type PeerCopy = Pick<VersionNotice, "incarnation" | "version">;
@@ -23,6 +22,7 @@
 /** Dependencies of the updater. */
 export interface ConfigurationUpdaterOptions {
   readonly holder: ConfigurationHolder;
+  readonly progress: ConfigurationProgress;
   readonly log: Logger;
   readonly journal: DecisionJournal;
   /** Notifies peers that the local version has changed. */
@@ -78,19 +78,25 @@
   }
 
   /**
-   * Reports that an object of the store is invalid; `version` is undefined if it
-   * cannot be told. The caller skips it by its revision.
+   * Reports that an object of the store is invalid; its version is 0 if it cannot be
+   * told. The caller skips it by its revision.
    */
-  rejectStored(version: number | undefined, error: string): void {
-    this.#reportRejection({
-      ...version !== undefined && { version },
-      ...{ error, source: "store" },
-    });
+  rejectStored(
+    stored: Pick<RefusedCopy, "version" | "revision">,
+    error: Error,
+  ): void {
+    const copy = { ...stored, source: REFUSAL_SOURCES.store, peer: "" };
+    this.#options.progress.recordRefusal(describeRefusedVersion(copy, error));
   }
 
   /** Rejects the invalid copy of a peer, so that it is not fetched again. */
-  rejectCopy({ incarnation, version }: PeerCopy, error: string): void {
-    this.#reportRejection({ version, error, source: incarnation });
+  rejectCopy({ incarnation, version }: PeerCopy, error: Error): void {
+    this.#options.progress.recordRefusal(
+      describeRefusedVersion({
+        ...{ version, revision: 0, peer: incarnation },
+        source: REFUSAL_SOURCES.peer,
+      }, error),
+    );
     const rejecting = this.#rejectedCopies.get(version) ?? new Set();
     this.#rejectedCopies.set(version, rejecting.add(incarnation));
     for (const known of this.#rejectedCopies.keys()) {
@@ -100,10 +106,4 @@
       }
     }
   }
-
-  #reportRejection(facts: DecisionFacts): void {
-    const { journal, log } = this.#options;
-    journal.record(DECISIONS.configurationRefused, facts);
-    log.error(facts, "configuration-refused");
-  }
 }
--- a/src/configuration/mod.ts
+++ b/src/configuration/mod.ts
@@ -13,6 +13,11 @@
 export { ConfigurationHistory } from "./configuration_history.ts";
 export { ConfigurationHolder } from "./configuration_holder.ts";
 export { CONFIGURATION_KEY } from "./configuration_objects.ts";
+export { ConfigurationProgress } from "./configuration_progress.ts";
+export type {
+  ConfigurationProgressStatus,
+  StandingRefusal,
+} from "./configuration_progress.ts";
 export { ConfigurationPeers } from "./configuration_peers.ts";
 export { ConfigurationReader } from "./configuration_reader.ts";
 export {
@@ -40,6 +45,7 @@
 export { applyDocumentPatch, createDocumentPatch } from "./document_patch.ts";
 export type { DocumentPatch } from "./document_patch.ts";
 export type { VersionNotice } from "./peer_versions.ts";
+export type { RefusedVersion } from "./refused_version.ts";
 export {
   findQuestionableEntries,
   QUESTIONABLE,
--- a/src/configuration/peer_fetcher.ts
+++ b/src/configuration/peer_fetcher.ts
@@ -150,7 +150,7 @@
     );
     // Patches that do not fit the local document say nothing about the peer's copy.
     if (name === "ConfigurationInvalid" && knownVersion === FULL_DOCUMENT) {
-      updater.rejectCopy(peer, message);
+      updater.rejectCopy(peer, received.error);
     }
     return { hasAnswered: bytes.isOk(), transfer: undefined };
   }
--- a/src/daemon/create_admin_app.ts
+++ b/src/daemon/create_admin_app.ts
@@ -107,7 +107,7 @@
   metrics.inFlight.set(load.inFlight);
   environment.allowances.updateMetrics();
   metrics.limit.set(load.limit);
-  metrics.configurationVersion.set(configuration.version);
+  metrics.configuration.update(environment.configurationProgress.describe());
   metrics.keysRemembered.set({ role: "holder" }, environment.keys.size);
   metrics.keysRemembered.set({ role: "runner" }, environment.runs.size);
   updateMembershipGauges(metrics, membership);
--- a/src/daemon/create_daemon_components.ts
+++ b/src/daemon/create_daemon_components.ts
@@ -224,6 +224,7 @@
       metrics.storeRevision.set(revision);
       metrics.storeWatchStart.set(watchStartedAtMs / 1_000);
     },
+    reportRefusal: (refused) => metrics.configuration.countRefusal(refused),
     holder: configuration,
     peers: new DaemonConfigurationPeers(membership, connectionOptions),
     clock,
@@ -260,6 +261,7 @@
     metrics,
     journal,
     configuration,
+    configurationProgress: configurationDistributor.progress,
     membership,
     memory,
     peers,
--- a/src/request/call_environment.ts
+++ b/src/request/call_environment.ts
@@ -9,7 +9,10 @@
 } from "../admission/mod.ts";
 import type { AllowanceControl } from "../allowance/mod.ts";
 import type { BackendClient, BackendRegistry } from "../backend/mod.ts";
-import type { ConfigurationHolder } from "../configuration/mod.ts";
+import type {
+  ConfigurationHolder,
+  ConfigurationProgress,
+} from "../configuration/mod.ts";
 import type { DaemonSettings } from "../generated/types.ts";
 import type {
   KeyLedger,
@@ -46,6 +49,8 @@
   readonly metrics: DaemonMetrics;
   readonly journal: DecisionJournal;
   readonly configuration: ConfigurationHolder;
+  /** Versions in the store, active and refused. */
+  readonly configurationProgress: ConfigurationProgress;
   readonly membership: Membership;
   /** Bound of the bytes held for calls. */
   readonly memory: MemoryBudget;
--- a/src/telemetry/decision_journal.ts
+++ b/src/telemetry/decision_journal.ts
@@ -41,6 +41,11 @@
   overAllowance: "over-allowance",
 } as const;
 
+/** Kinds that are logged as errors; the others are logged at level `info`. */
+const ERROR_KINDS: ReadonlySet<string> = new Set([
+  DECISIONS.configurationRefused,
+]);
+
 /** One of {@link DECISIONS}. */
 export type DecisionKind = (typeof DECISIONS)[keyof typeof DECISIONS];
 
@@ -101,7 +106,7 @@
     this.#count += 1;
     const suppressed = this.#limiter.take(kind);
     if (suppressed !== undefined) {
-      this.#log.info({
+      this.#log[ERROR_KINDS.has(kind) ? "error" : "info"]({
         ...facts,
         ...requestId !== "" && { requestId },
         ...suppressed > 0 && { suppressed },
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -5,6 +5,7 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import { AccountLabels } from "./account_labels.ts";
 import { BodyMemoryMetrics } from "./body_memory_metrics.ts";
+import { ConfigurationMetrics } from "./configuration_metrics.ts";
 import { ProcessMetrics } from "./process_metrics.ts";
 import { retainServices } from "./retain_services.ts";
 import { SentBytes } from "./sent_bytes.ts";
@@ -38,6 +39,9 @@
   /** Memory used by bodies of calls. */
   readonly bodyMemory = new BodyMemoryMetrics(this.registry);
 
+  /** Configuration versions in the store, active and refused. */
+  readonly configuration = new ConfigurationMetrics(this.registry);
+
   /** Bytes sent to other daemons; exported by {@link sentBytes}. */
   readonly sent = new SentBytes();
 
@@ -218,13 +222,6 @@
     registers: [this.registry],
   });
 
-  /** Active configuration version. */
-  readonly configurationVersion = new Gauge({
-    name: "celeryhollow_configuration_version",
-    help: "Configuration version in force",
-    registers: [this.registry],
-  });
-
   /** Bytes sent to other daemons, by purpose and by region and failure domain of the receiver. */
   readonly sentBytes = new Gauge({
     name: "celeryhollow_sent_bytes",
@@ -264,7 +261,7 @@
     registers: [this.registry],
   });
 
-  /** Configuration version that this daemon read from the store itself, to compare with the active one. */
+  /** Configuration version that this daemon read from the store itself and could use; `configuration` exports those that it refused too. */
   readonly storeVersion = new Gauge({
     name: "celeryhollow_store_configuration_version",
     help: "Latest configuration version that this daemon read from the store",
--- a/src/testing/fault_injection/fault_injection_node.ts
+++ b/src/testing/fault_injection/fault_injection_node.ts
@@ -12,7 +12,10 @@
   UnprotectedEntryAdmission,
 } from "../../admission/mod.ts";
 import { BackendRegistry } from "../../backend/mod.ts";
-import { ConfigurationHolder } from "../../configuration/mod.ts";
+import {
+  ConfigurationHolder,
+  ConfigurationProgress,
+} from "../../configuration/mod.ts";
 import type { DaemonSettings, MemberRecord } from "../../generated/types.ts";
 import {
   KeyLedger,
@@ -220,6 +223,7 @@
     inboundAdmission.setCapacity(16);
     const metrics = new DaemonMetrics();
     const journal = new DecisionJournal(clock);
+    const log = createSilentLogger();
     const fingerprinter = new Fingerprinter(FLEET_TOKEN);
     const quarantine = new Quarantine({
       ...{ clock, fingerprinter, journal, metrics },
@@ -233,7 +237,10 @@
         maxBodyBytes: 1_000_000,
       } as DaemonSettings,
       ...{ clock, peers, configuration, inboundAdmission, metrics, journal },
-      log: createSilentLogger(),
+      log,
+      configurationProgress: new ConfigurationProgress({
+        ...{ holder: configuration, clock, log, journal },
+      }),
       membership: new SharedMembership(directory, self),
       memory: createTestBudget(),
       backend: registry,
