Do not log the end of a daemon's own watch as an outage of the store

What operators saw: `store-unavailable` with `The client is destroyed` in the log of a daemon, which reads like a store that failed during an incident.

Cause: a stop destroys the connections to the store, and the watch in progress ends with that error.

Change: the poller takes the stop signal and drops what a call answers once it is aborted.

Measured: `store_poller_test.ts` fails without the check (1 passed, 1 failed) and passes with it.

--- a/src/configuration/configuration_distributor.ts
+++ b/src/configuration/configuration_distributor.ts
@@ -154,7 +154,7 @@
     await clock.sleep(random.nextInteger(MAX_START_DELAY_MS));
     while (!signal.aborted) {
       try {
-        await this.#runOnce();
+        await this.#runOnce(signal);
       } catch (cause) {
         // The daemon keeps running after an exception here, so this task must too.
         const { message, stack = "" } = cause as Error;
@@ -165,11 +165,14 @@
     this.#fetcher.stop();
   }
 
-  async #runOnce(): Promise<void> {
+  async #runOnce(signal: AbortSignal): Promise<void> {
     this.#updateRole();
     this.progress.remind();
     if (this.#mustPollStore() || this.#mustCheckStore()) {
-      await this.#poller.poll((head) => this.#headActivator.apply(head));
+      await this.#poller.poll(
+        (head) => this.#headActivator.apply(head),
+        signal,
+      );
       return;
     }
     await this.#options.clock.sleep(
--- a/src/configuration/store_poller.ts
+++ b/src/configuration/store_poller.ts
@@ -92,15 +92,20 @@
 
   /**
    * Makes one call and waits until the next may follow. `applyHead` handles a head
-   * and returns false if it has to be read again.
+   * and returns false if it has to be read again. Once `signal` is aborted, the stop
+   * of the daemon ends the call, which says nothing about the store.
    */
   async poll(
     applyHead: (head: AcceptedHead) => Promise<boolean>,
+    signal: AbortSignal,
   ): Promise<void> {
     const { clock } = this.#options;
     const startedAtMs = clock.monotonicMs();
     const stored = await this.#call();
     const durationMs = clock.monotonicMs() - startedAtMs;
+    if (signal.aborted) {
+      return;
+    }
     if (stored.isErr()) {
       await this.#handleError(stored.error, durationMs);
       return;
