Define once what a route is

Callers: requests of a route ran at the service of an older configuration, because no daemon took a version in which two hosts had the same path prefix and service.

Cause: the check identified a route by method, path prefix and service, whatever its host; the compilation and look-up of hosts by host and prefix; questionable entries by host and prefix with the case of the host. So the check refused two hosts with one prefix and service, and took the same host and prefix twice with two services, of which the later silently replaced the earlier.

RouteTable is built from the requests, reports conflicts, and does both look-ups. A request with a host matches by host (case and port do not matter) and path prefix, one without by service, method and path prefix. The check, the compilation, the look-ups and the questionable entries use it. A message names both entries, the host and the prefix. A request with a host is no longer found by its service: the schema says that callers address it by host.

--- a/src/configuration/compile_configuration.ts
+++ b/src/configuration/compile_configuration.ts
@@ -13,6 +13,7 @@
   CompiledRequest,
 } from "./compiled_configuration.ts";
 import { listReachableServices } from "./list_reachable_services.ts";
+import { RouteTable } from "./route_table.ts";
 
 /**
  * Builds the lookup tables that admission and routing use from a valid document.
@@ -43,8 +44,7 @@
   return {
     version,
     document,
-    requestsByService: groupByService(requests),
-    routesByHost: groupByHost(requests),
+    routes: new RouteTable(requests),
     requestsByName: new Map(requests.map((request) => [request.name, request])),
     accounts: document.accounts && compileAccounts(document.accounts),
     classRanks,
@@ -67,32 +67,6 @@
   return { byKeyDigest, byName };
 }
 
-function groupByService(
-  requests: readonly CompiledRequest[],
-): Map<string, CompiledRequest[]> {
-  const groups = new Map<string, CompiledRequest[]>();
-  for (const request of requests) {
-    groups.set(request.service, [
-      ...groups.get(request.service) ?? [],
-      request,
-    ]);
-  }
-  return groups;
-}
-
-function groupByHost(
-  requests: readonly CompiledRequest[],
-): Map<string, Map<string, CompiledRequest>> {
-  const groups = new Map<string, Map<string, CompiledRequest>>();
-  for (const request of requests) {
-    if (request.host !== undefined) {
-      const routes = groups.get(request.host) ?? new Map();
-      groups.set(request.host, routes.set(request.pathPrefix, request));
-    }
-  }
-  return groups;
-}
-
 function mapRegions(document: Configuration): Map<string, string> {
   return new Map(
     document.regions.flatMap(({ name, failureDomains }) =>
--- a/src/configuration/compiled_configuration.ts
+++ b/src/configuration/compiled_configuration.ts
@@ -7,6 +7,7 @@
   Configuration,
   RequestConfiguration,
 } from "../generated/types.ts";
+import type { RouteTable } from "./route_table.ts";
 
 /** A request kind with the values derived from the call graph. */
 export interface CompiledRequest extends RequestConfiguration {
@@ -26,12 +27,8 @@
 export interface CompiledConfiguration {
   readonly version: number;
   readonly document: Configuration;
-  readonly requestsByService: ReadonlyMap<string, readonly CompiledRequest[]>;
-  /** Request kinds that callers address by host, keyed by host and path prefix. */
-  readonly routesByHost: ReadonlyMap<
-    string,
-    ReadonlyMap<string, CompiledRequest>
-  >;
+  /** Request kinds by what they match. */
+  readonly routes: RouteTable<CompiledRequest>;
   readonly requestsByName: ReadonlyMap<string, CompiledRequest>;
   /** Client accounts; undefined if callers need no key. */
   readonly accounts: CompiledAccounts | undefined;
--- a/src/configuration/find_inconsistencies.ts
+++ b/src/configuration/find_inconsistencies.ts
@@ -5,6 +5,7 @@
 import type { Configuration } from "../generated/types.ts";
 import { findCallCycles } from "./find_call_cycles.ts";
 import { listReachableServices } from "./list_reachable_services.ts";
+import { RouteTable } from "./route_table.ts";
 
 /** Tolerance for rounding errors in a sum of ratios. */
 const RATIO_TOLERANCE = 1e-9;
@@ -104,15 +105,9 @@
 }
 
 function findDuplicateRoutes({ requests }: Configuration): string[] {
-  const owners = new Map<string, string>();
-  return requests.flatMap(({ name, service, method, pathPrefix }) => {
-    const route = `${method} ${pathPrefix} of ${service}`;
-    const owner = owners.get(route);
-    owners.set(route, owner ?? name);
-    return owner === undefined
-      ? []
-      : [`requests ${owner} and ${name} have the same route: ${route}`];
-  });
+  return new RouteTable(requests).conflicts.map((
+    { usedName, hiddenName, place },
+  ) => `requests ${usedName} and ${hiddenName} have the same route: ${place}`);
 }
 
 function findExcessiveReservations({ classes }: Configuration): string[] {
--- a/src/configuration/find_questionable_entries.ts
+++ b/src/configuration/find_questionable_entries.ts
@@ -3,15 +3,12 @@
  * can never match, and limits that contradict each other.
  */
 
-import type {
-  Configuration,
-  RequestConfiguration,
-} from "../generated/types.ts";
+import type { Configuration } from "../generated/types.ts";
 import { listReachableServices } from "./list_reachable_services.ts";
+import { RouteTable } from "./route_table.ts";
 
 /** Kinds of questionable entries. */
 export const QUESTIONABLE = {
-  hiddenRoute: "hidden-route",
   unmatchableRoute: "unmatchable-route",
   weightlessSplit: "weightless-split",
   accountWithoutKeys: "account-without-keys",
@@ -52,8 +49,8 @@
   instanceCounts?: ReadonlyMap<string, number>,
 ): QuestionableEntry[] {
   return [
-    ...findHiddenRoutes(configuration),
-    ...configuration.requests.flatMap(findUnmatchable),
+    ...findUnmatchable(configuration),
+    ...findWeightlessSplits(configuration),
     ...findUnusedEntries(configuration),
     ...findQuestionableAccounts(configuration),
     ...findContradictoryLimits(configuration),
@@ -63,56 +60,30 @@
   ];
 }
 
-/** Of several requests with the same host and path prefix, the last one by name is used. */
-function findHiddenRoutes({ requests }: Configuration): QuestionableEntry[] {
-  const used = new Map<string, string>();
-  const byName = [...requests].sort((left, right) =>
-    left.name < right.name ? -1 : 1
-  );
-  const createKey = ({ host, pathPrefix }: RequestConfiguration) =>
-    `${host} ${pathPrefix}`;
-  const routes = byName.filter(({ host }) => host !== undefined);
-  routes.forEach((request) => used.set(createKey(request), request.name));
-  return routes.flatMap((request) => {
-    const user = used.get(createKey(request));
-    return user === request.name ? [] : [{
-      kind: QUESTIONABLE.hiddenRoute,
-      entry: request.name,
-      message:
-        `request ${request.name} never matches: request ${user} has the same host and path prefix ${
-          createKey(request)
-        }`,
-    }];
-  });
+/** Finds requests that are not found by their own path prefix. */
+function findUnmatchable({ requests }: Configuration): QuestionableEntry[] {
+  const routes = new RouteTable(requests);
+  return requests.filter((request) =>
+    request.host !== undefined &&
+    routes.findByHost(request.host, request.pathPrefix) !== request
+  ).map(({ name, pathPrefix }) => ({
+    kind: QUESTIONABLE.unmatchableRoute,
+    entry: name,
+    message:
+      `request ${name} never matches: its path prefix ${pathPrefix} does not end with a slash`,
+  }));
 }
 
-function findUnmatchable(
-  { name, host, pathPrefix, weightedServices }: RequestConfiguration,
+function findWeightlessSplits(
+  { requests }: Configuration,
 ): QuestionableEntry[] {
-  const kind = QUESTIONABLE.unmatchableRoute;
-  const entry = name;
-  const hasMatchingHost = host === undefined ||
-    (host === host.toLowerCase() && !/:\d+$/.test(host));
-  const totalWeight = weightedServices?.reduce(
-    (sum, { weight }) => sum + weight,
-    0,
-  );
-  return [
-    ...host === undefined || pathPrefix.endsWith("/") ? [] : [{
-      ...{ kind, entry },
-      message:
-        `request ${name} never matches: its path prefix ${pathPrefix} does not end with a slash`,
-    }],
-    ...hasMatchingHost ? [] : [{
-      ...{ kind, entry },
-      message:
-        `request ${name} never matches: its host ${host} has a port or capital letters`,
-    }],
-    ...totalWeight !== 0 ? [] : [{
-      ...{ kind: QUESTIONABLE.weightlessSplit, entry },
-      message: `request ${name} is split among services that all have weight 0`,
-    }],
-  ];
+  return requests.filter(({ weightedServices }) =>
+    weightedServices?.every(({ weight }) => weight === 0)
+  ).map(({ name }) => ({
+    kind: QUESTIONABLE.weightlessSplit,
+    entry: name,
+    message: `request ${name} is split among services that all have weight 0`,
+  }));
 }
 
 function findUnusedEntries(
--- a/src/configuration/find_request.ts
+++ b/src/configuration/find_request.ts
@@ -6,16 +6,13 @@
   CompiledConfiguration,
   CompiledRequest,
 } from "./compiled_configuration.ts";
+import type { ServiceTarget } from "./route_table.ts";
 
 /** The attributes of a call that determine its request kind. */
-export interface CallTarget {
-  readonly service: string;
-  readonly method: string;
-  readonly path: string;
-}
+export type CallTarget = ServiceTarget;
 
 /**
- * Finds the request kind with the longest matching path prefix.
+ * Finds the request kind without a host that has the longest matching path prefix.
  *
  * @param configuration - The active configuration
  * @param target - Service, method and path of the call
@@ -28,15 +25,5 @@
   configuration: CompiledConfiguration,
   target: CallTarget,
 ): CompiledRequest | undefined {
-  const matching = (configuration.requestsByService.get(target.service) ?? [])
-    .filter(({ method, pathPrefix }) =>
-      method === target.method && target.path.startsWith(pathPrefix)
-    );
-  return matching.reduce<CompiledRequest | undefined>(
-    (best, request) =>
-      best && best.pathPrefix.length >= request.pathPrefix.length
-        ? best
-        : request,
-    undefined,
-  );
+  return configuration.routes.findByService(target);
 }
--- a/src/configuration/find_route.ts
+++ b/src/configuration/find_route.ts
@@ -9,7 +9,7 @@
 
 /** The address of a call. */
 export interface RouteTarget {
-  /** Host name without port, in lower case. */
+  /** Host name; its case and port do not matter. */
   readonly host: string;
   /** Path with query string. */
   readonly path: string;
@@ -30,15 +30,5 @@
   configuration: CompiledConfiguration,
   { host, path }: RouteTarget,
 ): CompiledRequest | undefined {
-  const routes = configuration.routesByHost.get(host);
-  const [pathname = ""] = path.split("?", 1);
-  let end = routes ? pathname.length : 0;
-  while (end > 0) {
-    end = pathname.lastIndexOf("/", end - 1);
-    const route = routes?.get(pathname.slice(0, end + 1));
-    if (route) {
-      return route;
-    }
-  }
-  return undefined;
+  return configuration.routes.findByHost(host, path);
 }
--- a/src/configuration/mod.ts
+++ b/src/configuration/mod.ts
@@ -49,4 +49,5 @@
 export type { CallTarget } from "./find_request.ts";
 export { findRoute } from "./find_route.ts";
 export type { RouteTarget } from "./find_route.ts";
+export { normalizeHost } from "./normalize_host.ts";
 export { validateConfigurationDocument } from "./validate_configuration_document.ts";
