Say why a daemon has no configuration

What operators saw: `/ready` answered 503 and callers were refused with `not-ready`, the same for an empty store, a store out of reach, a refused version and one that is not confirmed.

Cause: readiness was a yes or no, and nothing kept the last answer of the store.

Change: the progress keeps why the latest call to the store gave no configuration.

--- a/src/configuration/configuration_distributor.ts
+++ b/src/configuration/configuration_distributor.ts
@@ -103,7 +103,7 @@
   constructor(options: ConfigurationDistributorOptions) {
     this.#options = options;
     this.progress = new ConfigurationProgress(options);
-    this.#poller = new StorePoller(options);
+    this.#poller = new StorePoller({ ...options, progress: this.progress });
     this.#updater = new ConfigurationUpdater({
       ...options,
       progress: this.progress,
--- a/src/configuration/configuration_progress.ts
+++ b/src/configuration/configuration_progress.ts
@@ -10,6 +10,11 @@
 import type { DecisionJournal, Logger } from "../telemetry/mod.ts";
 import type { Clock } from "../time/mod.ts";
 import type { ConfigurationHolder } from "./configuration_holder.ts";
+import { MISSING_REASONS } from "./missing_configuration.ts";
+import type {
+  MissingConfiguration,
+  MissingReason,
+} from "./missing_configuration.ts";
 import { REFUSAL_SOURCES } from "./refused_version.ts";
 import type { RefusedVersion } from "./refused_version.ts";
 
@@ -49,6 +54,8 @@
 export class ConfigurationProgress {
   readonly #options: ConfigurationProgressOptions;
   #storeVersion = 0;
+  /** Why the latest call to the store gave no configuration. */
+  #storeGap: MissingReason = MISSING_REASONS.notRead;
   #activeSinceMs = 0;
   #behindSinceMs: number | undefined;
   #refused: RefusedVersion | undefined;
@@ -67,9 +74,15 @@
     });
   }
 
+  /** Records that the latest call to the store gave no configuration, and why. */
+  recordStoreGap(reason: MissingReason): void {
+    this.#storeGap = reason;
+  }
+
   /** Records the version that an object of the store states, before it is validated. */
   recordStored(version: number): void {
     this.#storeVersion = version;
+    this.#storeGap = MISSING_REASONS.unreadable;
     this.#updateBehind();
   }
 
@@ -121,6 +134,17 @@
     }, "configuration-still-refused");
   }
 
+  /** Explains why there is no configuration that is known to be the latest. */
+  explainMissing(): MissingConfiguration {
+    const { version } = this.#options.holder;
+    if (version > 0) {
+      return { reason: MISSING_REASONS.notConfirmed, version };
+    }
+    return this.#refused
+      ? { reason: MISSING_REASONS.refused, version: this.#refused.version }
+      : { reason: this.#storeGap, version: 0 };
+  }
+
   /** Describes the versions known now. */
   describe(): ConfigurationProgressStatus {
     const { clock, holder } = this.#options;
--- a/src/configuration/configuration_progress_test.ts
+++ b/src/configuration/configuration_progress_test.ts
@@ -117,6 +117,20 @@
   assert.is(progress.describe().behindMs, 0);
 });
 
+test("a daemon without a usable configuration names the refused or unconfirmed version", () => {
+  const { activate, progress } = createBench();
+  progress.recordStored(22);
+  assert.is(progress.explainMissing().reason, "unreadable");
+  progress.recordRefusal(createRefusal());
+  assert.equal(progress.explainMissing(), {
+    ...{ reason: "refused-version", version: 22 },
+  });
+  activate(21);
+  assert.equal(progress.explainMissing(), {
+    ...{ reason: "not-confirmed", version: 21 },
+  });
+});
+
 // A label made from the content of a document would let callers' keys into metrics
 // and grow without bound.
 test("a reason that has not the form of one is counted as invalid", () => {
--- a/src/configuration/mod.ts
+++ b/src/configuration/mod.ts
@@ -44,6 +44,7 @@
 export { describeSchemaErrors } from "./describe_schema_errors.ts";
 export { applyDocumentPatch, createDocumentPatch } from "./document_patch.ts";
 export type { DocumentPatch } from "./document_patch.ts";
+export type { MissingConfiguration } from "./missing_configuration.ts";
 export type { VersionNotice } from "./peer_versions.ts";
 export type { RefusedVersion } from "./refused_version.ts";
 export {
--- a/src/configuration/store_poller.ts
+++ b/src/configuration/store_poller.ts
@@ -18,10 +18,12 @@
 import type { StoreVersion } from "../store/mod.ts";
 import type { Logger } from "../telemetry/mod.ts";
 import type { Clock, RandomSource } from "../time/mod.ts";
+import type { ConfigurationProgress } from "./configuration_progress.ts";
 import type {
   AcceptedHead,
   ConfigurationSource,
 } from "./configuration_source.ts";
+import { MISSING_REASONS } from "./missing_configuration.ts";
 
 /** What a daemon has read from the store itself. */
 export interface StorePosition {
@@ -36,6 +38,7 @@
 /** Dependencies of the poller. */
 export interface StorePollerOptions {
   readonly source: ConfigurationSource;
+  readonly progress: ConfigurationProgress;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly log: Logger;
@@ -110,6 +113,9 @@
       await this.#handleError(stored.error, durationMs);
       return;
     }
+    if (!stored.value && this.#storeVersion.revision === 0) {
+      this.#options.progress.recordStoreGap(MISSING_REASONS.noneStored);
+    }
     if (stored.value && await applyHead(stored.value)) {
       this.#resetBackoffs();
       this.#reportPosition(0);
@@ -140,7 +146,8 @@
 
   /** Logs the failure, and waits unless the call itself lasted its timeout. */
   async #handleError(error: VError, durationMs: number): Promise<void> {
-    const { clock, log } = this.#options;
+    const { clock, log, progress } = this.#options;
+    progress.recordStoreGap(MISSING_REASONS.storeUnavailable);
     const { reason } = VError.info(error);
     const { revision } = this.#storeVersion;
     const call = revision === 0 ? "read" : "watch";
--- a/src/configuration/store_poller_test.ts
+++ b/src/configuration/store_poller_test.ts
@@ -1,11 +1,14 @@
-import { err } from "neverthrow";
+import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
 import VError from "verror";
+import { DecisionJournal } from "../telemetry/mod.ts";
 import { createRecordingLogger } from "../testing/create_recording_logger.ts";
 import { ManualClock } from "../testing/manual_clock.ts";
 import { RandomSource } from "../time/mod.ts";
+import { ConfigurationHolder } from "./configuration_holder.ts";
+import { ConfigurationProgress } from "./configuration_progress.ts";
 import { ConfigurationSource } from "./configuration_source.ts";
 import { StorePoller } from "./store_poller.ts";
 
@@ -16,13 +19,13 @@
   "The client is destroyed",
 );
 
-/** A source whose calls end by `fail` only. */
+/** A source whose calls end by `answer` only. */
 class HeldSource extends ConfigurationSource {
-  fail: () => void = () => undefined;
+  answer: (result: Result<undefined, VError>) => void = () => undefined;
 
   override read(): Promise<Result<undefined, VError>> {
     return new Promise((resolve) => {
-      this.fail = () => resolve(err(DESTROYED));
+      this.answer = resolve;
     });
   }
 
@@ -35,10 +38,13 @@
   const source = new HeldSource();
   const { log, lines } = createRecordingLogger();
   const clock = new ManualClock();
+  const holder = new ConfigurationHolder();
+  const journal = new DecisionJournal(clock);
+  const progress = new ConfigurationProgress({ holder, clock, log, journal });
   const poller = new StorePoller({
-    ...{ source, clock, log, random: new RandomSource(3) },
+    ...{ source, progress, clock, log, random: new RandomSource(3) },
   });
-  return { clock, lines, poller, source };
+  return { clock, lines, poller, progress, source };
 }
 
 // The end of a daemon's own watch was read as an outage of the store.
@@ -50,7 +56,7 @@
     if (isStopping) {
       stop.abort();
     }
-    source.fail();
+    source.answer(err(DESTROYED));
     await new Promise((resolve) => setImmediate(resolve));
     clock.advance(5_000);
     await polled;
@@ -58,4 +64,22 @@
   });
 }
 
+// "Not ready" was the same for a store that is empty and for one out of reach.
+test("the reason for having no configuration follows the answers of the store", async () => {
+  const { clock, poller, progress, source } = createBench();
+  const { signal } = new AbortController();
+  const reasons = [progress.explainMissing().reason];
+  for (const answer of [ok(undefined), err(DESTROYED), ok(undefined)]) {
+    const polled = poller.poll(() => Promise.resolve(true), signal);
+    source.answer(answer);
+    await new Promise((resolve) => setImmediate(resolve));
+    clock.advance(5_000);
+    await polled;
+    reasons.push(progress.explainMissing().reason);
+  }
+  assert.equal(reasons, [
+    ...["store-not-read", "none-stored", "store-unavailable", "none-stored"],
+  ]);
+});
+
 test.run();
--- a/src/daemon/create_admin_app.ts
+++ b/src/daemon/create_admin_app.ts
@@ -9,11 +9,12 @@
 import type { Context } from "hono";
 import { updateMembershipGauges } from "../membership/mod.ts";
 import type { CallEnvironment } from "../request/mod.ts";
+import type { NotReadyCause } from "./listener.ts";
 
 /** Functions of the daemon that the admin API uses. */
 export interface AdminOptions {
-  /** Whether the daemon can serve callers. */
-  readonly isReady: () => boolean;
+  /** Explains why the daemon cannot serve callers; undefined if it can. */
+  readonly explainNotReady: () => NotReadyCause | undefined;
   /** Stops the daemon gracefully. */
   readonly stop: () => Promise<void>;
 }
@@ -25,7 +26,7 @@
  * token as a bearer token.
  *
  * @param environment - Components of the daemon
- * @param options - Readiness check and stop function of the daemon
+ * @param options - Readiness and stop function of the daemon
  * @returns The application
  *
  * @example
@@ -39,11 +40,11 @@
   const app = new Hono();
   app.get("/health", (context) => context.json({ status: "alive" }));
   app.get("/ready", (context) => {
-    const isReady = options.isReady();
-    return context.json({ ready: isReady }, isReady ? 200 : 503);
+    const cause = options.explainNotReady();
+    return context.json({ ready: !cause, ...cause }, cause ? 503 : 200);
   });
   app.get("/metrics", async (context) => {
-    updateGauges(environment);
+    updateGauges(environment, options.explainNotReady()?.reason);
     return context.text(await metrics.registry.metrics(), 200, {
       "content-type": metrics.registry.contentType,
     });
@@ -56,11 +57,13 @@
   });
   app.get(
     "/v1/status",
-    (context) => context.json(describeStatus(environment, options.isReady())),
+    (context) =>
+      context.json(describeStatus(environment, options.explainNotReady())),
   );
   app.get("/v1/configuration", (context) => {
     const { digest, version } = environment.configuration;
-    return context.json({ version, digest, isReady: options.isReady() });
+    const isReady = !options.explainNotReady();
+    return context.json({ version, digest, isReady });
   });
   app.get("/v1/journal", (context) => {
     const sinceMs = context.req.query("sinceMs");
@@ -101,13 +104,19 @@
   return timingSafeEqual(digest(given), digest(`Bearer ${fleetToken}`));
 }
 
-function updateGauges(environment: CallEnvironment): void {
+function updateGauges(
+  environment: CallEnvironment,
+  notReadyReason: string | undefined,
+): void {
   const { configuration, inboundAdmission, membership, metrics } = environment;
   const load = inboundAdmission.describeLoad("");
   metrics.inFlight.set(load.inFlight);
   environment.allowances.updateMetrics();
   metrics.limit.set(load.limit);
-  metrics.configuration.update(environment.configurationProgress.describe());
+  metrics.configuration.update(
+    environment.configurationProgress.describe(),
+    notReadyReason,
+  );
   metrics.keysRemembered.set({ role: "holder" }, environment.keys.size);
   metrics.keysRemembered.set({ role: "runner" }, environment.runs.size);
   updateMembershipGauges(metrics, membership);
@@ -118,12 +127,16 @@
   }
 }
 
-function describeStatus(environment: CallEnvironment, isReady: boolean) {
+function describeStatus(
+  environment: CallEnvironment,
+  notReady: NotReadyCause | undefined,
+) {
   const { activeCalls, allowances, backend, configuration } = environment;
   const { inboundAdmission, membership } = environment;
   return {
     self: membership.self,
-    isReady,
+    isReady: !notReady,
+    notReady: notReady ?? null,
     configurationVersion: configuration.version,
     backend: {
       state: backend.state,
--- a/src/daemon/create_default_listeners.ts
+++ b/src/daemon/create_default_listeners.ts
@@ -18,11 +18,14 @@
  * const listeners = createDefaultListeners(context);
  */
 export function createDefaultListeners(context: ListenerContext): Listener[] {
-  const { environment, isReady, stop } = context;
+  const { environment, explainNotReady, stop } = context;
   const { address, callerPort, backendPort, adminPort } = environment.settings;
   return [
     { app: createCallerApp(environment), port: callerPort },
     { app: createBackendApp(environment), port: backendPort },
-    { app: createAdminApp(environment, { isReady, stop }), port: adminPort },
+    {
+      app: createAdminApp(environment, { explainNotReady, stop }),
+      port: adminPort,
+    },
   ].map(({ app, port }) => new HonoListener(context, { app, address, port }));
 }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -22,7 +22,7 @@
 import type { DaemonOverrides } from "./create_daemon_components.ts";
 import type { OutboundComponents } from "./create_outbound_components.ts";
 import { createDefaultListeners } from "./create_default_listeners.ts";
-import type { Listener, ListenerContext } from "./listener.ts";
+import type { Listener, ListenerContext, NotReadyCause } from "./listener.ts";
 import { RequestTracker } from "./request_tracker.ts";
 
 /** Interval of the periodic maintenance, in milliseconds. */
@@ -114,7 +114,18 @@
 
   /** Whether the daemon can serve callers. */
   get isReady(): boolean {
-    return this.#configurationDistributor.isConfirmed && !this.#stopping;
+    return this.explainNotReady() === undefined;
+  }
+
+  /** Explains why the daemon cannot serve callers; undefined if it can. */
+  explainNotReady(): NotReadyCause | undefined {
+    const { configurationProgress } = this.environment;
+    if (this.#stopping) {
+      return { reason: "stopping", version: 0 };
+    }
+    return this.#configurationDistributor.isConfirmed
+      ? undefined
+      : configurationProgress.explainMissing();
   }
 
   /**
@@ -243,6 +254,7 @@
       environment: this.environment,
       faults: this.faults,
       isReady: () => this.isReady,
+      explainNotReady: () => this.explainNotReady(),
       isStopping: () => this.#stopping !== undefined,
       track: (run) => this.#requests.track(run),
       stop: () => this.stop(),
--- a/src/daemon/listener.ts
+++ b/src/daemon/listener.ts
@@ -9,6 +9,14 @@
 import type { CallEnvironment } from "../request/mod.ts";
 import type { FaultReporter } from "../telemetry/mod.ts";
 
+/** Why a daemon cannot serve callers. */
+export interface NotReadyCause {
+  /** `stopping`, or why there is no usable configuration. */
+  readonly reason: string;
+  /** The refused or unconfirmed configuration version; 0 if there is none. */
+  readonly version: number;
+}
+
 /** Functions and components of the daemon that listeners use. */
 export interface ListenerContext {
   readonly environment: CallEnvironment;
@@ -16,6 +24,8 @@
   readonly faults: FaultReporter;
   /** Whether the daemon can serve callers. */
   readonly isReady: () => boolean;
+  /** Explains why the daemon cannot serve callers; undefined if it can. */
+  readonly explainNotReady: () => NotReadyCause | undefined;
   /** Whether the daemon has been told to stop. */
   readonly isStopping: () => boolean;
   /** Counts a request as in progress while it is served. */
--- a/src/request/identify_caller_test.ts
+++ b/src/request/identify_caller_test.ts
@@ -1,7 +1,10 @@
 import * as assert from "uvu/assert";
 import { suite } from "uvu";
 import { digestKey } from "../accounts/mod.ts";
-import { ConfigurationHolder } from "../configuration/mod.ts";
+import {
+  ConfigurationHolder,
+  ConfigurationProgress,
+} from "../configuration/mod.ts";
 import { REASONS } from "../outcome/mod.ts";
 import { createTestConfiguration } from "../testing/create_test_configuration.ts";
 import {
@@ -88,12 +91,23 @@
   assert.is(identify({ parentId, key: "other" }), REASONS.unauthorized);
 });
 
-test("without a configuration, callers are not told that their key is wrong", () => {
-  const environment = {
-    ...createEnvironment(),
-    configuration: new ConfigurationHolder(),
+// The journal did not say whether the store is empty, out of reach or has a
+// version that was refused.
+test("without a configuration, callers are not told that their key is wrong, and the journal says why there is none", () => {
+  const environment = createEnvironment();
+  const { clock, journal, log } = environment;
+  const holder = new ConfigurationHolder();
+  const configurationProgress = new ConfigurationProgress({
+    ...{ clock, holder, journal, log },
+  });
+  const withoutConfiguration = {
+    ...environment,
+    ...{ configuration: holder, configurationProgress },
   };
-  assert.is(identify({ key: "key" }, environment), REASONS.notReady);
+  assert.is(identify({ key: "key" }, withoutConfiguration), REASONS.notReady);
+  const [refusal] = journal.list();
+  assert.is(refusal?.facts.reason, REASONS.notReady);
+  assert.is(refusal?.facts.missing, "store-not-read");
 });
 
 // Guards against callers without a key that displace the entries of others.
--- a/src/request/record_outcome.ts
+++ b/src/request/record_outcome.ts
@@ -5,6 +5,7 @@
 import { REASONS } from "../outcome/mod.ts";
 import type { CallResult } from "../outcome/mod.ts";
 import { DECISIONS } from "../telemetry/mod.ts";
+import type { DecisionFacts } from "../telemetry/mod.ts";
 import type { CallEnvironment } from "./call_environment.ts";
 
 /** Call details that are recorded with an outcome. */
@@ -55,8 +56,20 @@
   journal.record(kind, {
     service,
     reason,
+    ...reason === REASONS.notReady && explainNotReady(environment),
     class: className,
     durationMs: Math.round(durationMs),
   }, requestId);
   log.debug({ requestId, service, reason, outcome }, "call-failed");
 }
+
+/** Says why this daemon has no configuration, unless another daemon lacked one. */
+function explainNotReady(
+  { configuration, configurationProgress }: CallEnvironment,
+): DecisionFacts {
+  if (configuration.current) {
+    return {};
+  }
+  const { reason, version } = configurationProgress.explainMissing();
+  return { missing: reason, ...version > 0 && { version } };
+}
--- a/src/telemetry/configuration_metrics.ts
+++ b/src/telemetry/configuration_metrics.ts
@@ -30,6 +30,7 @@
   readonly #storeVersionSeen: Gauge;
   readonly #behindSeconds: Gauge;
   readonly #refusedVersion: Gauge<"reason">;
+  readonly #notReady: Gauge<"reason">;
   readonly #refusals: Counter<"reason" | "source">;
 
   constructor(registry: Registry) {
@@ -58,6 +59,12 @@
       labelNames: ["reason"] as const,
       registers,
     });
+    this.#notReady = new Gauge({
+      name: "celeryhollow_not_ready",
+      help: "1 with the reason while the daemon is not ready; absent otherwise",
+      labelNames: ["reason"] as const,
+      registers,
+    });
     this.#refusals = new Counter({
       name: "celeryhollow_configuration_refusals_total",
       help: "Configurations refused, by reason and source",
@@ -71,12 +78,19 @@
     this.#refusals.inc({ reason, source });
   }
 
-  /** Exports the versions known now. */
-  update(versions: ConfigurationVersions): void {
+  /** Exports the versions known now, and why the daemon is not ready; undefined if it is. */
+  update(
+    versions: ConfigurationVersions,
+    notReadyReason: string | undefined,
+  ): void {
     const { activeVersion, storeVersion, behindMs, refused } = versions;
     this.#activeVersion.set(activeVersion);
     this.#storeVersionSeen.set(storeVersion);
     this.#behindSeconds.set(behindMs / 1_000);
+    this.#notReady.reset();
+    if (notReadyReason !== undefined) {
+      this.#notReady.set({ reason: notReadyReason }, 1);
+    }
     this.#refusedVersion.reset();
     if (refused) {
       this.#refusedVersion.set({ reason: refused.reason }, refused.version);
