Name refused versions in status, and explain a version over the fleet

Change: `GET /v1/status` has `configuration` (active version and since when, the store's version, the time below it, the refused version) and `notReady`. `status` prints the store's version beside the active one, each refused version with reason, entry, number of daemons and time, the daemons that are not ready with the reason, and how many are below the store's version. `explain version [N]` says for each daemon whether the version is active, refused (reason and entry), replaced, skipped, read only or unknown, and since when. Daemons of older builds, which report none of this, are shown as before.

--- a/src/cli/create_cli.ts
+++ b/src/cli/create_cli.ts
@@ -8,6 +8,7 @@
 import { DiffCommand } from "./diff_command.ts";
 import { DrainCommand, UndrainCommand } from "./drain_command.ts";
 import { ExplainCommand } from "./explain_command.ts";
+import { ExplainVersionCommand } from "./explain_version_command.ts";
 import { HistoryCommand } from "./history_command.ts";
 import { InitCommand } from "./init_command.ts";
 import { QuarantineCommand, ReleaseCommand } from "./quarantine_command.ts";
@@ -34,6 +35,7 @@
   cli.register(Builtins.VersionCommand);
   cli.register(StatusCommand);
   cli.register(ExplainCommand);
+  cli.register(ExplainVersionCommand);
   cli.register(DrainCommand);
   cli.register(UndrainCommand);
   cli.register(QuarantineCommand);
--- a/src/cli/explain_command.ts
+++ b/src/cli/explain_command.ts
@@ -4,14 +4,14 @@
  */
 
 import { Command, Option } from "clipanion";
-import type { JournalEntry } from "../telemetry/mod.ts";
 import { DECISIONS } from "../telemetry/mod.ts";
-import { AdminClient } from "./admin_client.ts";
 import { EXIT_CODES } from "./exit_codes.ts";
 import { FleetCommand } from "./fleet_command.ts";
 import { formatTable } from "./format_table.ts";
 import { parseDuration } from "./parse_duration.ts";
 import { queryFleet } from "./query_fleet.ts";
+import { readJournal } from "./read_journal.ts";
+import type { DaemonJournalEntry } from "./read_journal.ts";
 
 /** Subjects other than request ids. */
 const SUBJECTS = { refusals: "refusals", changes: "changes" } as const;
@@ -25,11 +25,6 @@
   DECISIONS.overAllowance,
 ]);
 
-/** A journal entry with the host name of the daemon that recorded it. */
-interface DaemonJournalEntry extends JournalEntry {
-  readonly daemon: string;
-}
-
 /** Explains a request, recent refusals, or recent changes. */
 export class ExplainCommand extends FleetCommand {
   static override paths = [["explain"]];
@@ -38,7 +33,7 @@
     category: "Fleet",
     description: "explain a request, recent refusals, or recent changes",
     details:
-      "Reads the decision journal of every daemon, including the values on which each decision was based. `refusals` counts refusals by reason, class and service; `changes` lists decisions about limits, instances, members and configuration.",
+      "Reads the decision journal of every daemon, including the values on which each decision was based. `refusals` counts refusals by reason, class and service; `changes` lists decisions about limits, instances, members and configuration. `explain version` is about a configuration version.",
     examples: [
       ["Why was this request refused?", "celeryhollow explain 7f3c-42"],
       ["What is being refused?", "celeryhollow explain refusals --since 1m"],
@@ -88,17 +83,13 @@
     adminUrl: string,
     query: string,
   ): Promise<DaemonJournalEntry[]> {
-    const client = new AdminClient({ ...this, adminUrl });
-    const entries = await client.get(`/v1/journal?${query}`);
+    const entries = await readJournal({ ...this, adminUrl }, query);
     if (entries.isErr()) {
       this.showProgress(
         `cannot read the journal of ${adminUrl}: ${entries.error.message}`,
       );
-      return [];
     }
-    const daemon = new URL(adminUrl).hostname;
-    return (entries.value as JournalEntry[])
-      .map((entry) => ({ ...entry, daemon }));
+    return entries.unwrapOr([]);
   }
 
   #matchesSubject(entry: DaemonJournalEntry): boolean {
--- a/src/cli/status_command.ts
+++ b/src/cli/status_command.ts
@@ -5,9 +5,12 @@
 import { Command } from "clipanion";
 import type { DaemonStatus } from "./daemon_status.ts";
 import { FleetCommand } from "./fleet_command.ts";
+import { formatDuration } from "./format_duration.ts";
 import { formatTable } from "./format_table.ts";
 import { queryFleet } from "./query_fleet.ts";
 import type { DaemonStatusResult } from "./query_fleet.ts";
+import { summarizeRefusals } from "./summarize_refusals.ts";
+import type { RefusalSummary } from "./summarize_refusals.ts";
 
 /** A member that responds, but that some daemons consider dead. */
 interface Disagreement {
@@ -17,8 +20,8 @@
 }
 
 /**
- * Prints daemons, services, limits, active configuration versions and disagreements
- * about which members are alive.
+ * Prints daemons, services, limits, active and refused configuration versions and
+ * disagreements about which members are alive.
  */
 export class StatusCommand extends FleetCommand {
   static override paths = [["status"]];
@@ -26,7 +29,7 @@
   static override usage = Command.Usage({
     category: "Fleet",
     description:
-      "show daemons, limits, active configuration versions and leaving backend servers",
+      "show daemons, limits, active and refused configuration versions and leaving backend servers",
     details:
       "Queries the daemon at --admin-url, then every member that it lists, and so on until no new member is found. Exits with code 1 if the first daemon cannot be reached.",
     examples: [
@@ -54,6 +57,7 @@
       daemons: statuses.map(({ members: _, ...own }) => own),
       unreachable: unreachable.map(({ adminUrl }) => adminUrl),
       versionsInForce: countVersions(statuses),
+      refusedVersions: summarizeRefusals(statuses),
       disagreements: listDisagreements(statuses),
     };
     return this.printResult(
@@ -86,11 +90,12 @@
 
 interface Summary {
   readonly versionsInForce: Readonly<Record<string, number>>;
+  readonly refusedVersions: readonly RefusalSummary[];
   readonly disagreements: readonly Disagreement[];
 }
 
 function formatSummary(
-  { versionsInForce, disagreements }: Summary,
+  { versionsInForce, refusedVersions, disagreements }: Summary,
   statuses: readonly DaemonStatus[],
   unreachable: readonly DaemonStatusResult[],
 ): string {
@@ -105,6 +110,7 @@
         "state",
         "ready",
         "version",
+        "store",
         "running",
         "queued",
         "limit",
@@ -113,6 +119,13 @@
     ),
     "",
     `active configuration versions: ${versions.join(", ")}`,
+    ...refusedVersions.map(({ version, reason, entry, ...refusal }) =>
+      `refused configuration version: ${version} on ${refusal.daemons.length} of ${statuses.length} daemons for ${
+        formatDuration(refusal.refusedForMs)
+      } (${reason}): ${entry}`
+    ),
+    ...formatBehind(statuses),
+    ...formatNotReady(statuses),
     ...formatAllowances(statuses),
     ...unreachable.map(({ adminUrl }) => `unreachable: ${adminUrl}`),
     ...disagreements.map(({ member, countedDeadBy, countedAliveBy }) =>
@@ -122,6 +135,31 @@
   return lines.join("\n");
 }
 
+/** Names the daemons whose active version is below that of the store. */
+function formatBehind(statuses: readonly DaemonStatus[]): string[] {
+  const behind = statuses.flatMap(({ configuration }) =>
+    configuration && configuration.behindMs > 0 ? [configuration.behindMs] : []
+  );
+  return behind.length === 0 ? [] : [
+    `below the store's version: ${behind.length} daemons, for up to ${
+      formatDuration(Math.max(...behind))
+    }`,
+  ];
+}
+
+/** Names each daemon that is not ready, with the reason. */
+function formatNotReady(statuses: readonly DaemonStatus[]): string[] {
+  return statuses.flatMap(({ self, notReady }) =>
+    notReady
+      ? [
+        `not ready: ${self.address}, ${notReady.reason}${
+          notReady.version > 0 ? ` ${notReady.version}` : ""
+        }`,
+      ]
+      : []
+  );
+}
+
 /** Formats the holders of shares, and each account's requests summed over all daemons. */
 function formatAllowances(statuses: readonly DaemonStatus[]): string[] {
   const holders = statuses.flatMap(({ self, allowances }) =>
@@ -155,6 +193,7 @@
 
 function formatRow(status: DaemonStatus): string[] {
   const { self, load, isReady, configurationVersion, backend } = status;
+  const storeVersion = status.configuration?.storeVersion ?? 0;
   const { announcement, state } = backend;
   return [
     self.address,
@@ -163,6 +202,7 @@
     self.state === "alive" ? state : self.state,
     isReady ? "yes" : "no",
     String(configurationVersion),
+    storeVersion > 0 ? String(storeVersion) : "-",
     String(load.inFlight),
     String(load.queued),
     load.limit.toFixed(0),
--- a/src/daemon/create_admin_app.ts
+++ b/src/daemon/create_admin_app.ts
@@ -138,6 +138,7 @@
     isReady: !notReady,
     notReady: notReady ?? null,
     configurationVersion: configuration.version,
+    configuration: environment.configurationProgress.describe(),
     backend: {
       state: backend.state,
       announcement: backend.announcement ?? null,
