Let every daemon of a failure domain find out about a refused version

What operators saw: only the daemons that watch the store knew of a refused version. Peers exchange active versions, so the others showed nothing until their turn to check the store came: one call each 4 s for a failure domain, 28 minutes with 425 daemons in it.

Change: a daemon that refuses a version of the store sends its failure domain a notice, as a record of membership that daemons of older builds keep and forward. Notices are not copied to other failure domains, which have watchers of their own.

--- a/src/configuration/configuration_distributor.ts
+++ b/src/configuration/configuration_distributor.ts
@@ -23,10 +23,13 @@
 import type { ConfigurationSource } from "./configuration_source.ts";
 import { HeadActivator } from "./head_activator.ts";
 import { isVersionConfirmed } from "./is_version_confirmed.ts";
+import { NoticeCheck } from "./notice_check.ts";
 import { PeerFetcher } from "./peer_fetcher.ts";
 import { PeerVersions } from "./peer_versions.ts";
 import type { VersionNotice } from "./peer_versions.ts";
+import { REFUSAL_SOURCES } from "./refused_version.ts";
 import type { RefusedVersion } from "./refused_version.ts";
+import type { RefusedVersionNotice } from "./refused_version_notice.ts";
 import { StorePoller } from "./store_poller.ts";
 import type { StorePosition } from "./store_poller.ts";
 
@@ -92,6 +95,7 @@
   readonly #updater: ConfigurationUpdater;
   readonly #headActivator: HeadActivator;
   readonly #fetcher: PeerFetcher;
+  readonly #noticeCheck: NoticeCheck;
   readonly #startedAtMs: number;
   #isConfirmed = false;
   #isWatcher = false;
@@ -102,7 +106,10 @@
 
   constructor(options: ConfigurationDistributorOptions) {
     this.#options = options;
-    this.progress = new ConfigurationProgress(options);
+    this.progress = new ConfigurationProgress({
+      ...options,
+      reportRefusal: (refused) => this.#reportRefusal(refused),
+    });
     this.#poller = new StorePoller({ ...options, progress: this.progress });
     this.#updater = new ConfigurationUpdater({
       ...options,
@@ -120,6 +127,10 @@
       updater: this.#updater,
       peerVersions: this.#peerVersions,
     });
+    this.#noticeCheck = new NoticeCheck({
+      ...options,
+      progress: this.progress,
+    });
     this.#startedAtMs = options.clock.monotonicMs();
     options.holder.subscribe(() => {
       this.#lastChangeAtMs = options.clock.monotonicMs();
@@ -196,8 +207,11 @@
     return hasJoined || ageMs >= JOIN_WAIT_MS;
   }
 
-  /** Whether this daemon has a turn to check the store, which it begins. */
+  /** Whether this daemon has to check the store: because of a notice, or because it has a turn, which it begins. */
   #mustCheckStore(): boolean {
+    if (this.#noticeCheck.take()) {
+      return true;
+    }
     const quietMs = this.#options.clock.monotonicMs() - this.#lastChangeAtMs;
     if (
       !this.isConfirmed || this.#checkTurn === this.#lastCheckTurn ||
@@ -217,6 +231,22 @@
     }
   }
 
+  /** Reads the store soon if another daemon refused a version of it that this one has not read. */
+  handleRefusalNotice(notice: RefusedVersionNotice): void {
+    this.#noticeCheck.hear(notice);
+  }
+
+  #reportRefusal(refused: RefusedVersion): void {
+    const { holder, peers, reportRefusal } = this.#options;
+    reportRefusal?.(refused);
+    const { source, version } = refused;
+    const isOwnFinding = source === REFUSAL_SOURCES.store &&
+      version > holder.version && !this.#noticeCheck.hasHeard(version);
+    if (isOwnFinding) {
+      peers.announceRefusal(version);
+    }
+  }
+
   #updateRole(): void {
     const { clock, journal, peers } = this.#options;
     const { failureDomain, incarnation } = peers.self;
--- a/src/configuration/configuration_peers.ts
+++ b/src/configuration/configuration_peers.ts
@@ -18,6 +18,11 @@
   /** Notifies a few members immediately that the local version has changed. */
   abstract announce(): void;
 
+  /** Tells the failure domain of a version of the store that this daemon refused. */
+  announceRefusal(_version: number): void {
+    // Without gossip, each daemon knows only of what it refused itself.
+  }
+
   /** Fetches a configuration transfer from a peer, with the changes after a known version. */
   abstract fetch(
     peer: VersionNotice,
--- a/src/configuration/mod.ts
+++ b/src/configuration/mod.ts
@@ -47,6 +47,7 @@
 export type { MissingConfiguration } from "./missing_configuration.ts";
 export type { VersionNotice } from "./peer_versions.ts";
 export type { RefusedVersion } from "./refused_version.ts";
+export type { RefusedVersionNotice } from "./refused_version_notice.ts";
 export {
   findQuestionableEntries,
   QUESTIONABLE,
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -156,7 +156,9 @@
       this.#configurationDistributor.handleVersionNotice(notice)
     );
     this.#membership.onNotice((notice) =>
-      environment.quarantine.receive(notice)
+      notice.kind === "refused-version"
+        ? this.#configurationDistributor.handleRefusalNotice(notice)
+        : environment.quarantine.receive(notice)
     );
     this.#membership.onDeparture((serverId) =>
       this.#backendFollower.followDeparture(serverId)
--- a/src/daemon/daemon_configuration_peers.ts
+++ b/src/daemon/daemon_configuration_peers.ts
@@ -37,6 +37,11 @@
     this.#membership.announceConfigurationVersion();
   }
 
+  override announceRefusal(version: number): void {
+    const atMs = Math.round(this.#connectionOptions.clock.nowMs());
+    this.#membership.announceNotice({ kind: "refused-version", version, atMs });
+  }
+
   override fetch(
     peer: VersionNotice,
     knownVersion: number,
--- a/src/membership/gossip_membership.ts
+++ b/src/membership/gossip_membership.ts
@@ -6,7 +6,6 @@
 
 import type { ConfigurationHolder } from "../configuration/mod.ts";
 import type { GossipMessage, MemberRecord } from "../generated/types.ts";
-import type { RequestNotice } from "../quarantine/mod.ts";
 import type { ObjectStore } from "../store/mod.ts";
 import { DECISIONS } from "../telemetry/mod.ts";
 import type { DecisionJournal, Logger, SentBytes } from "../telemetry/mod.ts";
@@ -27,7 +26,7 @@
 import type { ReportLoss } from "./loss_reporter.ts";
 import { MemberTable, MERGE_OUTCOMES } from "./member_table.ts";
 import { Membership } from "./membership.ts";
-import type { OwnRecordChange } from "./membership.ts";
+import type { FleetNotice, OwnRecordChange } from "./membership.ts";
 import { copyNotice, createNoticeRecords, isNotice } from "./notice_record.ts";
 import { RecordPuller } from "./record_puller.ts";
 import { parseGossipAddress } from "./parse_gossip_address.ts";
@@ -247,7 +246,7 @@
     }
   }
 
-  override announceNotice(notice: RequestNotice): void {
+  override announceNotice(notice: FleetNotice): void {
     for (const record of createNoticeRecords(this.self, notice)) {
       this.#table.merge(record);
     }
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -3,6 +3,7 @@
  */
 
 import type { MemberRecord } from "../generated/types.ts";
+import type { RefusedVersionNotice } from "../configuration/mod.ts";
 import type { RequestNotice } from "../quarantine/mod.ts";
 
 /** Fields that a daemon may change in its own record. */
@@ -26,8 +27,11 @@
 /** Called with the id of a backend server of this VM whose departure an earlier process of this daemon announced. */
 export type DepartureListener = (serverId: string) => void;
 
+/** A notice to other daemons: of a request that crashes backend servers, or of a refused configuration version. */
+export type FleetNotice = RequestNotice | RefusedVersionNotice;
+
 /** Called with each notice that another daemon sent; the same one may come several times. */
-export type NoticeListener = (notice: RequestNotice) => void;
+export type NoticeListener = (notice: FleetNotice) => void;
 
 /** Control traffic, in bytes. */
 export interface MembershipTraffic {
@@ -79,9 +83,9 @@
     this.#departureListeners.forEach((listener) => listener(serverId));
   }
 
-  /** Sends all other daemons a notice of a request that crashes backend servers. */
-  announceNotice(_notice: RequestNotice): void {
-    // Without gossip, each daemon knows only of its own backend server.
+  /** Sends other daemons a notice: all of them, or those of this failure domain if it is of a refused version. */
+  announceNotice(_notice: FleetNotice): void {
+    // Without gossip, each daemon knows only of what it saw itself.
   }
 
   /** Calls `listener` for each notice of another daemon. */
@@ -90,7 +94,7 @@
   }
 
   /** Notifies the listeners of a notice. */
-  protected notifyNotice(notice: RequestNotice): void {
+  protected notifyNotice(notice: FleetNotice): void {
     this.#noticeListeners.forEach((listener) => listener(notice));
   }
 
--- a/src/membership/notice_record.ts
+++ b/src/membership/notice_record.ts
@@ -1,17 +1,19 @@
 /**
- * Records that carry notices of requests which crash backend servers.
+ * Records that carry notices of requests which crash backend servers, and of
+ * configuration versions that were refused.
  *
  * Like a departure, a notice is the record of a dead member at the address of
  * the daemon that sent it, so that daemons of older builds keep and forward it.
  * It expires at a time of its own. A delegate that receives the notice of another
  * failure domain adds a copy to its own one, whose members then have it from
- * each other, those that start later as well.
+ * each other, those that start later as well. Notices of refused versions are not
+ * copied, since each failure domain has watchers of its own.
  */
 
 import type { MemberRecord } from "../generated/types.ts";
 import { FINGERPRINT_LENGTH } from "../quarantine/mod.ts";
-import type { RequestNotice } from "../quarantine/mod.ts";
 import { formatGossipAddress } from "./gossip_context.ts";
+import type { FleetNotice } from "./membership.ts";
 
 /** Time for which a notice is kept, in milliseconds. */
 export const NOTICE_RETENTION_MS = 600_000;
@@ -26,10 +28,15 @@
   MAX_SUCCESSOR_LENGTH / FINGERPRINT_LENGTH,
 );
 
-const KINDS = { crash: "crash", cleanRun: "clean-run" } as const;
+const KINDS = {
+  crash: "crash",
+  cleanRun: "clean-run",
+  refusedVersion: "refused-version",
+} as const;
 
 /** Matches the incarnation of a notice: address of the daemon, kind, subject, part, and the failure domain of a copy. */
-const PATTERN = /^[^!]+!(crash|clean-run)\/([^!/@]+)\/(\d+)(@.+)?$/;
+const PATTERN =
+  /^[^!]+!(crash|clean-run|refused-version)\/([^!/@]+)\/(\d+)(@.+)?$/;
 
 /**
  * Creates the records that carry a notice.
@@ -43,9 +50,13 @@
  */
 export function createNoticeRecords(
   self: MemberRecord,
-  notice: RequestNotice,
+  notice: FleetNotice,
 ): MemberRecord[] {
   const prefix = `${formatGossipAddress(self)}!${notice.kind}`;
+  if (notice.kind === KINDS.refusedVersion) {
+    const { version, atMs } = notice;
+    return [createRecord(self, `${prefix}/${version}/0`, atMs)];
+  }
   if (notice.kind === KINDS.cleanRun) {
     const { fingerprint, atMs } = notice;
     return [{
@@ -80,7 +91,7 @@
  * @example
  * const notice = readNotice(record);
  */
-export function readNotice(record: MemberRecord): RequestNotice | undefined {
+export function readNotice(record: MemberRecord): FleetNotice | undefined {
   if (!isNotice(record)) {
     return undefined;
   }
@@ -90,6 +101,8 @@
   switch (kind) {
     case KINDS.cleanRun:
       return { kind, fingerprint: subject, atMs };
+    case KINDS.refusedVersion:
+      return { kind, version: Number(subject), atMs };
     case KINDS.crash:
       return {
         ...{ kind, atMs, service, vmAddress, processId: subject },
@@ -106,8 +119,8 @@
  *
  * @param record - Record that carries the notice
  * @param self - Record of this daemon
- * @returns The copy, or undefined if the record is from this failure domain or a
- *   copy itself
+ * @returns The copy, or undefined if the record is from this failure domain, a copy
+ *   itself, or about a refused version
  *
  * @example
  * const copy = copyNotice(record, table.self);
@@ -116,12 +129,15 @@
   record: MemberRecord,
   { region, failureDomain }: MemberRecord,
 ): MemberRecord | undefined {
-  return record.failureDomain === failureDomain || isCopy(record)
-    ? undefined
-    : {
+  const [, kind, , , copiedTo] = PATTERN.exec(record.incarnation) ?? [];
+  const isCopied = record.failureDomain !== failureDomain &&
+    copiedTo === undefined && kind !== KINDS.refusedVersion;
+  return isCopied
+    ? {
       ...{ ...record, region, failureDomain },
       incarnation: `${record.incarnation}@${failureDomain}`,
-    };
+    }
+    : undefined;
 }
 
 /** Whether a record carries the copy of a notice of another failure domain. */
--- a/src/membership/notice_record_test.ts
+++ b/src/membership/notice_record_test.ts
@@ -59,11 +59,13 @@
 /** Collects the ids of the processes whose crash a member hears of. */
 function listen({ membership }: SimulatedMember): Set<string> {
   const heard = new Set<string>();
-  membership.onNotice((notice: RequestNotice) =>
-    heard.add(
-      notice.kind === "crash" ? notice.processId : notice.fingerprint,
-    )
-  );
+  membership.onNotice((notice) => {
+    if (notice.kind !== "refused-version") {
+      heard.add(
+        notice.kind === "crash" ? notice.processId : notice.fingerprint,
+      );
+    }
+  });
   return heard;
 }
 
@@ -117,6 +119,20 @@
   assert.equal(readNotice(copy), readNotice(record));
 });
 
+// Each failure domain has watchers that see the store; copies of every watcher's
+// notice would displace those of crashes.
+test("the notice of a refused version is read as it was sent, and is not copied to other failure domains", () => {
+  const self = createMemberRecord("one");
+  const other = createMemberRecord("two", { failureDomain: "namur-a" });
+  const notice = {
+    kind: "refused-version",
+    ...{ version: 22, atMs: 1_800_000_000_000 },
+  } as const;
+  const [record = self] = createNoticeRecords(self, notice);
+  assert.equal(readNotice(record), notice);
+  assert.is(copyNotice(record, other), undefined);
+});
+
 test("a notice expires in time, and one from far ahead is not kept", () => {
   const self = createMemberRecord("one");
   const atMs = 1_800_000_000_000;
--- a/src/membership/record_receiver.ts
+++ b/src/membership/record_receiver.ts
@@ -5,7 +5,7 @@
  */
 
 import type { GossipMessage, MemberRecord } from "../generated/types.ts";
-import type { RequestNotice } from "../quarantine/mod.ts";
+import type { FleetNotice } from "./membership.ts";
 import { formatGossipAddress } from "./gossip_context.ts";
 import type { GossipContext } from "./gossip_context.ts";
 import { MERGE_OUTCOMES } from "./member_table.ts";
@@ -20,7 +20,7 @@
   readonly contacts: RemoteContacts;
   readonly seenRumors: SeenRumors;
   /** Called for each notice, known ones included. */
-  readonly handleNotice: (notice: RequestNotice) => void;
+  readonly handleNotice: (notice: FleetNotice) => void;
 }
 
 /** Processes the records received by one daemon. */
