Tell what a reader refuses from what only a writer refuses

Callers: one version that its writer had accepted and a daemon found questionable kept every change of that version, and of each later one with the same entry, from the fleet.

Cause: the check of a proposed configuration was also the check of what is read from the object API, from a peer and from the platform's operator. It refused the whole document for opinions: call cycles, reservations above the whole, names such as constructor, unknown classes, lengths of lists and names, unknown fields of a newer build.

validateConfigurationDocument stays the check of a writer and refuses all it refused. readConfigurationDocument is that of a reader: it refuses what cannot be read (a schema derived from the same file without lengths, enumerations and unknown fields), two requests for one route, two entries with one name, a shared key, an unknown service of a request or of its split, a deadline above 600,000 ms, and a name that no message between daemons has room for. The rest is logged once per version as configuration-adjusted. Both refuse an unknown service of a split, which was taken before. A refusal carries its reason and entries in the error's info.

So that what is taken does no harm: keyed documents mark names of object properties, since the patching library drops the keys constructor and __proto__ and the rest of the patch with them; messages have room for names of 256 characters, as one that exceeds its schema ends the connection; the search for repeatable requests that reach non-repeatable ones no longer compares each pair; the head, the base and the transfer of a newer build may have more fields.

--- a/src/configuration/apply_patches.ts
+++ b/src/configuration/apply_patches.ts
@@ -13,7 +13,7 @@
 import { digestConfiguration } from "./digest_configuration.ts";
 import { applyDocumentPatch } from "./document_patch.ts";
 import type { DocumentPatch } from "./document_patch.ts";
-import { validateConfigurationDocument } from "./validate_configuration_document.ts";
+import { readConfigurationDocument } from "./read_configuration_document.ts";
 
 /**
  * Applies patches to a configuration and verifies the digest of the result.
@@ -36,7 +36,7 @@
     (document, patch) => applyDocumentPatch(document as Configuration, patch),
     configuration,
   );
-  return validateConfigurationDocument(value).andThen((next) =>
+  return readConfigurationDocument(value).andThen((next) =>
     digestConfiguration(next) === digest ? ok(next) : err(
       new VError(
         { name: "ConfigurationDigestMismatch" },
--- a/src/configuration/compress_state.ts
+++ b/src/configuration/compress_state.ts
@@ -10,7 +10,7 @@
 import VError from "verror";
 import { validateQuestionnaireAnswers } from "../generated/validators.ts";
 import type { ConfigurationState } from "./configuration_state.ts";
-import { validateConfigurationDocument } from "./validate_configuration_document.ts";
+import { readConfigurationDocument } from "./read_configuration_document.ts";
 
 /** Maximum size of a decompressed state, in bytes. */
 const MAX_STATE_BYTES = 16_777_216;
@@ -58,7 +58,7 @@
     );
   }
   const answers = value.answers ?? null;
-  return validateConfigurationDocument(value.configuration).map(
+  return readConfigurationDocument(value.configuration).map(
     (configuration) => ({
       configuration,
       answers: validateQuestionnaireAnswers(answers) ? answers : null,
--- a/src/configuration/configuration_state.ts
+++ b/src/configuration/configuration_state.ts
@@ -16,4 +16,6 @@
 /** A state with the version under which it was accepted. */
 export interface VersionedState extends ConfigurationState {
   readonly version: number;
+  /** What the reader adjusted in the stored document, if anything. */
+  readonly warnings?: readonly string[];
 }
--- a/src/configuration/configuration_transfer.ts
+++ b/src/configuration/configuration_transfer.ts
@@ -27,6 +27,8 @@
   readonly configuration: Configuration;
   readonly version: number;
   readonly patches: readonly DocumentPatch[];
+  /** What was adjusted when the document was read, if anything. */
+  readonly warnings?: readonly string[];
 }
 
 /**
--- a/src/configuration/configuration_updater.ts
+++ b/src/configuration/configuration_updater.ts
@@ -16,6 +16,7 @@
 import type { ConfigurationHolder } from "./configuration_holder.ts";
 import type { TransferredConfiguration } from "./configuration_transfer.ts";
 import type { VersionNotice } from "./peer_versions.ts";
+import { listReadingWarnings } from "./read_configuration_document.ts";
 
 /** A version as one peer has it. */
 export type PeerCopy = Pick<VersionNotice, "incarnation" | "version">;
@@ -32,6 +33,9 @@
 /** Number of peers whose copies of a version are tried before it is not fetched from others. */
 const MAX_REJECTED_COPIES = 3;
 
+/** Most warnings of a version that are logged. */
+const MAX_LOGGED_WARNINGS = 8;
+
 /** Number of versions whose rejected copies are remembered. */
 const MAX_REJECTED_VERSIONS = 64;
 
@@ -72,6 +76,7 @@
         patches: patches.length,
       });
       log.info({ version, previousVersion, source }, "configuration-in-force");
+      this.#reportWarnings(received, source);
       announce();
     }
     return isNew;
@@ -101,6 +106,21 @@
     }
   }
 
+  /** Logs, once per version, what a writer would have refused and what was adjusted. */
+  #reportWarnings(received: TransferredConfiguration, source: string): void {
+    const { configuration, version, warnings = [] } = received;
+    const all = [...warnings, ...listReadingWarnings(configuration)];
+    if (all.length > 0) {
+      this.#options.log.warn(
+        {
+          ...{ version, source, count: all.length },
+          warnings: all.slice(0, MAX_LOGGED_WARNINGS).join("; "),
+        },
+        "configuration-adjusted",
+      );
+    }
+  }
+
   #reportRejection(facts: DecisionFacts): void {
     const { journal, log } = this.#options;
     journal.record(DECISIONS.configurationRefused, facts);
--- a/src/configuration/find_inconsistencies.ts
+++ b/src/configuration/find_inconsistencies.ts
@@ -1,11 +1,15 @@
 /**
- * Finds inconsistencies in a configuration that the schema cannot express.
+ * Finds inconsistencies in a configuration that a daemon can live with.
+ *
+ * A writer refuses them, since they are probably mistakes. A reader takes a
+ * configuration that has them: its writer has accepted it, and a refusal would
+ * keep every other change of the version from the fleet.
  */
 
 import type { Configuration } from "../generated/types.ts";
 import { findCallCycles } from "./find_call_cycles.ts";
+import { findDuplicates } from "./find_duplicates.ts";
 import { listReachableServices } from "./list_reachable_services.ts";
-import { RouteTable } from "./route_table.ts";
 
 /** Tolerance for rounding errors in a sum of ratios. */
 const RATIO_TOLERANCE = 1e-9;
@@ -13,7 +17,7 @@
 /**
  * Finds inconsistencies between the parts of a configuration.
  *
- * @param configuration - A configuration that matches the schema
+ * @param configuration - A configuration that a reader can read
  * @returns One message per inconsistency
  *
  * @example
@@ -23,8 +27,6 @@
   return [
     ...findNameErrors(configuration),
     ...findUnknownNames(configuration),
-    ...findDuplicateKeys(configuration),
-    ...findDuplicateRoutes(configuration),
     ...findExcessiveReservations(configuration),
     ...findCallCycles(configuration.services).map((cycle) =>
       `services form a call cycle: ${cycle.join(" -> ")}`
@@ -37,30 +39,28 @@
   { accounts = [], classes, regions, requests, services, tenants }:
     Configuration,
 ): string[] {
-  const lists: Record<string, string[]> = {
-    service: services.map(({ name }) => name),
+  const distinct: Record<string, string[]> = {
     class: classes.map(({ name }) => name),
-    request: requests.map(({ name }) => name),
     region: regions.map(({ name }) => name),
     "failure domain": regions.flatMap(({ failureDomains }) => failureDomains),
     tenant: tenants,
+  };
+  const all: Record<string, string[]> = {
+    ...distinct,
+    service: services.map(({ name }) => name),
+    request: requests.map(({ name }) => name),
     account: accounts.map(({ name }) => name),
   };
-  return Object.entries(lists).flatMap(([what, names]) => [
-    ...findDuplicates(names).map((name) => `${what} ${name} is listed twice`),
-    ...names.filter((name) => name in {}).map((name) =>
-      `${what} ${name} has a reserved name`
+  return [
+    ...Object.entries(distinct).flatMap(([what, names]) =>
+      findDuplicates(names).map((name) => `${what} ${name} is listed twice`)
     ),
-  ]);
-}
-
-function findDuplicates(names: readonly string[]): string[] {
-  const seen = new Set<string>();
-  const repeated = new Set<string>();
-  for (const name of names) {
-    (seen.has(name) ? repeated : seen).add(name);
-  }
-  return [...repeated];
+    ...Object.entries(all).flatMap(([what, names]) =>
+      names.filter((name) => name in {}).map((name) =>
+        `${what} ${name} has a reserved name`
+      )
+    ),
+  ];
 }
 
 function findUnknownNames(configuration: Configuration): string[] {
@@ -72,9 +72,9 @@
     )
   );
   const requests = configuration.requests.flatMap((
-    { name, service, className, reaches },
+    { name, className, reaches },
   ) => [
-    ...[service, ...reaches].filter((reached) => !services.has(reached))
+    ...reaches.filter((reached) => !services.has(reached))
       .map((reached) => `request ${name} refers to unknown service ${reached}`),
     ...classes.has(className)
       ? []
@@ -90,26 +90,6 @@
   return [...calls, ...requests, ...accounts];
 }
 
-/** Finds accounts that share a key; the message names neither the key nor its digest. */
-function findDuplicateKeys({ accounts = [] }: Configuration): string[] {
-  const owners = new Map<string, string>();
-  return accounts.flatMap(({ name, keyDigests }) =>
-    keyDigests.flatMap((digest) => {
-      const owner = owners.get(digest) ?? name;
-      owners.set(digest, owner);
-      return owner === name
-        ? []
-        : [`accounts ${owner} and ${name} have the same key`];
-    })
-  );
-}
-
-function findDuplicateRoutes({ requests }: Configuration): string[] {
-  return new RouteTable(requests).conflicts.map((
-    { usedName, hiddenName, place },
-  ) => `requests ${usedName} and ${hiddenName} have the same route: ${place}`);
-}
-
 function findExcessiveReservations({ classes }: Configuration): string[] {
   const total = classes.reduce(
     (sum, { reservedRatio }) => sum + reservedRatio,
@@ -129,24 +109,28 @@
  * may be retried at any hop, so it must not reach work that may run only once. GET
  * requests are excluded, because GET is a safe method that only reads.
  */
-function findUnsafeRetries(configuration: Configuration): string[] {
-  const { requests, services } = configuration;
+function findUnsafeRetries({ requests, services }: Configuration): string[] {
   const callsByService = new Map(
     services.map(({ name, calls }) => [name, calls]),
   );
-  const nonRepeatable = requests.filter(({ isRepeatable, method }) =>
-    !isRepeatable && method !== "GET"
-  );
-  const repeatableWrites = requests.filter(({ isRepeatable, method }) =>
-    isRepeatable && method !== "GET"
+  const writes = requests.filter(({ method }) => method !== "GET");
+  const nonRepeatableByService = new Map<string, string[]>();
+  for (const { name, service } of writes.filter((each) => !each.isRepeatable)) {
+    const names = nonRepeatableByService.get(service) ?? [];
+    names.push(name);
+    nonRepeatableByService.set(service, names);
+  }
+  return writes.filter(({ isRepeatable }) => isRepeatable).flatMap((request) =>
+    listReachableServices(request, callsByService).slice(1)
+      .flatMap((service) => {
+        const names = nonRepeatableByService.get(service);
+        return names
+          ? [
+            `request ${request.name} is repeatable but reaches ${service}, which runs the non-repeatable request ${
+              names.join(", ")
+            }`,
+          ]
+          : [];
+      })
   );
-  return repeatableWrites.flatMap((request) => {
-    const downstream = listReachableServices(request, callsByService).slice(1);
-    return nonRepeatable.filter(({ service }) => downstream.includes(service))
-      .map((
-        { name, service },
-      ) =>
-        `request ${request.name} is repeatable but reaches ${service}, which runs the non-repeatable request ${name}`
-      );
-  });
 }
--- a/src/configuration/keyed_document.ts
+++ b/src/configuration/keyed_document.ts
@@ -6,6 +6,9 @@
  * entry is a patch of a few bytes, regardless of their number.
  */
 
+/** Follows a key that would otherwise be the name of a property of every object. */
+const KEY_MARK = "\u0000";
+
 /** An entry of a list keyed by name. */
 export interface NamedEntry {
   readonly name: string;
@@ -65,10 +68,19 @@
 }
 
 function indexByName(entries: readonly NamedEntry[]): EntriesByName {
-  return Object.fromEntries(entries.map((entry) => [entry.name, entry]));
+  return Object.fromEntries(
+    entries.map((entry) => [createKey(entry.name), entry]),
+  );
+}
+
+/** Marks names of properties that every object has: the patching library drops or misreads them. */
+function createKey(name: string): string {
+  return name in {} || name === "prototype" ? `${name}${KEY_MARK}` : name;
 }
 
+/** Sorts by name, as canonicalizeNamedLists does, since the key may be marked. */
 function toSortedList(entries: EntriesByName | undefined): NamedEntry[] {
-  const names = Object.keys(entries ?? {}).sort();
-  return names.flatMap((name) => entries?.[name] ?? []);
+  return Object.values(entries ?? {}).sort((left, right) =>
+    left.name < right.name ? -1 : Number(left.name > right.name)
+  );
 }
--- a/src/configuration/mod.ts
+++ b/src/configuration/mod.ts
@@ -20,6 +20,7 @@
   StoredConfigurationSource,
 } from "./configuration_source.ts";
 export type { AcceptedHead } from "./configuration_source.ts";
+export { createConfigurationError } from "./create_configuration_error.ts";
 export { ConfigurationDistributor } from "./configuration_distributor.ts";
 export type { ConfigurationDistributorOptions } from "./configuration_distributor.ts";
 export type {
@@ -45,9 +46,16 @@
   QUESTIONABLE,
 } from "./find_questionable_entries.ts";
 export type { QuestionableEntry } from "./find_questionable_entries.ts";
+export { MAX_DEADLINE_MS } from "./find_blocking_errors.ts";
 export { findRequest } from "./find_request.ts";
 export type { CallTarget } from "./find_request.ts";
 export { findRoute } from "./find_route.ts";
 export type { RouteTarget } from "./find_route.ts";
 export { normalizeHost } from "./normalize_host.ts";
+export {
+  listReadingWarnings,
+  readConfigurationDocument,
+} from "./read_configuration_document.ts";
+export { REFUSAL_REASONS } from "./refusal_reasons.ts";
+export type { ConfigurationFinding, RefusalReason } from "./refusal_reasons.ts";
 export { validateConfigurationDocument } from "./validate_configuration_document.ts";
--- a/src/tools/generate_schema_code.ts
+++ b/src/tools/generate_schema_code.ts
@@ -23,6 +23,20 @@
   "configuration",
   "proposal",
 ]);
+/** Schema from which the one for readers of accepted documents is derived. */
+const WRITTEN_SCHEMA = "configuration";
+/** Keywords that only a writer checks; a reader ignores unknown fields and takes any length. */
+const WRITER_KEYWORDS: ReadonlySet<string> = new Set([
+  "additionalProperties",
+  "enum",
+  "maximum",
+  "maxItems",
+  "maxLength",
+  "minItems",
+  "pattern",
+]);
+/** Lists whose lengths a reader checks too, because messages between daemons have a value for each class. */
+const BOUNDED_LISTS: ReadonlySet<string> = new Set(["classes"]);
 const IPV4 = /^(\d{1,3}\.){3}\d{1,3}$/;
 
 interface NamedSchema {
@@ -64,6 +78,31 @@
   });
 }
 
+/** Derives the schema for readers of accepted documents. */
+function relaxSchema({ schema }: NamedSchema): NamedSchema {
+  const relaxed = relaxPart(schema, "") as NamedSchema["schema"];
+  return {
+    name: `readable_${WRITTEN_SCHEMA}`,
+    schema: {
+      ...relaxed,
+      $id: `readable_${WRITTEN_SCHEMA}`,
+      title: `Readable${schema.title}`,
+    },
+  };
+}
+
+function relaxPart(part: unknown, name: string): unknown {
+  if (typeof part !== "object" || part === null || Array.isArray(part)) {
+    return part;
+  }
+  const isBounded = BOUNDED_LISTS.has(name);
+  return Object.fromEntries(
+    Object.entries(part)
+      .filter(([key]) => isBounded || !WRITER_KEYWORDS.has(key))
+      .map(([key, value]) => [key, relaxPart(value, key)]),
+  );
+}
+
 function rewriteReference(
   key: string,
   value: unknown,
@@ -98,6 +137,12 @@
       { name, schema },
     ) => [`validate${schema.title}`, name]),
   );
+  const written = schemas.find(({ name }) => name === WRITTEN_SCHEMA);
+  if (allErrors && written) {
+    const { name, schema } = relaxSchema(written);
+    ajv.addSchema(schema);
+    names[`validate${schema.title}`] = name;
+  }
   const source = standaloneCode.default(ajv, names);
   const bundled = await build({
     stdin: { contents: source, resolveDir: "." },
@@ -144,6 +189,8 @@
     ...titles.map((title) =>
       `export const validate${title} = validators.validate${title} as Validator<${title}>;`
     ),
+    "/** Checks only what a reader of accepted configurations relies on. */",
+    "export const validateReadableConfiguration = validators.validateReadableConfiguration as Validator<Configuration>;",
     "",
   ].join("\n");
 }
