Believe a refusal of an instance only if it belongs to the request

Callers saw: requests that must not be repeated were reported as not run, or sent to a second instance, although the first one ran them. It happened after a faulty instance wrote an earlier refusal once more on a kept connection. Cause: a refusal without an id was taken for the answer to whichever request was in progress on its connection; a refusal with two ids was judged by the first one. Change: an answer belongs to a request if it names the request's id and no other. A refusal without an id is believed only as the first answer on its connection, if no other bytes follow it at once. All other answers leave an unknown outcome and end the connection. An attempt that the instance has refused before is sent on a connection of its own, since a copy of that refusal would name its id.

--- a/src/backend/backend_connection.ts
+++ b/src/backend/backend_connection.ts
@@ -80,6 +80,8 @@
   readonly status: number;
   /** Header fields, as alternating lower-case names and values. */
   readonly headers: readonly string[];
+  /** Whether no other request was sent on the connection before. */
+  readonly isFirst: boolean;
 }
 
 /** A complete response. */
@@ -113,6 +115,8 @@
 class Exchange implements ResponseHandler {
   isSent = false;
   isSettled = false;
+  /** Whether the request is the first one on its connection. */
+  isFirst = false;
   /** Whether the connection can be used again. */
   isPersistent = false;
   idleTimeoutMs = IDLE_TIMEOUT_MS;
@@ -153,7 +157,7 @@
       ? IDLE_TIMEOUT_MS
       : idleTimeoutMs - IDLE_MARGIN_MS;
     const { memory, signal, onHead } = this.request;
-    onHead?.({ status, headers });
+    onHead?.({ status, headers, isFirst: this.isFirst });
     if (statedBytes === undefined) {
       this.#maxBodyBytes = Math.min(this.#maxBodyBytes, MAX_UNSTATED_BYTES);
     }
@@ -176,10 +180,9 @@
 
   onEnd(): void {
     const { status = 0, headers = [], isDelimited = false } = this.#head ?? {};
-    const response = {
-      ...{ status, headers },
-      body: this.#body?.concatenate() ?? EMPTY_BODY,
-    };
+    const { isFirst } = this;
+    const body = this.#body?.concatenate() ?? EMPTY_BODY;
+    const response = { status, headers, isFirst, body };
     // A body that arrived whole may still wait for memory; reading is interrupted until then.
     this.isPersistent = isDelimited && this.#head?.isPersistent === true &&
       !this.#body?.isWaiting;
@@ -241,6 +244,8 @@
   usedAtMs = Number.NEGATIVE_INFINITY;
   /** Whether the start of a response to the latest exchange was received, informational ones included. */
   hasResponse = false;
+  /** Whether bytes arrived together with the end of the latest response and after it. */
+  hasExtraBytes = false;
 
   constructor(origin: URL) {
     this.#origin = origin;
@@ -271,6 +276,7 @@
   ): Promise<Result<BackendResponse, ExchangeFailure>> {
     const { signal } = request;
     this.hasResponse = false;
+    this.hasExtraBytes = false;
     const head = encodeRequestHead(request, this.#origin.host);
     if (head === undefined) {
       const message = "the request cannot be sent over HTTP";
@@ -351,6 +357,7 @@
     socket.once("connect", () => {
       clearTimeout(timer);
       if (this.#socket === socket && this.#exchange) {
+        this.#exchange.isFirst = true;
         send(socket, this.#exchange);
       }
     });
@@ -369,6 +376,7 @@
     const exchange = this.#exchange;
     // Nothing may arrive while no response is expected.
     if (!exchange?.isSent || !exchange.parser.push(bytes)) {
+      this.hasExtraBytes = exchange?.isSettled === true;
       this.#socket = undefined;
       socket.destroy();
       this.#exchange?.fail(new Error("the response is malformed"));
--- a/src/backend/backend_connection_pool.ts
+++ b/src/backend/backend_connection_pool.ts
@@ -35,12 +35,23 @@
   message: "the response belongs to another request",
 };
 
+/** How a response arrived. */
+export interface ResponseArrival {
+  /** Whether other bytes followed it at once. */
+  readonly hasExtraBytes: boolean;
+}
+
 /** Options of an exchange. */
 export interface ExchangeOptions {
   /** Longest idle time of a reused connection, in milliseconds; otherwise a new one is opened. */
   readonly maxIdleMs?: number | undefined;
+  /** Whether to use a connection on which no other request was sent. */
+  readonly isSeparate?: boolean;
   /** Whether a response belongs to this request; if not, it is discarded and the connection closed. */
-  readonly isMatchingResponse?: (response: BackendResponse) => boolean;
+  readonly isMatchingResponse?: (
+    response: BackendResponse,
+    arrival: ResponseArrival,
+  ) => boolean;
 }
 
 /** Pools connections to one origin at a time. */
@@ -62,13 +73,16 @@
   async exchange(
     origin: string,
     request: BackendExchange,
-    { maxIdleMs = MAX_IDLE_MS, isMatchingResponse = () => true }:
-      ExchangeOptions = {},
+    {
+      maxIdleMs = MAX_IDLE_MS,
+      isSeparate = false,
+      isMatchingResponse = () => true,
+    }: ExchangeOptions = {},
   ): Promise<Result<BackendResponse, ExchangeFailure>> {
     this.#switchOrigin(origin);
-    const connection = this.#acquire(
-      Math.min(maxIdleMs, this.#idleLimit.limitMs),
-    );
+    const connection = isSeparate
+      ? this.#replace()
+      : this.#acquire(Math.min(maxIdleMs, this.#idleLimit.limitMs));
     const startedAtMs = this.#clock.monotonicMs();
     const idleMs = startedAtMs - connection.usedAtMs;
     const silence = this.#silence;
@@ -77,7 +91,9 @@
       : undefined;
     const exchanged = await connection.exchange(request);
     const result = exchanged.andThen((response) =>
-      isMatchingResponse(response) ? ok(response) : err(MISMATCH_FAILURE)
+      isMatchingResponse(response, connection)
+        ? ok(response)
+        : err(MISMATCH_FAILURE)
     );
     if (result.isOk()) {
       silence.recordResponseTime(this.#clock.monotonicMs() - startedAtMs);
@@ -113,8 +129,7 @@
     const minUsedAtMs = this.#clock.monotonicMs() - maxIdleMs;
     const latest = this.#idle.at(-1);
     if (latest && latest.usedAtMs < this.#silence.doubtfulBeforeMs) {
-      // One for one, so that the server keeps no more connections than before.
-      void this.#idle.shift()?.close();
+      return this.#replace();
     } else if (latest && latest.usedAtMs >= minUsedAtMs) {
       this.#idle.pop();
       return latest;
@@ -122,6 +137,12 @@
     return new BackendConnection(this.#url);
   }
 
+  /** Opens a connection in place of the one that is idle for longest, so that the server keeps no more than before. */
+  #replace(): BackendConnection {
+    void this.#idle.shift()?.close();
+    return new BackendConnection(this.#url);
+  }
+
   #release(
     connection: BackendConnection,
     origin: string,
--- a/src/backend/mod.ts
+++ b/src/backend/mod.ts
@@ -21,6 +21,8 @@
 export { NO_STATEMENT } from "./server_statement.ts";
 export type { StatedLoad } from "./server_statement.ts";
 export type { ServerStatement } from "./server_statement.ts";
+export { isAttributable } from "./is_attributable.ts";
+export { RecentIds } from "./recent_ids.ts";
 export { probePort } from "./probe_port.ts";
 export type { PortState } from "./probe_port.ts";
 export { readServerStatement } from "./read_server_statement.ts";
