Refuse chunks on HTTP/1.0, malformed trailers and bare line feeds in answers

Callers could get a body whose framing the instance did not state clearly: the parser took chunks in an HTTP/1.0 answer, any bytes and any number of lines as trailer, and bare line feeds in a status line and after a chunk size. Cause: the status line and chunk size were checked at their beginning only, trailer lines not at all, and the version did not count for the framing. Change: trailer lines are checked like lines of the head and bounded together by the same 16 KiB; chunks on HTTP/1.0 are malformed (RFC 9112, section 6.1); the rest of a status line and of a chunk size is checked. Malformed answers leave an unknown outcome. Nothing is added for answers without chunks but the end of one regular expression. Issues: 36, 41.

--- a/src/backend/response_parser.ts
+++ b/src/backend/response_parser.ts
@@ -11,11 +11,12 @@
 /** Maximum size of the head of a response, and of a chunk's size line or the trailer, in bytes. */
 const MAX_HEAD_BYTES = 16_384;
 
-const STATUS_LINE = /^HTTP\/1\.([01]) ([1-9]\d\d)(?: |$)/;
+const STATUS_LINE =
+  /^HTTP\/1\.([01]) ([1-9]\d\d)(?: [\t\x20-\x7e\x80-\xff]*)?$/;
 const HEADER_LINE =
   /^([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[ \t]*((?:[\t\x20-\x7e\x80-\xff]*[\x21-\x7e\x80-\xff])?)[ \t]*$/;
 const LENGTH = /^\d{1,15}$/;
-const CHUNK_SIZE = /^([0-9A-Fa-f]{1,8})[ \t]*(?:;|$)/;
+const CHUNK_SIZE = /^([0-9A-Fa-f]{1,8})[ \t]*(?:;[\t\x20-\x7e\x80-\xff]*)?$/;
 const CLOSE_OPTION = /(?:^|,)\s*close\s*(?:,|$)/i;
 const KEEP_ALIVE_OPTION = /(?:^|,)\s*keep-alive\s*(?:,|$)/i;
 const KEEP_ALIVE_TIMEOUT = /(?:^|[,;\s])timeout=(\d{1,6})/i;
@@ -66,6 +67,8 @@
   /** Bytes left of the body or the chunk; infinite if the end of the connection delimits the body. */
   #leftBytes = 0;
   #isChunked = false;
+  /** Number of bytes of the trailer lines so far. */
+  #trailerBytes = 0;
 
   constructor(handler: ResponseHandler, { method }: { method: string }) {
     this.#handler = handler;
@@ -190,16 +193,23 @@
     return bytes.toString("latin1", 0, CRLF.length) === CRLF ? CRLF.length : -1;
   }
 
-  /** Skips the lines after the last chunk. */
+  /** Checks the lines after the last chunk, and skips them: they are fields, as in the head. */
   #readTrailer(bytes: Buffer): number {
     const endIndex = bytes.indexOf(CRLF, 0, "latin1");
     if (endIndex < 0) {
       return 0;
     }
+    const usedBytes = endIndex + CRLF.length;
+    this.#trailerBytes += usedBytes;
     if (endIndex === 0) {
       this.#end();
+    } else if (
+      this.#trailerBytes > MAX_HEAD_BYTES ||
+      !HEADER_LINE.test(bytes.toString("latin1", 0, endIndex))
+    ) {
+      return -1;
     }
-    return endIndex + CRLF.length;
+    return usedBytes;
   }
 
   #end(): void {
@@ -253,14 +263,16 @@
       }
     }
   }
-  if (length !== undefined && coding !== undefined) {
+  const isChunked = coding !== undefined;
+  // A sender of HTTP/1.0 may have passed chunks on without knowing them (RFC 9112, section 6.1).
+  if (isChunked && (length !== undefined || minorVersion === "0")) {
     return undefined;
   }
   return {
     status,
     headers,
     statedBytes: length === undefined ? undefined : Number(length),
-    isDelimited: length !== undefined || coding !== undefined ||
+    isDelimited: length !== undefined || isChunked ||
       EMPTY_STATUSES.has(status),
     isPersistent: minorVersion === "1"
       ? !CLOSE_OPTION.test(connection)
--- a/src/backend/response_parser_test.ts
+++ b/src/backend/response_parser_test.ts
@@ -28,6 +28,8 @@
   return { heads, body, ends, isValid, isCompletedByEnd };
 }
 
+const CHUNKED_HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
 const COMPLETE: Record<string, [text: string, body: string]> = {
   "a stated length": [
     "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX-A:  b c \r\n\r\ndone",
@@ -43,6 +45,14 @@
     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
     "ok",
   ],
+  "bytes above 0x7f in a value": [
+    "HTTP/1.1 200 OK\r\nX-A: \xe9\r\nContent-Length: 2\r\n\r\nok",
+    "ok",
+  ],
+  "several trailer lines": [
+    `${CHUNKED_HEAD}2 \r\nok\r\n000\r\nX-A: b\r\nX-B:\r\n\r\n`,
+    "ok",
+  ],
   "a status without a body": ["HTTP/1.1 204 No Content\r\n\r\n", ""],
   "an empty reason": ["HTTP/1.1 200\r\ncontent-length: 0\r\n\r\n", ""],
 };
@@ -77,6 +87,36 @@
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nabc\r\n0\r\n\r\n",
   "bytes after its end":
     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n",
+  "different lengths":
+    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok",
+  "a list of lengths": "HTTP/1.1 200 OK\r\nContent-Length: 2, 2\r\n\r\nok",
+  "chunks before a length":
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n",
+  "chunks on HTTP/1.0":
+    "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+  "no colon in a line": "HTTP/1.1 200 OK\r\nX-A\r\n\r\n",
+  "no name in a line": "HTTP/1.1 200 OK\r\n: a\r\n\r\n",
+  "a byte above 0x7f in a name": "HTTP/1.1 200 OK\r\nX-\xe9: b\r\n\r\n",
+  "a NUL in a value": "HTTP/1.1 200 OK\r\nX-A: \0\r\n\r\n",
+  "a bare carriage return in a value":
+    "HTTP/1.1 200 OK\r\nX-A: b\rX-B: c\r\n\r\n",
+  "a bare line feed in its status line":
+    "HTTP/1.1 200 OK\nX-A: b\r\nContent-Length: 0\r\n\r\n",
+  "a short status": "HTTP/1.1 20 OK\r\n\r\n",
+  "a status line without a status": "HTTP/1.1\r\n\r\n",
+  "an empty line before it": "\r\nHTTP/1.1 204 None\r\n\r\n",
+  "another version": "HTTP/2.0 200 OK\r\nContent-Length: 0\r\n\r\n",
+  "a bare line feed after a chunk size":
+    `${CHUNKED_HEAD}2;a\nb\r\nok\r\n0\r\n\r\n`,
+  "a trailer line without a colon":
+    `${CHUNKED_HEAD}2\r\nok\r\n0\r\nHTTP/1.1 200 OK\r\n\r\n`,
+  "a bare line feed in a trailer line":
+    `${CHUNKED_HEAD}2\r\nok\r\n0\r\nX-A: b\nX-B: c\r\n\r\n`,
+  "a folded trailer line":
+    `${CHUNKED_HEAD}2\r\nok\r\n0\r\nX-A: b\r\n c\r\n\r\n`,
+  "trailer lines without end": `${CHUNKED_HEAD}0\r\n${
+    "X-A: b\r\n".repeat(3_000)
+  }`,
   "a change of the protocol": "HTTP/1.1 101 Switching\r\n\r\n",
   "an endless head": `HTTP/1.1 200 OK\r\n${"X-A: b\r\n".repeat(3_000)}`,
 };
