End what a stopping daemon passes on, and refuse unsent what cannot end in time

Others got 502 for requests that another VM was running.

Four causes: the drain ended a second before the process would be killed, though its end takes 40 ms; nothing asked whether a request can end in time; at the end only idle connections were closed, and the exit reset the others; and closing the connections to other daemons ended the calls on them first, for which 502 was written.

A stop now has a schedule with all deadlines from the start. Answers are waited for until 0.5 s before the end of the grace. A request is begun if its caller or route gives up before that, or if the 0.99 quantile of the measured durations of its route fits; otherwise it is refused with 503 and Retry-After. What has no answer by then gets 502 if it was passed on and 503 if not.

--- a/src/daemon/create_daemon_components.ts
+++ b/src/daemon/create_daemon_components.ts
@@ -24,6 +24,7 @@
   RunLedger,
   SuccessorTable,
 } from "../idempotency/mod.ts";
+import { StopControl } from "../leaving/mod.ts";
 import { bindWhenFree } from "../listening/mod.ts";
 import {
   createIncarnation,
@@ -301,6 +302,7 @@
     leavingServers: new LeavingServers(),
     spillReceipts: new SpillReceipts(clock),
     allowances: allowances.control,
+    stop: new StopControl(clock),
   };
   return {
     environment,
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -8,6 +8,7 @@
 import type { ConfigurationDistributor } from "../configuration/mod.ts";
 import type { DaemonSettings } from "../generated/types.ts";
 import type { GossipMembership } from "../membership/mod.ts";
+import { createStopSchedule } from "../leaving/mod.ts";
 import { PeerServer } from "../peer/mod.ts";
 import { createUnknownOutcome, REASONS } from "../outcome/mod.ts";
 import type { CallResult } from "../outcome/mod.ts";
@@ -28,12 +29,6 @@
 /** Interval of the periodic maintenance, in milliseconds. */
 const HOUSEKEEPING_INTERVAL_MS = 500;
 
-/** Share of the drain timeout that is reserved for finishing requests in progress after the listeners have closed. */
-const FINAL_DRAIN_RATIO = 0.5;
-
-/** Upper bound of that time, in milliseconds; nearly all requests finish within it. */
-const MAX_FINAL_DRAIN_MS = 1_500;
-
 /** Time without requests after which a stopping daemon closes its connections, in milliseconds. */
 const IDLE_PERIOD_MS = 250;
 
@@ -97,8 +92,11 @@
     this.#peerServer = new PeerServer({
       ...components.connectionOptions,
       handleCall: (call, options) =>
-        this.#containFault(() =>
-          servePeerCall(this.environment, call, options)
+        this.environment.stop.guard(
+          this.#containFault(() =>
+            servePeerCall(this.environment, call, options)
+          ),
+          () => createUnknownOutcome(REASONS.daemonStopping),
         ),
       track: (serve) => this.#requests.track(serve),
       provideConfiguration: (knownVersion) =>
@@ -191,7 +189,8 @@
   /**
    * Stops gracefully: announces that the daemon is leaving, finishes the
    * requests in progress and leaves the fleet. Requests that still arrive are
-   * served until the listeners close. Repeated calls return the same promise.
+   * served if they are expected to end in time, and refused otherwise. Repeated
+   * calls return the same promise.
    */
   stop(): Promise<void> {
     this.#stopping ??= this.#stop().then(this.#resolveStopped);
@@ -199,43 +198,64 @@
   }
 
   async #stop(): Promise<void> {
-    const { backend, clock, journal, log, peers, settings } = this.environment;
-    journal.record(DECISIONS.leaving, {
-      requestsInProgress: this.#requests.count,
-    });
-    log.info(
-      { requestsInProgress: this.#requests.count },
-      "daemon-stopping",
-    );
+    const { activeCalls, backend, clock, journal, log, settings, stop } =
+      this.environment;
+    const schedule = createStopSchedule(clock.monotonicMs(), settings);
+    const requestsInProgress = this.#requests.count;
+    journal.record(DECISIONS.leaving, { requestsInProgress });
+    log.info({ requestsInProgress }, "daemon-stopping");
+    stop.begin(schedule);
     this.#membership.updateSelf({ state: "leaving" });
     backend.drain();
     const sendLateOutcomes = this.#issuesKeys
       ? await handOverKeys(this.environment)
       : () => Promise.resolve();
-    await clock.sleep(settings.leaveNoticeMs);
-    const deadlineMs = clock.monotonicMs() + settings.drainTimeoutMs;
-    const finalDrainMs = Math.min(
-      MAX_FINAL_DRAIN_MS,
-      settings.drainTimeoutMs * FINAL_DRAIN_RATIO,
-    );
-    await this.#requests.waitUntilIdle(0, deadlineMs - finalDrainMs);
+    await clock.sleep(schedule.noticeEndsAtMs - clock.monotonicMs());
+    await this.#requests.waitUntilIdle(0, schedule.listenersCloseAtMs);
     await sendLateOutcomes();
+    // A running call may make nested calls over new connections.
+    await this.#requests.waitUntil(
+      () => activeCalls.count === 0,
+      schedule.answersEndAtMs,
+    );
     this.#listeners.forEach((listener) => listener.close());
     await this.#requests.waitUntilIdle(
       IDLE_PERIOD_MS,
-      Math.min(deadlineMs, clock.monotonicMs() + MAX_IDLE_WAIT_MS),
+      Math.min(
+        schedule.answersEndAtMs,
+        clock.monotonicMs() + MAX_IDLE_WAIT_MS,
+      ),
     );
-    await this.#requests.waitUntilIdle(0, deadlineMs);
+    await this.#requests.waitUntilIdle(0, schedule.answersEndAtMs);
+    stop.cutOff();
+    await this.#requests.waitUntilIdle(0, schedule.flushEndsAtMs);
     this.#listeners.forEach((listener) => listener.closeConnections());
     this.#stopHousekeeping();
     this.#stopSignal.abort();
     this.#quarantineArchive.stop();
     this.environment.allowances.stop();
-    await this.#membership.stop();
-    await this.#peerServer.close();
-    peers.close();
-    await this.#store.close();
-    log.info({}, "daemon-stopped");
+    await this.#closeConnections(schedule.flushEndsAtMs);
+    const unfinished = this.#requests.count;
+    const facts = { requestsInProgress, ...stop.counts, unfinished };
+    log.info(facts, "daemon-stopped");
+  }
+
+  /** Leaves the fleet and closes the connections to peers and the store, or gives up at the deadline. */
+  async #closeConnections(deadlineMs: number): Promise<void> {
+    const { clock, peers } = this.environment;
+    let cancelTimeout: () => void = () => undefined;
+    const timeout = new Promise<void>((resolve) => {
+      const delayMs = Math.max(0, deadlineMs - clock.monotonicMs());
+      cancelTimeout = clock.schedule(delayMs, resolve);
+    });
+    const close = async () => {
+      await this.#membership.stop();
+      await this.#peerServer.close();
+      peers.close();
+      await this.#store.close();
+    };
+    await Promise.race([close(), timeout]);
+    cancelTimeout();
   }
 
   #createListenerContext(): ListenerContext {
--- a/src/daemon/request_tracker.ts
+++ b/src/daemon/request_tracker.ts
@@ -44,4 +44,12 @@
       await clock.sleep(DRAIN_POLL_MS);
     }
   }
+
+  /** Waits until a condition holds, or until the deadline on the monotonic clock. */
+  async waitUntil(check: () => boolean, deadlineMs: number): Promise<void> {
+    const clock = this.#clock;
+    while (!check() && clock.monotonicMs() < deadlineMs) {
+      await clock.sleep(DRAIN_POLL_MS);
+    }
+  }
 }
--- a/src/request/call_environment.ts
+++ b/src/request/call_environment.ts
@@ -17,6 +17,7 @@
   RunLedger,
   SuccessorTable,
 } from "../idempotency/mod.ts";
+import type { StopControl } from "../leaving/mod.ts";
 import type { Membership } from "../membership/mod.ts";
 import type { MemoryBudget } from "../memory/mod.ts";
 import type { CrashRecorder, Quarantine } from "../quarantine/mod.ts";
@@ -74,6 +75,8 @@
   readonly allowances: AllowanceControl;
   /** Requests that are refused because they crash backend servers. */
   readonly quarantine: Quarantine;
+  /** Which requests are begun while this daemon stops, and the end of the others. */
+  readonly stop: StopControl;
   /** Calls that the backend server of this VM runs, to tell what ran when it ended. */
   readonly crashes: CrashRecorder;
 }
--- a/src/request/serve_routed_call.ts
+++ b/src/request/serve_routed_call.ts
@@ -62,6 +62,8 @@
   /** Time until the deadline, in milliseconds; undefined if the caller gave none. */
   readonly deadlineMs: number | undefined;
   readonly signal: CallSignal;
+  /** Called just before the call is dispatched, with the kind under which its duration is measured; undefined for nested calls. */
+  readonly onDispatch?: (kind: string | undefined) => void;
 }
 
 /**
@@ -94,6 +96,9 @@
       ...{ parent, account, startedAtMs },
     })
   );
+  if (call.isOk()) {
+    routed.onDispatch?.(parent ? undefined : call.value.context.requestName);
+  }
   const result: CallResult = call.isErr()
     ? err(call.error)
     : await dispatch(environment, call.value, parent);
@@ -228,9 +233,15 @@
   const context = parent
     ? ok(createNestedContext(routed, route, parent))
     : admit(environment, routed, options);
-  return context.map((callContext) =>
+  const call = context.map((callContext) =>
     createCall(environment, callContext, { ...options, routed })
   );
+  // Nested calls are always served, since their parents are in progress.
+  return parent ? call : call.andThen((prepared) => {
+    const { requestName: kind, remainingMs: limitMs } = prepared.context;
+    const refusal = environment.stop.check({ kind, limitMs });
+    return refusal ? err(refusal) : ok(prepared);
+  });
 }
 
 function admit(
--- a/src/testing/fault_injection/fault_injection_node.ts
+++ b/src/testing/fault_injection/fault_injection_node.ts
@@ -20,6 +20,7 @@
   RunLedger,
   SuccessorTable,
 } from "../../idempotency/mod.ts";
+import { StopControl } from "../../leaving/mod.ts";
 import type { KeyLedgerOptions } from "../../idempotency/mod.ts";
 import { createIncarnation } from "../../membership/mod.ts";
 import { PeerServer } from "../../peer/mod.ts";
@@ -256,6 +257,7 @@
       spillReceipts: new SpillReceipts(clock),
       allowances: new UnlimitedAllowances(),
       peerServices: new PeerServices(),
+      stop: new StopControl(clock),
       quarantine,
       crashes: new CrashRecorder({
         ...{ backend: registry, backendClient: this.backend, clock },
