--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -12,7 +12,7 @@
 import { PeerServer } from "../peer/mod.ts";
 import { createUnknownOutcome, REASONS } from "../outcome/mod.ts";
 import type { CallResult } from "../outcome/mod.ts";
-import { handOverKeys, servePeerCall } from "../request/mod.ts";
+import { servePeerCall } from "../request/mod.ts";
 import type { CallEnvironment } from "../request/mod.ts";
 import type { QuarantineArchive } from "../quarantine/mod.ts";
 import type { HttpObjectStore } from "../store/mod.ts";
@@ -23,18 +23,13 @@
 import type { DaemonOverrides } from "./create_daemon_components.ts";
 import type { OutboundComponents } from "./create_outbound_components.ts";
 import { createDefaultListeners } from "./create_default_listeners.ts";
+import { drainRequests } from "./drain_requests.ts";
 import type { Listener, ListenerContext } from "./listener.ts";
 import { RequestTracker } from "./request_tracker.ts";
 
 /** Interval of the periodic maintenance, in milliseconds. */
 const HOUSEKEEPING_INTERVAL_MS = 500;
 
-/** Time without requests after which a stopping daemon closes its connections, in milliseconds. */
-const IDLE_PERIOD_MS = 250;
-
-/** Maximum wait for that time without requests, in milliseconds. */
-const MAX_IDLE_WAIT_MS = 2_000;
-
 /** One daemon of the fleet. */
 export class Daemon {
   readonly environment: CallEnvironment;
@@ -198,37 +193,16 @@
   }
 
   async #stop(): Promise<void> {
-    const { activeCalls, backend, clock, journal, log, settings, stop } =
-      this.environment;
+    const { clock, journal, log, settings, stop } = this.environment;
     const schedule = createStopSchedule(clock.monotonicMs(), settings);
     const requestsInProgress = this.#requests.count;
     journal.record(DECISIONS.leaving, { requestsInProgress });
     log.info({ requestsInProgress }, "daemon-stopping");
-    stop.begin(schedule);
     this.#membership.updateSelf({ state: "leaving" });
-    backend.drain();
-    const sendLateOutcomes = this.#issuesKeys
-      ? await handOverKeys(this.environment)
-      : () => Promise.resolve();
-    await clock.sleep(schedule.noticeEndsAtMs - clock.monotonicMs());
-    await this.#requests.waitUntilIdle(0, schedule.listenersCloseAtMs);
-    await sendLateOutcomes();
-    // A running call may make nested calls over new connections.
-    await this.#requests.waitUntil(
-      () => activeCalls.count === 0,
-      schedule.answersEndAtMs,
-    );
-    this.#listeners.forEach((listener) => listener.close());
-    await this.#requests.waitUntilIdle(
-      IDLE_PERIOD_MS,
-      Math.min(
-        schedule.answersEndAtMs,
-        clock.monotonicMs() + MAX_IDLE_WAIT_MS,
-      ),
-    );
-    await this.#requests.waitUntilIdle(0, schedule.answersEndAtMs);
-    stop.cutOff();
-    await this.#requests.waitUntilIdle(0, schedule.flushEndsAtMs);
+    await drainRequests({
+      ...{ environment: this.environment, requests: this.#requests },
+      ...{ listeners: this.#listeners, issuesKeys: this.#issuesKeys },
+    }, schedule);
     this.#listeners.forEach((listener) => listener.closeConnections());
     this.#stopHousekeeping();
     this.#stopSignal.abort();
