Hand back the calls that wait at a VM as soon as its daemon stops

Calls that waited for a slot when the daemon of their VM began to stop stayed in its queue until a slot was free, and were refused then, late in the time of their callers.

They are handed back at once if another instance is known, with the leaving as reason also under a limit, so that the sender excludes the VM. Without another instance they keep their place and run if they are expected to end in time. A server that leaves itself still accepts none.

--- a/src/admission/adaptive_admission.ts
+++ b/src/admission/adaptive_admission.ts
@@ -9,10 +9,9 @@
 import type { LoadSignal } from "../generated/types.ts";
 import { createRefusal, REASONS } from "../outcome/mod.ts";
 import type { Reason } from "../outcome/mod.ts";
-import type { Clock } from "../time/mod.ts";
 import type { StatedSlowness } from "../slowness/mod.ts";
+import type { AdaptiveAdmissionOptions } from "./adaptive_admission_options.ts";
 import { AdmissionJournal } from "./admission_journal.ts";
-import type { AdmissionTelemetry } from "./admission_journal.ts";
 import { AdmissionRefuser } from "./admission_refuser.ts";
 import { AdmitRatioUpdater } from "./admit_ratio_updater.ts";
 import { ConcurrencyLimit } from "./concurrency_limit.ts";
@@ -35,17 +34,6 @@
 /** Maximum queue length, whatever the remaining time of the calls. */
 const MAX_WAITING = 2_000;
 
-/** Dependencies and settings of the admission. */
-export interface AdaptiveAdmissionOptions extends AdmissionTelemetry {
-  readonly clock: Clock;
-  /** Number that distinguishes this instance from others of its service. */
-  readonly instance: number;
-  /** Lists the share of the limit reserved for each class, the most important first. */
-  readonly listReservedRatios: () => readonly number[];
-  /** Whether an account has used up its allowance, so that its calls go last. */
-  readonly isAllowanceUsedUp?: ((account: string) => boolean) | undefined;
-}
-
 /** Concurrency limit, queue and demand estimate of one backend server. */
 export class AdaptiveAdmission extends InboundAdmission {
   readonly #options: AdaptiveAdmissionOptions;
@@ -132,11 +120,9 @@
     this.#requestsPerSecond = requestsPerSecond;
     this.#pacer.setLimit(requestsPerSecond);
     if (this.#pacer.isLimited) {
-      this.#queue.listInOrder(this.#estimator.order)
-        .filter(({ isLastResort }) => !isLastResort)
-        .forEach((waiter) =>
-          this.#removeWaiter(waiter, REASONS.limitedInstance)
-        );
+      const waiters = this.#queue.listInOrder(this.#estimator.order)
+        .filter(({ isLastResort }) => !isLastResort);
+      this.#removeWaiters(waiters, REASONS.limitedInstance);
     }
     this.#grantNext();
   }
@@ -158,12 +144,16 @@
     this.#handBacks.slowness.observe(slownessRatio, this.#nowMs);
     this.#journal.recordSlowness(slownessRatio);
     if (slownessRatio > 1 && this.#queue.length > 0) {
-      this.#handBacks.listHandedBack(this.#nowMs).forEach((waiter) =>
-        this.#removeWaiter(waiter, REASONS.slowInstance)
-      );
+      const waiters = this.#handBacks.listHandedBack(this.#nowMs);
+      this.#removeWaiters(waiters, REASONS.slowInstance);
     }
   }
 
+  override handBackWaiting(): void {
+    const waiters = this.#queue.listInOrder(this.#estimator.order);
+    this.#removeWaiters(waiters, REASONS.leaving);
+  }
+
   override describeLoad(service: string): LoadSignal {
     this.#updateAdmitRatios();
     return createLoadSignal({
@@ -249,6 +239,10 @@
     return true;
   }
 
+  #removeWaiters(waiters: readonly WaitingCall[], reason: Reason): void {
+    waiters.forEach((waiter) => this.#removeWaiter(waiter, reason));
+  }
+
   #removeWaiter(waiter: WaitingCall, reason: Reason): void {
     if (this.#queue.remove(waiter)) {
       this.#settleLate(waiter, reason);
@@ -290,9 +284,8 @@
 
   #updateAdmitRatios(): void {
     this.#ratios.update(this.#nowMs, () => {
-      this.#estimator.listLate(this.#nowMs).forEach((waiter) =>
-        this.#removeWaiter(waiter, REASONS.overloadedInstance)
-      );
+      const waiters = this.#estimator.listLate(this.#nowMs);
+      this.#removeWaiters(waiters, REASONS.overloadedInstance);
     });
   }
 }
--- a/src/admission/adaptive_admission_test.ts
+++ b/src/admission/adaptive_admission_test.ts
@@ -359,4 +359,28 @@
   assert.is(states.get("waiting"), "waiting");
 });
 
+// Guards against calls that wait at a VM whose daemon stops, until a slot is free or their time is over.
+test("waiting calls are handed back at once when the VM leaves, and running ones go on", async () => {
+  const { admission, states, enter } = createFixture();
+  await enter("running");
+  await enter("running too");
+  await enter("waiting");
+  admission.handBackWaiting();
+  await settle();
+  assert.is(states.get("running"), "running");
+  assert.is(states.get("running too"), "running");
+  assert.is(states.get("waiting"), "leaving");
+});
+
+// Guards against a reason that does not tell the sender that the VM leaves.
+test("a call that waits for the pace of a limit is handed back with the leaving as reason", async () => {
+  const { admission, states, enter } = createFixture();
+  admission.setRequestRate(2);
+  await enter("waiting", { isLastResort: true, timeLeftMs: 9_000 });
+  assert.is(states.get("waiting"), "waiting");
+  admission.handBackWaiting();
+  await settle();
+  assert.is(states.get("waiting"), "leaving");
+});
+
 test.run();
--- a/src/admission/admission_refuser.ts
+++ b/src/admission/admission_refuser.ts
@@ -52,11 +52,12 @@
     return err(createRefusal(reason, { retryAfterMs }));
   }
 
-  /** Refuses a call that has waited. One that waits in vain under a limit shows no overload. */
+  /** Refuses a call that has waited. One that waits in vain under a limit shows no overload; the other reasons that remain do not depend on the limit. */
   refuseWaiter(reason: Reason): AdmissionResult {
     const { pacer } = this.#options;
     return this.refuse(
-      pacer.isLimited && reason !== REASONS.cancelled
+      pacer.isLimited && reason !== REASONS.cancelled &&
+        reason !== REASONS.leaving
         ? REASONS.limitedInstance
         : reason,
     );
--- a/src/admission/inbound_admission.ts
+++ b/src/admission/inbound_admission.ts
@@ -83,6 +83,11 @@
     // The baseline ignores what backend servers state.
   }
 
+  /** Refuses the calls that wait, since this VM leaves; they can still be sent elsewhere. */
+  handBackWaiting(): void {
+    // Calls wait until they get a slot in the baseline.
+  }
+
   /** Number of running and waiting calls. */
   abstract get pendingCalls(): number;
 }
--- a/src/admission/mod.ts
+++ b/src/admission/mod.ts
@@ -3,7 +3,7 @@
  */
 
 export { AdaptiveAdmission } from "./adaptive_admission.ts";
-export type { AdaptiveAdmissionOptions } from "./adaptive_admission.ts";
+export type { AdaptiveAdmissionOptions } from "./adaptive_admission_options.ts";
 export {
   EntryAdmission,
   UnprotectedEntryAdmission,
--- a/src/daemon/drain_requests.ts
+++ b/src/daemon/drain_requests.ts
@@ -37,9 +37,12 @@
   { environment, requests, listeners, issuesKeys }: DrainedDaemon,
   schedule: StopSchedule,
 ): Promise<void> {
-  const { activeCalls, backend, clock, stop } = environment;
+  const { activeCalls, backend, clock, inboundAdmission, stop } = environment;
   stop.begin(schedule);
   backend.drain();
+  if (hasOtherInstances(environment)) {
+    inboundAdmission.handBackWaiting();
+  }
   const sendLateOutcomes = issuesKeys
     ? await handOverKeys(environment)
     : () => Promise.resolve();
@@ -60,3 +63,11 @@
   stop.cutOff();
   await requests.waitUntilIdle(0, schedule.flushEndsAtMs);
 }
+
+/** Whether calls for the backend server of this VM can be sent to another one. */
+function hasOtherInstances({ backend, membership }: CallEnvironment): boolean {
+  const { announcement } = backend;
+  return announcement !== undefined &&
+    membership.listInstances(announcement.service)
+      .some(({ incarnation }) => incarnation !== membership.self.incarnation);
+}
--- a/src/daemon/leaving_test.ts
+++ b/src/daemon/leaving_test.ts
@@ -21,6 +21,9 @@
 /** Longer than the leave notice of a stopping daemon. */
 const WORK_MS = 1_500;
 
+/** More calls than an instance runs at the same time. */
+const CALLS_BEYOND_SLOTS = 24;
+
 const test = suite<Context>("leaving backend servers and stopping daemons");
 
 test.before.each(async (context) => {
@@ -128,4 +131,32 @@
   assert.ok(runs.every(({ isFinished }) => isFinished));
 });
 
+// Guards against the refusal of calls that wait at the only instance of a service, which would be served before the stop ends.
+test("calls that wait at the only instance are served while its daemon stops", async (context) => {
+  const { fleet } = context;
+  const [, stopping, ...others] = fleet.daemons;
+  others.forEach(({ environment }) => environment.backend.leave());
+  await waitUntil(() =>
+    fleet.daemons.slice(0, 2).every(({ environment }) =>
+      environment.membership.listInstances("price-sheets").length === 1
+    )
+  );
+  for (const { behavior } of fleet.backendServers) {
+    behavior.serviceTimeMs = 300;
+  }
+  const sent = Array.from(
+    { length: CALLS_BEYOND_SLOTS },
+    (_, index) => send(context, `waiting-${index}`),
+  );
+  const admission = stopping?.environment.inboundAdmission;
+  await waitUntil(() => admission?.pendingCalls === CALLS_BEYOND_SLOTS);
+  const stopped = stopping?.stop();
+  const outcomes = await Promise.all(sent);
+  assert.equal(
+    outcomes.filter(({ outcome }) => outcome !== "answered"),
+    [],
+  );
+  await stopped;
+});
+
 test.run();
--- a/src/request/run_call.ts
+++ b/src/request/run_call.ts
@@ -7,7 +7,7 @@
 
 import { err, ok } from "neverthrow";
 import { CallController } from "../cancellation/mod.ts";
-import { BACKEND_STATES, formatServerId } from "../backend/mod.ts";
+import { formatServerId } from "../backend/mod.ts";
 import type { ConnectionBreak, ServerStatement } from "../backend/mod.ts";
 import type { LoadSignal } from "../generated/types.ts";
 import { createRefusal, REASONS } from "../outcome/mod.ts";
@@ -15,6 +15,7 @@
 import type { StatedSlowness } from "../slowness/mod.ts";
 import { DECISIONS } from "../telemetry/mod.ts";
 import type { CallEnvironment } from "./call_environment.ts";
+import { findRefusalReason } from "./find_refusal_reason.ts";
 import { observeStatement } from "./observe_statement.ts";
 import { PEER_NOTES } from "./peer_notes.ts";
 import type { OutboundCall } from "./outbound_call.ts";
@@ -141,7 +142,9 @@
   }
   const startedAtMs = clock.monotonicMs();
   const announcement = backend.announcement;
-  const reasonAfterQueue = findRefusalReason(environment, call);
+  const reasonAfterQueue = findRefusalReason(environment, call, {
+    wasAccepted: true,
+  });
   const refusedResult = refuseQuarantined(environment, call) ??
     (announcement && !reasonAfterQueue
       ? undefined
@@ -182,22 +185,6 @@
     : result.error.reason === SHED_REASON;
 }
 
-function findRefusalReason(environment: CallEnvironment, call: OutboundCall) {
-  const { backend, clock } = environment;
-  if (
-    backend.announcement?.service !== call.service ||
-    backend.state === BACKEND_STATES.absent
-  ) {
-    return REASONS.noBackendServer;
-  }
-  if (backend.state === BACKEND_STATES.leaving) {
-    return REASONS.leaving;
-  }
-  return clock.monotonicMs() >= call.deadlineAtMs
-    ? REASONS.deadlineExpired
-    : undefined;
-}
-
 interface BackendRun {
   readonly result: CallResult;
   /** Time during which the backend server waited for nested calls, in milliseconds. */
