--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -8,10 +8,11 @@
 import type { ConfigurationDistributor } from "../configuration/mod.ts";
 import type { DaemonSettings } from "../generated/types.ts";
 import type { GossipMembership } from "../membership/mod.ts";
+import { createStopSchedule } from "../leaving/mod.ts";
 import { PeerServer } from "../peer/mod.ts";
 import { createUnknownOutcome, REASONS } from "../outcome/mod.ts";
 import type { CallResult } from "../outcome/mod.ts";
-import { handOverKeys, servePeerCall } from "../request/mod.ts";
+import { servePeerCall } from "../request/mod.ts";
 import type { CallEnvironment } from "../request/mod.ts";
 import type { QuarantineArchive } from "../quarantine/mod.ts";
 import type { HttpObjectStore } from "../store/mod.ts";
@@ -22,24 +23,13 @@
 import type { DaemonOverrides } from "./create_daemon_components.ts";
 import type { OutboundComponents } from "./create_outbound_components.ts";
 import { createDefaultListeners } from "./create_default_listeners.ts";
+import { drainRequests } from "./drain_requests.ts";
 import type { Listener, ListenerContext, NotReadyCause } from "./listener.ts";
 import { RequestTracker } from "./request_tracker.ts";
 
 /** Interval of the periodic maintenance, in milliseconds. */
 const HOUSEKEEPING_INTERVAL_MS = 500;
 
-/** Share of the drain timeout that is reserved for finishing requests in progress after the listeners have closed. */
-const FINAL_DRAIN_RATIO = 0.5;
-
-/** Upper bound of that time, in milliseconds; nearly all requests finish within it. */
-const MAX_FINAL_DRAIN_MS = 1_500;
-
-/** Time without requests after which a stopping daemon closes its connections, in milliseconds. */
-const IDLE_PERIOD_MS = 250;
-
-/** Maximum wait for that time without requests, in milliseconds. */
-const MAX_IDLE_WAIT_MS = 2_000;
-
 /** One daemon of the fleet. */
 export class Daemon {
   readonly environment: CallEnvironment;
@@ -97,8 +87,11 @@
     this.#peerServer = new PeerServer({
       ...components.connectionOptions,
       handleCall: (call, options) =>
-        this.#containFault(() =>
-          servePeerCall(this.environment, call, options)
+        this.environment.stop.guard(
+          this.#containFault(() =>
+            servePeerCall(this.environment, call, options)
+          ),
+          () => createUnknownOutcome(REASONS.daemonStopping),
         ),
       track: (serve) => this.#requests.track(serve),
       provideConfiguration: (knownVersion) =>
@@ -204,7 +197,8 @@
   /**
    * Stops gracefully: announces that the daemon is leaving, finishes the
    * requests in progress and leaves the fleet. Requests that still arrive are
-   * served until the listeners close. Repeated calls return the same promise.
+   * served if they are expected to end in time, and refused otherwise. Repeated
+   * calls return the same promise.
    */
   stop(): Promise<void> {
     this.#stopping ??= this.#stop().then(this.#resolveStopped);
@@ -212,43 +206,43 @@
   }
 
   async #stop(): Promise<void> {
-    const { backend, clock, journal, log, peers, settings } = this.environment;
-    journal.record(DECISIONS.leaving, {
-      requestsInProgress: this.#requests.count,
-    });
-    log.info(
-      { requestsInProgress: this.#requests.count },
-      "daemon-stopping",
-    );
+    const { clock, journal, log, settings, stop } = this.environment;
+    const schedule = createStopSchedule(clock.monotonicMs(), settings);
+    const requestsInProgress = this.#requests.count;
+    journal.record(DECISIONS.leaving, { requestsInProgress });
+    log.info({ requestsInProgress }, "daemon-stopping");
     this.#membership.updateSelf({ state: "leaving" });
-    backend.drain();
-    const sendLateOutcomes = this.#issuesKeys
-      ? await handOverKeys(this.environment)
-      : () => Promise.resolve();
-    await clock.sleep(settings.leaveNoticeMs);
-    const deadlineMs = clock.monotonicMs() + settings.drainTimeoutMs;
-    const finalDrainMs = Math.min(
-      MAX_FINAL_DRAIN_MS,
-      settings.drainTimeoutMs * FINAL_DRAIN_RATIO,
-    );
-    await this.#requests.waitUntilIdle(0, deadlineMs - finalDrainMs);
-    await sendLateOutcomes();
-    this.#listeners.forEach((listener) => listener.close());
-    await this.#requests.waitUntilIdle(
-      IDLE_PERIOD_MS,
-      Math.min(deadlineMs, clock.monotonicMs() + MAX_IDLE_WAIT_MS),
-    );
-    await this.#requests.waitUntilIdle(0, deadlineMs);
+    await drainRequests({
+      ...{ environment: this.environment, requests: this.#requests },
+      ...{ listeners: this.#listeners, issuesKeys: this.#issuesKeys },
+    }, schedule);
     this.#listeners.forEach((listener) => listener.closeConnections());
     this.#stopHousekeeping();
     this.#stopSignal.abort();
     this.#quarantineArchive.stop();
     this.environment.allowances.stop();
-    await this.#membership.stop();
-    await this.#peerServer.close();
-    peers.close();
-    await this.#store.close();
-    log.info({}, "daemon-stopped");
+    await this.#closeConnections(schedule.flushEndsAtMs);
+    const unfinished = this.#requests.count;
+    const facts = { requestsInProgress, ...stop.counts, unfinished };
+    log.info(facts, "daemon-stopped");
+  }
+
+  /** Leaves the fleet and closes the connections to peers and the store, or gives up at the deadline. */
+  async #closeConnections(deadlineMs: number): Promise<void> {
+    const { clock, peers } = this.environment;
+    let cancelTimeout: () => void = () => undefined;
+    const timeout = new Promise<void>((resolve) => {
+      const delayMs = Math.max(0, deadlineMs - clock.monotonicMs());
+      cancelTimeout = clock.schedule(delayMs, resolve);
+    });
+    const close = async () => {
+      await this.#membership.stop();
+      await this.#peerServer.close();
+      peers.close();
+      await this.#store.close();
+    };
+    await Promise.race([close(), timeout]);
+    cancelTimeout();
   }
 
   #createListenerContext(): ListenerContext {
