Record why the last instance did not serve a call that has none left

What operators saw: with one instance of a service, calls that it refused for overload were logged and counted as `no-instance`, the reason of instances that are not known. The two causes could not be told apart.

Cause: a call that was refused looks for another instance; when none is left, the failure is that of the search, and the attempt before it was forgotten.

Change: the outcome keeps the reason of the last attempt. What callers are told, retries and admission are unchanged.

--- a/src/outcome/outcome.ts
+++ b/src/outcome/outcome.ts
@@ -74,6 +74,8 @@
 export interface Refusal {
   readonly kind: "refused";
   readonly reason: Reason;
+  /** Reason of the last attempt at an instance, if the call failed because none was left to try. */
+  readonly triedReason?: Reason;
   /** Suggested retry delay, in milliseconds; 0 if there is none. */
   readonly retryAfterMs: number;
   /** Unused part of the retry allowance, in attempts. */
@@ -87,6 +89,8 @@
 export interface UnknownOutcome {
   readonly kind: "unknown";
   readonly reason: Reason;
+  /** Reason of the last attempt at an instance, if the call failed because none was left to try. */
+  readonly triedReason?: Reason;
   /** Unused part of the retry allowance, in attempts. */
   readonly unusedAllowance: number;
   /** Whether a downstream hop has already given up retrying. */
--- a/src/request/attempt_history.ts
+++ b/src/request/attempt_history.ts
@@ -4,7 +4,12 @@
 
 import { err, ok } from "neverthrow";
 import { createUnknownOutcome, REASONS } from "../outcome/mod.ts";
-import type { Answer, CallFailure, CallResult } from "../outcome/mod.ts";
+import type {
+  Answer,
+  CallFailure,
+  CallResult,
+  Reason,
+} from "../outcome/mod.ts";
 import { isErrorAnswer } from "./is_error_answer.ts";
 
 /** Tracks the attempts at one call. */
@@ -12,6 +17,7 @@
   #errorAnswer: Answer | undefined;
   #hasUnknown = false;
   #overloadedCount = 0;
+  #triedReason: Reason | undefined;
 
   /** Number of attempts that were refused because the instance was overloaded. */
   get overloadedCount(): number {
@@ -27,6 +33,9 @@
     }
     const failure = result.error;
     this.#hasUnknown ||= failure.kind === "unknown";
+    if (failure.reason !== REASONS.noInstance) {
+      this.#triedReason = failure.reason;
+    }
     this.#overloadedCount += failure.reason === REASONS.overloadedInstance
       ? 1
       : 0;
@@ -44,9 +53,12 @@
       return ok({ ...this.#errorAnswer, ...retryState });
     }
     const { reason, loads } = failure;
-    return this.#hasUnknown
-      ? err(createUnknownOutcome(reason, { loads, ...retryState }))
-      : err({ ...failure, ...retryState });
+    const tried = this.#triedReason !== undefined &&
+      reason === REASONS.noInstance && { triedReason: this.#triedReason };
+    const outcome = this.#hasUnknown
+      ? createUnknownOutcome(reason, { loads, ...retryState })
+      : { ...failure, ...retryState };
+    return err({ ...outcome, ...tried });
   }
 
   #recordErrorAnswer(answer: Answer): CallFailure {
--- a/src/request/attempt_history_test.ts
+++ b/src/request/attempt_history_test.ts
@@ -49,6 +49,23 @@
   assert.equal([failure.kind, failure.isGivenUp], ["refused", true]);
 });
 
+// An overloaded service with one instance was logged as one without instances.
+test("if no instance is left, the reason of the last attempt is kept", () => {
+  const history = new AttemptHistory();
+  const none = createRefusal(REASONS.noInstance);
+  history.record(err(none));
+  const untried = history.buildResult(none, 0)._unsafeUnwrapErr();
+  assert.is(untried.triedReason, undefined);
+  history.record(err(createRefusal(REASONS.overloadedInstance)));
+  history.record(err(none));
+  const { reason, triedReason } = history.buildResult(none, 0)
+    ._unsafeUnwrapErr();
+  assert.equal(
+    [reason, triedReason],
+    [REASONS.noInstance, REASONS.overloadedInstance],
+  );
+});
+
 test("treats an answer without a server error as success", () => {
   const history = new AttemptHistory();
   const answer = createErrorAnswer().map((each) => ({ ...each, status: 404 }));
--- a/src/request/record_outcome.ts
+++ b/src/request/record_outcome.ts
@@ -44,7 +44,10 @@
   if (result.isOk()) {
     return;
   }
-  const { reason } = result.error;
+  const { reason: statedReason, triedReason } = result.error;
+  // Callers are told that no instance is left; why the last one did not serve the
+  // call is what tells overload from instances that are not known.
+  const reason = triedReason ?? statedReason;
   metrics.failures.inc({ class: className, outcome, reason });
   if (reason === REASONS.unauthorized) {
     // Callers without a key must not displace the entries of others in the journal.
@@ -56,6 +59,7 @@
   journal.record(kind, {
     service,
     reason,
+    ...triedReason && { statedReason },
     ...reason === REASONS.notReady && explainNotReady(environment),
     class: className,
     durationMs: Math.round(durationMs),
