--- a/src/configuration/find_blocking_errors.ts
+++ b/src/configuration/find_blocking_errors.ts
@@ -7,6 +7,7 @@
  */
 
 import type { Configuration } from "../generated/types.ts";
+import { describePlace } from "./describe_place.ts";
 import { findDuplicates } from "./find_duplicates.ts";
 import { REFUSAL_REASONS } from "./refusal_reasons.ts";
 import type { ConfigurationFinding } from "./refusal_reasons.ts";
@@ -80,15 +81,18 @@
   { requests, services }: Configuration,
 ): ConfigurationFinding[] {
   const known = new Set(services.map(({ name }) => name));
-  return requests.flatMap(({ name, service, weightedServices = [] }) =>
-    [service, ...weightedServices.map((weighted) => weighted.service)]
+  return requests.flatMap((request) => {
+    const { name, service, weightedServices = [] } = request;
+    return [service, ...weightedServices.map((weighted) => weighted.service)]
       .filter((target) => !known.has(target))
       .map((target) => ({
         reason: REFUSAL_REASONS.unknownService,
         entries: [name],
-        message: `request ${name} refers to unknown service ${target}`,
-      }))
-  );
+        message: `request ${name} (${
+          describePlace(request)
+        }) refers to unknown service ${target}`,
+      }));
+  });
 }
 
 /** Finds accounts that share a key; the message names neither the key nor its digest. */
@@ -126,10 +130,11 @@
   { requests }: Configuration,
 ): ConfigurationFinding[] {
   return requests.filter(({ deadlineMs }) => deadlineMs > MAX_DEADLINE_MS)
-    .map(({ name, deadlineMs }) => ({
+    .map((request) => ({
       reason: REFUSAL_REASONS.timeoutTooLong,
-      entries: [name],
-      message:
-        `request ${name} has a deadline of ${deadlineMs} ms; the longest is ${MAX_DEADLINE_MS} ms`,
+      entries: [request.name],
+      message: `request ${request.name} (${
+        describePlace(request)
+      }) has a deadline of ${request.deadlineMs} ms; the longest is ${MAX_DEADLINE_MS} ms`,
     }));
 }
--- a/src/configuration/refusal_reasons.ts
+++ b/src/configuration/refusal_reasons.ts
@@ -9,6 +9,7 @@
   duplicateRoute: "duplicate-route",
   duplicateName: "duplicate-name",
   duplicateKey: "duplicate-key",
+  invalidAccount: "invalid-account",
   unknownService: "unknown-service",
   missingHost: "missing-host",
   invalidPrefix: "invalid-prefix",
--- a/src/configuration/route_table.ts
+++ b/src/configuration/route_table.ts
@@ -9,6 +9,7 @@
  */
 
 import type { RequestConfiguration } from "../generated/types.ts";
+import { describePlace } from "./describe_place.ts";
 import { normalizeHost } from "./normalize_host.ts";
 
 /** The fields of a request kind that determine what it matches. */
@@ -137,11 +138,3 @@
 function createServiceKey(service: string, method: string): string {
   return `${method} ${service}`;
 }
-
-function describePlace(
-  { host, method, pathPrefix, service }: RoutableRequest,
-): string {
-  return host === undefined
-    ? `${method} ${pathPrefix} of service ${service}`
-    : `${pathPrefix} of host ${normalizeHost(host)}`;
-}
