Leave an invalid record out of a datagram instead of dropping all of it

Callers: one member whose record another daemon finds invalid, such as a field that a newer build adds, cost all records of each datagram it was in, its sender's own and the configuration version that it tells.

Cause: the codec validates the message with its records and drops it as a whole.

--- a/src/membership/gossip_codec.ts
+++ b/src/membership/gossip_codec.ts
@@ -7,7 +7,10 @@
 import { Buffer } from "node:buffer";
 import { Encoder } from "cbor-x";
 import type { GossipMessage } from "../generated/types.ts";
-import { validateGossipMessage } from "../generated/validators.ts";
+import {
+  validateGossipMessage,
+  validateMemberRecord,
+} from "../generated/validators.ts";
 
 /** Length of the truncated HMAC-SHA-256, in bytes. */
 const MAC_BYTES = 16;
@@ -50,6 +53,7 @@
 /** Encodes and authenticates messages, and decodes only those that are authentic and valid. */
 export class GossipCodec {
   readonly #fleetToken: string;
+  #omittedRecordCount = 0;
   readonly #encoder = new Encoder({
     useRecords: false,
     keyMap: Object.fromEntries(FIELD_NAMES.map((name, index) => [name, index])),
@@ -59,6 +63,11 @@
     this.#fleetToken = fleetToken;
   }
 
+  /** Number of invalid records that were left out of valid messages. */
+  get omittedRecordCount(): number {
+    return this.#omittedRecordCount;
+  }
+
   /** Encodes a message and prepends its authentication code. */
   encode(message: GossipMessage): Uint8Array {
     const payload = this.#encoder.encode(message);
@@ -66,8 +75,8 @@
   }
 
   /**
-   * Decodes a datagram. Returns undefined if it is not authentic, is corrupt or
-   * violates the schema.
+   * Decodes a datagram. Records that violate the schema are left out. Returns
+   * undefined if it is not authentic, is corrupt or otherwise violates the schema.
    */
   decode(bytes: Uint8Array): GossipMessage | undefined {
     if (bytes.length <= MAC_BYTES || bytes.length > MAX_DECODED_BYTES) {
@@ -81,12 +90,29 @@
     }
     try {
       const message: unknown = this.#encoder.decode(payload);
-      return validateGossipMessage(message) ? message : undefined;
+      return validateGossipMessage(message)
+        ? message
+        : this.#omitInvalid(message);
     } catch {
       return undefined;
     }
   }
 
+  /** Leaves out invalid records, so that they do not cost the others their delivery. */
+  #omitInvalid(message: unknown): GossipMessage | undefined {
+    const { records } = message as { records?: unknown };
+    if (!Array.isArray(records)) {
+      return undefined;
+    }
+    const valid = records.filter((record) => validateMemberRecord(record));
+    const rest = { ...message as object, records: valid };
+    if (!validateGossipMessage(rest)) {
+      return undefined;
+    }
+    this.#omittedRecordCount += records.length - valid.length;
+    return rest;
+  }
+
   #computeMac(payload: Uint8Array): Buffer {
     return createHmac("sha256", this.#fleetToken).update(payload).digest()
       .subarray(0, MAC_BYTES);
--- a/src/membership/gossip_link.ts
+++ b/src/membership/gossip_link.ts
@@ -81,6 +81,8 @@
   readonly #codec: GossipCodec;
   readonly #latestSentAtMs = new Map<string, number>();
   #nextDropLogAtMs = 0;
+  #reportedOmittedCount = 0;
+  #nextOmittedLogAtMs = 0;
 
   constructor(options: GossipLinkOptions) {
     this.#options = options;
@@ -131,6 +133,7 @@
       this.#reportDrop(bytes.length, source);
       return;
     }
+    this.#reportOmitted(message);
     this.#options.handle(message, source);
   }
 
@@ -151,6 +154,21 @@
     return true;
   }
 
+  #reportOmitted({ sender }: GossipMessage): void {
+    const { clock, log } = this.#options;
+    const { omittedRecordCount } = this.#codec;
+    const nowMs = clock.monotonicMs();
+    if (
+      omittedRecordCount === this.#reportedOmittedCount ||
+      nowMs < this.#nextOmittedLogAtMs
+    ) {
+      return;
+    }
+    this.#reportedOmittedCount = omittedRecordCount;
+    this.#nextOmittedLogAtMs = nowMs + DROP_LOG_INTERVAL_MS;
+    log.warn({ sender, omittedRecordCount }, "gossip-record-invalid");
+  }
+
   #reportDrop(lengthBytes: number, source: string): void {
     const { clock, log } = this.#options;
     this.traffic.droppedDatagrams += 1;
