--- a/src/daemon/drain_requests.ts
+++ b/src/daemon/drain_requests.ts
@@ -6,6 +6,7 @@
 import type { StopSchedule } from "../leaving/mod.ts";
 import { handOverKeys } from "../request/mod.ts";
 import type { CallEnvironment } from "../request/mod.ts";
+import { DECISIONS } from "../telemetry/mod.ts";
 import type { Listener } from "./listener.ts";
 import type { RequestTracker } from "./request_tracker.ts";
 
@@ -37,8 +38,10 @@
   { environment, requests, listeners, issuesKeys }: DrainedDaemon,
   schedule: StopSchedule,
 ): Promise<void> {
-  const { activeCalls, backend, clock, inboundAdmission, stop } = environment;
+  const { activeCalls, backend, clock, inboundAdmission, journal, stop } =
+    environment;
   stop.begin(schedule);
+  environment.metrics.process.observeStop(stop.counts);
   backend.drain();
   if (hasOtherInstances(environment)) {
     inboundAdmission.handBackWaiting();
@@ -60,7 +63,13 @@
     Math.min(schedule.answersEndAtMs, clock.monotonicMs() + MAX_IDLE_WAIT_MS),
   );
   await requests.waitUntilIdle(0, schedule.answersEndAtMs);
+  const requestsInProgress = requests.count;
   stop.cutOff();
+  journal.record(DECISIONS.answersEnded, {
+    requestsInProgress,
+    ...stop.counts,
+    stopMs: Math.round(clock.monotonicMs() - schedule.startedAtMs),
+  });
   await requests.waitUntilIdle(0, schedule.flushEndsAtMs);
 }
 
--- a/src/leaving/stop_control.ts
+++ b/src/leaving/stop_control.ts
@@ -25,7 +25,7 @@
 }
 
 /** Requests of a stop, by what became of them. */
-export interface StopCounts {
+export interface StopCounts extends Record<string, number> {
   /** Refused without having run, since they were not expected to end in time, or had not begun at the end. */
   refused: number;
   /** Answered in time, although they took longer than expected. */
--- a/src/telemetry/decision_journal.ts
+++ b/src/telemetry/decision_journal.ts
@@ -30,6 +30,7 @@
   configurationWatch: "configuration-watch",
   membershipChange: "membership-change",
   leaving: "leaving",
+  answersEnded: "answers-ended",
   serverLimit: "server-limit",
   serverLeaving: "server-leaving",
   serverLimitInvalid: "server-limit-invalid",
--- a/src/telemetry/process_metrics.ts
+++ b/src/telemetry/process_metrics.ts
@@ -20,11 +20,13 @@
   readonly signals: Counter<"signal">;
   /** Warnings that the memory is near its limit. */
   readonly memoryWarnings: Counter;
+  readonly #registry: Registry;
   readonly #memoryLimit: Gauge;
   #maxDelayMs = 0;
   #peakResidentBytes = 0;
 
   constructor(registry: Registry) {
+    this.#registry = registry;
     const registers = [registry];
     this.faults = new Counter({
       name: "celeryhollow_contained_faults_total",
@@ -90,6 +92,21 @@
     });
   }
 
+  /** Exports the requests of a stop, by what became of them. */
+  observeStop(counts: Readonly<Record<string, number>>): void {
+    new Gauge({
+      name: "celeryhollow_stop_requests",
+      help: "Requests of the stop that is in progress, by outcome",
+      labelNames: ["outcome"] as const,
+      registers: [this.#registry],
+      collect() {
+        for (const [outcome, count] of Object.entries(counts)) {
+          this.set({ outcome }, count);
+        }
+      },
+    });
+  }
+
   /** Sets the memory limit, in bytes; Infinity if it is not known. */
   setMemoryLimit(limitBytes: number): void {
     if (Number.isFinite(limitBytes)) {
