Send no single call to a domain whose calls have filled this one

Callers: platform/uneven_servers_test.ts, "a domain that is asked for more than it carries sends calls to the other domain, which sends none", failed twice beside a load of 20 to 28: 1 call went back.

Change: no single call leaves to a domain that answers have named in the last three seconds, as for shares.

--- a/src/routing/overflow_picker.ts
+++ b/src/routing/overflow_picker.ts
@@ -61,7 +61,7 @@
     const mayLeave = stats.isSlownessStated(search.options.service) &&
       controller.overflow.check(isFull);
     for (const tier of mayLeave ? otherTiers : []) {
-      const candidate = this.#pickFromTier(tier, search);
+      const candidate = this.#pickFromTier(tier, { search, controller });
       if (candidate && (!own || this.#pays(own, candidate, { tier, search }))) {
         if (own) {
           chooser.noteElsewhere(own.waitMs / Math.max(1, own.utilization));
@@ -74,16 +74,19 @@
 
   #pickFromTier(
     tier: LocalityTier,
-    search: Search,
+    { search, controller }: Omit<OverflowCall, "own">,
   ): Candidate | undefined {
     const { chooser, filter, linkBudget } = this.#options;
     const { options } = search;
     if (!tier.isOwnRegion && (options.isBulk || !linkBudget.allows(options))) {
       return undefined;
     }
-    const available = filter.filterAvailable(tier, options);
-    const candidate = available.instances.length > 0
-      ? chooser.pickOfTwo(available, search)
+    const { instances } = filter.filterAvailable(tier, options);
+    const open = instances.filter(({ failureDomain }) =>
+      !controller.receivesFrom(failureDomain)
+    );
+    const candidate = open.length > 0
+      ? chooser.pickOfTwo({ ...tier, instances: open }, search)
       : undefined;
     return candidate && candidate.utilization < ROOMY_UTILIZATION
       ? candidate
--- a/src/routing/spill_controller.ts
+++ b/src/routing/spill_controller.ts
@@ -15,7 +15,7 @@
 import { DomainLoad } from "./domain_load.ts";
 import type { LoadSample } from "./domain_load.ts";
 import { OverflowGate } from "./overflow_gate.ts";
-import { SpillDirection } from "./spill_direction.ts";
+import { RECEIPT_MS, SpillDirection } from "./spill_direction.ts";
 import type { SpillTarget } from "./spill_direction.ts";
 
 /** Shortest and longest time between two corrections, in milliseconds; in between, this many replies are awaited. */
@@ -114,6 +114,13 @@
     }
   }
 
+  /** Whether answers of the own domain lately named a domain whose calls run there. */
+  receivesFrom(domain: string): boolean {
+    const receivedAtMs = this.#directions.get(domain)?.receivedAtMs ??
+      Number.NEGATIVE_INFINITY;
+    return this.#nowMs - receivedAtMs <= RECEIPT_MS;
+  }
+
   /** Records that instances of the own domain run calls that have left other domains. */
   recordReceipts(domains: readonly string[]): void {
     for (const domain of domains) {
--- a/src/routing/spill_direction.ts
+++ b/src/routing/spill_direction.ts
@@ -20,7 +20,7 @@
 const MAX_BACKOFF_MS = 30_000;
 
 /** Time for which calls that arrived from another domain prevent calls to it, in milliseconds. */
-const RECEIPT_MS = 3_000;
+export const RECEIPT_MS = 3_000;
 
 /** Another failure domain with instances of the service. */
 export interface SpillTarget {
