Search the call graph once for each service, not for each request

Activating a configuration followed all calls from each request anew, in the compilation and in the search for repeatable requests that reach non-repeatable ones, and named each pair of those in a message.

ReachCache lists the reachable services of each service once. A message names the first eight of the services and requests.

--- a/src/configuration/compile_configuration.ts
+++ b/src/configuration/compile_configuration.ts
@@ -12,7 +12,7 @@
   CompiledConfiguration,
   CompiledRequest,
 } from "./compiled_configuration.ts";
-import { listReachableServices } from "./list_reachable_services.ts";
+import { ReachCache } from "./reach_cache.ts";
 import { RouteTable } from "./route_table.ts";
 
 /**
@@ -35,10 +35,11 @@
   const callsByService = new Map(
     document.services.map(({ name, calls }) => [name, calls]),
   );
+  const reach = new ReachCache(callsByService);
   const requests = document.requests.map((request): CompiledRequest =>
     compileRequest(request, {
       classRank: classRanks.get(request.className) ?? classRanks.size,
-      path: listReachableServices(request, callsByService),
+      path: reach.list(request),
     })
   );
   return {
--- a/src/configuration/find_inconsistencies.ts
+++ b/src/configuration/find_inconsistencies.ts
@@ -9,11 +9,14 @@
 import type { Configuration } from "../generated/types.ts";
 import { findCallCycles } from "./find_call_cycles.ts";
 import { findDuplicates } from "./find_duplicates.ts";
-import { listReachableServices } from "./list_reachable_services.ts";
+import { ReachCache } from "./reach_cache.ts";
 
 /** Tolerance for rounding errors in a sum of ratios. */
 const RATIO_TOLERANCE = 1e-9;
 
+/** Most services and requests that a message lists. */
+const MAX_LISTED = 8;
+
 /**
  * Finds inconsistencies between the parts of a configuration.
  *
@@ -120,17 +123,32 @@
     names.push(name);
     nonRepeatableByService.set(service, names);
   }
-  return writes.filter(({ isRepeatable }) => isRepeatable).flatMap((request) =>
-    listReachableServices(request, callsByService).slice(1)
-      .flatMap((service) => {
-        const names = nonRepeatableByService.get(service);
-        return names
-          ? [
-            `request ${request.name} is repeatable but reaches ${service}, which runs the non-repeatable request ${
-              names.join(", ")
-            }`,
-          ]
-          : [];
-      })
+  const reach = new ReachCache(callsByService);
+  return writes.filter(({ isRepeatable }) => isRepeatable).flatMap(
+    (request) => {
+      const reached = reach.list(request).slice(1)
+        .filter((service) => nonRepeatableByService.has(service));
+      return reached.length === 0 ? [] : [
+        `request ${request.name} is repeatable but reaches ${
+          listFirst(
+            reached.map((service) =>
+              `${service}, which runs the non-repeatable request ${
+                listFirst(nonRepeatableByService.get(service) ?? [], ", ")
+              }`
+            ),
+            ", and ",
+          )
+        }`,
+      ];
+    },
   );
 }
+
+/** Lists the first texts; a request may reach thousands of others. */
+function listFirst(texts: readonly string[], separator: string): string {
+  const omittedCount = texts.length - MAX_LISTED;
+  return [
+    ...texts.slice(0, MAX_LISTED),
+    ...omittedCount > 0 ? [`${omittedCount} more`] : [],
+  ].join(separator);
+}
