Compress the full document of a configuration once for all peers

The operator's configurations travel between daemons as a whole. A daemon serialized and compressed the document for each peer that fetched it: 159 ms at 10,000 routes, 24.7 ms at 1,000 (median of 7, arm64), during which it served nothing.

The compressed transfer of the active configuration is kept with it.

Measured: configuration_transfer_test.ts failed before (another buffer for each fetch) and passes. configuration/, peer/, cli/, daemon/ and the platform's source of configurations: 195 passed, 0 failed.

--- a/src/configuration/configuration_transfer.ts
+++ b/src/configuration/configuration_transfer.ts
@@ -13,6 +13,7 @@
 } from "../generated/types.ts";
 import { validateConfigurationTransfer } from "../generated/validators.ts";
 import { applyConfigurationPatches } from "./apply_patches.ts";
+import type { CompiledConfiguration } from "./compiled_configuration.ts";
 import type { ConfigurationHolder } from "./configuration_holder.ts";
 import type { DocumentPatch } from "./document_patch.ts";
 
@@ -22,6 +23,12 @@
 /** Known version with which a peer requests the full document. */
 export const FULL_DOCUMENT = 0;
 
+/**
+ * Transfers of full documents, which several peers fetch after a change. One with
+ * 10,000 routes takes 160 ms to serialize and compress.
+ */
+const fullTransfers = new WeakMap<CompiledConfiguration, Uint8Array>();
+
 /** A configuration received in a transfer, with the patches that led to it. */
 export interface TransferredConfiguration {
   readonly configuration: Configuration;
@@ -45,16 +52,30 @@
   holder: ConfigurationHolder,
   knownVersion: number,
 ): Uint8Array {
-  const { current, digest, version } = holder;
+  const { current } = holder;
   const patches = knownVersion === FULL_DOCUMENT
     ? undefined
     : holder.listPatchesSince(knownVersion);
-  const transfer: ConfigurationTransfer = {
-    version,
-    digest,
-    patches: [...patches ?? []],
-    ...patches || !current ? {} : { configuration: current.document },
-  };
+  if (patches || !current) {
+    return compressTransfer(holder, { patches: [...patches ?? []] });
+  }
+  const known = fullTransfers.get(current);
+  if (known) {
+    return known;
+  }
+  const full = compressTransfer(holder, {
+    patches: [],
+    configuration: current.document,
+  });
+  fullTransfers.set(current, full);
+  return full;
+}
+
+function compressTransfer(
+  { digest, version }: ConfigurationHolder,
+  content: Pick<ConfigurationTransfer, "patches" | "configuration">,
+): Uint8Array {
+  const transfer: ConfigurationTransfer = { version, digest, ...content };
   return gzipSync(JSON.stringify(transfer));
 }
 
