--- a/src/testing/fault_injection/fault_injection_node.ts
+++ b/src/testing/fault_injection/fault_injection_node.ts
@@ -12,7 +12,10 @@
   UnprotectedEntryAdmission,
 } from "../../admission/mod.ts";
 import { BackendRegistry } from "../../backend/mod.ts";
-import { ConfigurationHolder } from "../../configuration/mod.ts";
+import {
+  ConfigurationHolder,
+  ConfigurationProgress,
+} from "../../configuration/mod.ts";
 import type { DaemonSettings, MemberRecord } from "../../generated/types.ts";
 import {
   KeyLedger,
@@ -20,6 +23,7 @@
   RunLedger,
   SuccessorTable,
 } from "../../idempotency/mod.ts";
+import { StopControl } from "../../leaving/mod.ts";
 import type { KeyLedgerOptions } from "../../idempotency/mod.ts";
 import { createIncarnation } from "../../membership/mod.ts";
 import { PeerServer } from "../../peer/mod.ts";
@@ -220,6 +224,7 @@
     inboundAdmission.setCapacity(16);
     const metrics = new DaemonMetrics();
     const journal = new DecisionJournal(clock);
+    const log = createSilentLogger();
     const fingerprinter = new Fingerprinter(FLEET_TOKEN);
     const quarantine = new Quarantine({
       ...{ clock, fingerprinter, journal, metrics },
@@ -233,7 +238,10 @@
         maxBodyBytes: 1_000_000,
       } as DaemonSettings,
       ...{ clock, peers, configuration, inboundAdmission, metrics, journal },
-      log: createSilentLogger(),
+      log,
+      configurationProgress: new ConfigurationProgress({
+        ...{ holder: configuration, clock, log, journal },
+      }),
       membership: new SharedMembership(directory, self),
       memory: createTestBudget(),
       backend: registry,
@@ -256,6 +264,7 @@
       spillReceipts: new SpillReceipts(clock),
       allowances: new UnlimitedAllowances(),
       peerServices: new PeerServices(),
+      stop: new StopControl(clock),
       quarantine,
       crashes: new CrashRecorder({
         ...{ backend: registry, backendClient: this.backend, clock },
