Look for the other failure domains once the configuration is known

What callers see: after a start of all daemons in which the configuration came after the first check of the seed lists, the daemons of one failure domain did not know those of the others, for up to 450 s; requests for services that run only there were refused with `no-instance`.

Cause: the configuration names the other failure domains. A check without one finds none missing, and the next follows after a mean of 300 s.

Change: such a check is followed by another one within 1.5 s of the first configuration. Starts in which the configuration is there in time make no further call.

--- a/src/membership/seed_list_manager.ts
+++ b/src/membership/seed_list_manager.ts
@@ -64,6 +64,8 @@
   #knownEra: number;
   /** Whether the list may have been lost with the latest changes of the store. */
   #mayBeLost = false;
+  /** Whether the latest check was made without a configuration, which names the other failure domains. */
+  #lacksDomains = false;
 
   constructor(context: GossipContext, options: SeedListManagerOptions) {
     this.#context = context;
@@ -82,6 +84,7 @@
   tick(): void {
     const { clock } = this.#context;
     this.#noticeReturn();
+    this.#noticeConfiguration();
     if (this.#isChecking || clock.monotonicMs() < this.#nextCheckAtMs) {
       return;
     }
@@ -110,10 +113,23 @@
     }
   }
 
+  /** Brings the next check forward if the latest one could not look for the other failure domains. */
+  #noticeConfiguration(): void {
+    const { clock, configuration } = this.#context;
+    if (this.#lacksDomains && configuration.current) {
+      this.#lacksDomains = false;
+      this.#nextCheckAtMs = Math.min(
+        this.#nextCheckAtMs,
+        clock.monotonicMs() + this.#jitter(ISOLATED_RETRY_WAIT_MS.initial),
+      );
+    }
+  }
+
   async #checkLists(isAlone: boolean): Promise<void> {
-    const { clock } = this.#context;
+    const { clock, configuration } = this.#context;
     this.#options.seeds.forEach((seed) => this.#options.join(seed));
     const succeeded = await this.#checkOwnList();
+    this.#lacksDomains = configuration.current === undefined;
     await this.#readRemoteList();
     if (isAlone || !succeeded) {
       this.#nextCheckAtMs = clock.monotonicMs() +
