Keep a copy of the active configuration when the store's version is refused

What callers saw: a fleet that started while its store held a version that every daemon refuses never became ready; each request got 503 until the operator wrote a valid version.

Cause: the store holds the latest version only, daemons keep nothing, and peers have nothing after a start of all.

Change: a daemon that refuses a version of the store writes its active document to an object of its own, conditionally, for the very object that was refused: one write for each refused version over the fleet, none otherwise, and none above 900 KB. A started daemon without a configuration, whose peers have none either, activates the copy if it was made for the object that it refuses. A copy for another one is not used, since something newer may have been active in between; a lower version never replaces a higher copy, and readiness still counts what peers have.

Not measured: the size of a copy at 100,000 routes.

--- a/src/configuration/configuration_distributor.ts
+++ b/src/configuration/configuration_distributor.ts
@@ -7,6 +7,7 @@
  */
 
 import { DEFAULT_CONTACT_MS } from "../store/mod.ts";
+import type { ObjectStore } from "../store/mod.ts";
 import { DECISIONS } from "../telemetry/mod.ts";
 import type { DecisionJournal, Logger } from "../telemetry/mod.ts";
 import type { Clock, RandomSource } from "../time/mod.ts";
@@ -18,6 +19,7 @@
 } from "./choose_watchers.ts";
 import type { ConfigurationHolder } from "./configuration_holder.ts";
 import { ConfigurationUpdater } from "./configuration_updater.ts";
+import { ConfigurationCopy } from "./configuration_copy.ts";
 import { ConfigurationProgress } from "./configuration_progress.ts";
 import type { ConfigurationPeers } from "./configuration_peers.ts";
 import type { ConfigurationSource } from "./configuration_source.ts";
@@ -36,6 +38,8 @@
 /** Dependencies of the distributor. */
 export interface ConfigurationDistributorOptions {
   readonly source: ConfigurationSource;
+  /** Store that holds a copy of the active configuration after a refusal; none is made if not given. */
+  readonly copyStore?: ObjectStore;
   readonly holder: ConfigurationHolder;
   readonly peers: ConfigurationPeers;
   readonly clock: Clock;
@@ -73,7 +77,7 @@
  */
 const JOIN_WAIT_MS = 1_500;
 
-/** Time for which a started daemon that is no watcher waits for its peers before it reads the store itself, in milliseconds. */
+/** Time for which a started daemon that is no watcher leaves the store to its peers, in milliseconds. */
 const PEER_WAIT_MS = 4_000;
 
 /**
@@ -82,10 +86,7 @@
  */
 const CHECK_PAUSE_MS = 2_500;
 
-/**
- * Keeps the active configuration of one daemon at the highest accepted version
- * it can obtain.
- */
+/** Keeps the active configuration of one daemon at the highest accepted version it can obtain. */
 export class ConfigurationDistributor {
   /** The versions that this daemon knows of, with the refused one. */
   readonly progress: ConfigurationProgress;
@@ -96,6 +97,7 @@
   readonly #headActivator: HeadActivator;
   readonly #fetcher: PeerFetcher;
   readonly #noticeCheck: NoticeCheck;
+  readonly #copy: ConfigurationCopy | undefined;
   readonly #startedAtMs: number;
   #isConfirmed = false;
   #isWatcher = false;
@@ -131,6 +133,10 @@
       ...options,
       progress: this.progress,
     });
+    const { copyStore: store } = options;
+    const components = { updater: this.#updater, progress: this.progress };
+    this.#copy = store &&
+      new ConfigurationCopy({ ...options, ...components, store });
     this.#startedAtMs = options.clock.monotonicMs();
     options.holder.subscribe(() => {
       this.#lastChangeAtMs = options.clock.monotonicMs();
@@ -144,7 +150,10 @@
   get isConfirmed(): boolean {
     this.#isConfirmed ||= isVersionConfirmed({
       localVersion: this.#options.holder.version,
-      storeVersion: this.#poller.acceptedVersion,
+      storeVersion: Math.max(
+        this.#poller.acceptedVersion,
+        this.#copy?.version ?? 0,
+      ),
       peerVersions: this.#peerVersions.list().map(({ version }) => version),
       elapsedMs: this.#options.clock.monotonicMs() - this.#startedAtMs,
     });
@@ -174,6 +183,7 @@
       }
     }
     this.#fetcher.stop();
+    this.#copy?.stop();
   }
 
   async #runOnce(signal: AbortSignal): Promise<void> {
@@ -184,6 +194,7 @@
         (head) => this.#headActivator.apply(head),
         signal,
       );
+      await this.#copy?.loadIfNeeded(this.#peerVersions.list().length > 0);
       return;
     }
     await this.#options.clock.sleep(
@@ -244,6 +255,7 @@
       version > holder.version && !this.#noticeCheck.hasHeard(version);
     if (isOwnFinding) {
       peers.announceRefusal(version);
+      void this.#copy?.save(refused);
     }
   }
 
--- a/src/daemon/create_daemon_components.ts
+++ b/src/daemon/create_daemon_components.ts
@@ -216,6 +216,7 @@
   const configurationDistributor = new ConfigurationDistributor({
     source: overrides.createConfigurationSource?.(rateLimitedStore) ??
       new StoredConfigurationSource(new ConfigurationReader(rateLimitedStore)),
+    copyStore: rateLimitedStore,
     ...overrides.watchersPerDomain !== undefined &&
       { watchersPerDomain: overrides.watchersPerDomain },
     watchTimeoutMs: timing.watchTimeoutMs,
