Count every service of a split among those that callers address

What callers saw: nothing that was reported. A daemon knows few instances of other failure domains, and those only of services that are called or addressed. Of a split route only the first service counted, so that a daemon with one instance of another part in its own domain sends all of that part there.

The services of a request kind now come from its split, without parts of weight 0.

Not measured under load.

--- a/src/membership/service_interest.ts
+++ b/src/membership/service_interest.ts
@@ -3,7 +3,7 @@
  */
 
 import type { ConfigurationHolder } from "../configuration/mod.ts";
-import type { MemberRecord } from "../generated/types.ts";
+import type { MemberRecord, RequestConfiguration } from "../generated/types.ts";
 import type { Clock } from "../time/mod.ts";
 import { hashText } from "../hashing/mod.ts";
 
@@ -92,13 +92,22 @@
     if (current && current.version !== this.#entryVersion) {
       this.#entryVersion = current.version;
       this.#entryServices = new Set(
-        current.document.requests.map(({ service }) => service),
+        current.document.requests.flatMap(listServices),
       );
     }
     return this.#entryServices;
   }
 }
 
+/** Services to which requests of a kind are sent. */
+function listServices(
+  { service, weightedServices }: RequestConfiguration,
+): string[] {
+  return weightedServices
+    ?.filter(({ weight }) => weight > 0)
+    .map((weighted) => weighted.service) ?? [service];
+}
+
 /** Maximum number of remote instances returned per service named in a pull. */
 export const NAMED_PULL_LIMIT = NAMED_SERVICE_LIMIT;
 
