--- a/src/configuration/configuration_distributor.ts
+++ b/src/configuration/configuration_distributor.ts
@@ -6,9 +6,7 @@
  * fetches the missing changes from a peer that has it, nearest first.
  */
 
-import type VError from "verror";
 import { DEFAULT_CONTACT_MS } from "../store/mod.ts";
-import type { StoreVersion } from "../store/mod.ts";
 import { DECISIONS } from "../telemetry/mod.ts";
 import type { DecisionJournal, Logger } from "../telemetry/mod.ts";
 import type { Clock, RandomSource } from "../time/mod.ts";
@@ -20,15 +18,18 @@
 } from "./choose_watchers.ts";
 import type { ConfigurationHolder } from "./configuration_holder.ts";
 import { ConfigurationUpdater } from "./configuration_updater.ts";
+import { ConfigurationProgress } from "./configuration_progress.ts";
 import type { ConfigurationPeers } from "./configuration_peers.ts";
-import type {
-  AcceptedHead,
-  ConfigurationSource,
-} from "./configuration_source.ts";
+import type { ConfigurationSource } from "./configuration_source.ts";
+import { HeadActivator } from "./head_activator.ts";
 import { isVersionConfirmed } from "./is_version_confirmed.ts";
+import { NoticeCheck } from "./notice_check.ts";
 import { PeerFetcher } from "./peer_fetcher.ts";
 import { PeerVersions } from "./peer_versions.ts";
 import type { VersionNotice } from "./peer_versions.ts";
+import { REFUSAL_SOURCES } from "./refused_version.ts";
+import type { RefusedVersion } from "./refused_version.ts";
+import type { RefusedVersionNotice } from "./refused_version_notice.ts";
 import { StorePoller } from "./store_poller.ts";
 import type { StorePosition } from "./store_poller.ts";
 
@@ -49,6 +50,8 @@
   readonly checkTurnMs?: number;
   /** Reports each start and end of a store call. */
   readonly reportPosition?: (position: StorePosition) => void;
+  /** Reports each refusal of a configuration. */
+  readonly reportRefusal?: (refused: RefusedVersion) => void;
 }
 
 /** Interval at which a daemon checks whether it is a watcher, in milliseconds. */
@@ -84,11 +87,15 @@
  * it can obtain.
  */
 export class ConfigurationDistributor {
+  /** The versions that this daemon knows of, with the refused one. */
+  readonly progress: ConfigurationProgress;
   readonly #options: ConfigurationDistributorOptions;
   readonly #peerVersions = new PeerVersions();
   readonly #poller: StorePoller;
   readonly #updater: ConfigurationUpdater;
+  readonly #headActivator: HeadActivator;
   readonly #fetcher: PeerFetcher;
+  readonly #noticeCheck: NoticeCheck;
   readonly #startedAtMs: number;
   #isConfirmed = false;
   #isWatcher = false;
@@ -99,16 +106,31 @@
 
   constructor(options: ConfigurationDistributorOptions) {
     this.#options = options;
-    this.#poller = new StorePoller(options);
+    this.progress = new ConfigurationProgress({
+      ...options,
+      reportRefusal: (refused) => this.#reportRefusal(refused),
+    });
+    this.#poller = new StorePoller({ ...options, progress: this.progress });
     this.#updater = new ConfigurationUpdater({
       ...options,
+      progress: this.progress,
       announce: () => options.peers.announce(),
     });
+    this.#headActivator = new HeadActivator({
+      ...options,
+      poller: this.#poller,
+      progress: this.progress,
+      updater: this.#updater,
+    });
     this.#fetcher = new PeerFetcher({
       ...options,
       updater: this.#updater,
       peerVersions: this.#peerVersions,
     });
+    this.#noticeCheck = new NoticeCheck({
+      ...options,
+      progress: this.progress,
+    });
     this.#startedAtMs = options.clock.monotonicMs();
     options.holder.subscribe(() => {
       this.#lastChangeAtMs = options.clock.monotonicMs();
@@ -143,7 +165,7 @@
     await clock.sleep(random.nextInteger(MAX_START_DELAY_MS));
     while (!signal.aborted) {
       try {
-        await this.#runOnce();
+        await this.#runOnce(signal);
       } catch (cause) {
         // The daemon keeps running after an exception here, so this task must too.
         const { message, stack = "" } = cause as Error;
@@ -154,10 +176,14 @@
     this.#fetcher.stop();
   }
 
-  async #runOnce(): Promise<void> {
+  async #runOnce(signal: AbortSignal): Promise<void> {
     this.#updateRole();
+    this.progress.remind();
     if (this.#mustPollStore() || this.#mustCheckStore()) {
-      await this.#poller.poll((head) => this.#applyHead(head));
+      await this.#poller.poll(
+        (head) => this.#headActivator.apply(head),
+        signal,
+      );
       return;
     }
     await this.#options.clock.sleep(
@@ -181,8 +207,11 @@
     return hasJoined || ageMs >= JOIN_WAIT_MS;
   }
 
-  /** Whether this daemon has a turn to check the store, which it begins. */
+  /** Whether this daemon has to check the store: because of a notice, or because it has a turn, which it begins. */
   #mustCheckStore(): boolean {
+    if (this.#noticeCheck.take()) {
+      return true;
+    }
     const quietMs = this.#options.clock.monotonicMs() - this.#lastChangeAtMs;
     if (
       !this.isConfirmed || this.#checkTurn === this.#lastCheckTurn ||
@@ -202,6 +231,22 @@
     }
   }
 
+  /** Reads the store soon if another daemon refused a version of it that this one has not read. */
+  handleRefusalNotice(notice: RefusedVersionNotice): void {
+    this.#noticeCheck.hear(notice);
+  }
+
+  #reportRefusal(refused: RefusedVersion): void {
+    const { holder, peers, reportRefusal } = this.#options;
+    reportRefusal?.(refused);
+    const { source, version } = refused;
+    const isOwnFinding = source === REFUSAL_SOURCES.store &&
+      version > holder.version && !this.#noticeCheck.hasHeard(version);
+    if (isOwnFinding) {
+      peers.announceRefusal(version);
+    }
+  }
+
   #updateRole(): void {
     const { clock, journal, peers } = this.#options;
     const { failureDomain, incarnation } = peers.self;
@@ -238,51 +283,4 @@
     });
     this.#checkTurn = checker === incarnation ? turn : undefined;
   }
-
-  /** Activates the state of a head; returns false if the store has to be read again. */
-  async #applyHead(head: AcceptedHead): Promise<boolean> {
-    const { holder } = this.#options;
-    const { storeVersion } = head;
-    if (head.version === undefined || this.#updater.isNewer(head.version)) {
-      const { current } = holder;
-      const state = await head.readState(
-        current && {
-          version: current.version,
-          configuration: current.document,
-          answers: null,
-        },
-      );
-      if (state.isErr()) {
-        return this.#handleStateError(state.error, head.version, storeVersion);
-      }
-      const patches = head.changes.filter(({ version }) =>
-        version > holder.version
-      ).flatMap(({ patch }) => patch === undefined ? [] : [patch]);
-      this.#updater.activate({ ...state.value, patches }, "store");
-    }
-    this.#poller.record(storeVersion, head.version ?? 0);
-    return true;
-  }
-
-  /**
-   * Skips an invalid configuration until the next one; returns false to retry
-   * after any other error.
-   */
-  #handleStateError(
-    error: VError,
-    version: number | undefined,
-    storeVersion: StoreVersion,
-  ): boolean {
-    const { message, name } = error;
-    if (name !== "ConfigurationInvalid") {
-      this.#options.log.warn(
-        { version: version ?? 0, error: message },
-        "configuration-unreadable",
-      );
-      return false;
-    }
-    this.#updater.rejectStored(version, message);
-    this.#poller.record(storeVersion, 0);
-    return true;
-  }
 }
--- a/src/daemon/create_daemon_components.ts
+++ b/src/daemon/create_daemon_components.ts
@@ -24,6 +24,7 @@
   RunLedger,
   SuccessorTable,
 } from "../idempotency/mod.ts";
+import { StopControl } from "../leaving/mod.ts";
 import { bindWhenFree } from "../listening/mod.ts";
 import {
   createIncarnation,
@@ -224,6 +225,7 @@
       metrics.storeRevision.set(revision);
       metrics.storeWatchStart.set(watchStartedAtMs / 1_000);
     },
+    reportRefusal: (refused) => metrics.configuration.countRefusal(refused),
     holder: configuration,
     peers: new DaemonConfigurationPeers(membership, connectionOptions),
     clock,
@@ -260,6 +262,7 @@
     metrics,
     journal,
     configuration,
+    configurationProgress: configurationDistributor.progress,
     membership,
     memory,
     peers,
@@ -301,6 +304,7 @@
     leavingServers: new LeavingServers(),
     spillReceipts: new SpillReceipts(clock),
     allowances: allowances.control,
+    stop: new StopControl(clock),
   };
   return {
     environment,
--- a/src/request/call_environment.ts
+++ b/src/request/call_environment.ts
@@ -9,7 +9,10 @@
 } from "../admission/mod.ts";
 import type { AllowanceControl } from "../allowance/mod.ts";
 import type { BackendClient, BackendRegistry } from "../backend/mod.ts";
-import type { ConfigurationHolder } from "../configuration/mod.ts";
+import type {
+  ConfigurationHolder,
+  ConfigurationProgress,
+} from "../configuration/mod.ts";
 import type { DaemonSettings } from "../generated/types.ts";
 import type {
   KeyLedger,
@@ -17,6 +20,7 @@
   RunLedger,
   SuccessorTable,
 } from "../idempotency/mod.ts";
+import type { StopControl } from "../leaving/mod.ts";
 import type { Membership } from "../membership/mod.ts";
 import type { MemoryBudget } from "../memory/mod.ts";
 import type { CrashRecorder, Quarantine } from "../quarantine/mod.ts";
@@ -46,6 +50,8 @@
   readonly metrics: DaemonMetrics;
   readonly journal: DecisionJournal;
   readonly configuration: ConfigurationHolder;
+  /** Versions in the store, active and refused. */
+  readonly configurationProgress: ConfigurationProgress;
   readonly membership: Membership;
   /** Bound of the bytes held for calls. */
   readonly memory: MemoryBudget;
@@ -74,6 +80,8 @@
   readonly allowances: AllowanceControl;
   /** Requests that are refused because they crash backend servers. */
   readonly quarantine: Quarantine;
+  /** Which requests are begun while this daemon stops, and the end of the others. */
+  readonly stop: StopControl;
   /** Calls that the backend server of this VM runs, to tell what ran when it ended. */
   readonly crashes: CrashRecorder;
 }
--- a/src/request/record_outcome.ts
+++ b/src/request/record_outcome.ts
@@ -5,6 +5,7 @@
 import { REASONS } from "../outcome/mod.ts";
 import type { CallResult } from "../outcome/mod.ts";
 import { DECISIONS } from "../telemetry/mod.ts";
+import type { DecisionFacts } from "../telemetry/mod.ts";
 import type { CallEnvironment } from "./call_environment.ts";
 
 /** Call details that are recorded with an outcome. */
@@ -43,7 +44,10 @@
   if (result.isOk()) {
     return;
   }
-  const { reason } = result.error;
+  const { reason: statedReason, triedReason } = result.error;
+  // Callers are told that no instance is left; why the last one did not serve the
+  // call is what tells overload from instances that are not known.
+  const reason = triedReason ?? statedReason;
   metrics.failures.inc({ class: className, outcome, reason });
   if (reason === REASONS.unauthorized) {
     // Callers without a key must not displace the entries of others in the journal.
@@ -55,8 +59,21 @@
   journal.record(kind, {
     service,
     reason,
+    ...triedReason && { statedReason },
+    ...reason === REASONS.notReady && explainNotReady(environment),
     class: className,
     durationMs: Math.round(durationMs),
   }, requestId);
   log.debug({ requestId, service, reason, outcome }, "call-failed");
 }
+
+/** Says why this daemon has no configuration, unless another daemon lacked one. */
+function explainNotReady(
+  { configuration, configurationProgress }: CallEnvironment,
+): DecisionFacts {
+  if (configuration.current) {
+    return {};
+  }
+  const { reason, version } = configurationProgress.explainMissing();
+  return { missing: reason, ...version > 0 && { version } };
+}
--- a/src/telemetry/decision_journal.ts
+++ b/src/telemetry/decision_journal.ts
@@ -30,6 +30,7 @@
   configurationWatch: "configuration-watch",
   membershipChange: "membership-change",
   leaving: "leaving",
+  answersEnded: "answers-ended",
   serverLimit: "server-limit",
   serverLeaving: "server-leaving",
   serverLimitInvalid: "server-limit-invalid",
@@ -41,6 +42,11 @@
   overAllowance: "over-allowance",
 } as const;
 
+/** Kinds that are logged as errors; the others are logged at level `info`. */
+const ERROR_KINDS: ReadonlySet<string> = new Set([
+  DECISIONS.configurationRefused,
+]);
+
 /** One of {@link DECISIONS}. */
 export type DecisionKind = (typeof DECISIONS)[keyof typeof DECISIONS];
 
@@ -101,7 +107,7 @@
     this.#count += 1;
     const suppressed = this.#limiter.take(kind);
     if (suppressed !== undefined) {
-      this.#log.info({
+      this.#log[ERROR_KINDS.has(kind) ? "error" : "info"]({
         ...facts,
         ...requestId !== "" && { requestId },
         ...suppressed > 0 && { suppressed },
