Read the store once for any number of refused versions

What callers saw: nothing; calls to the store are priced, and bounded for the fleet.

Cause: a daemon remembers 64 refused versions that it heard of, and gossip repeats notices for ten minutes. While one entry keeps more versions refused than that, each repetition of a forgotten notice scheduled another read, although the daemon had read a later version. At one change in six seconds the limit is passed after 6.5 minutes; the reads are then bounded by the rate of each process alone, one a second.

Change: a notice of a version that is not above the one last read from the store schedules no read, and a scheduled one is dropped if a later version has been read meanwhile.

--- a/src/configuration/notice_check.ts
+++ b/src/configuration/notice_check.ts
@@ -41,11 +41,8 @@
 
   /** Schedules a read if the version is not known yet. */
   hear({ version }: RefusedVersionNotice): void {
-    const { clock, holder, progress, random } = this.#options;
-    const { storeVersion } = progress.describe();
-    const isKnown = version <= holder.version || version === storeVersion ||
-      this.#heard.has(version);
-    if (isKnown) {
+    const { clock, random } = this.#options;
+    if (this.#isSuperseded(version) || this.#heard.has(version)) {
       return;
     }
     this.#heard.add(version);
@@ -59,11 +56,20 @@
 
   /** Whether the store has to be read now; the read is then no longer scheduled. */
   take(): boolean {
-    const { clock, holder } = this.#options;
-    if (clock.monotonicMs() < this.#dueMs) {
+    if (this.#options.clock.monotonicMs() < this.#dueMs) {
       return false;
     }
     this.#dueMs = Infinity;
-    return [...this.#heard].some((version) => version > holder.version);
+    return [...this.#heard].some((version) => !this.#isSuperseded(version));
+  }
+
+  /**
+   * Whether a read cannot give the version any more, as this daemon has it or a later
+   * one. Gossip repeats notices for minutes, also of more versions than are remembered.
+   */
+  #isSuperseded(version: number): boolean {
+    const { holder, progress } = this.#options;
+    return version <=
+      Math.max(holder.version, progress.describe().storeVersion);
   }
 }
