Take a host with an empty port for the host

What callers saw: 404 for a request whose Host header ends in a colon, which RFC 3986 allows (section 3.2.3).

Cause: the port was removed from a host only if it had digits. The reference of the generated tests removes an empty one too, but its comparison normalized hosts by a pattern of its own before the look-up, and no probe had an empty port, so that the two could not be seen to differ.

Change: normalizeHost removes an empty port.

Measured: route_table_test.ts fails without the change, and passes with it, as do the 35 generated tests.

--- a/src/configuration/normalize_host.ts
+++ b/src/configuration/normalize_host.ts
@@ -2,8 +2,8 @@
  * Comparable form of host names.
  */
 
-/** Port at the end of a host. */
-const PORT_PATTERN = /:\d+$/;
+/** Port at the end of a host, which may be empty. */
+const PORT_PATTERN = /:\d*$/;
 
 /**
  * Normalizes a host: case and port do not distinguish hosts.
--- a/src/configuration/route_table_test.ts
+++ b/src/configuration/route_table_test.ts
@@ -59,13 +59,21 @@
 
 // Guards against hosts that a check takes for different and a look-up for the same.
 test("a host matches whatever its case and port in the configuration and the request", () => {
-  for (const host of ["one.example", "One.Example", "one.example:80"]) {
+  // A port may be empty (RFC 3986, section 3.2.3).
+  for (
+    const host of [
+      ...["one.example", "One.Example", "one.example:80"],
+      "one.example:",
+    ]
+  ) {
     const requests = createRequests([{ ...PLACE, host }]);
     const compiled = compileConfiguration(
       createTestConfiguration({ requests }),
       1,
     );
-    for (const asked of ["one.example", "ONE.example:8304"]) {
+    for (
+      const asked of ["one.example", "ONE.example:8304", "one.example:"]
+    ) {
       const target = { host: asked, path: "/a/1" };
       assert.is(findRoute(compiled, target)?.name, "request-0");
     }
