Normalize the host of a request's identity as that of its route

What callers saw: nothing; a request that crashes instances counted as another one if its host had an empty port.

Cause: the identity of requests had a pattern for ports of its own beside that of the routes.

Change: both use normalizeHost.

Measured: request_identity_test.ts fails without the change and passes with it, as do the other 44 tests of the folder.

--- a/src/quarantine/request_identity.ts
+++ b/src/quarantine/request_identity.ts
@@ -8,6 +8,7 @@
  * same request may enter anywhere.
  */
 
+import { normalizeHost } from "../configuration/mod.ts";
 import type { CallContext } from "../generated/types.ts";
 
 /** Name of the header field that names the host. */
@@ -48,7 +49,7 @@
 function readHost(headers: readonly string[]): string | undefined {
   for (let index = 0; index + 1 < headers.length; index += 2) {
     if (headers[index]?.toLowerCase() === HOST_HEADER) {
-      return headers[index + 1]?.toLowerCase().replace(/:\d+$/, "");
+      return normalizeHost(headers[index + 1] ?? "");
     }
   }
   return undefined;
