Bar a request from being sent on once a stop has refused it

Callers: none seen; found by review. At the end of a stop a request that had not been sent on was told 503, "not run", while its handling went on. A nested call that waited for memory at that moment could be sent on afterwards.

Cause: the guard of the stop only raced with the handling, and a routed call with an aborted signal was still dispatched.

--- a/src/request/serve_routed_call.ts
+++ b/src/request/serve_routed_call.ts
@@ -19,7 +19,12 @@
 
 import type { AccountConfiguration, CallContext } from "../generated/types.ts";
 import type { HeldMemory } from "../memory/mod.ts";
-import { createRefusal, REASONS, UNREACHED_REASONS } from "../outcome/mod.ts";
+import {
+  createRefusal,
+  REASONS,
+  selectAbortReason,
+  UNREACHED_REASONS,
+} from "../outcome/mod.ts";
 import type { CallFailure, CallResult, Refusal } from "../outcome/mod.ts";
 import type { ActiveCall } from "./active_calls.ts";
 import type { CallEnvironment } from "./call_environment.ts";
@@ -230,6 +235,9 @@
   options: CallOptions,
 ): Result<OutboundCall, Refusal> {
   const { parent, route } = options;
+  if (routed.signal.aborted) {
+    return err(createRefusal(selectAbortReason(routed.signal)));
+  }
   const context = parent
     ? ok(createNestedContext(routed, route, parent))
     : admit(environment, routed, options);
