Judge requests during a stop by answered and recent durations

Callers: none seen; found by review. A stopping daemon refused a whole kind of request because of one time-out among up to 99 samples, however old, and an upload by the time that its body had already taken. A VM that only receives peers' calls had no durations, so that calls waiting there were handed back in the second half of a stop however short they are.

Cause: durations did not age, failures counted as durations, the longest of fewer than 100 counted, and they ran from the arrival of the head. Only requests of this daemon's own callers were measured.

Change: durations count for two minutes, from the arrival of the body and with an answer only; from 20 on the second longest counts. Runs on the backend server are measured apart, and waiting calls are judged by them.

--- a/src/leaving/duration_window.ts
+++ b/src/leaving/duration_window.ts
@@ -8,24 +8,34 @@
 /** Number of durations that are kept. */
 const WINDOW_SIZE = 128;
 
-/** Quantile of the durations that counts as their high one. */
-const HIGH_QUANTILE = 0.99;
+/** Age up to which a duration counts, in milliseconds; older ones may be of another load or of a fault that is over. */
+const MAX_AGE_MS = 120_000;
+
+/** Number of durations from which on the longest one counts as an outlier. */
+const MIN_OUTLIER_SAMPLES = 20;
+
+interface Sample {
+  readonly durationMs: number;
+  readonly atMs: number;
+}
 
 /** Keeps durations, the oldest of which are replaced. */
 export class DurationWindow {
-  readonly #durationsMs: number[] = [];
+  readonly #samples: Sample[] = [];
   #next = 0;
 
-  /** Records a duration, in milliseconds. */
-  record(durationMs: number): void {
-    this.#durationsMs[this.#next] = durationMs;
+  /** Records a duration, in milliseconds, at a monotonic time. */
+  record(durationMs: number, atMs: number): void {
+    this.#samples[this.#next] = { durationMs, atMs };
     this.#next = (this.#next + 1) % WINDOW_SIZE;
   }
 
-  /** High quantile of the durations, in milliseconds; the longest if there are few. */
-  get highMs(): number {
-    const sorted = [...this.#durationsMs].sort((a, b) => a - b);
-    const rank = Math.ceil(sorted.length * HIGH_QUANTILE);
-    return sorted[Math.max(0, rank - 1)] ?? 0;
+  /** Computes how long nearly all requests take, in milliseconds; undefined if none ended lately. */
+  computeHighMs(nowMs: number): number | undefined {
+    const sorted = this.#samples
+      .filter(({ atMs }) => nowMs - atMs <= MAX_AGE_MS)
+      .map(({ durationMs }) => durationMs)
+      .sort((one, other) => one - other);
+    return sorted.at(sorted.length < MIN_OUTLIER_SAMPLES ? -1 : -2);
   }
 }
--- a/src/leaving/request_durations.ts
+++ b/src/leaving/request_durations.ts
@@ -1,6 +1,7 @@
 /**
- * Durations of requests by kind, as callers of this daemon see them: from the
- * arrival until the response has been sent, queues and nested calls included.
+ * Durations of requests by kind: those of this daemon's callers from the arrival
+ * of the body until the response has been sent, queues and nested calls included,
+ * and those of runs on the backend server of this VM.
  */
 
 import { DurationWindow } from "./duration_window.ts";
@@ -12,20 +13,20 @@
 export class RequestDurations {
   readonly #windows = new Map<string, DurationWindow>();
 
-  /** Records the duration of a request of a kind, in milliseconds. */
-  record(kind: string, durationMs: number): void {
+  /** Records the duration of a request of a kind, in milliseconds, at a monotonic time. */
+  record(kind: string, durationMs: number, atMs: number): void {
     let window = this.#windows.get(kind);
     if (!window) {
       window = new DurationWindow();
       this.#windows.set(kind, window);
       this.#removeOldest();
     }
-    window.record(durationMs);
+    window.record(durationMs, atMs);
   }
 
-  /** Estimates how long nearly all requests of a kind take, in milliseconds; undefined if none was measured. */
-  estimateMs(kind: string): number | undefined {
-    return this.#windows.get(kind)?.highMs;
+  /** Estimates how long nearly all requests of a kind take, in milliseconds; undefined if none was measured lately. */
+  estimateMs(kind: string, nowMs: number): number | undefined {
+    return this.#windows.get(kind)?.computeHighMs(nowMs);
   }
 
   #removeOldest(): void {
--- a/src/leaving/stop_control.ts
+++ b/src/leaving/stop_control.ts
@@ -76,7 +76,7 @@
     return createRefusal(REASONS.daemonStopping, { retryAfterMs });
   }
 
-  /** Records how long a request took until its response was sent, in milliseconds. */
+  /** Records how long a request took until its response was sent, in milliseconds, and whether that was longer than expected. */
   record(kind: string, durationMs: number): void {
     const schedule = this.#schedule;
     if (
@@ -85,7 +85,12 @@
     ) {
       this.counts.overran += 1;
     }
-    this.#durations.record(kind, durationMs);
+    this.measure(kind, durationMs);
+  }
+
+  /** Records a duration that later requests of a kind are expected to take, in milliseconds. */
+  measure(kind: string, durationMs: number): void {
+    this.#durations.record(kind, durationMs, this.#clock.monotonicMs());
   }
 
   /** Waits for a result, or for the end of the answers, at which the request fails. */
@@ -120,7 +125,10 @@
   }
 
   #expectMs(kind: string, schedule: StopSchedule): number {
-    const measuredMs = this.#durations.estimateMs(kind);
+    const measuredMs = this.#durations.estimateMs(
+      kind,
+      this.#clock.monotonicMs(),
+    );
     return measuredMs === undefined
       ? (schedule.answersEndAtMs - schedule.startedAtMs) * UNMEASURED_RATIO
       : measuredMs * DURATION_MARGIN_FACTOR;
--- a/src/leaving/stop_control_test.ts
+++ b/src/leaving/stop_control_test.ts
@@ -71,6 +71,21 @@
   assert.ok(isBegun());
 });
 
+// Guards against a kind that is refused from the beginning of a stop because of one time-out.
+test("one slow request of twenty does not refuse a kind, and none of two minutes ago", () => {
+  const durationsMs = [9_000, ...Array.from({ length: 19 }, () => 100)];
+  const many = createStop(durationsMs);
+  many.begin();
+  many.clock.advance(5_000);
+  assert.ok(many.isBegun());
+  const old = createStop([9_000, 9_000]);
+  old.clock.advance(121_000);
+  old.stop.record("plans", 100);
+  old.begin();
+  old.clock.advance(5_000);
+  assert.ok(old.isBegun());
+});
+
 test("one slow request in ten counts, so that it is not cut off", () => {
   const durationsMs = Array.from(
     { length: 128 },
--- a/src/request/find_refusal_reason.ts
+++ b/src/request/find_refusal_reason.ts
@@ -3,6 +3,7 @@
  */
 
 import { BACKEND_STATES } from "../backend/mod.ts";
+import { createRunKind } from "../leaving/mod.ts";
 import { REASONS } from "../outcome/mod.ts";
 import type { Reason } from "../outcome/mod.ts";
 import type { CallEnvironment } from "./call_environment.ts";
@@ -51,8 +52,9 @@
 /** Whether a call that was accepted before the daemon began to drain may run. A server that leaves itself accepts none. */
 function mayStillRun(
   { backend, clock, stop }: CallEnvironment,
-  { context: { requestName: kind }, deadlineAtMs }: OutboundCall,
+  call: OutboundCall,
 ): boolean {
-  const limitMs = deadlineAtMs - clock.monotonicMs();
+  const limitMs = call.deadlineAtMs - clock.monotonicMs();
+  const kind = createRunKind(call);
   return !backend.isServerLeaving && !stop.check({ kind, limitMs });
 }
--- a/src/request/run_call.ts
+++ b/src/request/run_call.ts
@@ -10,6 +10,7 @@
 import { formatServerId } from "../backend/mod.ts";
 import type { ConnectionBreak, ServerStatement } from "../backend/mod.ts";
 import type { LoadSignal } from "../generated/types.ts";
+import { createRunKind } from "../leaving/mod.ts";
 import { createRefusal, REASONS } from "../outcome/mod.ts";
 import type { CallResult, Reason } from "../outcome/mod.ts";
 import type { StatedSlowness } from "../slowness/mod.ts";
@@ -153,6 +154,9 @@
     ? { result: refusedResult, nestedMs: 0 }
     : await callBackend(environment, call);
   const durationMs = clock.monotonicMs() - startedAtMs;
+  if (result.isOk()) {
+    environment.stop.measure(createRunKind(call), durationMs);
+  }
   permit.value.release({
     durationMs,
     ownDurationMs: durationMs - nestedMs,
