Refuse downloads whose responses cannot be held before they run

Callers saw: of 48 that download 8 MB at 1 MB a second from one entry within 15 s, 18 had a whole response, 12 a 504 after their requests had run, and 18 were cut at their time limit.

Cause: sizes were learned from complete responses only, so that the first burst expected 0 bytes and all of it ran, with room for nine responses. What was larger than expected then waited for memory until its time limit. Retry-After knew the rate of releases only, which is nothing while the first slow readers read.

Change: the head of a response teaches its length, at the entry and beside the instance. Of downloads whose size is unknown, four run for each route and service; the others wait until a head arrives, for a quarter of their time at most, and are refused unsent otherwise. The times for which responses of a kind were held tell when there is room (Retry-After), and whether a call that finds no room would have the time to be read afterwards; if not, it is refused at once. Routes that are no downloads, and small responses, do not wait.

--- a/src/backend/response_body.ts
+++ b/src/backend/response_body.ts
@@ -46,6 +46,7 @@
     this.#options = options;
     const { statedBytes = 0 } = options;
     if (statedBytes > 0) {
+      options.memory?.reportResponseLength(statedBytes);
       this.#reserve(reader, statedBytes);
     }
   }
--- a/src/daemon/create_daemon_components.ts
+++ b/src/daemon/create_daemon_components.ts
@@ -42,6 +42,7 @@
 import type { DialPeer, PeerConnectionOptions } from "../peer/mod.ts";
 import {
   ActiveCalls,
+  FirstResponses,
   LeavingServers,
   PeerClients,
   PeerServices,
@@ -255,6 +256,7 @@
   });
   const peerServices = new PeerServices();
   peerServices.register(ALLOWANCE_SERVICE, allowances.handle);
+  const responseSizes = new ResponseSizes();
   const environment: CallEnvironment = {
     settings,
     clock,
@@ -300,7 +302,8 @@
     successors: new SuccessorTable(clock),
     runs: new RunLedger(clock),
     activeCalls: new ActiveCalls(clock),
-    responseSizes: new ResponseSizes(),
+    responseSizes,
+    firstResponses: new FirstResponses(clock, responseSizes),
     leavingServers: new LeavingServers(),
     spillReceipts: new SpillReceipts(clock),
     allowances: allowances.control,
--- a/src/memory/held_memory.ts
+++ b/src/memory/held_memory.ts
@@ -13,6 +13,8 @@
   /** Bytes acquired ahead for a response whose size is not known yet. */
   #aheadBytes = 0;
   #isReleased = false;
+  readonly #onReleased: (() => void)[] = [];
+  #onResponseLength: ((bytes: number) => void) | undefined;
 
   constructor(budget: MemoryBudget, classRank?: number) {
     this.#budget = budget;
@@ -64,6 +66,36 @@
     return isAcquired;
   }
 
+  /** Acquires bytes for a response that is expected, if there is room at once. */
+  tryReserveAhead(bytes: number, classRank = this.#classRank): boolean {
+    if (this.#isReleased) {
+      return true;
+    }
+    const isAcquired = this.#budget.tryAcquire(bytes, classRank);
+    this.#heldBytes += isAcquired ? bytes : 0;
+    this.#aheadBytes += isAcquired ? bytes : 0;
+    return isAcquired;
+  }
+
+  /** Has a function called with the length of the response when its head has arrived, before memory for the body is reserved. */
+  observeResponseLength(observe: (bytes: number) => void): void {
+    this.#onResponseLength = observe;
+  }
+
+  /** States the length of the response, which its head tells. */
+  reportResponseLength(bytes: number): void {
+    this.#onResponseLength?.(bytes);
+  }
+
+  /** Calls a function once all bytes have been released. */
+  onReleased(notify: () => void): void {
+    if (this.#isReleased) {
+      notify();
+    } else {
+      this.#onReleased.push(notify);
+    }
+  }
+
   /** Counts bytes that have been received already. */
   force(bytes: number): void {
     if (!this.#isReleased) {
@@ -76,6 +108,7 @@
   release(): void {
     const heldBytes = this.#heldBytes;
     this.#isReleased = true;
+    this.#onReleased.splice(0).forEach((notify) => notify());
     this.#heldBytes = 0;
     this.#aheadBytes = 0;
     this.#budget.release(heldBytes);
--- a/src/memory/memory_budget.ts
+++ b/src/memory/memory_budget.ts
@@ -11,6 +11,7 @@
 import type { CallSignal } from "../cancellation/mod.ts";
 import type { Clock } from "../time/mod.ts";
 import { GarbageCollection } from "./garbage_collection.ts";
+import { LargeHolds } from "./large_holds.ts";
 import { ReleaseRate } from "./release_rate.ts";
 
 /** Largest body that may use the whole budget, in bytes. */
@@ -56,6 +57,8 @@
   readonly #releaseRate: ReleaseRate;
   readonly #garbage = new GarbageCollection();
   readonly #waiters: Waiter[] = [];
+  /** Large responses that are held, and for how long. */
+  readonly holds: LargeHolds;
   /** Bytes that may be held at a time. */
   readonly capacityBytes: number;
   #heldBytes = 0;
@@ -67,6 +70,7 @@
     this.#clock = clock;
     this.capacityBytes = capacityBytes;
     this.#releaseRate = new ReleaseRate(clock);
+    this.holds = new LargeHolds(clock);
   }
 
   /** Bytes held now. */
@@ -143,8 +147,19 @@
     this.#admitWaiting();
   }
 
-  /** Estimates when `bytes` more have room, in milliseconds, from what was released lately. */
+  /** Estimates when `bytes` more have room, in milliseconds, from how long responses are held and from what was released lately. */
   estimateWaitMs(bytes: number): number {
+    return this.forecastWaitMs(bytes) || this.#estimateByRateMs(bytes);
+  }
+
+  /** Forecasts when `bytes` more have room, in milliseconds, from how long responses are held; 0 if that is not known. */
+  forecastWaitMs(bytes: number): number {
+    const missingBytes = this.#heldBytes + this.#waitingBytes + bytes -
+      this.maxBodyBytes;
+    return this.holds.forecastMs(missingBytes) ?? 0;
+  }
+
+  #estimateByRateMs(bytes: number): number {
     return this.#releaseRate.estimateMs(this.#waitingBytes + bytes);
   }
 
--- a/src/memory/mod.ts
+++ b/src/memory/mod.ts
@@ -4,5 +4,6 @@
 
 export { computeBodyBudgetBytes } from "./compute_body_budget_bytes.ts";
 export { HeldMemory } from "./held_memory.ts";
+export { LargeHolds } from "./large_holds.ts";
 export { MemoryBudget, RESPONSE_RANK } from "./memory_budget.ts";
 export type { AcquireOptions } from "./memory_budget.ts";
--- a/src/peer/outbound_connection.ts
+++ b/src/peer/outbound_connection.ts
@@ -135,6 +135,7 @@
     if (!signal) {
       return false;
     }
+    memory?.reportResponseLength(bodyLengthBytes);
     if (!isPaced) {
       memory?.force(bodyLengthBytes);
     }
--- a/src/request/call_environment.ts
+++ b/src/request/call_environment.ts
@@ -37,6 +37,7 @@
 } from "../telemetry/mod.ts";
 import type { Clock } from "../time/mod.ts";
 import type { ActiveCalls } from "./active_calls.ts";
+import type { FirstResponses } from "./first_responses.ts";
 import type { LeavingServers } from "./leaving_servers.ts";
 import type { PeerClients } from "./peer_clients.ts";
 import type { PeerServices } from "./peer_services.ts";
@@ -73,6 +74,8 @@
   readonly runs: RunLedger;
   readonly activeCalls: ActiveCalls;
   readonly responseSizes: ResponseSizes;
+  /** Bound of the downloads that run before their size is known. */
+  readonly firstResponses: FirstResponses;
   readonly leavingServers: LeavingServers;
   /** Failure domains that send calls to the backend server of this VM. */
   readonly spillReceipts: SpillReceipts;
--- a/src/request/dispatch_call.ts
+++ b/src/request/dispatch_call.ts
@@ -221,7 +221,7 @@
     membership.markLeaving(instance.incarnation);
   }
   if (result.isOk()) {
-    environment.responseSizes.record(call, result.value.body.length);
+    environment.responseSizes.record(call, result.value);
   }
   const { loads } = result.isOk() ? result.value : result.error;
   entryAdmission.observe(loads);
--- a/src/request/mod.ts
+++ b/src/request/mod.ts
@@ -5,6 +5,7 @@
 export { ActiveCalls } from "./active_calls.ts";
 export type { ActiveCall } from "./active_calls.ts";
 export type { CallEnvironment } from "./call_environment.ts";
+export { FirstResponses } from "./first_responses.ts";
 export { handOverKeys } from "./hand_over_keys.ts";
 export { identifyCaller } from "./identify_caller.ts";
 export type { CallerTarget, IdentifiedCaller } from "./identify_caller.ts";
--- a/src/request/reserve_response.ts
+++ b/src/request/reserve_response.ts
@@ -5,51 +5,121 @@
 import { createRefusal, REASONS } from "../outcome/mod.ts";
 import type { Refusal } from "../outcome/mod.ts";
 import type { CallEnvironment } from "./call_environment.ts";
+import { describeKind } from "./describe_kind.ts";
 import type { OutboundCall } from "./outbound_call.ts";
 
 /** Longest wait for memory, in milliseconds, and the share of the remaining time that may be spent on it; a caller that is refused can then still return. */
 const MAX_WAIT_MS = 1_000;
 const WAIT_RATIO = 0.25;
 
+/** Parts of a daemon that reservations need. */
+export type ReservationEnvironment = Pick<
+  CallEnvironment,
+  "clock" | "memory" | "responseSizes" | "firstResponses"
+>;
+
+/** Options of {@link reserveResponse}. */
+export interface ReserveOptions {
+  /** Whether downloads of unknown size wait for the first responses of their kind. */
+  readonly awaitsSize?: boolean;
+  /** Longest wait for memory, in milliseconds. */
+  readonly maxWaitMs?: number;
+}
+
 /**
  * Reserves memory for the response that a call is expected to have, if it is
- * large. Waits for room for a short time.
+ * large. Waits for room for a short time, unless the time that such responses
+ * are held shows that the caller's time would not suffice afterwards.
  *
  * @param environment - Components of the daemon
  * @param call - The call, not sent yet
+ * @param options - What the call may wait for
  * @returns Nothing if there is nothing to reserve, which is the case for most
  *   calls; otherwise a promise of nothing, or of a refusal if there is no room soon
  *
  * @example
- * const refusal = await reserveResponse(environment, call);
+ * const refusal = await reserveResponse(environment, call, { awaitsSize: true });
  */
 export function reserveResponse(
-  environment: CallEnvironment,
+  environment: ReservationEnvironment,
   call: OutboundCall,
+  options: ReserveOptions = {},
 ): Promise<Refusal | undefined> | undefined {
-  const { memory, responseSizes } = environment;
+  const { responseSizes } = environment;
+  call.memory.observeResponseLength((bytes) =>
+    responseSizes.learn(call, bytes)
+  );
+  if (
+    options.awaitsSize && call.context.isBulk && !responseSizes.isKnown(call)
+  ) {
+    return awaitSize(environment, call, options);
+  }
+  return computeMissingBytes(environment, call) > 0
+    ? reserve(environment, call, options)
+    : undefined;
+}
+
+function computeMissingBytes(
+  { memory, responseSizes }: ReservationEnvironment,
+  call: OutboundCall,
+): number {
   const expectedBytes = Math.min(
     responseSizes.expect(call),
     memory.maxBodyBytes,
   );
-  const missingBytes = expectedBytes - call.memory.aheadBytes;
-  return missingBytes > 0
-    ? reserve(environment, call, missingBytes)
+  return expectedBytes - call.memory.aheadBytes;
+}
+
+async function awaitSize(
+  environment: ReservationEnvironment,
+  call: OutboundCall,
+  options: ReserveOptions,
+): Promise<Refusal | undefined> {
+  const remainingMs = call.deadlineAtMs - environment.clock.monotonicMs();
+  const isAdmitted = await environment.firstResponses.admit(
+    call,
+    Math.max(0, remainingMs * WAIT_RATIO),
+  );
+  if (!isAdmitted) {
+    return refuse(environment, call, 0);
+  }
+  return computeMissingBytes(environment, call) > 0
+    ? await reserve(environment, call, options)
     : undefined;
 }
 
 async function reserve(
-  { clock, memory }: CallEnvironment,
+  environment: ReservationEnvironment,
   call: OutboundCall,
-  missingBytes: number,
+  { maxWaitMs = MAX_WAIT_MS }: ReserveOptions,
 ): Promise<Refusal | undefined> {
-  const remainingMs = call.deadlineAtMs - clock.monotonicMs();
-  const isReserved = await call.memory.reserveAhead(missingBytes, {
-    signal: call.signal,
-    classRank: call.classRank,
-    maxWaitMs: Math.min(MAX_WAIT_MS, remainingMs * WAIT_RATIO),
-  });
-  return isReserved ? undefined : createRefusal(REASONS.memoryFull, {
+  const { clock, memory: { holds } } = environment;
+  const kind = describeKind(call);
+  const missingBytes = computeMissingBytes(environment, call);
+  if (!call.memory.tryReserveAhead(missingBytes, call.classRank)) {
+    const remainingMs = call.deadlineAtMs - clock.monotonicMs();
+    const neededMs = environment.memory.forecastWaitMs(missingBytes) +
+      (holds.getAverageMs(kind) ?? 0);
+    const isReserved = maxWaitMs > 0 && neededMs <= remainingMs &&
+      await call.memory.reserveAhead(missingBytes, {
+        signal: call.signal,
+        classRank: call.classRank,
+        maxWaitMs: Math.min(maxWaitMs, remainingMs * WAIT_RATIO),
+      });
+    if (!isReserved) {
+      return refuse(environment, call, missingBytes);
+    }
+  }
+  call.memory.onReleased(holds.begin(kind, missingBytes));
+  return undefined;
+}
+
+function refuse(
+  { memory }: ReservationEnvironment,
+  call: OutboundCall,
+  missingBytes: number,
+): Refusal {
+  return createRefusal(REASONS.memoryFull, {
     retryAfterMs: memory.estimateWaitMs(missingBytes),
     unusedAllowance: call.context.retryAllowance,
   });
--- a/src/request/run_call.ts
+++ b/src/request/run_call.ts
@@ -255,7 +255,7 @@
   cancelDeadline();
   stopFollowing();
   if (result.isOk()) {
-    environment.responseSizes.record(call, result.value.body.length);
+    environment.responseSizes.record(call, result.value);
     quarantine.recordCleanRun(call);
   }
   if (result.isErr() && result.error.reason === REASONS.noBackendServer) {
--- a/src/request/serve_routed_call.ts
+++ b/src/request/serve_routed_call.ts
@@ -185,7 +185,7 @@
   environment: CallEnvironment,
   call: OutboundCall,
 ): Promise<CallResult> {
-  const reserved = reserveResponse(environment, call);
+  const reserved = reserveResponse(environment, call, { awaitsSize: true });
   return reserved
     ? reserved.then((refusal) =>
       refusal ? err(refusal) : dispatchCall(environment, call)
--- a/src/testing/fault_injection/fault_injection_node.ts
+++ b/src/testing/fault_injection/fault_injection_node.ts
@@ -30,6 +30,7 @@
 import type { DialPeer } from "../../peer/mod.ts";
 import {
   ActiveCalls,
+  FirstResponses,
   handOverKeys,
   LeavingServers,
   PeerClients,
@@ -231,6 +232,7 @@
       publish: () => undefined,
     });
     const { incarnation } = self;
+    const responseSizes = new ResponseSizes();
     const keyOptions = { incarnation, fleetToken: FLEET_TOKEN, clock };
     return {
       settings: {
@@ -259,7 +261,8 @@
       successors: new SuccessorTable(clock),
       runs: parts.createRuns?.(clock) ?? new RunLedger(clock),
       activeCalls: new ActiveCalls(clock),
-      responseSizes: new ResponseSizes(),
+      responseSizes,
+      firstResponses: new FirstResponses(clock, responseSizes),
       leavingServers: new LeavingServers(),
       spillReceipts: new SpillReceipts(clock),
       allowances: new UnlimitedAllowances(),
