Ask for the memory of a response again once its slot is granted

Callers saw 504 after their requests had run: memory was asked for before the wait for a slot and never again, although responses of the same kind had shown during the wait that they are larger.

Cause and evidence: found by reading; runCall reserved before the admission only. No test goes through runCall: the one of the reservation calls it directly.

Change: after the slot is granted, what the kind has grown to is reserved without a wait, as the slot would stay unused; without room the call is refused as not run, and its slot is released.

--- a/src/request/reserve_response_test.ts
+++ b/src/request/reserve_response_test.ts
@@ -145,4 +145,22 @@
   assert.not(memory.tryAcquire(LARGE_BYTES, RESPONSE_RANK));
 });
 
+// Guards against a slot that stays unused while its call waits for memory, and against a call that runs without room.
+test("a call that has its slot does not wait, and needs room for what its kind has grown to", async () => {
+  const { memory, send, started, receiveHead, ...environment } =
+    createFixture();
+  await send();
+  const [call] = started as [OutboundCall];
+  assert.ok(receiveHead(call));
+  const granted = { ...call, memory: new HeldMemory(memory, 1) };
+  const options = { maxWaitMs: 0 };
+  const reserve = () =>
+    reserveResponse({ memory, ...environment }, granted, options);
+  assert.is(await reserve(), undefined);
+  assert.is(granted.memory.aheadBytes, LARGE_BYTES);
+  environment.responseSizes.learn(call, 2 * LARGE_BYTES);
+  memory.force(CAPACITY_BYTES - 3 * LARGE_BYTES);
+  assert.is((await reserve())?.reason, "memory-full");
+});
+
 test.run();
--- a/src/request/run_call.ts
+++ b/src/request/run_call.ts
@@ -9,12 +9,12 @@
 import { CallController } from "../cancellation/mod.ts";
 import { formatServerId } from "../backend/mod.ts";
 import type { ConnectionBreak, ServerStatement } from "../backend/mod.ts";
-import type { LoadSignal } from "../generated/types.ts";
 import { createRefusal, REASONS } from "../outcome/mod.ts";
 import type { CallResult, Reason } from "../outcome/mod.ts";
 import type { StatedSlowness } from "../slowness/mod.ts";
 import { DECISIONS } from "../telemetry/mod.ts";
 import type { CallEnvironment } from "./call_environment.ts";
+import { collectLoads } from "./collect_loads.ts";
 import { findRefusalReason } from "./find_refusal_reason.ts";
 import { observeStatement } from "./observe_statement.ts";
 import { PEER_NOTES } from "./peer_notes.ts";
@@ -23,9 +23,6 @@
 import { createSlownessNote } from "./slowness_note.ts";
 import { createSpillNote } from "./spill_note.ts";
 
-/** Maximum number of load signals in a reply. */
-const MAX_LOADS = 32;
-
 /** HTTP statuses with which a backend server sheds load. */
 const SHED_STATUSES: ReadonlySet<number> = new Set([429, 503]);
 
@@ -84,25 +81,6 @@
     configuration.current?.document.accounts !== undefined;
 }
 
-/** Returns this daemon's load, followed by the known load of overloaded downstream services. */
-function collectLoads(
-  environment: CallEnvironment,
-  call: OutboundCall,
-): LoadSignal[] {
-  const { configuration, entryAdmission, inboundAdmission, paths } =
-    environment;
-  const { requestName } = call.context;
-  const path = paths.list(
-    requestName,
-    configuration.current?.requestsByName.get(requestName),
-  );
-  const downstream = entryAdmission.listOverloadSignals(
-    path.filter((service) => service !== call.service),
-  );
-  return [inboundAdmission.describeLoad(call.service), ...downstream]
-    .slice(0, MAX_LOADS);
-}
-
 async function admitAndRun(
   environment: CallEnvironment,
   call: OutboundCall,
@@ -151,7 +129,7 @@
       : createRefusedResult(call, reasonAfterQueue));
   const { result, nestedMs } = refusedResult
     ? { result: refusedResult, nestedMs: 0 }
-    : await callBackend(environment, call);
+    : await reserveAndCallBackend(environment, call);
   const durationMs = clock.monotonicMs() - startedAtMs;
   permit.value.release({
     durationMs,
@@ -185,6 +163,18 @@
     : result.error.reason === SHED_REASON;
 }
 
+/** Asks for memory once more, since responses of this kind may have become larger while the call waited for its slot. Does not wait, as the slot would stay unused. */
+async function reserveAndCallBackend(
+  environment: CallEnvironment,
+  call: OutboundCall,
+): Promise<BackendRun> {
+  const reserving = reserveResponse(environment, call, { maxWaitMs: 0 });
+  const refusal = reserving && await reserving;
+  return refusal
+    ? { result: err(refusal), nestedMs: 0 }
+    : await callBackend(environment, call);
+}
+
 interface BackendRun {
   readonly result: CallResult;
   /** Time during which the backend server waited for nested calls, in milliseconds. */
