Let downloads wait for room while their caller's time suffices

Callers saw, after the bound of first downloads: of 48 that download 8 MB at 1 MB a second within 30 s, 9 had a whole response and 39 were refused after 1 s, although room became free in their time (on a route that is no download 44 whole, 4 refused).

Cause: a wait for memory ended after 1 s, whatever the caller's time.

Change: at the entry a call waits for as long as the forecast wait and twice the average hold of its kind fit into its remaining time. Before the first release the age of the oldest hold stands for the average. The test of the first burst now gives the others a third of their time instead of 1 s, and asks for the same 9 runs and 39 refusals.

--- a/src/memory/large_holds.ts
+++ b/src/memory/large_holds.ts
@@ -47,6 +47,16 @@
     return this.#averageMsByKind.get(kind);
   }
 
+  /** Age of the oldest hold of a kind, in milliseconds; 0 if nothing is held. */
+  getOldestMs(kind: string): number {
+    for (const hold of this.#current) {
+      if (hold.kind === kind) {
+        return this.#clock.monotonicMs() - hold.sinceMs;
+      }
+    }
+    return 0;
+  }
+
   /** Forecasts when `bytes` of those held now are released, in milliseconds; undefined if earlier holds do not tell. */
   forecastMs(bytes: number): number | undefined {
     const nowMs = this.#clock.monotonicMs();
--- a/src/request/reserve_response.ts
+++ b/src/request/reserve_response.ts
@@ -12,6 +12,12 @@
 const MAX_WAIT_MS = 1_000;
 const WAIT_RATIO = 0.25;
 
+/** Shortest step of a wait, in milliseconds. */
+const MIN_STEP_MS = 1;
+
+/** Time to read a response as a multiple of the time for which it is held: it is released once it is written, when some MB of it may still be in the buffers of the connection. While no hold has ended, the oldest one has to end first. */
+const READ_FACTOR = 2;
+
 /** Parts of a daemon that reservations need. */
 export type ReservationEnvironment = Pick<
   CallEnvironment,
@@ -91,27 +97,54 @@
 async function reserve(
   environment: ReservationEnvironment,
   call: OutboundCall,
-  { maxWaitMs = MAX_WAIT_MS }: ReserveOptions,
+  options: ReserveOptions,
 ): Promise<Refusal | undefined> {
-  const { clock, memory: { holds } } = environment;
-  const kind = describeKind(call);
   const missingBytes = computeMissingBytes(environment, call);
-  if (!call.memory.tryReserveAhead(missingBytes, call.classRank)) {
+  const isReserved =
+    call.memory.tryReserveAhead(missingBytes, call.classRank) ||
+    await waitForRoom(environment, call, { ...options, missingBytes });
+  if (!isReserved) {
+    return refuse(environment, call, missingBytes);
+  }
+  const { holds } = environment.memory;
+  call.memory.onReleased(holds.begin(describeKind(call), missingBytes));
+  return undefined;
+}
+
+/** Waits in steps, at the entry for as long as the caller's time suffices to hold the response afterwards. */
+async function waitForRoom(
+  environment: ReservationEnvironment,
+  call: OutboundCall,
+  { awaitsSize, maxWaitMs = MAX_WAIT_MS, missingBytes }:
+    & ReserveOptions
+    & { readonly missingBytes: number },
+): Promise<boolean> {
+  const { clock, memory } = environment;
+  const kind = describeKind(call);
+  let isFirstStep = true;
+  for (;;) {
     const remainingMs = call.deadlineAtMs - clock.monotonicMs();
-    const neededMs = environment.memory.forecastWaitMs(missingBytes) +
-      (holds.getAverageMs(kind) ?? 0);
-    const isReserved = maxWaitMs > 0 && neededMs <= remainingMs &&
-      await call.memory.reserveAhead(missingBytes, {
-        signal: call.signal,
-        classRank: call.classRank,
-        maxWaitMs: Math.min(maxWaitMs, remainingMs * WAIT_RATIO),
-      });
-    if (!isReserved) {
-      return refuse(environment, call, missingBytes);
+    const holdMs = memory.holds.getAverageMs(kind) ??
+      memory.holds.getOldestMs(kind);
+    const isInTime =
+      memory.forecastWaitMs(missingBytes) + holdMs * READ_FACTOR <= remainingMs;
+    const maySuffice = isFirstStep || (awaitsSize && holdMs > 0);
+    if (maxWaitMs <= 0 || !isInTime || !maySuffice || call.signal.aborted) {
+      return false;
+    }
+    isFirstStep = false;
+    const isReserved = await call.memory.reserveAhead(missingBytes, {
+      signal: call.signal,
+      classRank: call.classRank,
+      maxWaitMs: Math.max(
+        MIN_STEP_MS,
+        Math.min(maxWaitMs, remainingMs * WAIT_RATIO),
+      ),
+    });
+    if (isReserved) {
+      return true;
     }
   }
-  call.memory.onReleased(holds.begin(kind, missingBytes));
-  return undefined;
 }
 
 function refuse(
--- a/src/request/reserve_response_test.ts
+++ b/src/request/reserve_response_test.ts
@@ -71,8 +71,11 @@
   await settle();
   assert.is(started.length, 9);
   assert.ok(started.slice(1).every(receiveHead));
-  clock.advance(1_000);
-  await settle();
+  // After a third of their time, the others could not be held as long as the first.
+  for (let second = 0; second <= TIME_LIMIT_MS / 3_000; second += 1) {
+    clock.advance(1_000);
+    await settle();
+  }
   assert.is(started.length, 9);
   assert.is(refusals.length, BURST_COUNT - 9);
 });
@@ -121,11 +124,11 @@
   clock.advance(7_500);
   await settle();
   refusals.splice(0);
-  // 0.5 s until there is room, and 8 s to read, are more than 8 s.
-  await send({ timeLimitMs: 8_000 });
+  // 0.5 s until there is room, and twice 8 s to read, are more than 16 s.
+  await send({ timeLimitMs: 16_000 });
   assert.is(refusals.length, 1);
   assert.ok(Math.abs(refusals[0]!.retryAfterMs - 500) < 1);
-  void send({ timeLimitMs: 9_000 });
+  void send({ timeLimitMs: 17_000 });
   await settle();
   assert.is(refusals.length, 1);
   started[0]!.memory.release();
