--- a/src/routing/adaptive_load_balancer.ts
+++ b/src/routing/adaptive_load_balancer.ts
@@ -24,7 +24,7 @@
 import { InstanceChooser } from "./instance_chooser.ts";
 import type { Search } from "./instance_chooser.ts";
 import { InstanceFilter } from "./instance_filter.ts";
-import { OverflowPicker } from "./overflow_picker.ts";
+import { OtherDomainPicker } from "./other_domain_picker.ts";
 import { InstancePaces } from "./instance_paces.ts";
 import { LocalityTiers } from "./locality_tiers.ts";
 import type { Locality, LocalityTier } from "./locality_tiers.ts";
@@ -64,7 +64,7 @@
   readonly #filter: InstanceFilter;
   readonly #chooser: InstanceChooser;
   readonly #spill: SpillShares | undefined;
-  readonly #overflow: OverflowPicker;
+  readonly #otherDomains: OtherDomainPicker;
   #isSpill = false;
 
   constructor(options: AdaptiveLoadBalancerOptions) {
@@ -77,7 +77,7 @@
     const stats = this.#stats;
     this.#filter = new InstanceFilter({ paces: this.#paces, stats });
     this.#chooser = new InstanceChooser({ random, stats });
-    this.#overflow = new OverflowPicker({
+    this.#otherDomains = new OtherDomainPicker({
       ...{ stats, filter: this.#filter, chooser: this.#chooser },
       linkBudget: options.linkBudget,
     });
@@ -212,11 +212,12 @@
     const domain = spill.isActive
       ? spill.choose(isBusy, this.#options.random.nextFloat())
       : undefined;
+    const otherTiers = tiers.slice(OWN_DOMAIN_TIERS);
     const other = domain === undefined
-      ? this.#overflow.pick(tiers.slice(OWN_DOMAIN_TIERS), {
+      ? this.#otherDomains.pickOverflow(otherTiers, {
         ...{ own, search, controller: spill },
       })
-      : this.#pickInDomain(domain, tiers, search);
+      : this.#otherDomains.pickInDomain(domain, otherTiers, search);
     if (other) {
       this.#isSpill = domain !== undefined;
       return ok(other.record);
@@ -224,29 +225,6 @@
     return own ? ok(own.record) : err(NO_INSTANCE);
   }
 
-  #pickInDomain(
-    domain: string,
-    tiers: readonly LocalityTier[],
-    search: Search,
-  ): Candidate | undefined {
-    const { options } = search;
-    for (const tier of tiers.slice(OWN_DOMAIN_TIERS)) {
-      const { instances } = this.#filter.filterAvailable(tier, options);
-      const inDomain = instances.filter(({ failureDomain }) =>
-        failureDomain === domain
-      );
-      const mayUse = tier.isOwnRegion ||
-        (!options.isBulk && this.#options.linkBudget.allows(options));
-      if (inDomain.length > 0 && mayUse) {
-        return this.#chooser.pickOfTwo(
-          { ...tier, instances: inDomain },
-          search,
-        );
-      }
-    }
-    return undefined;
-  }
-
   override startAttempt(instance: MemberRecord, payload: PayloadInfo): void {
     this.#stats.startAttempt(instance, payload);
   }
--- a/src/routing/overflow_picker.ts
+++ b/src/routing/other_domain_picker.ts
@@ -1,6 +1,7 @@
 /**
- * Picks instances of other failure domains for calls that would queue in their
- * own, until the shares of the calls that leave have followed the demand.
+ * Picks instances of other failure domains: for calls that leave by their share,
+ * and, until the shares have followed the demand, for calls that would queue in
+ * their own domain.
  */
 
 import type { Candidate } from "./create_candidate.ts";
@@ -24,7 +25,7 @@
 const MIN_REGION_GAIN_RATIO = 0.25;
 
 /** Dependencies of the picker. */
-export interface OverflowPickerOptions {
+export interface OtherDomainPickerOptions {
   readonly stats: InstanceStatsRegistry;
   readonly filter: InstanceFilter;
   readonly chooser: InstanceChooser;
@@ -39,20 +40,38 @@
   readonly controller: SpillController;
 }
 
-/** Picks instances for single calls. */
-export class OverflowPicker {
-  readonly #options: OverflowPickerOptions;
+/** Picks instances outside the own failure domain. */
+export class OtherDomainPicker {
+  readonly #options: OtherDomainPickerOptions;
 
-  constructor(options: OverflowPickerOptions) {
+  constructor(options: OtherDomainPickerOptions) {
     this.#options = options;
   }
 
+  /** Picks an instance of a domain; undefined if none may take the call. */
+  pickInDomain(
+    domain: string,
+    otherTiers: readonly LocalityTier[],
+    search: Search,
+  ): Candidate | undefined {
+    for (const tier of otherTiers) {
+      const picked = this.#pickFromTier(tier, {
+        search,
+        isOpen: (failureDomain) => failureDomain === domain,
+      });
+      if (picked) {
+        return picked;
+      }
+    }
+    return undefined;
+  }
+
   /**
-   * Picks an instance for a call; undefined if it stays in its domain. Only for
-   * services whose instances state their slowness: the instance then hands the
-   * call back if it has no idle slot.
+   * Picks an instance for a call that would queue; undefined if it stays in its
+   * domain. Only for services whose instances state their slowness: the instance
+   * then hands the call back if it has no idle slot.
    */
-  pick(
+  pickOverflow(
     otherTiers: readonly LocalityTier[],
     { own, search, controller }: OverflowCall,
   ): Candidate | undefined {
@@ -61,8 +80,13 @@
     const mayLeave = stats.isSlownessStated(search.options.service) &&
       controller.overflow.check(isFull);
     for (const tier of mayLeave ? otherTiers : []) {
-      const candidate = this.#pickFromTier(tier, { search, controller });
-      if (candidate && (!own || this.#pays(own, candidate, { tier, search }))) {
+      const candidate = this.#pickFromTier(tier, {
+        search,
+        isOpen: (failureDomain) => !controller.receivesFrom(failureDomain),
+      });
+      const hasRoom = candidate &&
+        candidate.utilization < ROOMY_UTILIZATION;
+      if (hasRoom && (!own || this.#pays(own, candidate, { tier, search }))) {
         if (own) {
           chooser.noteElsewhere(own.waitMs / Math.max(1, own.utilization));
         }
@@ -74,7 +98,10 @@
 
   #pickFromTier(
     tier: LocalityTier,
-    { search, controller }: Omit<OverflowCall, "own">,
+    { search, isOpen }: {
+      readonly search: Search;
+      readonly isOpen: (failureDomain: string) => boolean;
+    },
   ): Candidate | undefined {
     const { chooser, filter, linkBudget } = this.#options;
     const { options } = search;
@@ -82,15 +109,10 @@
       return undefined;
     }
     const { instances } = filter.filterAvailable(tier, options);
-    const open = instances.filter(({ failureDomain }) =>
-      !controller.receivesFrom(failureDomain)
-    );
-    const candidate = open.length > 0
+    const open = instances.filter(({ failureDomain }) => isOpen(failureDomain));
+    return open.length > 0
       ? chooser.pickOfTwo({ ...tier, instances: open }, search)
       : undefined;
-    return candidate && candidate.utilization < ROOMY_UTILIZATION
-      ? candidate
-      : undefined;
   }
 
   #pays(
