Move calls with a deadline and services between daemons below their users

allowance/ and request/ imported each other. callWithDeadline and PeerServices belong to the calls between daemons and move to peer/; the allowances name what they need of the connections. No change of behaviour. Tests of allowance, request and peer pass.

--- a/src/allowance/create_allowance_subsystem.ts
+++ b/src/allowance/create_allowance_subsystem.ts
@@ -7,12 +7,15 @@
 import { decode, encode } from "cbor-x";
 import { err, ok } from "neverthrow";
 import { CallController } from "../cancellation/mod.ts";
+import type { ConfigurationHolder } from "../configuration/mod.ts";
 import type { CallMessage } from "../generated/types.ts";
+import type { Membership } from "../membership/mod.ts";
 import { createRefusal, REASONS } from "../outcome/mod.ts";
 import type { Answer, CallResult } from "../outcome/mod.ts";
-import { callWithDeadline } from "../request/mod.ts";
-import type { CallEnvironment, PeerServiceHandler } from "../request/mod.ts";
-import type { RandomSource } from "../time/mod.ts";
+import { callWithDeadline } from "../peer/mod.ts";
+import type { PeerClient, PeerServiceHandler } from "../peer/mod.ts";
+import type { DaemonMetrics, DecisionJournal } from "../telemetry/mod.ts";
+import type { Clock, RandomSource } from "../time/mod.ts";
 import { AllowanceMessenger } from "./allowance_fleet.ts";
 import type { FleetMember } from "./allowance_fleet.ts";
 import { AllowanceMetrics } from "./allowance_metrics.ts";
@@ -43,12 +46,17 @@
 const REPLY_TIMEOUT_MS = 600;
 
 /** Components of the daemon that allowances use. */
-export type AllowanceDependencies =
-  & Pick<
-    CallEnvironment,
-    "clock" | "configuration" | "journal" | "membership" | "metrics" | "peers"
-  >
-  & { readonly random: RandomSource; readonly silent: SilentMembers };
+export interface AllowanceDependencies {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly configuration: ConfigurationHolder;
+  readonly journal: DecisionJournal;
+  readonly membership: Membership;
+  readonly metrics: DaemonMetrics;
+  readonly silent: SilentMembers;
+  /** Connections to other daemons. */
+  readonly peers: { get(member: FleetMember): PeerClient };
+}
 
 /** Control of allowances, and the handler of the messages to it. */
 export interface AllowanceSubsystem {
--- a/src/daemon/create_daemon_components.ts
+++ b/src/daemon/create_daemon_components.ts
@@ -38,14 +38,13 @@
   Quarantine,
   QuarantineArchive,
 } from "../quarantine/mod.ts";
-import { HeartbeatTimer } from "../peer/mod.ts";
+import { HeartbeatTimer, PeerServices } from "../peer/mod.ts";
 import type { DialPeer, PeerConnectionOptions } from "../peer/mod.ts";
 import {
   ActiveCalls,
   FirstResponses,
   LeavingServers,
   PeerClients,
-  PeerServices,
   ResponseSizes,
 } from "../request/mod.ts";
 import type { CallEnvironment } from "../request/mod.ts";
--- a/src/request/call_with_deadline.ts
+++ b/src/peer/call_with_deadline.ts
@@ -5,10 +5,11 @@
 import { CallController } from "../cancellation/mod.ts";
 import type { CallSignal } from "../cancellation/mod.ts";
 import type { HeldMemory } from "../memory/mod.ts";
-import type { CallProgress, CallWithoutId, PeerClient } from "../peer/mod.ts";
 import { REASONS } from "../outcome/mod.ts";
 import type { CallResult } from "../outcome/mod.ts";
 import type { Clock } from "../time/mod.ts";
+import type { CallProgress, CallWithoutId } from "./outbound_connection.ts";
+import type { PeerClient } from "./peer_client.ts";
 
 /** Message, body, deadline and cancellation of a call to a peer. */
 export interface DeadlineCall {
--- a/src/request/peer_services.ts
+++ b/src/peer/peer_services.ts
@@ -6,7 +6,7 @@
 
 import type { CallMessage } from "../generated/types.ts";
 import type { CallResult } from "../outcome/mod.ts";
-import type { IncomingCallOptions } from "../peer/mod.ts";
+import type { IncomingCallOptions } from "./peer_server.ts";
 
 /** Serves a call to a reserved service name. */
 export type PeerServiceHandler = (
--- a/src/request/call_environment.ts
+++ b/src/request/call_environment.ts
@@ -40,7 +40,7 @@
 import type { FirstResponses } from "./first_responses.ts";
 import type { LeavingServers } from "./leaving_servers.ts";
 import type { PeerClients } from "./peer_clients.ts";
-import type { PeerServices } from "./peer_services.ts";
+import type { PeerServices } from "../peer/mod.ts";
 import type { ResponseSizes } from "./response_sizes.ts";
 
 /** Components of a daemon that are used to serve requests. */
--- a/src/request/dispatch_call.ts
+++ b/src/request/dispatch_call.ts
@@ -10,7 +10,7 @@
 import { DECISIONS } from "../telemetry/mod.ts";
 import { AttemptHistory } from "./attempt_history.ts";
 import type { CallEnvironment } from "./call_environment.ts";
-import { callWithDeadline } from "./call_with_deadline.ts";
+import { callWithDeadline } from "../peer/mod.ts";
 import { createCallMessage } from "./create_call_message.ts";
 import { followAnswerStatement } from "./follow_answer_statement.ts";
 import type { OutboundCall } from "./outbound_call.ts";
--- a/src/request/forward_to_holder.ts
+++ b/src/request/forward_to_holder.ts
@@ -11,7 +11,7 @@
 } from "../outcome/mod.ts";
 import type { CallResult } from "../outcome/mod.ts";
 import type { CallEnvironment } from "./call_environment.ts";
-import { callWithDeadline } from "./call_with_deadline.ts";
+import { callWithDeadline } from "../peer/mod.ts";
 import { createCallMessage } from "./create_call_message.ts";
 import type { OutboundCall } from "./outbound_call.ts";
 
--- a/src/request/hand_over_keys.ts
+++ b/src/request/hand_over_keys.ts
@@ -22,7 +22,7 @@
 import type { CallWithoutId } from "../peer/mod.ts";
 import { DECISIONS } from "../telemetry/mod.ts";
 import type { CallEnvironment } from "./call_environment.ts";
-import { callWithDeadline } from "./call_with_deadline.ts";
+import { callWithDeadline } from "../peer/mod.ts";
 
 /** Time within which a successor must acknowledge, in milliseconds. */
 const ACKNOWLEDGE_TIMEOUT_MS = 5_000;
--- a/src/request/send_once.ts
+++ b/src/request/send_once.ts
@@ -16,7 +16,7 @@
 import type { CallResult } from "../outcome/mod.ts";
 import type { MemberRecord } from "../generated/types.ts";
 import type { CallEnvironment } from "./call_environment.ts";
-import { callWithDeadline } from "./call_with_deadline.ts";
+import { callWithDeadline } from "../peer/mod.ts";
 import { createCallMessage } from "./create_call_message.ts";
 import type { OutboundCall } from "./outbound_call.ts";
 import { runCall } from "./run_call.ts";
--- a/src/testing/fault_injection/fault_injection_node.ts
+++ b/src/testing/fault_injection/fault_injection_node.ts
@@ -26,7 +26,7 @@
 import { StopControl } from "../../leaving/mod.ts";
 import type { KeyLedgerOptions } from "../../idempotency/mod.ts";
 import { createIncarnation } from "../../membership/mod.ts";
-import { PeerServer } from "../../peer/mod.ts";
+import { PeerServer, PeerServices } from "../../peer/mod.ts";
 import type { DialPeer } from "../../peer/mod.ts";
 import {
   ActiveCalls,
@@ -34,7 +34,6 @@
   handOverKeys,
   LeavingServers,
   PeerClients,
-  PeerServices,
   ResponseSizes,
   serveEntryCall,
   servePeerCall,
