review: a restart of all daemons forgets which instances have left

Cause: the confirmation of a leave is kept by processes only. Change: a script that kills and restarts all daemons after a leave, and delivers a check-in of the instance that was on its way.

--- a/review/2/play.ts
+++ b/review/2/play.ts
@@ -1,152 +1,135 @@
 /**
- * A daemon is stopped with SIGTERM while its clients go on to send non-repeatable
- * requests, of which one in 140 takes 2.4 s instead of 0.15 s.
- *
- * Checked is the rule LOST: after the SIGTERM, the daemon must not break off a
- * request at which its instance is at work and answer it itself. Not counted are
- * requests that were sent up to 3 s after the SIGTERM and at which the instance
- * was still at work in the last sixth of the grace, and those whose time limit or
- * route's timeout was reached.
+ * An instance leaves; then all daemons are killed at the same moment and started
+ * again. A check-in that the instance had sent before arrives late, and work is
+ * sent to the instance until it ends.
  */
 
-import { send } from "../lib/client.ts";
-import type { Outcome } from "../lib/client.ts";
 import { deploy, runCase, waitUntilReady } from "../lib/case.ts";
 import type { CaseContext } from "../lib/case.ts";
+import { send } from "../lib/client.ts";
+import type { Outcome } from "../lib/client.ts";
 import { BOUNDS } from "../lib/deployment.ts";
 import { Instance } from "../lib/instance.ts";
-import type { Run } from "../lib/instance.ts";
 import { receivesWork } from "../lib/machine.ts";
 import { now, sleep, sleepUntil } from "../lib/time.ts";
 
-/** Requests per second of the clients on the machine that is stopped. */
-const REQUESTS_PER_SECOND = 200;
+const ZONES = { "mtl-a": "mtl", "mtl-b": "mtl" };
 
-/** One in this many requests takes long: 0.7 in 100, where the pages have up to 3 in 100. */
-const LONG_EVERY = 140;
-const USUAL_WORK_MS = 150;
-const LONG_WORK_MS = 2_400;
+const REQUEST_INTERVAL_MS = 20;
+const WORK_MS = 200;
+const DEADLINE_MS = 1_000;
 
-const TIME_LIMIT_MS = 6_000;
+/** Time from the confirmation until all daemons are killed, and until they are started again, in milliseconds. */
+const KILL_AFTER_MS = 300;
+const RESTART_AFTER_MS = 900;
 
-/** Time until the SIGTERM, from which on routes are measured. */
-const WARM_UP_MS = 8_000;
+/** Time for which the check-in is on its way, in milliseconds. */
+const CHECK_IN_DELAY_MS = 2_500;
 
-/** Requests sent later than this after the SIGTERM are counted even if the instance works in the last sixth of the grace. */
-const EXCUSED_UNTIL_MS = 3_000;
-const LAST_SIXTH_MS = BOUNDS.graceMs * 5 / 6;
-
-/** Time after which every request has ended. */
-const SETTLE_MS = 8_000;
+/** Time for which the instance serves after its confirmation, in milliseconds. */
+const SERVES_MS = 10_000;
 
 async function play(context: CaseContext): Promise<boolean> {
   const { hasTrouble, record, report } = context;
   const { machines } = await deploy({
-    zones: { "z-a": "r1", "z-b": "r1" },
-    groups: [
-      { zone: "z-a", service: "front", count: 1 },
-      { zone: "z-b", service: "records", count: 2 },
-    ],
+    zones: ZONES,
+    groups: Object.keys(ZONES).map((zone) => ({
+      ...{ zone, service: "remise", count: 2 },
+    })),
     configuration: {
-      services: ["front", "records"],
+      services: ["remise"],
       routes: [{
-        ...{ name: "record-post", pathPrefix: "/records/", kind: "unsafe" },
-        ...{ timeoutMs: TIME_LIMIT_MS, service: "records" },
+        ...{ name: "key-release", pathPrefix: "/release/", kind: "unsafe" },
+        ...{ timeoutMs: DEADLINE_MS, service: "remise" },
       }],
     },
   }, context);
-  const instances = machines.map(({ plan }, index) =>
+  const instances = machines.map(({ address, plan: { zone } }, index) =>
     new Instance({
-      ...plan,
-      ...{ id: `i-${index}`, slots: 200 },
-      work: (path) => path.endsWith("/long") ? LONG_WORK_MS : USUAL_WORK_MS,
+      ...{ id: `i-${index}`, address, service: "remise", zone },
+      work: () => WORK_MS,
     })
   );
   await Promise.all(instances.map((instance) => instance.start()));
   await waitUntilReady(machines);
   machines.forEach((machine) => void machine.watchReadiness());
-  await sleep(BOUNDS.contactMs);
-  const [entry] = machines;
-  if (!entry) {
-    throw new Error("no machine");
+  await sleep(5_000);
+  const [leaver] = instances;
+  if (!leaver) {
+    throw new Error("no instance");
   }
 
-  const attempts: Promise<Outcome>[] = [];
-  const startedAtMs = now();
-  const stopAtMs = startedAtMs + WARM_UP_MS;
-  const lastAtMs = stopAtMs + BOUNDS.graceMs;
-  const sendAll = async () => {
-    for (let count = 1; now() < lastAtMs; count += 1) {
-      await sleepUntil(startedAtMs + count * 1_000 / REQUESTS_PER_SECOND);
-      if (!receivesWork(entry, machines)) {
-        continue;
+  const outcomes: Outcome[] = [];
+  let isOver = false;
+  const traffic = (async () => {
+    for (let index = 0; !isOver; index += 1) {
+      const machine = machines[index % machines.length];
+      if (machine && receivesWork(machine, machines)) {
+        void send({
+          ...{ address: machine.address, attemptId: `a${index}` },
+          ...{ path: "/release/1", method: "POST", body: "key" },
+          deadlineMs: DEADLINE_MS,
+        }).then((outcome) => outcomes.push(outcome));
       }
-      const suffix = count % LONG_EVERY === 0 ? "/long" : "";
-      attempts.push(send({
-        ...{ address: entry.address, attemptId: `a${count}`, method: "POST" },
-        ...{ path: `/records/${count}${suffix}`, body: "one delivery" },
-        deadlineMs: TIME_LIMIT_MS,
-      }));
+      await sleep(REQUEST_INTERVAL_MS);
     }
-  };
-  const sent = sendAll();
-  await sleepUntil(stopAtMs);
+  })();
+  await sleep(3_000);
+
+  leaver.stopCheckIns();
+  const lateCheckIn = leaver.describe("ready");
+  const checkInSentAtMs = now();
+  const status = await leaver.leave();
+  const confirmedAtMs = now();
+  report(`the removal of ${leaver.options.id} was confirmed with ${status}`);
+  if (status !== 200) {
+    throw new Error("the removal was not confirmed");
+  }
   if (hasTrouble) {
-    report("SIGTERM");
-    const end = await entry.stop();
-    report(`the daemon ended ${JSON.stringify(end)}`);
+    await sleep(KILL_AFTER_MS);
+    record("all daemons are killed");
+    await Promise.all(machines.map((machine) => machine.kill()));
+    await sleep(RESTART_AFTER_MS);
+    machines.forEach((machine) => machine.start());
+    record("all daemons are started");
   }
-  await sent;
-  await sleepUntil(stopAtMs + SETTLE_MS);
-  const outcomes = await Promise.all(attempts);
+  await sleepUntil(checkInSentAtMs + CHECK_IN_DELAY_MS);
+  const lateStatus = await leaver.send("PUT", lateCheckIn);
+  record(`the late check-in was answered with ${lateStatus}`);
+  await sleepUntil(confirmedAtMs + SERVES_MS);
+  leaver.stop();
+  record("the instance ends");
+  await sleep(1_000);
+  isOver = true;
+  await traffic;
+  await sleep(2 * DEADLINE_MS);
 
-  const runs = new Map(
-    instances.flatMap((instance) => instance.runs)
-      .map((run) => [run.attemptId, run]),
-  );
-  let lost = 0;
-  for (const outcome of outcomes) {
-    const run = runs.get(outcome.attemptId);
-    record(describe(outcome, run, stopAtMs));
-    if (hasTrouble && run && isLost(outcome, run, stopAtMs)) {
-      lost += 1;
-      report(`lost: ${describe(outcome, run, stopAtMs)}`);
-    }
+  const boundAtMs = confirmedAtMs + BOUNDS.drainMs;
+  const inTouchAtMs = hasTrouble
+    ? Math.max(...machines.map((machine) => machine.startedAtMs)) +
+      BOUNDS.contactMs
+    : 0;
+  const outcomesById = new Map(outcomes.map((each) => [each.attemptId, each]));
+  const late = leaver.runs.filter((run) => {
+    const { sentAtMs = 0 } = outcomesById.get(run.attemptId) ?? {};
+    return run.atMs > boundAtMs && sentAtMs > inTouchAtMs;
+  });
+  const lost = late.filter((run) => run.endedAtMs === undefined);
+  for (const run of late) {
+    const outcome = outcomesById.get(run.attemptId);
+    record(
+      `${run.attemptId} reached ${leaver.options.id} ` +
+        `${Math.round(run.atMs - confirmedAtMs)} ms after its confirmation; ` +
+        (run.endedAtMs === undefined ? "it was lost with it" : "it was run") +
+        `; the client got ${outcome?.status ?? "nothing"}`,
+    );
   }
-  const failed = outcomes.filter(({ status }) => status !== 200).length;
   report(
-    `${outcomes.length} requests, ${failed} without success, ${lost} lost`,
+    `${late.length} requests reached the instance later than ` +
+      `${BOUNDS.drainMs} ms after the confirmation, ${lost.length} of them ` +
+      "were at work when it ended",
   );
-  return hasTrouble ? lost > 0 : failed > 0;
-}
-
-/** Whether a request was passed on after the SIGTERM began to count, and ended without its instance's answer for no reason that the rule excuses. */
-function isLost(outcome: Outcome, run: Run, stopAtMs: number): boolean {
-  const { isSealed, sentAtMs, endedAtMs } = outcome;
-  const isAnswered = isSealed && outcome.status === 200;
-  const isOutOfTime = endedAtMs - sentAtMs >= TIME_LIMIT_MS;
-  const workedUntilMs = run.endedAtMs ?? run.atMs + LONG_WORK_MS;
-  const isExcused = sentAtMs <= stopAtMs + EXCUSED_UNTIL_MS &&
-    workedUntilMs >= stopAtMs + LAST_SIXTH_MS;
-  return !isAnswered && !isOutOfTime && !isExcused && endedAtMs > stopAtMs;
-}
-
-function describe(
-  { attemptId, path, status, isSealed, body, error, sentAtMs, endedAtMs }:
-    Outcome,
-  run: Run | undefined,
-  stopAtMs: number,
-): string {
-  const at = (atMs: number) => `${Math.round(atMs - stopAtMs)} ms`;
-  const ran = run
-    ? `ran from ${at(run.atMs)}${run.isBrokenOff ? ", broken off" : ""}`
-    : "did not run";
-  const answer = status === 0
-    ? error
-    : `${status} ${isSealed ? "sealed" : body}`;
-  return `${attemptId} ${path} sent at ${at(sentAtMs)}, ${ran}, ended at ${
-    at(endedAtMs)
-  } with ${answer}`;
+  return late.length > 0;
 }
 
 await runCase(play);
