--- a/review/3/play.ts
+++ b/review/3/play.ts
@@ -1,97 +1,93 @@
 /**
- * Clients send more than 16 `safe` requests on one connection and leave. The
- * daemon does not see that they have left, and begins the rest of their requests.
+ * The operator's configuration names tenants for the first time. Until a daemon
+ * has that version, it passes the clients' keys on to the instances.
  */
 
 import { deploy, runCase, waitUntilReady } from "../lib/case.ts";
 import type { CaseContext } from "../lib/case.ts";
+import { send } from "../lib/client.ts";
+import { createConfiguration } from "../lib/deployment.ts";
+import type { ConfigurationPlan } from "../lib/deployment.ts";
 import { Instance } from "../lib/instance.ts";
-import { PipeliningClient } from "../lib/pipelining_client.ts";
 import { now, sleep } from "../lib/time.ts";
 
-const MACHINES = 3;
-const CLIENTS = 6;
+const ZONES = { "mutrah": "muscat", "seeb": "muscat" };
+const CONTRACTS =
+  "base,drain,config,cost,retry,recover,health,pool,pressure,tenants,quota,platform";
 
-/** Requests that a client sends at once. */
-const DEPTH = 24;
-
-const WORK_MS = 1_500;
+const MACHINES_PER_ZONE = 4;
+const REQUESTS_PER_MACHINE = 200;
+const REQUEST_INTERVAL_MS = 20;
 const DEADLINE_MS = 5_000;
 
-/** Time after which the clients leave, in milliseconds. */
-const LEAVE_AFTER_MS = 200;
-
-/** Time after the close from which requests and work count, in milliseconds. */
-const SLACK_MS = 500;
+const KEY = "maj3nr26tta828m82thh";
 
-/** Late requests that the rule still allows. */
-const MAX_LATE = 5;
+const WITHOUT_TENANTS: ConfigurationPlan = {
+  services: ["meters"],
+  routes: [{
+    ...{ name: "meter-read", pathPrefix: "/meters/", kind: "safe" },
+    ...{ timeoutMs: 1_200, service: "meters" },
+  }],
+};
 
-/** Share of the requests at work that may go on. */
-const MAX_AT_WORK_RATIO = 0.25;
+const WITH_TENANTS: ConfigurationPlan = {
+  ...WITHOUT_TENANTS,
+  tenants: [{ name: "pulo780", apiKeys: [KEY], ratePerSecond: 0, burst: 0 }],
+};
 
 async function play(context: CaseContext): Promise<boolean> {
   const { hasTrouble, record, report } = context;
-  const { machines } = await deploy({
-    zones: { "mutrah": "muscat" },
-    groups: [{ zone: "mutrah", service: "meters", count: MACHINES }],
-    configuration: {
-      services: ["meters"],
-      routes: [{
-        ...{ name: "meter-read", pathPrefix: "/meters/", kind: "safe" },
-        ...{ timeoutMs: DEADLINE_MS, service: "meters" },
-      }],
-    },
+  const { machines, store } = await deploy({
+    zones: ZONES,
+    groups: Object.keys(ZONES).map((zone) => ({
+      ...{ zone, service: "meters", count: MACHINES_PER_ZONE },
+      settings: { contracts: CONTRACTS },
+    })),
+    configuration: hasTrouble ? WITHOUT_TENANTS : WITH_TENANTS,
   }, context);
-  const instances = machines.map(({ address }, index) =>
-    new Instance({
-      ...{ id: `i-${index}`, address, service: "meters", zone: "mutrah" },
-      ...{ slots: 100, work: () => WORK_MS },
-    })
+  const instances = machines.map(({ address, plan: { zone } }, index) =>
+    new Instance({ id: `i-${index}`, address, service: "meters", zone })
   );
   await Promise.all(instances.map((instance) => instance.start()));
   await waitUntilReady(machines);
-  await sleep(6_000);
-  const sentAtMs = now();
-  const clients = Array.from(
-    { length: CLIENTS },
-    (_, index) =>
-      new PipeliningClient({
-        address: machines[index % machines.length]?.address ?? "",
-        ...{ name: `c${index}`, path: "/meters/1", isRefilled: false },
-        ...{ depth: DEPTH, deadlineMs: DEADLINE_MS },
-      }),
-  );
-  await sleep(LEAVE_AFTER_MS);
-  const leftAtMs = hasTrouble ? now() : Infinity;
+  await sleep(5_000);
+
   if (hasTrouble) {
-    record("the clients close their connections");
-    clients.forEach((client) => client.leave());
+    const configuration = createConfiguration(WITH_TENANTS) as object;
+    store.put("config", "main", { ...configuration, version: "r12" });
+  }
+  const confirmedAtMs = now();
+  record("the configuration with tenants is confirmed");
+  const sending: Promise<{ status: number }>[] = [];
+  for (let index = 0; index < REQUESTS_PER_MACHINE; index += 1) {
+    for (const [place, { address }] of machines.entries()) {
+      sending.push(send({
+        ...{ address, attemptId: `m${place}n${index}`, path: "/meters/1" },
+        ...{ deadlineMs: DEADLINE_MS },
+        headers: { authorization: `Token ${KEY}` },
+      }));
+    }
+    await sleep(REQUEST_INTERVAL_MS);
   }
-  await sleep(2 * DEADLINE_MS);
-  clients.forEach((client) => client.leave());
-  const runs = instances.flatMap((instance) => instance.runs);
-  for (const { attemptId, atMs, endedAtMs } of runs) {
+  const outcomes = await Promise.all(sending);
+  const shown = instances.flatMap((instance) => instance.runs)
+    .filter(({ headers }) => headers.authorization?.includes(KEY));
+  for (const { attemptId, atMs, headers } of shown) {
     record(
-      `${attemptId} reached an instance ${Math.round(atMs - sentAtMs)} ms ` +
-        "after it was sent; " +
-        (endedAtMs === undefined
-          ? "broken off"
-          : `worked on until ${Math.round(endedAtMs - sentAtMs)} ms`),
+      `${attemptId} reached an instance ${
+        Math.round(atMs - confirmedAtMs)
+      } ms ` +
+        `after the confirmation with Authorization: ${headers.authorization}`,
     );
   }
-  const late = runs.filter(({ atMs }) => atMs > leftAtMs + SLACK_MS);
-  const early = runs.filter(({ atMs }) => atMs <= leftAtMs);
-  const atWork = hasTrouble
-    ? early.filter(({ endedAtMs = 0 }) => endedAtMs > leftAtMs + SLACK_MS)
-    : [];
+  const lastMs = Math.max(0, ...shown.map(({ atMs }) => atMs - confirmedAtMs));
+  const answered = outcomes.filter(({ status }) => status === 200).length;
   report(
-    `${runs.length} runs; ${late.length} requests reached an instance over ` +
-      `${SLACK_MS} ms after the close, ${atWork.length} of ${early.length} ` +
-      "were worked on to their end",
+    `${outcomes.length} sent, ${answered} answered with 200; the key was passed ` +
+      `on with ${shown.length}, up to ${Math.round(lastMs)} ms after the ` +
+      "confirmation",
   );
-  return late.length > MAX_LATE ||
-    atWork.length > early.length * MAX_AT_WORK_RATIO;
+  return shown.length > 0;
 }
 
 await runCase(play);
--- a/review/lib/instance.ts
+++ b/review/lib/instance.ts
@@ -17,6 +17,8 @@
   /** Arrival at the instance, in milliseconds since the start of the script. */
   readonly atMs: number;
   readonly bodyBytes: number;
+  /** Header fields as received. */
+  readonly headers: IncomingMessage["headers"];
   /** When the answer was handed to the connection; undefined while it works. */
   endedAtMs: number | undefined;
   /** Whether the connection was closed before the answer had been sent. */
@@ -168,7 +170,7 @@
       return; // The daemon broke the request off before it was in.
     }
     const run: Run = {
-      ...{ attemptId, path, atMs, bodyBytes },
+      ...{ attemptId, path, atMs, bodyBytes, headers },
       ...{ endedAtMs: undefined, isBrokenOff: false },
     };
     this.runs.push(run);
