review: answers in small chunks take a daemon past its memory limit

Cause: each part of a body without a length is kept as a buffer object of its own, of which only the bytes are counted. Change: a script in which 200 callers ask for sheets of 0.5 MB that an instance writes in rows of 40 bytes.

--- a/review/2/play.ts
+++ b/review/2/play.ts
@@ -1,135 +1,221 @@
 /**
- * An instance leaves; then all daemons are killed at the same moment and started
- * again. A check-in that the instance had sent before arrives late, and work is
- * sent to the instance until it ends.
+ * Clients download sheets that an instance writes row by row, each row as a chunk
+ * of its own. The daemon beside it goes past its memory limit and is killed by the
+ * platform with all requests that it serves.
  */
 
+import { Buffer } from "node:buffer";
+import { Agent, get } from "node:http";
+import { createServer } from "node:net";
+import type { Socket } from "node:net";
 import { deploy, runCase, waitUntilReady } from "../lib/case.ts";
 import type { CaseContext } from "../lib/case.ts";
-import { send } from "../lib/client.ts";
-import type { Outcome } from "../lib/client.ts";
-import { BOUNDS } from "../lib/deployment.ts";
+import { HOST, PORTS } from "../lib/deployment.ts";
 import { Instance } from "../lib/instance.ts";
-import { receivesWork } from "../lib/machine.ts";
-import { now, sleep, sleepUntil } from "../lib/time.ts";
+import type { Machine } from "../lib/machine.ts";
+import { now, sleep } from "../lib/time.ts";
 
-const ZONES = { "mtl-a": "mtl", "mtl-b": "mtl" };
+const MEMORY_MB = 250;
+const BYTES_PER_MB = 1_048_576;
 
-const REQUEST_INTERVAL_MS = 20;
-const WORK_MS = 200;
-const DEADLINE_MS = 1_000;
+/** Interval at which the platform looks at the memory of a process, in milliseconds. */
+const MEMORY_INTERVAL_MS = 10;
 
-/** Time from the confirmation until all daemons are killed, and until they are started again, in milliseconds. */
-const KILL_AFTER_MS = 300;
+/** Time after which a process that has ended is started again, in milliseconds. */
 const RESTART_AFTER_MS = 900;
 
-/** Time for which the check-in is on its way, in milliseconds. */
-const CHECK_IN_DELAY_MS = 2_500;
+const SLOTS = 206;
+const CLIENTS = 200;
+const WORK_MS = 100;
+const DEADLINE_MS = 8_000;
+const CHECK_IN_INTERVAL_MS = 1_500;
 
-/** Time for which the instance serves after its confirmation, in milliseconds. */
-const SERVES_MS = 10_000;
+const SHEET_BYTES = 524_288;
+const ROW_BYTES = 40;
+
+/** Length of the chunks without the trouble, in bytes. */
+const USUAL_CHUNK_BYTES = 16_384;
+
+/** Cut requests that the rule still allows. */
+const MAX_CUT = 3;
+
+const HEAD_END = "\r\n\r\n";
+
+const PATHS = { small: "/tariffs/one", sheet: "/tariffs/sheet" } as const;
+
+function encodeInChunks(totalBytes: number, chunkBytes: number): Buffer {
+  const chunk = Buffer.concat([
+    Buffer.from(`${chunkBytes.toString(16)}\r\n`),
+    Buffer.alloc(chunkBytes, "a"),
+    Buffer.from("\r\n"),
+  ]);
+  const count = Math.ceil(totalBytes / chunkBytes);
+  return Buffer.concat([
+    ...Array.from({ length: count }, () => chunk),
+    Buffer.from("0\r\n\r\n"),
+  ]);
+}
+
+/** A sound instance whose answers are sent in chunks. */
+class SheetInstance {
+  /** Ids of the requests that were run. */
+  readonly runs = new Set<string>();
+  readonly #checkIns: Instance;
+  readonly #small = encodeInChunks(ROW_BYTES, ROW_BYTES);
+  readonly #sheet: Buffer;
+
+  constructor(
+    { address, plan: { service, zone } }: Machine,
+    chunkBytes: number,
+  ) {
+    this.#sheet = encodeInChunks(SHEET_BYTES, chunkBytes);
+    this.#checkIns = new Instance({
+      ...{ id: `i-${service}`, address, service, zone, slots: SLOTS },
+    });
+  }
+
+  async start(): Promise<void> {
+    const server = createServer((socket) => this.#serve(socket));
+    const { address } = this.#checkIns.options;
+    await new Promise<void>((resolve) =>
+      server.listen(PORTS.instance, address, resolve)
+    );
+    const checkIn = () =>
+      void this.#checkIns.send("PUT", this.#checkIns.describe("ready"));
+    setInterval(checkIn, CHECK_IN_INTERVAL_MS);
+    checkIn();
+  }
+
+  #serve(socket: Socket): void {
+    let received = "";
+    socket.on("error", () => undefined); // The daemon has ended.
+    socket.on("data", (bytes) => {
+      received += bytes.toString("latin1");
+      if (received.endsWith(HEAD_END)) {
+        const head = received;
+        received = "";
+        setTimeout(() => this.#answer(socket, head), WORK_MS);
+      }
+    });
+  }
+
+  #answer(socket: Socket, head: string): void {
+    const [, attemptId = ""] = /\nattempt-id: *(\S+)/i.exec(head) ?? [];
+    this.runs.add(attemptId);
+    socket.write(
+      `HTTP/1.1 200 OK\r\nAttempt-Id: ${attemptId}\r\n` +
+        `Server-Seal: seal.${attemptId}\r\nTransfer-Encoding: chunked\r\n\r\n`,
+    );
+    socket.write(head.includes(PATHS.sheet) ? this.#sheet : this.#small);
+  }
+}
+
+/** Sends a request on a kept connection; resolves to the status, 0 if the connection ends without an answer. */
+function send(
+  { address }: Machine,
+  { agent, attemptId, path }: {
+    readonly agent: Agent;
+    readonly attemptId: string;
+    readonly path: string;
+  },
+): Promise<number> {
+  return new Promise((resolve) => {
+    const request = get({
+      ...{ agent, host: address, port: PORTS.callers, path },
+      headers: {
+        host: HOST,
+        "attempt-id": attemptId,
+        "deadline-ms": String(DEADLINE_MS),
+      },
+    }, (response) => {
+      response.resume();
+      response.once("error", () => resolve(0));
+      response.once("end", () => resolve(response.statusCode ?? 0));
+    });
+    request.once("error", () => resolve(0));
+  });
+}
+
+/** Kills a process whose memory exceeds its limit, and starts it again, as the platform does. */
+async function enforceMemory(
+  machine: Machine,
+  { record, report }: CaseContext,
+): Promise<void> {
+  let peakMb = 0;
+  for (;;) {
+    const memoryMb = machine.readMemoryBytes() / BYTES_PER_MB;
+    if (memoryMb > peakMb + 10) {
+      peakMb = memoryMb;
+      record(`${machine.address}: ${Math.round(memoryMb)} MB`);
+    }
+    if (memoryMb > MEMORY_MB) {
+      report(`killed at ${Math.round(memoryMb)} MB, over ${MEMORY_MB}`);
+      await machine.kill();
+      await sleep(RESTART_AFTER_MS);
+      machine.start();
+    }
+    await sleep(MEMORY_INTERVAL_MS);
+  }
+}
 
 async function play(context: CaseContext): Promise<boolean> {
   const { hasTrouble, record, report } = context;
+  const settings = { "limits.memory_mb": String(MEMORY_MB) };
   const { machines } = await deploy({
-    zones: ZONES,
-    groups: Object.keys(ZONES).map((zone) => ({
-      ...{ zone, service: "remise", count: 2 },
+    zones: { "mutrah": "muscat" },
+    groups: ["tariffs", "meters"].map((service) => ({
+      ...{ zone: "mutrah", service, count: 1, settings },
     })),
     configuration: {
-      services: ["remise"],
+      services: ["tariffs", "meters"],
       routes: [{
-        ...{ name: "key-release", pathPrefix: "/release/", kind: "unsafe" },
-        ...{ timeoutMs: DEADLINE_MS, service: "remise" },
+        ...{ name: "tariff-sheet", pathPrefix: "/tariffs/", kind: "safe" },
+        ...{ timeoutMs: DEADLINE_MS, service: "tariffs" },
       }],
     },
   }, context);
-  const instances = machines.map(({ address, plan: { zone } }, index) =>
-    new Instance({
-      ...{ id: `i-${index}`, address, service: "remise", zone },
-      work: () => WORK_MS,
-    })
-  );
+  const chunkBytes = hasTrouble ? ROW_BYTES : USUAL_CHUNK_BYTES;
+  const instances = machines.map((each) => new SheetInstance(each, chunkBytes));
   await Promise.all(instances.map((instance) => instance.start()));
   await waitUntilReady(machines);
-  machines.forEach((machine) => void machine.watchReadiness());
   await sleep(5_000);
-  const [leaver] = instances;
-  if (!leaver) {
-    throw new Error("no instance");
+  const [machine] = machines;
+  if (!machine) {
+    throw new Error("no machine");
   }
+  machines.forEach((each) => void enforceMemory(each, context));
 
-  const outcomes: Outcome[] = [];
-  let isOver = false;
-  const traffic = (async () => {
-    for (let index = 0; !isOver; index += 1) {
-      const machine = machines[index % machines.length];
-      if (machine && receivesWork(machine, machines)) {
-        void send({
-          ...{ address: machine.address, attemptId: `a${index}` },
-          ...{ path: "/release/1", method: "POST", body: "key" },
-          deadlineMs: DEADLINE_MS,
-        }).then((outcome) => outcomes.push(outcome));
-      }
-      await sleep(REQUEST_INTERVAL_MS);
-    }
-  })();
-  await sleep(3_000);
-
-  leaver.stopCheckIns();
-  const lateCheckIn = leaver.describe("ready");
-  const checkInSentAtMs = now();
-  const status = await leaver.leave();
-  const confirmedAtMs = now();
-  report(`the removal of ${leaver.options.id} was confirmed with ${status}`);
-  if (status !== 200) {
-    throw new Error("the removal was not confirmed");
-  }
-  if (hasTrouble) {
-    await sleep(KILL_AFTER_MS);
-    record("all daemons are killed");
-    await Promise.all(machines.map((machine) => machine.kill()));
-    await sleep(RESTART_AFTER_MS);
-    machines.forEach((machine) => machine.start());
-    record("all daemons are started");
-  }
-  await sleepUntil(checkInSentAtMs + CHECK_IN_DELAY_MS);
-  const lateStatus = await leaver.send("PUT", lateCheckIn);
-  record(`the late check-in was answered with ${lateStatus}`);
-  await sleepUntil(confirmedAtMs + SERVES_MS);
-  leaver.stop();
-  record("the instance ends");
+  const agents = Array.from(
+    { length: CLIENTS },
+    () => new Agent({ keepAlive: true, maxSockets: 1 }),
+  );
+  const sendAll = (round: string, path: string) =>
+    Promise.all(agents.map(async (agent, index) => {
+      const attemptId = `${round}${index}`;
+      const startedAtMs = now();
+      const status = await send(machine, { agent, attemptId, path });
+      const tookMs = Math.round(now() - startedAtMs);
+      record(`${attemptId} ${path}: ${status} after ${tookMs} ms`);
+      return { attemptId, status };
+    }));
+  const small = await sendAll("one-", PATHS.small);
+  report(
+    `${
+      small.filter(({ status }) => status === 200).length
+    } of ${CLIENTS} small ` +
+      "requests were answered; their connections are kept",
+  );
   await sleep(1_000);
-  isOver = true;
-  await traffic;
-  await sleep(2 * DEADLINE_MS);
-
-  const boundAtMs = confirmedAtMs + BOUNDS.drainMs;
-  const inTouchAtMs = hasTrouble
-    ? Math.max(...machines.map((machine) => machine.startedAtMs)) +
-      BOUNDS.contactMs
-    : 0;
-  const outcomesById = new Map(outcomes.map((each) => [each.attemptId, each]));
-  const late = leaver.runs.filter((run) => {
-    const { sentAtMs = 0 } = outcomesById.get(run.attemptId) ?? {};
-    return run.atMs > boundAtMs && sentAtMs > inTouchAtMs;
-  });
-  const lost = late.filter((run) => run.endedAtMs === undefined);
-  for (const run of late) {
-    const outcome = outcomesById.get(run.attemptId);
-    record(
-      `${run.attemptId} reached ${leaver.options.id} ` +
-        `${Math.round(run.atMs - confirmedAtMs)} ms after its confirmation; ` +
-        (run.endedAtMs === undefined ? "it was lost with it" : "it was run") +
-        `; the client got ${outcome?.status ?? "nothing"}`,
-    );
-  }
+  const sheets = await sendAll("sheet-", PATHS.sheet);
+  const cut = sheets.filter(({ attemptId, status }) =>
+    status === 0 && instances.some(({ runs }) => runs.has(attemptId))
+  );
+  const answered = sheets.filter(({ status }) => status === 200).length;
   report(
-    `${late.length} requests reached the instance later than ` +
-      `${BOUNDS.drainMs} ms after the confirmation, ${lost.length} of them ` +
-      "were at work when it ended",
+    `${CLIENTS} sheets asked for, ${answered} answered with 200; ${cut.length} ` +
+      "were passed on and their connection closed without an answer",
   );
-  return late.length > 0;
+  return cut.length > MAX_CUT;
 }
 
 await runCase(play);
