leaving: late in a stop, begin only requests whose time limit ends in time

Cause: whether a request ends within the stop was decided by an estimate, the second longest of the last 128 durations of its route. With one long request in 140 the estimate is short for most windows. Retries, requests that had waited for memory, nested calls and the product's own interface were not bounded either. Evidence: record of the case: the lost requests take 2.4 s, the estimate was 0.16 s, the process ended 0.45 s before the grace did. Change: from 2.8 s after the signal on (the first half of a short stop), a request begins only if its time limit or its route's ends before the answers do; the check is repeated before each attempt. Nested calls get what the stop has left. The own interface measures its requests and makes the same check.

--- a/src/daemon/leaving_test.ts
+++ b/src/daemon/leaving_test.ts
@@ -1,5 +1,6 @@
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
+import { createStopSchedule } from "../leaving/mod.ts";
 import { claimNetwork } from "../testing/claim_network.ts";
 import { createTestConfiguration } from "../testing/create_test_configuration.ts";
 import { SmallFleet, waitUntil } from "../testing/small_fleet.ts";
@@ -106,6 +107,23 @@
   assert.is(fleet.listRuns("price-sheets").length, 0);
 });
 
+// Guards against calls that are begun at any time of a stop and cut off at its end.
+test("late in a stop, a call whose time limit is later than the end is refused without running", async (context) => {
+  const { fleet } = context;
+  const environment = fleet.daemons[0]?.environment;
+  assert.is((await send(context, "before")).outcome, "answered");
+  const schedule = { leaveNoticeMs: 2_500, drainTimeoutMs: 3_000 };
+  environment?.stop.begin(
+    createStopSchedule(environment.clock.monotonicMs() - 3_000, schedule),
+  );
+  const { outcome, reason, retryAfterMs } = await send(context, "late");
+  assert.equal({ outcome, reason }, {
+    ...{ outcome: "refused-not-run", reason: "daemon-stopping" },
+  });
+  assert.ok(retryAfterMs > 0);
+  assert.is(fleet.listRuns("price-sheets").length, 1);
+});
+
 test("a stopping daemon finishes running calls and closes the connections of its callers", async (context) => {
   const { fleet } = context;
   for (const { behavior } of fleet.backendServers) {
--- a/src/leaving/stop_control.ts
+++ b/src/leaving/stop_control.ts
@@ -16,12 +16,17 @@
 /** Share of the whole stop that a request of a kind without a measured duration is expected to take. */
 const UNMEASURED_RATIO = 0.5;
 
-/** A request that arrives during a stop. */
+/** Time before the end of the answers at which nested calls end, in milliseconds, so that the instance can still state it. */
+const NESTED_MARGIN_MS = 100;
+
+/** A request that is to be begun or sent once more. */
 export interface StopRequest {
   /** Kind whose durations are comparable. */
   readonly kind: string;
   /** Time after which the request ends in any case, in milliseconds: that of its caller or of its route. */
   readonly limitMs: number;
+  /** When the whole request had been received, in monotonic milliseconds. */
+  readonly receivedAtMs: number;
 }
 
 /** Requests of a stop, by what became of them. */
@@ -54,21 +59,33 @@
     this.#schedule = schedule;
   }
 
-  /** Refuses a request that is not expected to end before the answers do; returns nothing if it may begin. */
-  check({ kind, limitMs }: StopRequest): Refusal | undefined {
+  /**
+   * Refuses a request that may not end before the answers do; returns nothing if
+   * it may begin. An estimate of its duration counts only for requests received
+   * early in the stop; later ones have to end by their time limit.
+   */
+  check({ kind, limitMs, receivedAtMs }: StopRequest): Refusal | undefined {
     const schedule = this.#schedule;
     if (!schedule) {
       return undefined;
     }
-    const nowMs = this.#clock.monotonicMs();
-    const availableMs = schedule.answersEndAtMs - nowMs;
-    if (Math.min(limitMs, this.#expectMs(kind, schedule)) <= availableMs) {
+    const availableMs = schedule.answersEndAtMs - this.#clock.monotonicMs();
+    const neededMs = receivedAtMs <= schedule.estimatesEndAtMs
+      ? Math.min(limitMs, this.#expectMs(kind, schedule))
+      : limitMs;
+    if (neededMs <= availableMs) {
       return undefined;
     }
     this.counts.refused += 1;
     return this.createRefusal();
   }
 
+  /** Computes how long a nested call may take, in milliseconds: beyond the end of the answers, that of its parent reaches nobody. */
+  computeNestedLimitMs(): number {
+    const endsAtMs = this.#schedule?.answersEndAtMs ?? Number.POSITIVE_INFINITY;
+    return endsAtMs - NESTED_MARGIN_MS - this.#clock.monotonicMs();
+  }
+
   /** Creates the refusal of a request that has not begun. Before the end of the stop, a return would find the same daemon. */
   createRefusal(): Refusal {
     const endsAtMs = this.#schedule?.flushEndsAtMs ?? 0;
--- a/src/request/dispatch_call.ts
+++ b/src/request/dispatch_call.ts
@@ -18,6 +18,7 @@
 import { HandBacks } from "./hand_backs.ts";
 import { runCall } from "./run_call.ts";
 import { sendOnce } from "./send_once.ts";
+import { refuseAtStop } from "./refuse_at_stop.ts";
 import { readSlownessNote } from "./slowness_note.ts";
 import { readSpillNote } from "./spill_note.ts";
 
@@ -56,6 +57,10 @@
   let redirects = 0;
   let attempts = 0;
   for (;;) {
+    const stopRefusal = refuseAtStop(environment, call);
+    if (stopRefusal) {
+      return history.buildResult(stopRefusal, allowance);
+    }
     attempts += 1;
     const nestedAllowance = retryPolicy.computeNestedAllowance(allowance);
     const result = await attemptOnce(environment, call, {
--- a/src/request/find_refusal_reason.ts
+++ b/src/request/find_refusal_reason.ts
@@ -56,5 +56,7 @@
 ): boolean {
   const limitMs = call.deadlineAtMs - clock.monotonicMs();
   const kind = createRunKind(call);
-  return !backend.isServerLeaving && !stop.check({ kind, limitMs });
+  const { receivedAtMs } = call;
+  return !backend.isServerLeaving &&
+    !stop.check({ kind, limitMs, receivedAtMs });
 }
--- a/src/request/outbound_call.ts
+++ b/src/request/outbound_call.ts
@@ -16,6 +16,8 @@
 /** A call that this daemon routes, or received from another daemon to run. */
 export interface OutboundCall {
   readonly context: CallContext;
+  /** When this daemon had received the whole call, in monotonic milliseconds. */
+  readonly receivedAtMs: number;
   /** Deadline, in monotonic milliseconds. */
   readonly deadlineAtMs: number;
   /** Rank of the call's class; 0 is the most important. */
--- a/src/request/serve_entry_call.ts
+++ b/src/request/serve_entry_call.ts
@@ -26,6 +26,7 @@
 import { dispatchOnce } from "./dispatch_once.ts";
 import { isErrorAnswer } from "./is_error_answer.ts";
 import { recordOutcome } from "./record_outcome.ts";
+import { refuseAtStop } from "./refuse_at_stop.ts";
 import { lendAllowance } from "./lend_allowance.ts";
 import type { OutboundCall } from "./outbound_call.ts";
 import { pickCallFields } from "./pick_call_fields.ts";
@@ -94,6 +95,9 @@
     : await sendCall(environment, call.value, { entry, joinKey });
   if (entry.parent) {
     entry.parent.hasNestedFailure ||= result.isErr() || isErrorAnswer(result);
+  } else if (call.isOk() && result.isOk()) {
+    const durationMs = environment.clock.monotonicMs() - startedAtMs;
+    environment.stop.measure(call.value.context.requestName, durationMs);
   }
   recordOutcome(environment, result, {
     ...createOutcomeDetails(environment, entry, call),
@@ -197,6 +201,7 @@
   if (!isRepeatable && entry.idempotencyKey === "") {
     return err(createRefusal(REASONS.keyRequired));
   }
+  const receivedAtMs = environment.clock.monotonicMs();
   const remainingMs = Math.min(
     request.deadlineMs,
     entry.deadlineMs ?? request.deadlineMs,
@@ -209,7 +214,7 @@
   if (admitted.isErr()) {
     return err(admitted.error);
   }
-  return ok({
+  const call: OutboundCall = {
     ...pickCallFields(entry),
     context: {
       requestId,
@@ -226,9 +231,12 @@
       isBulk: request.isBulk,
       ...admitted.value.mark && { admission: admitted.value.mark },
     },
-    deadlineAtMs: environment.clock.monotonicMs() + remainingMs,
+    receivedAtMs,
+    deadlineAtMs: receivedAtMs + remainingMs,
     classRank: request.classRank,
-  });
+  };
+  const refusal = refuseAtStop(environment, call);
+  return refusal ? err(refusal) : ok(call);
 }
 
 interface NestedOptions {
@@ -245,11 +253,13 @@
   if (context.depth + 1 >= MAX_DEPTH) {
     return err(createRefusal(REASONS.tooDeep));
   }
-  const parentRemainingMs = parent.deadlineAtMs -
-    environment.clock.monotonicMs();
+  const { clock, stop } = environment;
+  const receivedAtMs = clock.monotonicMs();
+  const parentRemainingMs = parent.deadlineAtMs - receivedAtMs;
   const remainingMs = Math.min(
     parentRemainingMs,
     entry.deadlineMs ?? parentRemainingMs,
+    stop.computeNestedLimitMs(),
   );
   const isRepeatable = isNestedRepeatable(
     findRequest(configuration, entry),
@@ -268,7 +278,8 @@
         service: entry.service,
       }),
     },
-    deadlineAtMs: environment.clock.monotonicMs() + remainingMs,
+    receivedAtMs,
+    deadlineAtMs: receivedAtMs + remainingMs,
     classRank: configuration.classRanks.get(context.className) ??
       configuration.classRanks.size,
     signal: combineSignals(entry.signal, parent.signal),
--- a/src/request/serve_peer_call.ts
+++ b/src/request/serve_peer_call.ts
@@ -47,9 +47,11 @@
   const classRanks = configuration.current?.classRanks;
   const { headers, notes } = extractPeerNotes(message.headers ?? []);
   markLeavingServer(environment, notes.get(PEER_NOTES.leavingServer));
+  const receivedAtMs = clock.monotonicMs();
   const call: OutboundCall = {
     context,
-    deadlineAtMs: clock.monotonicMs() + context.remainingMs,
+    receivedAtMs,
+    deadlineAtMs: receivedAtMs + context.remainingMs,
     classRank: classRanks?.get(context.className) ?? classRanks?.size ?? 0,
     service: message.service,
     method: message.method,
--- a/src/request/serve_routed_call.ts
+++ b/src/request/serve_routed_call.ts
@@ -33,6 +33,7 @@
 import { isErrorAnswer } from "./is_error_answer.ts";
 import type { OutboundCall } from "./outbound_call.ts";
 import { recordOutcome } from "./record_outcome.ts";
+import { refuseAtStop } from "./refuse_at_stop.ts";
 import { reserveResponse } from "./reserve_response.ts";
 
 /** Retries that one request may use across its whole call tree. */
@@ -101,12 +102,9 @@
       ...{ parent, account, startedAtMs },
     })
   );
-  if (call.isOk()) {
-    routed.onDispatch?.(parent ? undefined : call.value.context.requestName);
-  }
   const result: CallResult = call.isErr()
     ? err(call.error)
-    : await dispatch(environment, call.value, parent);
+    : await dispatch(environment, call.value, { parent, routed });
   if (permit?.isOk() && hasReachedNoServer(call, result)) {
     permit.value.giveBack();
   }
@@ -167,18 +165,31 @@
     !(call.isOk() && call.value.progress?.hasReachedServer);
 }
 
+interface DispatchOptions {
+  readonly parent: ActiveCall | undefined;
+  readonly routed: RoutedCall;
+}
+
 async function dispatch(
   environment: CallEnvironment,
   call: OutboundCall,
-  parent: ActiveCall | undefined,
+  { parent, routed }: DispatchOptions,
 ): Promise<CallResult> {
   if (!parent) {
-    const result = await reserveAndDispatch(environment, call);
+    const result = await reserveAndDispatch(
+      environment,
+      call,
+      () => routed.onDispatch?.(call.context.requestName),
+    );
     reportOutcome(environment, call, result);
     return result;
   }
   parent.nestedCallTimer.start();
-  const result = await reserveAndDispatch(environment, call);
+  const result = await reserveAndDispatch(
+    environment,
+    call,
+    () => routed.onDispatch?.(undefined),
+  );
   parent.nestedCallTimer.stop();
   const { unusedAllowance } = result.isOk() ? result.value : result.error;
   parent.allowance.takeBack(call.context.retryAllowance, unusedAllowance);
@@ -189,13 +200,16 @@
 function reserveAndDispatch(
   environment: CallEnvironment,
   call: OutboundCall,
+  onDispatch: () => void,
 ): Promise<CallResult> {
+  const dispatchReserved = () => {
+    onDispatch();
+    return dispatchCall(environment, call);
+  };
   const reserved = reserveResponse(environment, call, { awaitsSize: true });
   return reserved
-    ? reserved.then((refusal) =>
-      refusal ? err(refusal) : dispatchCall(environment, call)
-    )
-    : dispatchCall(environment, call);
+    ? reserved.then((refusal) => refusal ? err(refusal) : dispatchReserved())
+    : dispatchReserved();
 }
 
 /** Reports to admission control whether the caller was served; a cancelled call says nothing about capacity and counts as served. */
@@ -226,6 +240,7 @@
 function isUnreached({ reason }: CallFailure): boolean {
   return reason === REASONS.noInstance ||
     reason === REASONS.limitedService || reason === REASONS.quarantined ||
+    reason === REASONS.daemonStopping ||
     UNREACHED_REASONS.has(reason);
 }
 
@@ -244,10 +259,8 @@
   const call = context.map((callContext) =>
     createCall(environment, callContext, { ...options, routed })
   );
-  // Nested calls are always served, since their parents are in progress.
-  return parent ? call : call.andThen((prepared) => {
-    const { requestName: kind, remainingMs: limitMs } = prepared.context;
-    const refusal = environment.stop.check({ kind, limitMs });
+  return call.andThen((prepared) => {
+    const refusal = refuseAtStop(environment, prepared);
     return refusal ? err(refusal) : ok(prepared);
   });
 }
@@ -308,13 +321,15 @@
     & CallOptions
     & { readonly routed: RoutedCall },
 ): OutboundCall {
-  const { clock, paths, trafficSplitter } = environment;
+  const { clock, paths, stop, trafficSplitter } = environment;
   const nowMs = clock.monotonicMs();
   const waitedMs = nowMs - startedAtMs;
   const remainingMs = Math.min(
     route.deadlineMs - waitedMs,
     (routed.deadlineMs ?? route.deadlineMs) - waitedMs,
-    parent ? parent.deadlineAtMs - nowMs : Number.POSITIVE_INFINITY,
+    parent
+      ? Math.min(parent.deadlineAtMs - nowMs, stop.computeNestedLimitMs())
+      : Number.POSITIVE_INFINITY,
   );
   const service = (route.weightedServices &&
     trafficSplitter.pick(route.name, route.weightedServices)) ??
@@ -324,6 +339,7 @@
   }
   return {
     context: { ...context, remainingMs },
+    receivedAtMs: startedAtMs,
     deadlineAtMs: nowMs + remainingMs,
     classRank: configuration.classRanks.get(context.className) ??
       configuration.classRanks.size,
