daemon: read answers that arrived during a pause before failing requests

Callers saw: a stopping process that was paused past the end of its answers (SIGSTOP) answered 502 to requests whose answers had arrived meanwhile. Cause: after a pause the event loop runs due timers first, among them the end of the answers, before it reads from sockets. Change: ten turns of the event loop before requests are given up. Test: "an answer that arrives while a stopping process is paused reaches its caller" failed on (502), passes.

--- a/src/daemon/drain_requests.ts
+++ b/src/daemon/drain_requests.ts
@@ -16,6 +16,9 @@
 /** Maximum wait for that time without requests, in milliseconds. */
 const MAX_IDLE_WAIT_MS = 2_000;
 
+/** Turns of the event loop in which answers that have arrived are read before the others are given up. */
+const READ_TURNS = 10;
+
 /** What is drained. */
 export interface DrainedDaemon {
   readonly environment: CallEnvironment;
@@ -63,6 +66,7 @@
     Math.min(schedule.answersEndAtMs, clock.monotonicMs() + MAX_IDLE_WAIT_MS),
   );
   await requests.waitUntilIdle(0, schedule.answersEndAtMs);
+  await readArrivedInput();
   const requestsInProgress = requests.count;
   stop.cutOff();
   journal.record(DECISIONS.answersEnded, {
@@ -73,6 +77,13 @@
   await requests.waitUntilIdle(0, schedule.flushEndsAtMs);
 }
 
+/** Lets the event loop read what has arrived: timers run first after a pause of the process, also those that end requests whose answers are there. */
+async function readArrivedInput(): Promise<void> {
+  for (let turn = 0; turn < READ_TURNS; turn += 1) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+}
+
 /** Whether calls for the backend server of this VM can be sent to another one. */
 function hasOtherInstances({ backend, membership }: CallEnvironment): boolean {
   const { announcement } = backend;
