peer: end connections without discarding replies that are not read yet

Callers saw: answers of instances beside a stopping daemon could get lost on their way to a busy daemon: its connection was reset. Cause: the stopping daemon closed its connections as soon as the system had taken the replies. Messages that a peer sent on (heartbeats, calls) then reset the connection, which discards what the peer has not read. Large replies had one second to be taken. Change: the stopping side ends its direction, discards further input, and waits a second for the peer to close; replies have until the end of the flush to be taken.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -237,7 +237,7 @@
     });
     const close = async () => {
       await this.#membership.stop();
-      await this.#peerServer.close();
+      await this.#peerServer.close(deadlineMs - clock.monotonicMs());
       peers.close();
       await this.#store.close();
     };
--- a/src/peer/frame_writer.ts
+++ b/src/peer/frame_writer.ts
@@ -68,7 +68,7 @@
 
   /** Writes a message as one frame; calls `onWritten` when the system has taken it, or when the socket is closed. */
   send(message: PeerMessage, onWritten?: () => void): void {
-    if (this.#socket.destroyed) {
+    if (this.#socket.destroyed || this.#socket.writableEnded) {
       onWritten?.();
       return;
     }
--- a/src/peer/peer_connection.ts
+++ b/src/peer/peer_connection.ts
@@ -36,8 +36,8 @@
 import { checkHello } from "./check_hello.ts";
 import { createIdentityProof } from "./identity_proof.ts";
 
-/** Timeout for flushing queued messages in a planned stop, in milliseconds. */
-const FLUSH_TIMEOUT_MS = 1_000;
+/** Time for a peer to close a connection that was ended on this side, in milliseconds. */
+const CLOSE_TIMEOUT_MS = 1_000;
 
 /** Interval at which a closing connection checks its send queue, in milliseconds. */
 const FLUSH_POLL_MS = 5;
@@ -59,6 +59,7 @@
   #isDoubted = false;
   #heartbeatSequence = 0;
   #error: VError | undefined;
+  #isEnding = false;
   #isClosed = false;
 
   constructor(
@@ -151,16 +152,28 @@
     this.#socket.destroy();
   }
 
-  /** Closes the connection after the queued messages are flushed, or after a timeout. */
-  async closeGracefully(): Promise<void> {
+  /**
+   * Closes the connection once the peer has read the queued messages and closes
+   * it. The peer has the given time to take them, in milliseconds, and then a
+   * second to close. What it sends in this second is discarded.
+   */
+  async closeGracefully(flushTimeoutMs: number): Promise<void> {
     const { clock } = this.#options;
-    const cancelClose = clock.schedule(FLUSH_TIMEOUT_MS, () => this.close());
-    while (this.#writer.hasQueued && !this.#socket.destroyed) {
+    const endAtMs = clock.monotonicMs() + flushTimeoutMs;
+    const isOver = () => clock.monotonicMs() >= endAtMs;
+    while (this.#writer.hasQueued && !this.#socket.destroyed && !isOver()) {
       await clock.sleep(FLUSH_POLL_MS);
     }
-    await new Promise<void>((resolve) => this.#socket.end(() => resolve()));
-    cancelClose();
-    this.close();
+    if (!this.#socket.destroyed) {
+      this.#isEnding = true;
+      const closed = new Promise<void>((resolve) =>
+        this.#socket.once("close", () => resolve())
+      );
+      const cancelClose = clock.schedule(CLOSE_TIMEOUT_MS, () => this.close());
+      this.#socket.end();
+      await closed;
+      cancelClose();
+    }
   }
 
   /**
@@ -284,6 +297,9 @@
   }
 
   #handleData(decoder: FrameDecoder, bytes: Buffer): boolean {
+    if (this.#isEnding) {
+      return true;
+    }
     const messages = decoder.push(bytes);
     if (messages.isErr()) {
       this.#error = messages.error;
--- a/src/peer/peer_server.ts
+++ b/src/peer/peer_server.ts
@@ -62,6 +62,9 @@
 const MAX_BODY_WAIT_MS = 1_000;
 const BODY_WAIT_RATIO = 0.25;
 
+/** Default time for peers to take queued replies when the server closes, in milliseconds. */
+const FLUSH_TIMEOUT_MS = 1_000;
+
 interface RunningCall {
   readonly controller: CallController;
   readonly isRepeatable: boolean;
@@ -244,12 +247,12 @@
     return this.#listening.listen(address, peerPort);
   }
 
-  /** Stops listening, and closes every connection after flushing its queued replies. */
-  async close(): Promise<void> {
+  /** Stops listening, and closes every connection once its peer has read the queued replies; the peer has the given time to take them, in milliseconds. */
+  async close(flushTimeoutMs = FLUSH_TIMEOUT_MS): Promise<void> {
     this.#server.close();
     await Promise.all(
       [...this.#connections].map(({ connection }) =>
-        connection.closeGracefully()
+        connection.closeGracefully(flushTimeoutMs)
       ),
     );
   }
