listening: end connections without discarding responses that are not read yet

Callers saw: a stopping daemon reset the connections of callers that pipeline and read slowly. Cause: a response counted as sent when the system had taken its bytes. Node.js destroys the socket after the last response of a connection, and the daemon destroyed idle ones. Input that is unread, or that arrives later, then resets the connection and discards what the caller has not read. Evidence: the sockets were closed 0.1 to 0.2 s after the signal with their responses unread; a server of 30 lines shows the same with one response of 1.5 MB and one further request (128,000 bytes arrive). Change: connections end in one direction first; input is discarded until the caller closes.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -216,12 +216,18 @@
       ...{ environment: this.environment, requests: this.#requests },
       ...{ listeners: this.#listeners, issuesKeys: this.#issuesKeys },
     }, schedule);
-    this.#listeners.forEach((listener) => listener.closeConnections());
+    const { flushEndsAtMs } = schedule;
+    const callersLeft = this.#listeners.map((listener) =>
+      listener.closeConnections(flushEndsAtMs)
+    );
     this.#stopHousekeeping();
     this.#stopSignal.abort();
     this.#quarantineArchive.stop();
     this.environment.allowances.stop();
-    await this.#closeConnections(schedule.flushEndsAtMs);
+    await Promise.all([
+      ...callersLeft,
+      this.#closeConnections(flushEndsAtMs),
+    ]);
     const unfinished = this.#requests.count;
     const facts = { requestsInProgress, ...stop.counts, unfinished };
     log.info(facts, "daemon-stopped");
--- a/src/daemon/listener.ts
+++ b/src/daemon/listener.ts
@@ -2,10 +2,15 @@
  * Network listeners of a daemon, and the implementation for Hono applications.
  */
 
-import type { Server } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import { createAdaptorServer } from "@hono/node-server";
 import type { Hono } from "hono";
-import { ListeningServer } from "../listening/mod.ts";
+import {
+  closeGracefully,
+  ListeningServer,
+  ReaderTracker,
+} from "../listening/mod.ts";
 import type { CallEnvironment } from "../request/mod.ts";
 import type { FaultReporter } from "../telemetry/mod.ts";
 
@@ -48,10 +53,8 @@
   /** Stops accepting connections and closes idle ones. */
   abstract close(): void;
 
-  /** Closes the connections without requests in progress, so that no further request is accepted. */
-  closeConnections(): void {
-    // By default, connections close when their clients or the process end.
-  }
+  /** Closes the connections without requests in progress, so that no further request is accepted, and waits for callers that may still read, until a deadline on the monotonic clock. */
+  abstract closeConnections(deadlineMs: number): Promise<void>;
 
   /** Reports an error of the listening socket, such as a connection that cannot be accepted. */
   protected reportError({ faults }: ListenerContext, error: Error): void {
@@ -77,6 +80,9 @@
   readonly #options: HonoListenerOptions;
   readonly #server: Server;
   readonly #listening: ListeningServer;
+  readonly #readers: ReaderTracker;
+  /** Number of requests without a complete response, by connection. */
+  readonly #openCounts = new Map<Socket, number>();
 
   constructor(context: ListenerContext, options: HonoListenerOptions) {
     super();
@@ -89,6 +95,8 @@
           this.#endConnection(await options.app.fetch(request))
         ),
     }) as Server;
+    this.#readers = new ReaderTracker(this.#server);
+    this.#followRequests();
     if (options.maxConnections !== undefined) {
       this.#server.maxConnections = options.maxConnections;
     }
@@ -111,6 +119,42 @@
     this.#server.close();
   }
 
+  override async closeConnections(deadlineMs: number): Promise<void> {
+    this.#server.closeIdleConnections();
+    await this.#readers.waitUntilRead(deadlineMs);
+  }
+
+  #followRequests(): void {
+    this.#server.on("connection", (socket: Socket) => {
+      this.#openCounts.set(socket, 0);
+      socket.once("close", () => this.#openCounts.delete(socket));
+    });
+    this.#server.prependListener(
+      "request",
+      ({ socket }: IncomingMessage, response: ServerResponse) => {
+        this.#addOpen(socket, 1);
+        response.once("close", () => {
+          this.#addOpen(socket, -1);
+          this.#readers.expect(socket);
+        });
+      },
+    );
+    this.#server.closeIdleConnections = () => {
+      for (const [socket, openCount] of this.#openCounts) {
+        if (openCount === 0) {
+          closeGracefully(socket);
+        }
+      }
+    };
+  }
+
+  #addOpen(socket: Socket, change: 1 | -1): void {
+    const openCount = this.#openCounts.get(socket);
+    if (openCount !== undefined) {
+      this.#openCounts.set(socket, openCount + change);
+    }
+  }
+
   /** Closes the client's connection after this response if the daemon is stopping. */
   #endConnection(response: Response): Response {
     if (this.#context.isStopping()) {
