peer: the test of a replaced connection waits for messages under way

Cause: a message of the server that was still under way when the flows were silenced was taken for the answer to the first heartbeat, so that the connection counted as alive for longer. Bounds are unchanged.

--- a/src/peer/silent_connection_test.ts
+++ b/src/peer/silent_connection_test.ts
@@ -189,6 +189,8 @@
   void send(context, "/first", { failsWhenSilent: true })
     .then((result) => outcomes.push(readText(result)));
   await waitUntil(() => pending.length === 1);
+  // A message of the server that is still under way would be taken for the answer to the first heartbeat.
+  await new Promise((resolve) => setTimeout(resolve, NETWORK_MS));
   link.silenceFlows();
   await advanceWithNetwork(clock, REPLACED_WITHIN_MS);
   assert.equal(outcomes, ["unknown: connection-lost"]);
