backend: departures of servers outlast a restart of all daemons

Cause: departures were known to processes only: the daemon beside the server and the members. With all of them gone, any announcement "ready" counted. Change: a departure is written to the store, in an object for each VM, before it is confirmed; a daemon reads it at its start, and until then its first server counts only from its second announcement in time on. Confirmations wait 0.7 s at most. A departure also ends the use of a server that a late announcement had brought back. The retries of the two archives are one function now.

--- a/src/backend/backend_registry.ts
+++ b/src/backend/backend_registry.ts
@@ -5,9 +5,11 @@
 import { ANNOUNCEMENT_TIMEOUT_MS } from "../constants/mod.ts";
 import type { Announcement } from "../generated/types.ts";
 import type { Clock } from "../time/mod.ts";
+import { DepartureList } from "./departure_list.ts";
+import type { Departure } from "./departure_list.ts";
 
-/** Maximum number of servers to remember that left before they announced themselves; beyond it, the oldest is forgotten. */
-const MAX_DEPARTURES = 16;
+/** Shortest time between two announcements that a server sends in their time, in milliseconds. */
+const MIN_RENEWAL_MS = 500;
 
 /** State of the backend server on this VM. */
 export const BACKEND_STATES = {
@@ -29,8 +31,11 @@
   readonly #clock: Clock;
   readonly #timeoutMs: number;
   readonly #listeners = new Set<() => void>();
-  /** Latest start of servers that left without being the announced one, in milliseconds since the epoch, by instance id. */
-  readonly #departedAtMs = new Map<string, number>();
+  readonly #departures = new DepartureList();
+  /** Whether an earlier process may know of departures that this one does not. */
+  #isAwaitingDepartures = false;
+  /** First announcement of a server that such a departure may concern, and when it arrived. */
+  #unproven: { announcement: Announcement; atMs: number } | undefined;
   #announcement: Announcement | undefined;
   #renewedAtMs = 0;
   #warmAtMs = 0;
@@ -39,7 +44,6 @@
   #isUnreachable = false;
   #serverCount = 0;
   #announcementCount = 0;
-  #departure: ServerIdentity | undefined;
 
   constructor(clock: Clock, timeoutMs = ANNOUNCEMENT_TIMEOUT_MS) {
     this.#clock = clock;
@@ -88,8 +92,13 @@
   }
 
   /** The server that left last, if it has an id. */
-  get departure(): ServerIdentity | undefined {
-    return this.#departure;
+  get departure(): Departure | undefined {
+    return this.departures.at(-1);
+  }
+
+  /** The latest servers that left and have an id, the last one at the end. */
+  get departures(): readonly Departure[] {
+    return this.#departures.list();
   }
 
   /** Time at which the cold start of the backend server ends, in milliseconds since the epoch. */
@@ -103,7 +112,7 @@
    * after the timeout, is taken as coming from its replacement.
    */
   announce(announcement: Announcement): void {
-    if (this.#isOutdated(announcement)) {
+    if (this.#isOutdated(announcement) || this.#isUnproven(announcement)) {
       return;
     }
     const isNew = this.#isFromNewServer(announcement);
@@ -131,25 +140,45 @@
     }
   }
 
-  /** Records that the backend server accepts no new calls; ignored if the given identity is that of another process. */
+  /** Records that the backend server accepts no new calls. The identity of another process, or of a later one under the same id than that which left, keeps the current one. */
   leave({ instanceId, startedAtMs }: ServerIdentity = {}): void {
     const current = this.#announcement;
     const isDifferentServer =
       (instanceId !== undefined && instanceId !== current?.instanceId) ||
-      (startedAtMs !== undefined && startedAtMs !== current?.startedAtMs);
+      (startedAtMs !== undefined &&
+        !(current && (current.startedAtMs ?? Infinity) <= startedAtMs));
     if (isDifferentServer) {
       this.#recordDeparture({ instanceId, startedAtMs });
-      this.#notify();
-      return;
-    }
-    this.#leavingSinceMs ??= this.#clock.monotonicMs();
-    if (current?.instanceId !== undefined) {
-      const { instanceId: id, startedAtMs: startMs } = current;
-      this.#departure = { instanceId: id, startedAtMs: startMs };
+    } else {
+      this.#leavingSinceMs ??= this.#clock.monotonicMs();
+      this.#recordDeparture({
+        instanceId: current?.instanceId,
+        startedAtMs: startedAtMs ?? current?.startedAtMs,
+      });
     }
     this.#notify();
   }
 
+  /**
+   * Holds back the first server until {@link receiveDepartures} is called or it
+   * announces itself once more: its announcement may have been sent before it
+   * left, and an earlier process may have confirmed that.
+   */
+  awaitDepartures(): void {
+    this.#isAwaitingDepartures = true;
+  }
+
+  /** Records the departures that earlier processes have confirmed, all that are known anywhere. */
+  receiveDepartures(departures: readonly Departure[]): void {
+    departures.forEach((departure) => this.leave(departure));
+    this.#isAwaitingDepartures = false;
+    const unproven = this.#unproven;
+    this.#unproven = undefined;
+    if (unproven && !this.#announcement) {
+      this.announce(unproven.announcement);
+    }
+  }
+
   /** Stops new calls to this VM regardless of announcements, on behalf of an operator or of the stopping daemon. */
   drain(): void {
     this.#isDrained = true;
@@ -168,29 +197,39 @@
     return () => this.#listeners.delete(listener);
   }
 
-  /** Records the latest start that a departed server of this id can have had. */
   #recordDeparture(
     { instanceId, startedAtMs = this.#clock.nowMs() }: ServerIdentity,
   ): void {
-    if (instanceId === undefined) {
-      return;
+    if (instanceId !== undefined) {
+      this.#departures.add({ instanceId, startedAtMs });
     }
-    const knownAtMs = this.#departedAtMs.get(instanceId) ?? startedAtMs;
-    this.#departedAtMs.delete(instanceId);
-    const latestAtMs = Math.max(knownAtMs, startedAtMs);
-    this.#departedAtMs.set(instanceId, latestAtMs);
-    this.#departure = { instanceId, startedAtMs: latestAtMs };
-    const [oldest] = this.#departedAtMs.keys();
-    if (this.#departedAtMs.size > MAX_DEPARTURES && oldest !== undefined) {
-      this.#departedAtMs.delete(oldest);
+  }
+
+  /** Whether an announcement may be from before a departure that is not known yet. Late ones come alone or together; a server that is there sends the next in its time. */
+  #isUnproven(announcement: Announcement): boolean {
+    if (!this.#isAwaitingDepartures || this.#announcement) {
+      return false;
+    }
+    const { instanceId, startedAtMs, sequence = Infinity } = announcement;
+    const nowMs = this.#clock.monotonicMs();
+    const first = this.#unproven;
+    if (
+      !first || first.announcement.instanceId !== instanceId ||
+      first.announcement.startedAtMs !== startedAtMs
+    ) {
+      this.#unproven = { announcement, atMs: nowMs };
+      return true;
     }
+    return nowMs - first.atMs < MIN_RENEWAL_MS ||
+      sequence <= (first.announcement.sequence ?? -1);
   }
 
   /** Whether an announcement is from a server that has left, or older than the current one: from an earlier process, or from the same one with a lower sequence number. */
   #isOutdated({ instanceId, startedAtMs, sequence }: Announcement): boolean {
     const current = this.#announcement;
-    const departedAtMs = this.#departedAtMs.get(instanceId ?? "") ?? -Infinity;
-    if (startedAtMs !== undefined && startedAtMs <= departedAtMs) {
+    const hasLeft = instanceId !== undefined && startedAtMs !== undefined &&
+      this.#departures.includes({ instanceId, startedAtMs });
+    if (hasLeft) {
       return true;
     }
     if (!current || startedAtMs === undefined || sequence === undefined) {
--- a/src/backend/backend_registry_test.ts
+++ b/src/backend/backend_registry_test.ts
@@ -155,4 +155,22 @@
   assert.is(registry.state, BACKEND_STATES.serving);
 });
 
+// Guards against a server that stays in use because its late announcement came before the news that it has left.
+test("a departure ends the use of a server under its id that started no later", () => {
+  const clock = new ManualClock();
+  const create = () => {
+    const registry = new BackendRegistry(clock);
+    registry.announce(
+      createAnnouncement({ instanceId: "i-1", startedAtMs: 100, sequence: 5 }),
+    );
+    return registry;
+  };
+  const known = create();
+  known.leave({ instanceId: "i-1", startedAtMs: 200 });
+  assert.is(known.state, "leaving");
+  const later = create();
+  later.leave({ instanceId: "i-1", startedAtMs: 99 });
+  assert.is(later.state, "serving");
+});
+
 test.run();
--- a/src/backend/create_backend_app.ts
+++ b/src/backend/create_backend_app.ts
@@ -19,16 +19,21 @@
  * Creates the HTTP application that serves the backend server.
  *
  * @param environment - Components of the daemon
+ * @param storeDeparture - Waits until the departure of the backend server is stored
  * @returns The Hono application
  *
  * @example
- * serve({ fetch: createBackendApp(environment).fetch, port: settings.backendPort });
+ * const app = createBackendApp(environment, context.storeDeparture);
  */
-export function createBackendApp(environment: CallEnvironment): Hono {
+export function createBackendApp(
+  environment: CallEnvironment,
+  storeDeparture: () => Promise<void>,
+): Hono {
   const app = new Hono();
   app.put("/backend/announcement", (context) => announce(environment, context));
-  app.delete("/backend/announcement", (context) => {
+  app.delete("/backend/announcement", async (context) => {
     environment.backend.leave();
+    await storeDeparture();
     return context.json({ inProgress: environment.activeCalls.count });
   });
   app.all("/call/*", (context) => serveNestedCall(environment, context));
--- a/src/backend/mod.ts
+++ b/src/backend/mod.ts
@@ -17,6 +17,8 @@
 } from "./backend_connection_pool.ts";
 export { BACKEND_STATES, BackendRegistry } from "./backend_registry.ts";
 export type { BackendState } from "./backend_registry.ts";
+export { DepartureArchive } from "./departure_archive.ts";
+export type { Departure } from "./departure_list.ts";
 export { formatServerId, parseServerId } from "./format_server_id.ts";
 export { NO_STATEMENT } from "./server_statement.ts";
 export type { StatedLoad } from "./server_statement.ts";
--- a/src/daemon/create_daemon_components.ts
+++ b/src/daemon/create_daemon_components.ts
@@ -8,7 +8,11 @@
   SilentMembers,
 } from "../allowance/mod.ts";
 import { LearnedPaths, ThrottledEntryAdmission } from "../admission/mod.ts";
-import { BackendRegistry, HttpBackendClient } from "../backend/mod.ts";
+import {
+  BackendRegistry,
+  DepartureArchive,
+  HttpBackendClient,
+} from "../backend/mod.ts";
 import type { BackendClient } from "../backend/mod.ts";
 import {
   ConfigurationDistributor,
@@ -109,6 +113,7 @@
 export interface DaemonComponents {
   readonly environment: CallEnvironment;
   readonly quarantineArchive: QuarantineArchive;
+  readonly departureArchive: DepartureArchive;
   readonly store: HttpObjectStore;
   readonly membership: GossipMembership;
   readonly configurationDistributor: ConfigurationDistributor;
@@ -314,6 +319,10 @@
     quarantineArchive: new QuarantineArchive({
       ...{ store: rateLimitedStore, quarantine, self, clock, random, log },
     }),
+    departureArchive: new DepartureArchive({
+      ...{ store: rateLimitedStore, backend, clock, random, log },
+      address: settings.address,
+    }),
     store,
     membership,
     configurationDistributor,
--- a/src/daemon/create_default_listeners.ts
+++ b/src/daemon/create_default_listeners.ts
@@ -18,11 +18,11 @@
  * const listeners = createDefaultListeners(context);
  */
 export function createDefaultListeners(context: ListenerContext): Listener[] {
-  const { environment, explainNotReady, stop } = context;
+  const { environment, explainNotReady, stop, storeDeparture } = context;
   const { address, callerPort, backendPort, adminPort } = environment.settings;
   return [
     { app: createCallerApp(environment), port: callerPort },
-    { app: createBackendApp(environment), port: backendPort },
+    { app: createBackendApp(environment, storeDeparture), port: backendPort },
     {
       app: createAdminApp(environment, { explainNotReady, stop }),
       port: adminPort,
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -6,6 +6,7 @@
 import { err } from "neverthrow";
 import { createConfigurationTransfer } from "../configuration/mod.ts";
 import type { ConfigurationDistributor } from "../configuration/mod.ts";
+import type { DepartureArchive } from "../backend/mod.ts";
 import type { DaemonSettings } from "../generated/types.ts";
 import type { GossipMembership } from "../membership/mod.ts";
 import { createStopSchedule } from "../leaving/mod.ts";
@@ -30,6 +31,9 @@
 /** Interval of the periodic maintenance, in milliseconds. */
 const HOUSEKEEPING_INTERVAL_MS = 500;
 
+/** Longest time for which the confirmation of a departure waits for the store, in milliseconds; servers take one that arrives within a second. */
+const MAX_DEPARTURE_WAIT_MS = 700;
+
 /** One daemon of the fleet. */
 export class Daemon {
   readonly environment: CallEnvironment;
@@ -42,6 +46,7 @@
   });
   readonly #store: HttpObjectStore;
   readonly #quarantineArchive: QuarantineArchive;
+  readonly #departureArchive: DepartureArchive;
   readonly #membership: GossipMembership;
   readonly #configurationDistributor: ConfigurationDistributor;
   readonly #peerServer: PeerServer;
@@ -68,6 +73,7 @@
     this.faults = new FaultReporter(components.environment);
     this.#store = components.store;
     this.#quarantineArchive = components.quarantineArchive;
+    this.#departureArchive = components.departureArchive;
     this.#membership = components.membership;
     this.#configurationDistributor = components.configurationDistributor;
     this.#outbound = components.outbound;
@@ -131,6 +137,7 @@
     const { settings, clock, log } = environment;
     const { address, peerPort } = settings;
     const isCancelled = () => this.#stopping !== undefined;
+    void this.#departureArchive.load();
     const endpoints = [{
       address: `${address}:${peerPort}`,
       isOptional: false,
@@ -223,6 +230,7 @@
     this.#stopHousekeeping();
     this.#stopSignal.abort();
     this.#quarantineArchive.stop();
+    this.#departureArchive.stop();
     this.environment.allowances.stop();
     await Promise.all([
       ...callersLeft,
@@ -259,6 +267,8 @@
       explainNotReady: () => this.explainNotReady(),
       isStopping: () => this.#stopping !== undefined,
       track: (run) => this.#requests.track(run),
+      storeDeparture: () =>
+        this.#departureArchive.waitUntilStored(MAX_DEPARTURE_WAIT_MS),
       stop: () => this.stop(),
     };
   }
--- a/src/daemon/listener.ts
+++ b/src/daemon/listener.ts
@@ -35,6 +35,8 @@
   readonly isStopping: () => boolean;
   /** Counts a request as in progress while it is served. */
   readonly track: <T>(run: () => Promise<T>) => Promise<T>;
+  /** Waits until the departure of the backend server is stored, so that it outlasts the daemons; for a bounded time, since members know of it at once. */
+  readonly storeDeparture: () => Promise<void>;
   /** Stops the daemon gracefully. */
   readonly stop: () => Promise<void>;
 }
--- a/src/measure/capacity/compute_capacity.ts
+++ b/src/measure/capacity/compute_capacity.ts
@@ -45,6 +45,8 @@
 const SEED_LIST_CHECK_INTERVAL_S = 300;
 const WATCHERS_PER_DOMAIN = 2;
 const WATCH_TIMEOUT_S = 10;
+/** Reads of the departures of its VM by a daemon that starts. */
+const DEPARTURE_READS_PER_START = 1;
 
 /** Upper bound of the random delay before a starting daemon first reads the store. */
 const MAX_FIRST_READ_DELAY_S = 0.3;
@@ -266,9 +268,10 @@
 
 function computeStoreRows({ membership }: Measurements): CapacityRow[] {
   const { failureDomains, daemons, configurationChangesPerDay } = TARGET_SIZES;
-  const startReads = Math.max(
+  const startReads = DEPARTURE_READS_PER_START + Math.max(
     ...membership.samples.map(({ startReadsPerDaemon }) => startReadsPerDaemon),
   );
+  const departures = TARGET_SIZES.restartsPerDay / SECONDS_PER_DAY;
   const watches = failureDomains * WATCHERS_PER_DOMAIN / WATCH_TIMEOUT_S;
   const changes = configurationChangesPerDay / SECONDS_PER_DAY;
   const mechanism =
@@ -292,11 +295,12 @@
     {
       role: "store",
       metric: "writes on an ordinary day",
-      value: changes + failureDomains / SEED_LIST_CHECK_INTERVAL_S,
+      value: changes + departures +
+        failureDomains / SEED_LIST_CHECK_INTERVAL_S,
       unit: "calls/s",
       limit: STORE_LIMITS.writesPerSecond,
       calculation:
-        "one per configuration change, and at worst one per seed list check",
+        "one per configuration change and departure of a server, and at worst one per seed list check",
       residualRatio: 0,
       mechanism,
     },
--- a/src/quarantine/quarantine_archive.ts
+++ b/src/quarantine/quarantine_archive.ts
@@ -9,7 +9,7 @@
 
 import { isDeepStrictEqual } from "node:util";
 import type { MemberRecord } from "../generated/types.ts";
-import { NO_VERSION } from "../store/mod.ts";
+import { NO_VERSION, repeatCall } from "../store/mod.ts";
 import type { ObjectStore } from "../store/mod.ts";
 import type { Logger } from "../telemetry/mod.ts";
 import type { Clock, RandomSource } from "../time/mod.ts";
@@ -26,9 +26,6 @@
 /** Longest wait before the object is read after the start, so that not all daemons of a fleet read at once, in milliseconds. */
 const MAX_FIRST_WAIT_MS = 300;
 
-/** First and longest wait before a failed call is repeated, before jitter, in milliseconds. */
-const RETRY_WAIT_MS = { first: 500, longest: 30_000 } as const;
-
 /** Dependencies of a {@link QuarantineArchive}. */
 export interface QuarantineArchiveOptions {
   readonly store: ObjectStore;
@@ -129,19 +126,14 @@
       .slice(0, MAX_REQUESTS);
   }
 
-  /** Repeats a call that returns a failure, until it succeeds. */
-  async #repeat(call: () => Promise<string | undefined>): Promise<void> {
+  #repeat(call: () => Promise<string | undefined>): Promise<void> {
     const { clock, log, random } = this.#options;
-    let waitMs: number = RETRY_WAIT_MS.first;
-    while (!this.#isStopped) {
-      const error = await call();
-      if (error === undefined) {
-        return;
-      }
-      log.info({ error, waitMs }, "quarantine-archive-failed");
-      await clock.sleep(waitMs * (0.5 + random.nextFloat()));
-      waitMs = Math.min(waitMs * 2, RETRY_WAIT_MS.longest);
-    }
+    return repeatCall(call, {
+      ...{ clock, random },
+      reportFailure: (error, waitMs) =>
+        log.info({ error, waitMs }, "quarantine-archive-failed"),
+      isStopped: () => this.#isStopped,
+    });
   }
 }
 
--- a/src/store/mod.ts
+++ b/src/store/mod.ts
@@ -32,6 +32,8 @@
   StoreCall,
 } from "./http_object_store.ts";
 export { FAILURE_REASONS, ObjectStore } from "./object_store.ts";
+export { repeatCall } from "./repeat_call.ts";
+export type { RepeatOptions } from "./repeat_call.ts";
 export type {
   FailureReason,
   StoredObject,
