backend: an announcement at the own interface is read up to 64 KiB

Callers saw: a daemon kept all of an announcement that did not end. Cause: the body was read without a limit; the platform's listener has had one. Change: read like every other body, with a limit and counted memory. Test: bad_input_test "an announcement without end is refused after a bounded number of bytes" hung on, passes.

--- a/src/backend/create_backend_app.ts
+++ b/src/backend/create_backend_app.ts
@@ -5,9 +5,10 @@
 import { Hono } from "hono";
 import type { Context } from "hono";
 import { err } from "neverthrow";
-import { createCallResponse, serveHttpCall } from "../caller/mod.ts";
+import { createCallResponse, readBody, serveHttpCall } from "../caller/mod.ts";
 import { ANNOUNCEMENT_RENEW_MS, HEADERS } from "../constants/mod.ts";
 import { validateAnnouncement } from "../generated/validators.ts";
+import { HeldMemory } from "../memory/mod.ts";
 import {
   createRefusal,
   createUnknownOutcome,
@@ -15,6 +16,14 @@
 } from "../outcome/mod.ts";
 import type { CallEnvironment } from "../request/mod.ts";
 
+/** Maximum size of an announcement, in bytes; real ones have a few hundred. */
+const MAX_ANNOUNCEMENT_BYTES = 65_536;
+
+/** Longest wait for memory for an announcement, in milliseconds. */
+const MAX_BODY_WAIT_MS = 500;
+
+const NO_BYTES = new Uint8Array(0);
+
 /**
  * Creates the HTTP application that serves the backend server.
  *
@@ -44,7 +53,7 @@
   environment: CallEnvironment,
   context: Context,
 ): Promise<Response> {
-  const announcement: unknown = await context.req.json().catch(() => undefined);
+  const announcement = await readJson(environment, context);
   if (!validateAnnouncement(announcement)) {
     const violation = validateAnnouncement.errors?.[0];
     const error = `announcement${violation?.instancePath ?? ""} ${
@@ -57,6 +66,24 @@
   return context.json({ renewMs: ANNOUNCEMENT_RENEW_MS });
 }
 
+/** Reads the body of a request; undefined if it is too large or no JSON. */
+async function readJson(
+  environment: CallEnvironment,
+  context: Context,
+): Promise<unknown> {
+  const memory = new HeldMemory(environment.memory);
+  const body = await readBody(context.req.raw, {
+    ...{ maxBytes: MAX_ANNOUNCEMENT_BYTES, maxWaitMs: MAX_BODY_WAIT_MS },
+    ...{ memory, signal: context.req.raw.signal },
+  });
+  memory.release();
+  try {
+    return JSON.parse(new TextDecoder().decode(body.unwrapOr(NO_BYTES)));
+  } catch {
+    return undefined; // The validation reports it.
+  }
+}
+
 async function serveNestedCall(
   environment: CallEnvironment,
   context: Context,
--- a/src/daemon/bad_input_test.ts
+++ b/src/daemon/bad_input_test.ts
@@ -185,4 +185,21 @@
   return true;
 }
 
+// Guards against a daemon that keeps all of an announcement without end.
+test("an announcement without end is refused after a bounded number of bytes", async ({ address }) => {
+  const socket = connect(BACKEND_PORT, address);
+  socket.on("error", () => undefined);
+  socket.write(
+    "PUT /backend/announcement HTTP/1.1\r\nhost: a\r\n" +
+      "transfer-encoding: chunked\r\n\r\n",
+  );
+  const response = once(socket, "data");
+  const chunk = `4000\r\n${"a".repeat(0x4000)}\r\n`;
+  const timer = setInterval(() => socket.write(chunk), 5);
+  const [text] = await response;
+  clearInterval(timer);
+  socket.destroy();
+  assert.match(text.toString(), /^HTTP.1.1 400 /);
+});
+
 test.run();
