http: bodies in small chunks take about their length in memory

Cause: bounds counted bytes, but each part of a body was kept as an object of its own: 216 MB for 4 MB in chunks of 3 bytes, 538 MB in chunks of 1 byte. Change: parts are copied into blocks, in both directions, at the product's own interface and for answers of the store.

--- a/src/backend/response_body.ts
+++ b/src/backend/response_body.ts
@@ -5,8 +5,9 @@
  * growing steps. While there is no room, nothing is read from the connection.
  */
 
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import type { CallSignal } from "../cancellation/mod.ts";
+import { BodyBuffer } from "../http/body_buffer.ts";
 import { RESPONSE_RANK } from "../memory/mod.ts";
 import type { HeldMemory } from "../memory/mod.ts";
 
@@ -33,12 +34,9 @@
 /** Collects the parts of a body. */
 export class ResponseBody {
   readonly #options: ResponseBodyOptions;
-  readonly #parts: Buffer[] = [];
-  /** Body of a stated length; parts are copied, as each may be a view of a larger buffer. */
-  #whole: Buffer | undefined;
+  readonly #collected = new BodyBuffer();
+  #isAllocated = false;
   #reservedBytes = 0;
-  /** Number of bytes received. */
-  lengthBytes = 0;
   /** Whether reading is interrupted until memory has been reserved; what had been read with the head then arrives nevertheless. */
   isWaiting = false;
 
@@ -51,35 +49,28 @@
     }
   }
 
+  /** Number of bytes received. */
+  get lengthBytes(): number {
+    return this.#collected.lengthBytes;
+  }
+
   /** Adds a part. */
   add(reader: PausableReader, part: Buffer): void {
-    const offsetBytes = this.lengthBytes;
-    this.lengthBytes += part.length;
+    const { statedBytes } = this.#options;
     // Allocated with the first part after memory has been reserved.
-    const { statedBytes = 0 } = this.#options;
-    if (statedBytes > FIRST_STEP_BYTES && !this.isWaiting && !this.#whole) {
-      this.#whole = Buffer.allocUnsafeSlow(statedBytes);
-      Buffer.concat(this.#parts.splice(0)).copy(this.#whole);
-    }
-    if (this.#whole && this.lengthBytes <= this.#whole.length) {
-      part.copy(this.#whole, offsetBytes);
-    } else {
-      // A copy, since the part is valid during the call only.
-      this.#parts.push(Buffer.from(part));
+    if (statedBytes !== undefined && !this.isWaiting && !this.#isAllocated) {
+      this.#isAllocated = true;
+      this.#collected.allocate(statedBytes);
     }
-    if (
-      this.#options.statedBytes === undefined &&
-      this.lengthBytes > this.#reservedBytes
-    ) {
+    this.#collected.add(part);
+    if (statedBytes === undefined && this.lengthBytes > this.#reservedBytes) {
       this.#reserve(reader, Math.max(FIRST_STEP_BYTES, this.#reservedBytes));
     }
   }
 
   /** Returns the body. */
   concatenate(): Buffer {
-    const [first] = this.#parts;
-    return this.#whole?.subarray(0, this.lengthBytes) ??
-      (first && this.#parts.length === 1 ? first : Buffer.concat(this.#parts));
+    return this.#collected.toBuffer();
   }
 
   #reserve(reader: PausableReader, bytes: number): void {
--- a/src/backend/response_parser.ts
+++ b/src/backend/response_parser.ts
@@ -28,9 +28,13 @@
 export const EMPTY_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
 const CRLF = "\r\n";
+const CR = 0x0d;
+const LF = 0x0a;
 const HEAD_END = "\r\n\r\n";
 const MS_PER_SECOND = 1_000;
 const HEX = 16;
+const HEX_DIGITS = Buffer.from("0123456789abcdef");
+const MAX_SIZE_DIGITS = 8;
 
 /** Head of a response, with what it says about its framing. */
 export interface ParsedHead {
@@ -172,6 +176,11 @@
   }
 
   #readChunkSize(bytes: Buffer): number {
+    const plain = readPlainChunkSize(bytes);
+    if (plain) {
+      this.#startChunk(plain.sizeBytes);
+      return plain.lineBytes;
+    }
     const endIndex = bytes.indexOf(CRLF, 0, "latin1");
     if (endIndex < 0) {
       return 0;
@@ -180,17 +189,21 @@
     if (size === undefined) {
       return -1;
     }
-    this.#leftBytes = parseInt(size, HEX);
-    this.#state = this.#leftBytes === 0 ? "trailer" : "body";
+    this.#startChunk(parseInt(size, HEX));
     return endIndex + CRLF.length;
   }
 
+  #startChunk(sizeBytes: number): void {
+    this.#leftBytes = sizeBytes;
+    this.#state = sizeBytes === 0 ? "trailer" : "body";
+  }
+
   #readChunkEnd(bytes: Buffer): number {
     if (bytes.length < CRLF.length) {
       return 0;
     }
     this.#state = "chunk-size";
-    return bytes.toString("latin1", 0, CRLF.length) === CRLF ? CRLF.length : -1;
+    return bytes[0] === CR && bytes[1] === LF ? CRLF.length : -1;
   }
 
   /** Checks the lines after the last chunk, and skips them: they are fields, as in the head. */
@@ -218,6 +231,24 @@
   }
 }
 
+/** Reads a size line of digits only, without the cost of a pattern; undefined for any other or incomplete line. */
+function readPlainChunkSize(
+  bytes: Buffer,
+): { sizeBytes: number; lineBytes: number } | undefined {
+  let sizeBytes = 0;
+  for (let index = 0; index <= MAX_SIZE_DIGITS; index += 1) {
+    const byte = bytes[index] ?? CR;
+    const digit = HEX_DIGITS.indexOf(byte);
+    if (digit < 0) {
+      return index > 0 && byte === CR && bytes[index + 1] === LF
+        ? { sizeBytes, lineBytes: index + CRLF.length }
+        : undefined;
+    }
+    sizeBytes = sizeBytes * HEX + digit;
+  }
+  return undefined;
+}
+
 function parseHead(text: string): ParsedHead | undefined {
   const [statusLine = "", ...lines] = text.split(CRLF);
   const [, minorVersion, statusText] = STATUS_LINE.exec(statusLine) ?? [];
--- a/src/http/collect_body.ts
+++ b/src/http/collect_body.ts
@@ -2,12 +2,12 @@
  * Collecting of message bodies with a size limit.
  */
 
-import { Buffer } from "node:buffer";
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
 import type { AcquireOptions, HeldMemory } from "../memory/mod.ts";
 import { REASONS } from "../outcome/mod.ts";
 import type { Reason } from "../outcome/mod.ts";
+import { BodyBuffer } from "./body_buffer.ts";
 
 /** First step of a reservation, in bytes; each later one doubles what is reserved. */
 const FIRST_STEP_BYTES = 65_536;
@@ -36,15 +36,14 @@
   options: CollectBodyOptions,
 ): Promise<Result<Uint8Array, Reason>> {
   const { maxBytes, memory } = options;
-  const parts: Uint8Array[] = [];
-  let lengthBytes = 0;
+  const collected = new BodyBuffer();
   let reservedBytes = 0;
   for await (const part of body) {
-    lengthBytes += part.length;
+    const lengthBytes = collected.lengthBytes + part.length;
     if (lengthBytes > maxBytes) {
       return err(REASONS.bodyTooLarge);
     }
-    parts.push(part);
+    collected.add(part);
     if (lengthBytes > reservedBytes) {
       const stepBytes = Math.max(
         FIRST_STEP_BYTES,
@@ -57,5 +56,5 @@
       }
     }
   }
-  return ok(Buffer.concat(parts));
+  return ok(collected.toBuffer());
 }
--- a/src/store/http_object_store.ts
+++ b/src/store/http_object_store.ts
@@ -10,6 +10,7 @@
 import { err } from "neverthrow";
 import type { Result } from "neverthrow";
 import { Pool } from "undici";
+import { BodyBuffer } from "../http/body_buffer.ts";
 import { SystemClock } from "../time/mod.ts";
 import type { Clock } from "../time/mod.ts";
 import { FAILURE_REASONS, ObjectStore } from "./object_store.ts";
@@ -154,15 +155,16 @@
   }
 
   /** Sends a request and returns the response; tests replace it by an exchange without a network. */
-  protected exchange(
+  protected async exchange(
     { method, path, headers, body }: StoreRequest,
     signal: AbortSignal,
   ): Promise<RawStoreResponse> {
-    return this.#pool.request({
+    const response = await this.#pool.request({
       ...{ method, path, signal },
       ...headers && { headers },
       ...body !== undefined && { body },
     });
+    return { ...response, body: { text: () => readText(response.body) } };
   }
 
   /** Makes all later calls use new connections; calls in progress keep theirs. */
@@ -265,3 +267,12 @@
     }
   }
 }
+
+/** Reads a body whose length the pool limits. */
+async function readText(body: AsyncIterable<Uint8Array>): Promise<string> {
+  const collected = new BodyBuffer();
+  for await (const part of body) {
+    collected.add(part);
+  }
+  return collected.toBuffer().toString();
+}
