backend: more than 32 informational responses are malformed

Callers saw: a server that sends interim responses (103) without end held the connection, and the caller, until the time limit. Cause: their number had no bound. Test: response_parser_test "informational heads without end" failed before.

--- a/src/backend/response_parser.ts
+++ b/src/backend/response_parser.ts
@@ -21,6 +21,9 @@
 const KEEP_ALIVE_OPTION = /(?:^|,)\s*keep-alive\s*(?:,|$)/i;
 const KEEP_ALIVE_TIMEOUT = /(?:^|[,;\s])timeout=(\d{1,6})/i;
 
+/** Maximum number of informational responses before the final one; a server sends a few at most. */
+const MAX_INFORMATIONAL = 32;
+
 const FIRST_FINAL_STATUS = 200;
 const SWITCHING_PROTOCOLS = 101;
 
@@ -71,6 +74,7 @@
   /** Bytes left of the body or the chunk; infinite if the end of the connection delimits the body. */
   #leftBytes = 0;
   #isChunked = false;
+  #informationalCount = 0;
   /** Number of bytes of the trailer lines so far. */
   #trailerBytes = 0;
 
@@ -142,6 +146,12 @@
     if (!head) {
       return -1;
     }
+    if (head.status < FIRST_FINAL_STATUS) {
+      this.#informationalCount += 1;
+      if (this.#informationalCount > MAX_INFORMATIONAL) {
+        return -1;
+      }
+    }
     this.#handler.onHead(head);
     if (head.status >= FIRST_FINAL_STATUS) {
       this.#startBody(head);
--- a/src/backend/response_parser_test.ts
+++ b/src/backend/response_parser_test.ts
@@ -118,6 +118,8 @@
     "X-A: b\r\n".repeat(3_000)
   }`,
   "a change of the protocol": "HTTP/1.1 101 Switching\r\n\r\n",
+  "informational heads without end": "HTTP/1.1 103 Early Hints\r\n\r\n"
+    .repeat(50),
   "an endless head": `HTTP/1.1 200 OK\r\n${"X-A: b\r\n".repeat(3_000)}`,
 };
 
