backend: servers outlast odd announcements of another writer

Callers saw: after one announcement of another writer with a large sequence number or a later start beside each of two servers, 0 of 320 requests for their service were served, for as long as the servers lived. Cause: the order of announcements kept the largest start and sequence that anyone had claimed; fields had no upper bounds and were not compared with the settings. What the order rules out counts again once its sender has announced itself twice in its time while the one that superseded it was silent; a refuted claim needs the same. A departure names one process.

--- a/src/backend/backend_registry.ts
+++ b/src/backend/backend_registry.ts
@@ -5,12 +5,10 @@
 import { ANNOUNCEMENT_TIMEOUT_MS } from "../constants/mod.ts";
 import type { Announcement } from "../generated/types.ts";
 import type { Clock } from "../time/mod.ts";
+import { AnnouncementOrder, VERDICTS } from "./announcement_order.ts";
 import { DepartureList } from "./departure_list.ts";
 import type { Departure } from "./departure_list.ts";
 
-/** Shortest time between two announcements that a server sends in their time, in milliseconds. */
-const MIN_RENEWAL_MS = 500;
-
 /** State of the backend server on this VM. */
 export const BACKEND_STATES = {
   absent: "absent",
@@ -26,16 +24,18 @@
   Pick<Announcement, "instanceId" | "startedAtMs">
 >;
 
+/** A backend server that leaves; unset fields match any. */
+export type LeavingServer = Partial<Departure>;
+
 /** Holds the latest announcement and tracks whether it is still valid. */
 export class BackendRegistry {
   readonly #clock: Clock;
   readonly #timeoutMs: number;
   readonly #listeners = new Set<() => void>();
   readonly #departures = new DepartureList();
+  readonly #order: AnnouncementOrder;
   /** Whether an earlier process may know of departures that this one does not. */
   #isAwaitingDepartures = false;
-  /** First announcement of a server that such a departure may concern, and when it arrived. */
-  #unproven: { announcement: Announcement; atMs: number } | undefined;
   #announcement: Announcement | undefined;
   #renewedAtMs = 0;
   #warmAtMs = 0;
@@ -48,6 +48,7 @@
   constructor(clock: Clock, timeoutMs = ANNOUNCEMENT_TIMEOUT_MS) {
     this.#clock = clock;
     this.#timeoutMs = timeoutMs;
+    this.#order = new AnnouncementOrder(clock);
   }
 
   /** The latest announcement, which is kept while the backend server is leaving or absent. */
@@ -112,7 +113,14 @@
    * after the timeout, is taken as coming from its replacement.
    */
   announce(announcement: Announcement): void {
-    if (this.#isOutdated(announcement) || this.#isUnproven(announcement)) {
+    if (this.#hasLeft(announcement)) {
+      return;
+    }
+    const verdict = this.#order.judge(announcement, {
+      current: this.#announcement,
+      needsProof: this.#isAwaitingDepartures,
+    });
+    if (verdict === VERDICTS.held) {
       return;
     }
     const isNew = this.#isFromNewServer(announcement);
@@ -140,21 +148,22 @@
     }
   }
 
-  /** Records that the backend server accepts no new calls. The identity of another process, or of a later one under the same id than that which left, keeps the current one. */
-  leave({ instanceId, startedAtMs }: ServerIdentity = {}): void {
+  /** Records that the backend server accepts no new calls; the identity of another process keeps the current one. */
+  leave(
+    { instanceId, startedAtMs, includesEarlier }: LeavingServer = {},
+  ): void {
     const current = this.#announcement;
-    const isDifferentServer =
-      (instanceId !== undefined && instanceId !== current?.instanceId) ||
-      (startedAtMs !== undefined &&
-        !(current && (current.startedAtMs ?? Infinity) <= startedAtMs));
-    if (isDifferentServer) {
-      this.#recordDeparture({ instanceId, startedAtMs });
-    } else {
+    const isSameId = instanceId === undefined ||
+      instanceId === current?.instanceId;
+    const isSameStart = startedAtMs === undefined ||
+      startedAtMs === current?.startedAtMs ||
+      (includesEarlier && (current?.startedAtMs ?? Infinity) <= startedAtMs);
+    if (isSameId && isSameStart) {
       this.#leavingSinceMs ??= this.#clock.monotonicMs();
-      this.#recordDeparture({
-        instanceId: current?.instanceId,
-        startedAtMs: startedAtMs ?? current?.startedAtMs,
-      });
+      const { instanceId: id, startedAtMs: startMs } = current ?? {};
+      this.#recordDeparture({ instanceId: id, startedAtMs: startMs });
+    } else {
+      this.#recordDeparture({ instanceId, startedAtMs, includesEarlier });
     }
     this.#notify();
   }
@@ -172,10 +181,9 @@
   receiveDepartures(departures: readonly Departure[]): void {
     departures.forEach((departure) => this.leave(departure));
     this.#isAwaitingDepartures = false;
-    const unproven = this.#unproven;
-    this.#unproven = undefined;
-    if (unproven && !this.#announcement) {
-      this.announce(unproven.announcement);
+    const held = this.#announcement ? undefined : this.#order.takeHeld();
+    if (held) {
+      this.announce(held);
     }
   }
 
@@ -198,49 +206,25 @@
   }
 
   #recordDeparture(
-    { instanceId, startedAtMs = this.#clock.nowMs() }: ServerIdentity,
+    { instanceId, startedAtMs, includesEarlier }: LeavingServer,
   ): void {
-    if (instanceId !== undefined) {
-      this.#departures.add({ instanceId, startedAtMs });
-    }
-  }
-
-  /** Whether an announcement may be from before a departure that is not known yet. Late ones come alone or together; a server that is there sends the next in its time. */
-  #isUnproven(announcement: Announcement): boolean {
-    if (!this.#isAwaitingDepartures || this.#announcement) {
-      return false;
-    }
-    const { instanceId, startedAtMs, sequence = Infinity } = announcement;
-    const nowMs = this.#clock.monotonicMs();
-    const first = this.#unproven;
-    if (
-      !first || first.announcement.instanceId !== instanceId ||
-      first.announcement.startedAtMs !== startedAtMs
-    ) {
-      this.#unproven = { announcement, atMs: nowMs };
-      return true;
+    if (instanceId === undefined) {
+      return;
     }
-    return nowMs - first.atMs < MIN_RENEWAL_MS ||
-      sequence <= (first.announcement.sequence ?? -1);
+    this.#departures.add(
+      startedAtMs === undefined
+        ? {
+          ...{ instanceId, startedAtMs: this.#clock.nowMs() },
+          includesEarlier: true,
+        }
+        : { instanceId, startedAtMs, includesEarlier },
+    );
   }
 
-  /** Whether an announcement is from a server that has left, or older than the current one: from an earlier process, or from the same one with a lower sequence number. */
-  #isOutdated({ instanceId, startedAtMs, sequence }: Announcement): boolean {
-    const current = this.#announcement;
-    const hasLeft = instanceId !== undefined && startedAtMs !== undefined &&
+  /** Whether an announcement is from a server that has left. */
+  #hasLeft({ instanceId, startedAtMs }: Announcement): boolean {
+    return instanceId !== undefined && startedAtMs !== undefined &&
       this.#departures.includes({ instanceId, startedAtMs });
-    if (hasLeft) {
-      return true;
-    }
-    if (!current || startedAtMs === undefined || sequence === undefined) {
-      return false;
-    }
-    const currentStartMs = current.startedAtMs ?? 0;
-    const isSameServer = current.instanceId === instanceId &&
-      currentStartMs === startedAtMs;
-    return isSameServer
-      ? sequence <= (current.sequence ?? -1)
-      : startedAtMs < currentStartMs;
   }
 
   #isFromNewServer(announced: Announcement): boolean {
--- a/src/backend/backend_registry_test.ts
+++ b/src/backend/backend_registry_test.ts
@@ -165,12 +165,16 @@
     );
     return registry;
   };
+  const departure = { instanceId: "i-1", includesEarlier: true };
   const known = create();
-  known.leave({ instanceId: "i-1", startedAtMs: 200 });
+  known.leave({ ...departure, startedAtMs: 200 });
   assert.is(known.state, "leaving");
   const later = create();
-  later.leave({ instanceId: "i-1", startedAtMs: 99 });
+  later.leave({ ...departure, startedAtMs: 99 });
   assert.is(later.state, "serving");
+  const other = create();
+  other.leave({ instanceId: "i-1", startedAtMs: 200 });
+  assert.is(other.state, "serving");
 });
 
 test.run();
--- a/src/backend/departure_archive.ts
+++ b/src/backend/departure_archive.ts
@@ -7,6 +7,7 @@
  * each VM, so that daemons do not compete for it and nothing has to be removed.
  */
 
+import { MAX_START_AHEAD_MS } from "../constants/mod.ts";
 import { NO_VERSION, repeatCall } from "../store/mod.ts";
 import type { ObjectStore, StoredObject } from "../store/mod.ts";
 import type { Logger } from "../telemetry/mod.ts";
@@ -95,7 +96,7 @@
   #listUnstored(): Departure[] {
     const { departures } = this.#options.backend;
     return departures.filter((each) =>
-      !this.#isKnown || !this.#stored.includes(each)
+      !this.#isKnown || !this.#stored.covers(each)
     );
   }
 
@@ -151,7 +152,10 @@
     this.#era = this.#options.store.era;
     this.#version = object?.version ?? NO_VERSION;
     this.#stored = new DepartureList();
-    readDepartures(object?.value).forEach((each) => this.#stored.add(each));
+    const latestStartMs = this.#options.clock.nowMs() + MAX_START_AHEAD_MS;
+    readDepartures(object?.value)
+      .filter(({ startedAtMs }) => startedAtMs <= latestStartMs)
+      .forEach((each) => this.#stored.add(each));
   }
 
   #repeat(call: () => Promise<string | undefined>): Promise<void> {
@@ -172,8 +176,11 @@
 }
 
 function isDeparture(value: unknown): value is Departure {
-  const { instanceId, startedAtMs } = (value ?? {}) as Partial<Departure>;
+  const { instanceId, startedAtMs, includesEarlier } = (value ?? {}) as Partial<
+    Departure
+  >;
   return typeof instanceId === "string" &&
     instanceId.length > 0 && instanceId.length <= MAX_ID_LENGTH &&
-    Number.isSafeInteger(startedAtMs) && (startedAtMs as number) >= 0;
+    Number.isSafeInteger(startedAtMs) && (startedAtMs as number) >= 0 &&
+    (includesEarlier === undefined || typeof includesEarlier === "boolean");
 }
--- a/src/backend/departure_archive_test.ts
+++ b/src/backend/departure_archive_test.ts
@@ -163,6 +163,9 @@
     { instanceId: "i-1", startedAtMs: "late" },
     { instanceId: "i-1", startedAtMs: -1 },
     { instanceId: "i-1", startedAtMs: 1e308 },
+    { instanceId: "i-1", startedAtMs: Number.MAX_SAFE_INTEGER },
+    { instanceId: "i-1", startedAtMs: 9e15, includesEarlier: true },
+    { instanceId: "i-1", startedAtMs: bornMs, includesEarlier: "yes" },
     { instanceId: "i-2", startedAtMs: bornMs },
   ];
   await store.write(STORE_KEY, { servers }, { era: 0, revision: 0 });
--- a/src/backend/departure_list.ts
+++ b/src/backend/departure_list.ts
@@ -1,11 +1,8 @@
 /**
  * Backend servers of one VM that have left.
- *
- * What is remembered of each id is the latest start that a departed process under
- * this id can have had, since a later process may use the id again.
  */
 
-/** Maximum number of ids; beyond it, the one that was added first is forgotten. */
+/** Maximum number of departures; beyond it, the one that was added first is forgotten. */
 const MAX_DEPARTURES = 16;
 
 /** A backend server that has left. */
@@ -13,36 +10,48 @@
   readonly instanceId: string;
   /** Start of the process, or the latest one that it can have had, in milliseconds since the epoch. */
   readonly startedAtMs: number;
+  /** Whether every process under the id that started earlier has left as well, since the departure did not say which one it is of. */
+  readonly includesEarlier?: boolean | undefined;
 }
 
 /** Remembers the latest departures. */
 export class DepartureList {
-  readonly #startedAtMs = new Map<string, number>();
+  readonly #departures = new Map<string, Departure>();
 
-  /** Adds a departure; returns it with the latest start that is known for its id. */
-  add({ instanceId, startedAtMs }: Departure): Departure {
-    const latestAtMs = Math.max(
-      startedAtMs,
-      this.#startedAtMs.get(instanceId) ?? startedAtMs,
-    );
-    this.#startedAtMs.delete(instanceId);
-    this.#startedAtMs.set(instanceId, latestAtMs);
-    const [oldest] = this.#startedAtMs.keys();
-    if (this.#startedAtMs.size > MAX_DEPARTURES && oldest !== undefined) {
-      this.#startedAtMs.delete(oldest);
+  /** Adds a departure. */
+  add({ instanceId, startedAtMs, includesEarlier }: Departure): void {
+    const key = `${instanceId}/${includesEarlier ? "earlier" : startedAtMs}`;
+    const known = this.#departures.get(key)?.startedAtMs ?? startedAtMs;
+    this.#departures.delete(key);
+    this.#departures.set(key, {
+      ...{ instanceId, startedAtMs: Math.max(startedAtMs, known) },
+      ...includesEarlier && { includesEarlier },
+    });
+    const [oldest] = this.#departures.keys();
+    if (this.#departures.size > MAX_DEPARTURES && oldest !== undefined) {
+      this.#departures.delete(oldest);
     }
-    return { instanceId, startedAtMs: latestAtMs };
   }
 
-  /** Whether a process has left, or started no later than one that left under its id. */
-  includes({ instanceId, startedAtMs }: Departure): boolean {
-    return startedAtMs <= (this.#startedAtMs.get(instanceId) ?? -Infinity);
+  /** Whether a process has left. */
+  includes(
+    { instanceId, startedAtMs }: Pick<Departure, "instanceId" | "startedAtMs">,
+  ): boolean {
+    const latest = this.#departures.get(`${instanceId}/earlier`);
+    return this.#departures.has(`${instanceId}/${startedAtMs}`) ||
+      (latest !== undefined && startedAtMs <= latest.startedAtMs);
+  }
+
+  /** Whether everything is remembered that a departure says. */
+  covers({ instanceId, startedAtMs, includesEarlier }: Departure): boolean {
+    const latest = this.#departures.get(`${instanceId}/earlier`);
+    return includesEarlier
+      ? latest !== undefined && startedAtMs <= latest.startedAtMs
+      : this.includes({ instanceId, startedAtMs });
   }
 
   /** Lists the departures in the order in which they became known. */
   list(): Departure[] {
-    return [...this.#startedAtMs].map(([instanceId, startedAtMs]) => ({
-      ...{ instanceId, startedAtMs },
-    }));
+    return [...this.#departures.values()];
   }
 }
--- a/src/constants/mod.ts
+++ b/src/constants/mod.ts
@@ -64,3 +64,6 @@
   reason: "celeryhollow-reason",
   retryAfterMs: "celeryhollow-retry-after-ms",
 } as const;
+
+/** Time by which the start of a backend server may lie in the future, since clocks are set, in milliseconds. */
+export const MAX_START_AHEAD_MS = 3_600_000;
--- a/src/daemon/backend_follower.ts
+++ b/src/daemon/backend_follower.ts
@@ -74,7 +74,8 @@
     if (backend.departure && formatServerId(backend.departure) === serverId) {
       return;
     }
-    backend.leave(parseServerId(serverId));
+    // Members are not told whether the id is exact.
+    backend.leave({ ...parseServerId(serverId), includesEarlier: true });
     journal.record(DECISIONS.serverLeaving, { serverId, toldBy: "member" });
   }
 
