backend: members tell whether a departure includes earlier processes

Callers saw: a running server could get no more requests after a restart of its daemon, if a later start under its id, which another writer had claimed, had left. Cause: members tell a departure as the id of one process, and the daemon that started again took it for one of all earlier processes as well. Change: a departure that includes earlier processes is marked in the text; older builds take no process by a marked text, and get the departure from the store's object or not at all, as before it was written there. A text that names no start is ignored.

--- a/src/backend/backend_registry.ts
+++ b/src/backend/backend_registry.ts
@@ -102,6 +102,11 @@
     return this.#departures.list();
   }
 
+  /** Whether a departure is known already. */
+  hasDeparted(departure: Departure): boolean {
+    return this.#departures.covers(departure);
+  }
+
   /** Time at which the cold start of the backend server ends, in milliseconds since the epoch. */
   get warmAtMs(): number {
     return this.#warmAtMs;
--- a/src/backend/format_server_id.ts
+++ b/src/backend/format_server_id.ts
@@ -19,20 +19,3 @@
 ): string {
   return `${instanceId}/${startedAtMs}`;
 }
-
-/**
- * Parses the id of a server.
- *
- * @param serverId - The id
- * @returns The server's identity
- *
- * @example
- * registry.leave(parseServerId("i-7f3a/1769576915086"));
- */
-export function parseServerId(serverId: string): ServerIdentity {
-  const end = serverId.lastIndexOf("/");
-  return {
-    instanceId: serverId.slice(0, end),
-    startedAtMs: Number(serverId.slice(end + 1)),
-  };
-}
--- a/src/daemon/backend_follower.ts
+++ b/src/daemon/backend_follower.ts
@@ -5,8 +5,8 @@
 
 import {
   BACKEND_STATES,
-  formatServerId,
-  parseServerId,
+  formatDeparture,
+  parseDeparture,
 } from "../backend/mod.ts";
 import type { GossipMembership } from "../membership/mod.ts";
 import type { CallEnvironment } from "../request/mod.ts";
@@ -61,21 +61,21 @@
   /** Announces the latest departure once, since members forget it after a while. */
   #announceDeparture(): void {
     const { departure } = this.#options.environment.backend;
-    const serverId = departure && formatServerId(departure);
-    if (serverId !== undefined && serverId !== this.#announcedDeparture) {
-      this.#announcedDeparture = serverId;
-      this.#options.membership.announceDeparture(serverId);
+    const text = departure && formatDeparture(departure);
+    if (text !== undefined && text !== this.#announcedDeparture) {
+      this.#announcedDeparture = text;
+      this.#options.membership.announceDeparture(text);
     }
   }
 
   /** Learns from members that a backend server has left, which an earlier process of this daemon acknowledged. */
   followDeparture(serverId: string): void {
     const { backend, journal } = this.#options.environment;
-    if (backend.departure && formatServerId(backend.departure) === serverId) {
+    const departure = parseDeparture(serverId);
+    if (!departure || backend.hasDeparted(departure)) {
       return;
     }
-    // Members are not told whether the id is exact.
-    backend.leave({ ...parseServerId(serverId), includesEarlier: true });
+    backend.leave(departure);
     journal.record(DECISIONS.serverLeaving, { serverId, toldBy: "member" });
   }
 
