configuration: a fleet starts while the stored version can't be read

Callers saw: 503 from every daemon after a restart of all daemons, while the store held a configuration whose version another writer had spoilt. Cause: the copy of the active configuration was written only for a refused version higher than the active one; one that can't be read counts as 0. Change: the copy is written for an object without a readable version as well, and belongs to its revision as before. Tests: the new ones of configuration_copy_test (0 for 21) and start_with_refused_version_test (not ready within the wait) failed before, and pass.

--- a/src/configuration/configuration_copy.ts
+++ b/src/configuration/configuration_copy.ts
@@ -88,8 +88,10 @@
     const backoff = new Backoff(random, SAVE_BACKOFF);
     await clock.sleep(random.nextInteger(MAX_SAVE_DELAY_MS));
     for (let attempt = 0; attempt < MAX_SAVE_ATTEMPTS; attempt += 1) {
-      const isNeeded = holder.version > 0 && holder.version < refused.version;
-      if (!isNeeded || this.#isStopped) {
+      // The version of an object that does not state one is unknown.
+      const isNewerActive = refused.version > 0 &&
+        holder.version >= refused.version;
+      if (holder.version === 0 || isNewerActive || this.#isStopped) {
         return;
       }
       const written = await this.#write(refused);
--- a/src/configuration/configuration_copy_test.ts
+++ b/src/configuration/configuration_copy_test.ts
@@ -66,6 +66,14 @@
 });
 
 // A daemon that is behind would replace what the others had by something older.
+// Guards against a fleet that does not start, since the store holds an object whose version can't be read.
+test("the copy for an object without a version is that of the active configuration", async () => {
+  const { save, store } = createDaemon(21);
+  await save(createRefusal(0, 7));
+  assert.is(await createDaemon(0, store).load(createRefusal(0, 7)), 21);
+  assert.is(await createDaemon(0, store).load(createRefusal(0, 8)), 0);
+});
+
 test("a lower version never replaces a higher copy, and a higher one replaces a lower", async () => {
   const refused = createRefusal(23, 9);
   const { save, store } = createDaemon(21);
--- a/src/configuration/configuration_distributor.ts
+++ b/src/configuration/configuration_distributor.ts
@@ -255,6 +255,10 @@
       version > holder.version && !this.#noticeCheck.hasHeard(version);
     if (isOwnFinding) {
       peers.announceRefusal(version);
+    }
+    // Notices name a version; an object that states none can't be announced.
+    const isUnnamed = source === REFUSAL_SOURCES.store && version === 0;
+    if (isOwnFinding || isUnnamed) {
       void this.#copy?.save(refused);
     }
   }
