quarantine: entries of the far future name no request

Callers saw: after a restart of all daemons, requests that crash servers ran again, if another writer had left 64 entries with times in the far future in the object of the store: those came first, took all its places and never expired. Cause: the object is sorted by the latest time that anyone has claimed. Change: an entry with a crash more than a minute ahead of the clock is left out.

--- a/src/quarantine/quarantine_archive.ts
+++ b/src/quarantine/quarantine_archive.ts
@@ -23,6 +23,9 @@
 /** Maximum number of requests in the object; beyond it, the one whose latest crash is the oldest is left out. */
 const MAX_REQUESTS = 64;
 
+/** Longest time by which a crash may lie ahead of this VM's clock, in milliseconds; later ones would never expire. */
+const MAX_CLOCK_DIFFERENCE_MS = 60_000;
+
 /** Longest wait before the object is read after the start, so that not all daemons of a fleet read at once, in milliseconds. */
 const MAX_FIRST_WAIT_MS = 300;
 
@@ -64,7 +67,7 @@
       if (stored.isErr()) {
         return stored.error.message;
       }
-      for (const suspect of readSuspects(stored.value?.value)) {
+      for (const suspect of this.#readSuspects(stored.value?.value)) {
         const fingerprints = [suspect.fingerprint];
         suspect.crashes.forEach((crash) =>
           quarantine.receive({ kind: "crash", ...crash, fingerprints })
@@ -98,7 +101,7 @@
     if (stored.isErr()) {
       return stored.error.message;
     }
-    const known = readSuspects(stored.value?.value);
+    const known = this.#readSuspects(stored.value?.value);
     const next = this.#merge(known);
     if (isDeepStrictEqual(next, known)) {
       return undefined;
@@ -111,6 +114,17 @@
     return written.isOk() ? undefined : written.error.message;
   }
 
+  /** Reads the requests of an object; one that another writer has spoilt names none. */
+  #readSuspects(value: unknown): Suspect[] {
+    const requests = (value as { requests?: unknown } | undefined)?.requests;
+    const latestMs = this.#options.clock.nowMs() + MAX_CLOCK_DIFFERENCE_MS;
+    return Array.isArray(requests)
+      ? requests.filter(isSuspect).filter(({ crashes }) =>
+        crashes.every(({ atMs }) => atMs <= latestMs)
+      )
+      : [];
+  }
+
   /** Replaces what this daemon knows better, and leaves out what has expired. */
   #merge(stored: readonly Suspect[]): Suspect[] {
     const { clock, quarantine } = this.#options;
@@ -141,12 +155,6 @@
   return crashes.at(-1)?.atMs ?? 0;
 }
 
-/** Reads the requests of an object; one that another writer has spoilt names none. */
-function readSuspects(value: unknown): Suspect[] {
-  const requests = (value as { requests?: unknown } | undefined)?.requests;
-  return Array.isArray(requests) ? requests.filter(isSuspect) : [];
-}
-
 function isSuspect(value: unknown): value is Suspect {
   const { fingerprint, crashes } = (value ?? {}) as Partial<Suspect>;
   return typeof fingerprint === "string" && Array.isArray(crashes) &&
--- a/src/quarantine/quarantine_archive_test.ts
+++ b/src/quarantine/quarantine_archive_test.ts
@@ -155,6 +155,28 @@
   assert.is(refuses(second, "/crash"), true);
 });
 
+// Guards against entries of another writer that never expire and take the places of all others.
+test("requests whose crashes lie in the far future are left out", async () => {
+  const { crash, startDaemon, store, wait } = createSite();
+  const atMs = Number.MAX_SAFE_INTEGER;
+  const requests = Array.from({ length: 64 }, (_, index) => ({
+    fingerprint: `odd-${index}`,
+    crashes: [1, 2, 3].map((process) => ({
+      ...{ processId: `p-${process}`, vmAddress: "10.0.0.9" },
+      ...{ service: "stock", atMs, callCount: 1 },
+    })),
+  }));
+  await store.write(STORE_KEY, { requests }, NO_VERSION);
+  const first = startDaemon("10.0.0.1");
+  await wait();
+  assert.equal(first.quarantine.list(), []);
+  crash(first, "/crash");
+  await wait();
+  const second = startDaemon("10.0.0.2");
+  await wait();
+  assert.is(refuses(second, "/crash"), true);
+});
+
 test("without a quarantine a daemon reads once and writes nothing", async () => {
   const { startDaemon, store, wait } = createSite();
   startDaemon("10.0.0.1");
