daemon: log and count delays of the event loop, with what tells their cause

Operators saw: requests that were sent on 2.3 s after their callers had sent them, and no line of the daemon about these seconds. A metric kept the longest delay since its last fetch, measured every 500 ms.

From 200 ms on it is logged as event-loop-late with the processor time, the time of collections and the requests read and abandoned in that span, and counted by cause. Callers that leave are counted by what became of their requests.

--- a/src/daemon/create_daemon_components.ts
+++ b/src/daemon/create_daemon_components.ts
@@ -21,6 +21,7 @@
   StoredConfigurationSource,
 } from "../configuration/mod.ts";
 import type { ConfigurationSource } from "../configuration/mod.ts";
+import { EventLoopWatch } from "../event_loop/mod.ts";
 import type { DaemonSettings, MemberRecord } from "../generated/types.ts";
 import {
   KeyLedger,
@@ -150,6 +151,8 @@
     fleetToken: settings.fleetToken,
   };
   const metrics = new DaemonMetrics();
+  const eventLoop = new EventLoopWatch({ clock });
+  metrics.process.observeDelay(() => eventLoop.takeMaxDelayMs());
   const { memoryLimitBytes = Number.POSITIVE_INFINITY } = overrides;
   const memory = new MemoryBudget({
     clock,
@@ -265,6 +268,7 @@
   const environment: CallEnvironment = {
     settings,
     clock,
+    eventLoop,
     log,
     metrics,
     journal,
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -7,10 +7,12 @@
 import { createConfigurationTransfer } from "../configuration/mod.ts";
 import type { ConfigurationDistributor } from "../configuration/mod.ts";
 import type { DepartureArchive } from "../backend/mod.ts";
-import type { DaemonSettings } from "../generated/types.ts";
+import { reportLoopDelay } from "../event_loop/mod.ts";
+import type { CallMessage, DaemonSettings } from "../generated/types.ts";
 import type { GossipMembership } from "../membership/mod.ts";
 import { createStopSchedule } from "../leaving/mod.ts";
 import { PeerServer } from "../peer/mod.ts";
+import type { IncomingCallOptions } from "../peer/mod.ts";
 import { createUnknownOutcome, REASONS } from "../outcome/mod.ts";
 import type { CallResult } from "../outcome/mod.ts";
 import { servePeerCall } from "../request/mod.ts";
@@ -92,13 +94,7 @@
       createDefaultListeners(context);
     this.#peerServer = new PeerServer({
       ...components.connectionOptions,
-      handleCall: (call, options) =>
-        this.environment.stop.guard(
-          this.#containFault(() =>
-            servePeerCall(this.environment, call, options)
-          ),
-          () => createUnknownOutcome(REASONS.daemonStopping),
-        ),
+      handleCall: (call, options) => this.#servePeer(call, options),
       track: (serve) => this.#requests.track(serve),
       provideConfiguration: (knownVersion) =>
         createConfigurationTransfer(configuration, knownVersion),
@@ -137,6 +133,7 @@
     const { settings, clock, log } = environment;
     const { address, peerPort } = settings;
     const isCancelled = () => this.#stopping !== undefined;
+    environment.eventLoop.start((delay) => reportLoopDelay(environment, delay));
     void this.#departureArchive.load();
     const endpoints = [{
       address: `${address}:${peerPort}`,
@@ -175,15 +172,9 @@
       void environment.metrics.retainServices(new Set(services));
     });
     environment.backend.subscribe(() => this.#backendFollower.publish());
-    let dueAtMs = clock.monotonicMs() + HOUSEKEEPING_INTERVAL_MS;
     this.#stopHousekeeping = clock.scheduleEvery(
       HOUSEKEEPING_INTERVAL_MS,
-      () => {
-        const nowMs = clock.monotonicMs();
-        environment.metrics.process.recordDelay(nowMs - dueAtMs);
-        dueAtMs = nowMs + HOUSEKEEPING_INTERVAL_MS;
-        this.#runHousekeeping();
-      },
+      () => this.#runHousekeeping(),
     );
     log.info(
       { address: settings.address, callerPort: settings.callerPort },
@@ -191,6 +182,17 @@
     );
   }
 
+  #servePeer(
+    call: CallMessage,
+    options: IncomingCallOptions,
+  ): Promise<CallResult> {
+    this.environment.eventLoop.work.callsRead += 1;
+    return this.environment.stop.guard(
+      this.#containFault(() => servePeerCall(this.environment, call, options)),
+      () => createUnknownOutcome(REASONS.daemonStopping),
+    );
+  }
+
   /** Turns an exception while serving a peer's call into an outcome of this call. */
   async #containFault(serve: () => Promise<CallResult>): Promise<CallResult> {
     try {
@@ -228,6 +230,7 @@
       listener.closeConnections(flushEndsAtMs)
     );
     this.#stopHousekeeping();
+    this.environment.eventLoop.stop();
     this.#stopSignal.abort();
     this.#quarantineArchive.stop();
     this.#departureArchive.stop();
--- a/src/request/call_environment.ts
+++ b/src/request/call_environment.ts
@@ -13,6 +13,7 @@
   ConfigurationHolder,
   ConfigurationProgress,
 } from "../configuration/mod.ts";
+import type { EventLoopWatch } from "../event_loop/mod.ts";
 import type { DaemonSettings } from "../generated/types.ts";
 import type {
   KeyLedger,
@@ -47,6 +48,7 @@
 export interface CallEnvironment {
   readonly settings: DaemonSettings;
   readonly clock: Clock;
+  readonly eventLoop: EventLoopWatch;
   readonly log: Logger;
   readonly metrics: DaemonMetrics;
   readonly journal: DecisionJournal;
--- a/src/telemetry/process_metrics.ts
+++ b/src/telemetry/process_metrics.ts
@@ -20,9 +20,15 @@
   readonly signals: Counter<"signal">;
   /** Warnings that the memory is near its limit. */
   readonly memoryWarnings: Counter;
+  /** Long delays of the event loop, by cause: `busy`, or `not-run` if the process used little processor time meanwhile. */
+  readonly loopDelays: Counter<"cause">;
+  /** Sum of these delays. */
+  readonly loopDelaySeconds: Counter<"cause">;
+  /** Requests whose callers left before the response was sent, by what the daemon was doing. */
+  readonly abandonedRequests: Counter<"stage">;
   readonly #registry: Registry;
   readonly #memoryLimit: Gauge;
-  #maxDelayMs = 0;
+  #takeMaxDelayMs: () => number = () => 0;
   #peakResidentBytes = 0;
 
   constructor(registry: Registry) {
@@ -45,6 +51,24 @@
       help: "Warnings that the memory is near its limit",
       registers,
     });
+    this.loopDelays = new Counter({
+      name: "celeryhollow_event_loop_delays_total",
+      help: "Delays of the event loop of 0.2 s and more",
+      labelNames: ["cause"] as const,
+      registers,
+    });
+    this.loopDelaySeconds = new Counter({
+      name: "celeryhollow_event_loop_delay_seconds_total",
+      help: "Sum of the delays of the event loop of 0.2 s and more",
+      labelNames: ["cause"] as const,
+      registers,
+    });
+    this.abandonedRequests = new Counter({
+      name: "celeryhollow_abandoned_requests_total",
+      help: "Requests whose callers left before the response was sent",
+      labelNames: ["stage"] as const,
+      registers,
+    });
     this.#memoryLimit = new Gauge({
       name: "celeryhollow_memory_limit_bytes",
       help: "Memory past which the process is killed; absent if not known",
@@ -61,7 +85,7 @@
         this.set(readPeak());
       },
     });
-    const takeMaxDelayS = () => this.#takeMaxDelayS();
+    const takeMaxDelayS = () => this.#takeMaxDelayMs() / MS_PER_SECOND;
     new Gauge({
       name: "celeryhollow_event_loop_delay_seconds",
       help: "Longest delay of a timer since the last fetch",
@@ -119,15 +143,9 @@
     this.#peakResidentBytes = Math.max(this.#peakResidentBytes, residentBytes);
   }
 
-  /** Records by how much a periodic timer was late. */
-  recordDelay(delayMs: number): void {
-    this.#maxDelayMs = Math.max(this.#maxDelayMs, delayMs);
-  }
-
-  #takeMaxDelayS(): number {
-    const delayS = this.#maxDelayMs / MS_PER_SECOND;
-    this.#maxDelayMs = 0;
-    return delayS;
+  /** Exports the longest delay of the event loop since the last fetch, in milliseconds. */
+  observeDelay(takeMaxDelayMs: () => number): void {
+    this.#takeMaxDelayMs = takeMaxDelayMs;
   }
 }
 
--- a/src/testing/fault_injection/fault_injection_node.ts
+++ b/src/testing/fault_injection/fault_injection_node.ts
@@ -16,6 +16,7 @@
   ConfigurationHolder,
   ConfigurationProgress,
 } from "../../configuration/mod.ts";
+import { EventLoopWatch } from "../../event_loop/mod.ts";
 import type { DaemonSettings, MemberRecord } from "../../generated/types.ts";
 import {
   KeyLedger,
@@ -239,6 +240,7 @@
         maxBodyBytes: 1_000_000,
       } as DaemonSettings,
       ...{ clock, peers, configuration, inboundAdmission, metrics, journal },
+      eventLoop: new EventLoopWatch({ clock }),
       log,
       configurationProgress: new ConfigurationProgress({
         ...{ holder: configuration, clock, log, journal },
