intake: a late daemon reads what lies in its sockets before it begins requests

Callers saw nothing, as they had left; instances got their requests up to 1.25 s after the end of their connections, with the whole time limit. Callers that still waited were not served, since the oldest requests were begun first.

Cause: the time at which a head has been parsed was taken for that of its arrival, and a request was begun as soon as it was read. The end of a connection is read a poll later, and the loop accepts just one connection in each of its turns, so that a backlog is read in the order in which callers leave, with all the work of each request between two of them.

Change: the longest age of what is read is bounded by a timer and by the turns in which connections are accepted. What waits for a quarter of its time is refused (daemon-late).

--- a/src/daemon/create_daemon_components.ts
+++ b/src/daemon/create_daemon_components.ts
@@ -29,6 +29,7 @@
   RunLedger,
   SuccessorTable,
 } from "../idempotency/mod.ts";
+import { RequestIntake } from "../intake/mod.ts";
 import { StopControl } from "../leaving/mod.ts";
 import { bindWhenFree } from "../listening/mod.ts";
 import {
@@ -269,6 +270,7 @@
     settings,
     clock,
     eventLoop,
+    intake: new RequestIntake({ clock, eventLoop, metrics }),
     log,
     metrics,
     journal,
--- a/src/event_loop/event_loop_watch.ts
+++ b/src/event_loop/event_loop_watch.ts
@@ -9,6 +9,7 @@
 
 import process from "node:process";
 import type { Clock } from "../time/mod.ts";
+import { AcceptWatch } from "./accept_watch.ts";
 import { CollectionTimer } from "./collection_timer.ts";
 
 /** Interval of the ticks, in milliseconds. */
@@ -68,6 +69,8 @@
     callsRead: 0,
     requestsAbandoned: 0,
   };
+  /** Queue of connections of callers. */
+  readonly accepts: AcceptWatch;
   readonly #clock: Clock;
   readonly #readProcessorMs: () => number;
   readonly #collections = new CollectionTimer();
@@ -82,6 +85,7 @@
   #report: (delay: LoopDelay) => void = () => undefined;
 
   constructor({ clock, readProcessorMs = readUsage }: EventLoopWatchOptions) {
+    this.accepts = new AcceptWatch({ clock });
     this.#clock = clock;
     this.#readProcessorMs = readProcessorMs;
     this.#tickAtMs = clock.monotonicMs();
--- a/src/outcome/outcome.ts
+++ b/src/outcome/outcome.ts
@@ -23,6 +23,7 @@
   noInstance: "no-instance",
   noBackendServer: "no-backend-server",
   leaving: "leaving",
+  daemonLate: "daemon-late",
   daemonStopping: "daemon-stopping",
   connectFailed: "connect-failed",
   connectionLost: "connection-lost",
--- a/src/request/call_environment.ts
+++ b/src/request/call_environment.ts
@@ -21,6 +21,7 @@
   RunLedger,
   SuccessorTable,
 } from "../idempotency/mod.ts";
+import type { RequestIntake } from "../intake/mod.ts";
 import type { StopControl } from "../leaving/mod.ts";
 import type { Membership } from "../membership/mod.ts";
 import type { MemoryBudget } from "../memory/mod.ts";
@@ -49,6 +50,8 @@
   readonly settings: DaemonSettings;
   readonly clock: Clock;
   readonly eventLoop: EventLoopWatch;
+  /** Decides when requests that were read begin. */
+  readonly intake: RequestIntake;
   readonly log: Logger;
   readonly metrics: DaemonMetrics;
   readonly journal: DecisionJournal;
--- a/src/request/mod.ts
+++ b/src/request/mod.ts
@@ -10,6 +10,7 @@
 export { identifyCaller } from "./identify_caller.ts";
 export type { CallerTarget, IdentifiedCaller } from "./identify_caller.ts";
 export { LeavingServers } from "./leaving_servers.ts";
+export { recordOutcome } from "./record_outcome.ts";
 export { ResponseSizes } from "./response_sizes.ts";
 export { PeerClients } from "./peer_clients.ts";
 export { serveEntryCall } from "./serve_entry_call.ts";
--- a/src/request/serve_routed_call.ts
+++ b/src/request/serve_routed_call.ts
@@ -67,6 +67,8 @@
   readonly callerService: string;
   /** Time until the deadline, in milliseconds; undefined if the caller gave none. */
   readonly deadlineMs: number | undefined;
+  /** Time for which the call was held up before it was begun, in milliseconds. It counts towards the time limit of the route. */
+  readonly heldMs: number;
   readonly signal: CallSignal;
   /** Called just before the call is dispatched, with the kind under which its duration is measured; undefined for nested calls. */
   readonly onDispatch?: (kind: string | undefined) => void;
@@ -147,10 +149,11 @@
 
 function acquireAllowance(
   { allowances, clock }: CallEnvironment,
-  { deadlineMs, requestId, signal }: RoutedCall,
+  { deadlineMs, heldMs, requestId, signal }: RoutedCall,
   { account, route }: AllowanceTarget,
 ): Promise<Result<AllowancePermit, Refusal>> {
-  const limitMs = Math.min(route.deadlineMs, deadlineMs ?? route.deadlineMs);
+  const routeLimitMs = route.deadlineMs - heldMs;
+  const limitMs = Math.min(routeLimitMs, deadlineMs ?? routeLimitMs);
   const deadlineAtMs = clock.monotonicMs() + limitMs;
   return allowances.acquire(account, { requestId, deadlineAtMs, signal });
 }
@@ -325,7 +328,7 @@
   const nowMs = clock.monotonicMs();
   const waitedMs = nowMs - startedAtMs;
   const remainingMs = Math.min(
-    route.deadlineMs - waitedMs,
+    route.deadlineMs - routed.heldMs - waitedMs,
     (routed.deadlineMs ?? route.deadlineMs) - waitedMs,
     parent
       ? Math.min(parent.deadlineAtMs - nowMs, stop.computeNestedLimitMs())
--- a/src/telemetry/process_metrics.ts
+++ b/src/telemetry/process_metrics.ts
@@ -26,6 +26,8 @@
   readonly loopDelaySeconds: Counter<"cause">;
   /** Requests whose callers left before the response was sent, by what the daemon was doing. */
   readonly abandonedRequests: Counter<"stage">;
+  /** Requests that waited because the event loop was late, by what became of them: `begun`, `dropped` as nobody waited any more, or `refused`. */
+  readonly lateRequests: Counter<"action">;
   readonly #registry: Registry;
   readonly #memoryLimit: Gauge;
   #takeMaxDelayMs: () => number = () => 0;
@@ -69,6 +71,12 @@
       labelNames: ["stage"] as const,
       registers,
     });
+    this.lateRequests = new Counter({
+      name: "celeryhollow_late_requests_total",
+      help: "Requests that waited because the event loop was late",
+      labelNames: ["action"] as const,
+      registers,
+    });
     this.#memoryLimit = new Gauge({
       name: "celeryhollow_memory_limit_bytes",
       help: "Memory past which the process is killed; absent if not known",
--- a/src/testing/fault_injection/fault_injection_node.ts
+++ b/src/testing/fault_injection/fault_injection_node.ts
@@ -17,6 +17,7 @@
   ConfigurationProgress,
 } from "../../configuration/mod.ts";
 import { EventLoopWatch } from "../../event_loop/mod.ts";
+import { RequestIntake } from "../../intake/mod.ts";
 import type { DaemonSettings, MemberRecord } from "../../generated/types.ts";
 import {
   KeyLedger,
@@ -225,6 +226,7 @@
     inboundAdmission.setCapacity(16);
     const metrics = new DaemonMetrics();
     const journal = new DecisionJournal(clock);
+    const eventLoop = new EventLoopWatch({ clock });
     const log = createSilentLogger();
     const fingerprinter = new Fingerprinter(FLEET_TOKEN);
     const quarantine = new Quarantine({
@@ -240,7 +242,8 @@
         maxBodyBytes: 1_000_000,
       } as DaemonSettings,
       ...{ clock, peers, configuration, inboundAdmission, metrics, journal },
-      eventLoop: new EventLoopWatch({ clock }),
+      eventLoop,
+      intake: new RequestIntake({ clock, eventLoop, metrics }),
       log,
       configurationProgress: new ConfigurationProgress({
         ...{ holder: configuration, clock, log, journal },
