request: a cancelled non-repeatable run that has not begun does not begin

Cause: runs under a run key ignored every cancellation, so that they outlast the connection on which they came, also that of a caller that had left. The query that keeps a run from starting was sent with the signal of the caller that had left, that is not at all, and repeated every 50 ms.

Change: a cancellation ends a run until the backend server gets it, queries are sent whether the caller has left or not, and a connection that became silent does not cancel non-repeatable calls, as their outcome is queried on another one.

--- a/src/peer/outbound_connection.ts
+++ b/src/peer/outbound_connection.ts
@@ -70,6 +70,7 @@
 interface PendingCall {
   readonly settle: (result: CallResult) => void;
   readonly failsWhenSilent: boolean;
+  readonly isRepeatable: boolean;
   readonly progress: CallProgress | undefined;
   readonly memory: HeldMemory | undefined;
   readonly signal: CallSignal;
@@ -172,9 +173,14 @@
 
   onSilent(silenceMs: number): void {
     this.#listener.onSilent(this, silenceMs);
-    for (const [callId, { failsWhenSilent }] of this.#pending) {
-      if (failsWhenSilent) {
-        this.#cancelCall(callId, createUnknownOutcome(REASONS.connectionLost));
+    const lost = createUnknownOutcome(REASONS.connectionLost);
+    for (const [callId, pending] of this.#pending) {
+      if (pending.failsWhenSilent && pending.isRepeatable) {
+        this.#cancelCall(callId, lost);
+      } else if (pending.failsWhenSilent) {
+        // Its outcome is queried on another connection, so it may go on.
+        this.connection.dropBodies(callId);
+        this.#settle(callId, err(lost));
       }
     }
   }
@@ -225,6 +231,7 @@
       this.#pending.set(callId, {
         settle,
         failsWhenSilent,
+        isRepeatable: call.context.isRepeatable,
         progress,
         memory,
         signal,
--- a/src/peer/peer_connection.ts
+++ b/src/peer/peer_connection.ts
@@ -207,9 +207,14 @@
 
   /** Tells the peer that a call has been given up, and drops what is left of its bodies. */
   cancelCall(callId: number): void {
+    this.dropBodies(callId);
+    this.send({ kind: "cancel", callId });
+  }
+
+  /** Drops what is left of the bodies of a call, without telling the peer. */
+  dropBodies(callId: number): void {
     this.#writer.dropBody(callId);
     this.#incoming.discard("reply", callId);
-    this.send({ kind: "cancel", callId });
   }
 
   /** Sends a message without a separate body. */
--- a/src/request/outbound_call.ts
+++ b/src/request/outbound_call.ts
@@ -53,6 +53,8 @@
   readonly spilledFrom?: string | undefined;
   /** Id of the last backend server that left on the VM that the call is sent to, if this daemon knows of one. */
   readonly leavingServer?: string | undefined;
+  /** Called when the backend server of this VM is about to get the call. */
+  readonly onRun?: (() => void) | undefined;
   /** Aborted when the caller no longer waits. */
   readonly signal: CallSignal;
 }
--- a/src/request/run_call.ts
+++ b/src/request/run_call.ts
@@ -200,6 +200,7 @@
   const context = { ...call.context, remainingMs };
   const controller = new CallController();
   const stopFollowing = controller.follow(call.signal);
+  call.onRun?.();
   const cancelDeadline = clock.schedule(
     remainingMs,
     () => controller.abort(REASONS.deadlineExpired),
--- a/src/request/send_once.ts
+++ b/src/request/send_once.ts
@@ -10,6 +10,7 @@
  */
 
 import { err } from "neverthrow";
+import { CallController } from "../cancellation/mod.ts";
 import { ALLOWED_CLOCK_SKEW_MS } from "../idempotency/mod.ts";
 import type { DispatchState, UnresolvedRun } from "../idempotency/mod.ts";
 import { createUnknownOutcome, REASONS } from "../outcome/mod.ts";
@@ -89,7 +90,8 @@
         message: { ...message, runKey, startBeforeMs },
         body: EMPTY_BODY,
         deadlineAtMs: call.deadlineAtMs,
-        signal: call.signal,
+        // The query also keeps a run from starting whose caller has left.
+        signal: new CallController().signal,
         memory: call.memory,
       },
     );
--- a/src/request/serve_peer_call.ts
+++ b/src/request/serve_peer_call.ts
@@ -111,16 +111,18 @@
   }
 }
 
-/** Runs an attempt independently of the connection that it was received on, since its sender may query it on another one. */
+/** Runs an attempt independently of the connection that it was received on, since its sender may query it on another one. The sender can cancel it until the backend server gets it. */
 function runOnce(
   environment: CallEnvironment,
   call: OutboundCall,
   attempt: RunAttempt,
 ): Promise<CallResult> {
-  const { signal } = new CallController();
+  const controller = new CallController();
+  const onRun = controller.follow(call.signal);
+  const { signal } = controller;
   return environment.runs.runOnce(
     attempt,
-    () => runCall(environment, { ...call, signal }),
+    () => runCall(environment, { ...call, signal, onRun }),
   );
 }
 
