daemon: calls of other daemons are begun in the turns of the intake

Callers saw: nothing was served by a daemon of an instance on a tenth of a processor. In bursts of 400 requests with callers that leave after 0.3 s, 0 of 2,000 were answered and 4 reached the instance.

Cause: the calls were begun in the order in which they arrived, with all the work of each, before the cancellations behind them were read. When the daemon came to the instance, nobody waited any more.

Change: while the event loop is late, calls wait for one more poll and are begun in the same bounded turns as requests of callers: nested ones, then by class, the newest first. Cancelled ones are dropped; what waits for a quarter of its time is refused as overloaded-instance, so that the sender can try another one.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -10,9 +10,10 @@
 import { reportLoopDelay } from "../event_loop/mod.ts";
 import type { CallMessage, DaemonSettings } from "../generated/types.ts";
 import type { GossipMembership } from "../membership/mod.ts";
+import { NESTED_RANK, rankClass } from "../intake/mod.ts";
 import { createStopSchedule } from "../leaving/mod.ts";
 import { PeerServer } from "../peer/mod.ts";
-import type { IncomingCallOptions } from "../peer/mod.ts";
+import type { ArrivedCall, IncomingCallOptions } from "../peer/mod.ts";
 import { createUnknownOutcome, REASONS } from "../outcome/mod.ts";
 import type { CallResult } from "../outcome/mod.ts";
 import { servePeerCall } from "../request/mod.ts";
@@ -95,6 +96,7 @@
     this.#peerServer = new PeerServer({
       ...components.connectionOptions,
       handleCall: (call, options) => this.#servePeer(call, options),
+      admitCall: (call, arrived) => this.#admitCall(call, arrived),
       track: (serve) => this.#requests.track(serve),
       provideConfiguration: (knownVersion) =>
         createConfigurationTransfer(configuration, knownVersion),
@@ -182,6 +184,29 @@
     );
   }
 
+  /** Calls of the daemons themselves and queries of outcomes begin at once, as others wait for them. */
+  #admitCall(call: CallMessage, arrived: ArrivedCall): void {
+    const { configuration, intake, peerServices } = this.environment;
+    if (
+      intake.isOpen() || call.purpose !== "run" ||
+      peerServices.find(call.service)
+    ) {
+      arrived.begin();
+      return;
+    }
+    const { className, depth, remainingMs } = call.context;
+    const classRanks = configuration.current?.classRanks;
+    intake.submit({
+      ...{ begin: arrived.begin, refuse: arrived.refuse, drop: arrived.drop },
+      timeLimitMs: remainingMs,
+      findRank: () =>
+        depth > 0
+          ? NESTED_RANK
+          : rankClass(classRanks?.get(className) ?? classRanks?.size ?? 0),
+      isAbandoned: arrived.isCancelled,
+    });
+  }
+
   #servePeer(
     call: CallMessage,
     options: IncomingCallOptions,
--- a/src/peer/mod.ts
+++ b/src/peer/mod.ts
@@ -22,6 +22,7 @@
 export type { PeerServiceHandler } from "./peer_services.ts";
 export { PeerServer } from "./peer_server.ts";
 export type {
+  ArrivedCall,
   CallHandler,
   IncomingCallOptions,
   PeerServerOptions,
--- a/src/peer/peer_server.ts
+++ b/src/peer/peer_server.ts
@@ -48,6 +48,8 @@
 /** Dependencies of the server. */
 export interface PeerServerOptions extends PeerConnectionOptions {
   readonly handleCall: CallHandler;
+  /** Begins a call at once or later, refuses it, or drops it; each call is begun at once if not given. */
+  readonly admitCall?: (call: CallMessage, arrived: ArrivedCall) => void;
   /** Counts a call as in progress until its reply has been sent. */
   readonly track?: (serve: () => Promise<void>) => Promise<void>;
   /** Returns the compressed configuration transfer for a peer that has `knownVersion`. */
@@ -65,6 +67,17 @@
 /** Default time for peers to take queued replies when the server closes, in milliseconds. */
 const FLUSH_TIMEOUT_MS = 1_000;
 
+/** A call that has arrived with its whole body. */
+export interface ArrivedCall {
+  /** Whether its sender has cancelled it. */
+  readonly isCancelled: () => boolean;
+  readonly begin: () => void;
+  /** Refuses it, with the time after which its caller should return, in milliseconds. */
+  readonly refuse: (retryAfterMs: number) => void;
+  /** Ends it without a reply, for which nobody waits. */
+  readonly drop: () => void;
+}
+
 interface RunningCall {
   readonly controller: CallController;
   readonly isRepeatable: boolean;
@@ -144,12 +157,11 @@
       arriving.controller.abort();
       arriving.memory.force(body.length);
     }
-    const serve = () =>
-      this.#serve(deductTransit(this.#transitTimer, call), {
-        body,
-        memory: arriving?.memory ?? createMemory(this.#options.memory, body),
-      });
-    void (this.#options.track?.(serve) ?? serve());
+    const memory = arriving?.memory ??
+      createMemory(this.#options.memory, body);
+    const { admitCall, track } = this.#options;
+    const serve = () => this.#admit(admitCall, call, { body, memory });
+    void (track?.(serve) ?? serve());
   }
 
   onReply(): void {
@@ -189,21 +201,53 @@
     }
   }
 
-  async #serve(
+  /** Resolves when the call has been replied to, or dropped. */
+  #admit(
+    admitCall: PeerServerOptions["admitCall"],
     call: CallMessage,
     { body, memory }: { body: Uint8Array; memory: HeldMemory },
   ): Promise<void> {
     const controller = new CallController();
     const { isRepeatable } = call.context;
-    this.#running.set(call.callId, { controller, isRepeatable });
     const { signal } = controller;
-    const result = await this.#options.handleCall(call, {
-      body,
-      signal,
-      memory,
+    this.#running.set(call.callId, { controller, isRepeatable });
+    const handle = () =>
+      this.#options.handleCall(deductTransit(this.#transitTimer, call), {
+        ...{ body, signal, memory },
+      });
+    if (!admitCall) {
+      return this.#finish(call, handle(), memory);
+    }
+    return new Promise((resolve, reject) => {
+      const finish = (result: Promise<CallResult>) =>
+        void this.#finish(call, result, memory).then(resolve, reject);
+      admitCall(call, {
+        isCancelled: () => signal.aborted,
+        begin: () => finish(handle()),
+        refuse: (retryAfterMs) => {
+          const { retryAllowance: unusedAllowance } = call.context;
+          const options = { retryAfterMs, unusedAllowance };
+          finish(Promise.resolve(
+            err(createRefusal(REASONS.overloadedInstance, options)),
+          ));
+        },
+        drop: () => {
+          this.#running.delete(call.callId);
+          memory.release();
+          resolve();
+        },
+      });
     });
-    this.#running.delete(call.callId);
-    await this.#reply(call.callId, result);
+  }
+
+  async #finish(
+    { callId }: CallMessage,
+    pending: Promise<CallResult>,
+    memory: HeldMemory,
+  ): Promise<void> {
+    const result = await pending;
+    this.#running.delete(callId);
+    await this.#reply(callId, result);
     memory.release();
   }
 
