time: timers that are late run after what has arrived has been read

Callers saw: 504 in place of answers that had arrived while the daemon was not run, and non-repeatable requests with an unknown outcome though it was there.

Change: timers of 250 ms and more that are 100 ms late or more wait for three polls.

--- a/src/time/coarse_timers.ts
+++ b/src/time/coarse_timers.ts
@@ -4,6 +4,10 @@
  * They are kept by the time slot in which they expire, and one timer of the
  * system serves the earliest slot. A timer of the system for each would cost
  * several lists and wake the process for timers that were cancelled long ago.
+ *
+ * After a pause of the process its timers run before its sockets are read, so
+ * that calls would time out whose replies have arrived. Timers that are late
+ * therefore wait until the sockets have been read.
  */
 
 /** Length of a slot, in milliseconds: the longest time by which a timer is late. */
@@ -12,6 +16,12 @@
 /** Shortest delay that may be late by a slot, in milliseconds: 1.6 % of it. */
 export const MIN_COARSE_DELAY_MS = 250;
 
+/** Delay of the earliest timer from which on the sockets are read first, in milliseconds. */
+const LATE_MS = 100;
+
+/** Polls in which sockets are read before late timers run; one poll reads a part of what has arrived on a connection. */
+const READ_POLLS = 3;
+
 type Slot = Set<() => void>;
 
 /** Schedules callbacks with the precision of a slot. */
@@ -66,6 +76,15 @@
   }
 
   #fire(): void {
+    const lateMs = performance.now() - this.#armedSlot * SLOT_MS;
+    if (lateMs >= LATE_MS) {
+      runAfterPolls(READ_POLLS, () => this.#runDue());
+    } else {
+      this.#runDue();
+    }
+  }
+
+  #runDue(): void {
     this.#timer = undefined;
     this.#armedSlot = Infinity;
     const dueSlot = Math.floor(performance.now() / SLOT_MS);
@@ -90,3 +109,9 @@
     }
   }
 }
+
+function runAfterPolls(polls: number, callback: () => void): void {
+  setImmediate(() =>
+    polls > 1 ? runAfterPolls(polls - 1, callback) : callback()
+  );
+}
