daemon: the schedule of a stop begins when the signal was sent, as far as known

Cause: the schedule of a stop began when SIGTERM was read. A daemon that is late reads it late and ends as much after its grace.

Change: the longest time for which the signal may have waited is deducted.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -240,11 +240,17 @@
   }
 
   async #stop(): Promise<void> {
-    const { clock, journal, log, settings, stop } = this.environment;
-    const schedule = createStopSchedule(clock.monotonicMs(), settings);
+    const { clock, eventLoop, journal, log, settings, stop } = this.environment;
+    // The grace began when the signal was sent, not when it is read.
+    const { lateReadMs } = eventLoop;
+    const toldAtMs = clock.monotonicMs() - lateReadMs;
+    const schedule = createStopSchedule(toldAtMs, settings);
     const requestsInProgress = this.#requests.count;
     journal.record(DECISIONS.leaving, { requestsInProgress });
-    log.info({ requestsInProgress }, "daemon-stopping");
+    log.info(
+      { requestsInProgress, lateMs: Math.round(lateReadMs) },
+      "daemon-stopping",
+    );
     this.#membership.updateSelf({ state: "leaving" });
     await drainRequests({
       ...{ environment: this.environment, requests: this.#requests },
--- a/src/event_loop/event_loop_watch.ts
+++ b/src/event_loop/event_loop_watch.ts
@@ -116,6 +116,12 @@
       : 0;
   }
 
+  /** Time that counts for something that is read now, in milliseconds: the longest for which it may have waited, or 0 if that is no longer than without a delay. */
+  get lateReadMs(): number {
+    const { maxUnreadMs } = this;
+    return maxUnreadMs < LATE_READ_MS ? 0 : maxUnreadMs;
+  }
+
   /** Returns the longest delay of a tick since the last call, in milliseconds. */
   takeMaxDelayMs(): number {
     const delayMs = this.#maxDelayMs;
--- a/src/event_loop/event_loop_watch_test.ts
+++ b/src/event_loop/event_loop_watch_test.ts
@@ -33,6 +33,7 @@
     clock.advance(7);
     assert.ok(watch.maxUnreadMs <= 2 * TICK_MS);
     assert.ok(watch.maxUnreadMs < LATE_READ_MS);
+    assert.is(watch.lateReadMs, 0);
   }
   watch.stop();
   assert.is(delays.length, 0);
@@ -44,6 +45,7 @@
   clock.advance(500);
   clock.heldMs = 2_000;
   assert.ok(watch.maxUnreadMs >= 2_000);
+  assert.ok(watch.lateReadMs >= 2_000);
   clock.advance(TICK_MS);
   assert.ok(watch.maxUnreadMs >= 2_000);
   clock.advance(TICK_MS);
