intake: deduct the delay of a request, not its whole bound; refused callers return in turn

What callers saw: nothing measured. Read in the code: a request that was read 60 ms late lost 160 ms of its time limit, as the bound of its age has 100 ms without any delay; and callers that were refused in one turn got one time to return, so that they would have come back together.

Change: the usual 100 ms are not deducted, and each further refused caller returns after the time that one request takes.

--- a/src/event_loop/event_loop_watch.ts
+++ b/src/event_loop/event_loop_watch.ts
@@ -15,7 +15,10 @@
 /** Interval of the ticks, in milliseconds. */
 export const TICK_MS = 50;
 
-/** Age from which on what is read counts as late, in milliseconds; two intervals pass without any delay. */
+/** Longest age of what is read without any delay, in milliseconds. */
+export const USUAL_UNREAD_MS = 2 * TICK_MS;
+
+/** Age from which on what is read counts as late, in milliseconds. */
 export const LATE_READ_MS = 150;
 
 /** Delay of a tick from which on it is reported, in milliseconds. */
--- a/src/intake/request_intake.ts
+++ b/src/intake/request_intake.ts
@@ -9,7 +9,7 @@
  * time are refused while their callers can still return.
  */
 
-import { LATE_READ_MS } from "../event_loop/mod.ts";
+import { LATE_READ_MS, USUAL_UNREAD_MS } from "../event_loop/mod.ts";
 import type { EventLoopWatch } from "../event_loop/mod.ts";
 import type { DaemonMetrics } from "../telemetry/mod.ts";
 import type { Clock } from "../time/mod.ts";
@@ -121,9 +121,10 @@
     this.#read.push({
       request,
       readAtMs,
-      unreadMs: unreadMs < LATE_READ_MS
-        ? 0
-        : Math.min(unreadMs, request.timeLimitMs * MAX_UNREAD_RATIO),
+      unreadMs: unreadMs < LATE_READ_MS ? 0 : Math.min(
+        unreadMs - USUAL_UNREAD_MS,
+        request.timeLimitMs * MAX_UNREAD_RATIO,
+      ),
       rank: request.findRank(),
       expiresAtMs: readAtMs + maxWaitMs,
     });
@@ -169,16 +170,16 @@
     const ended = this.#waiting.takeAll(({ request, expiresAtMs }) =>
       expiresAtMs <= nowMs || request.isAbandoned()
     );
-    const retryAfterMs = Math.max(
-      MIN_RETRY_AFTER_MS,
-      this.#waiting.count * this.#averageBeginMs,
-    );
+    let aheadCount = this.#waiting.count;
     for (const { request } of ended) {
       if (request.isAbandoned()) {
         this.#drop(request);
       } else {
         this.#count("refused");
-        request.refuse(retryAfterMs);
+        // Callers return one after the other, after what waits now.
+        const backlogMs = aheadCount * this.#averageBeginMs;
+        request.refuse(MIN_RETRY_AFTER_MS + backlogMs);
+        aheadCount += 1;
       }
     }
   }
