intake: names, and less work while connections are accepted

Overdue requests are ended once a turn, not at each poll; an exception while a request that had waited is begun fails that request only, as before. The queue of connections is named as such.

--- a/src/event_loop/event_loop_watch.ts
+++ b/src/event_loop/event_loop_watch.ts
@@ -73,7 +73,7 @@
     requestsAbandoned: 0,
   };
   /** Queue of connections of callers. */
-  readonly accepts: AcceptWatch;
+  readonly acceptQueue: AcceptWatch;
   readonly #clock: Clock;
   readonly #readProcessorMs: () => number;
   readonly #collections = new CollectionTimer();
@@ -88,7 +88,7 @@
   #report: (delay: LoopDelay) => void = () => undefined;
 
   constructor({ clock, readProcessorMs = readUsage }: EventLoopWatchOptions) {
-    this.accepts = new AcceptWatch({ clock });
+    this.acceptQueue = new AcceptWatch({ clock });
     this.#clock = clock;
     this.#readProcessorMs = readProcessorMs;
     this.#tickAtMs = clock.monotonicMs();
--- a/src/intake/request_intake.ts
+++ b/src/intake/request_intake.ts
@@ -140,17 +140,17 @@
     this.#unchecked.forEach((waiting) => this.#waiting.add(waiting));
     this.#unchecked = this.#read;
     this.#read = [];
-    this.#endOverdue();
     if (this.waitingCount === 0) {
       this.#isActive = false;
       return;
     }
-    const count = Math.min(this.#waiting.count, MAX_REQUESTS_PER_TURN);
-    if (count === 0 || this.#shouldAccept()) {
+    if (this.#waiting.count === 0 || this.#shouldAccept()) {
       this.#afterPoll(() => this.#advance());
       return;
     }
+    this.#endOverdue();
     this.#begunInTurn = 0;
+    const count = Math.min(this.#waiting.count, MAX_REQUESTS_PER_TURN);
     // Each has a callback of its own, so that what it begins is done before the next one.
     for (let index = 0; index < count; index += 1) {
       this.#afterPoll(() => this.#beginNext());
@@ -161,10 +161,11 @@
   /** Whether connections are accepted before the next turn, one in each turn of the loop, so that what waits there is known. */
   #shouldAccept(): boolean {
     const { clock, eventLoop } = this.#options;
-    return eventLoop.accepts.isBusy &&
+    return eventLoop.acceptQueue.isBusy &&
       clock.monotonicMs() - this.#turnEndedAtMs < MAX_ACCEPT_MS;
   }
 
+  /** Ends the requests that have waited too long or whose callers have left. */
   #endOverdue(): void {
     const nowMs = this.#options.clock.monotonicMs();
     const ended = this.#waiting.takeAll(({ request, expiresAtMs }) =>
--- a/src/intake/request_intake_test.ts
+++ b/src/intake/request_intake_test.ts
@@ -15,7 +15,7 @@
 /** An intake whose event loop is advanced by hand. */
 class IntakeFixture {
   readonly clock = new ManualClock();
-  readonly eventLoop = { maxUnreadMs: 0, accepts: { isBusy: false } };
+  readonly eventLoop = { maxUnreadMs: 0, acceptQueue: { isBusy: false } };
   /** What happened, oldest first. */
   readonly events: string[] = [];
   readonly waits = new Map<string, number>();
@@ -166,7 +166,7 @@
 test("while connections wait to be accepted, they are accepted for a bounded time first", () => {
   const fixture = new IntakeFixture();
   fixture.eventLoop.maxUnreadMs = LATE_MS;
-  fixture.eventLoop.accepts.isBusy = true;
+  fixture.eventLoop.acceptQueue.isBusy = true;
   fixture.submit("first");
   for (let poll = 0; poll < 10; poll += 1) {
     fixture.poll();
