telemetry: runs that serve nobody, and why entries refuse

What operators saw: entry-refusal named the service that a request goes to, also where another one was overloaded, and nothing counted the runs that failed because a nested call of theirs was refused.

Change: celeryhollow_unfinished_runs_total counts such runs by class, own service and the service of the failed call; entry-refusal names the service that asks for the ratio, the request and the source (load-signal or outcomes); 'explain refusals' lists what entries refuse, and because of what.

--- a/src/admission/throttled_entry_admission.ts
+++ b/src/admission/throttled_entry_admission.ts
@@ -50,6 +50,12 @@
 const MAX_RELAYED = 6;
 const MAX_RELAYED_PER_SERVICE = 2;
 
+/** What the admit ratio of a refused request follows from, as the journal names it. */
+const RATIO_SOURCES = {
+  loadSignal: "load-signal",
+  outcomes: "outcomes",
+} as const;
+
 /** Dependencies of the entry admission. */
 export interface ThrottledEntryOptions {
   readonly clock: Clock;
@@ -75,6 +81,8 @@
   readonly ratio: number;
   /** Admit ratio of all accounts together. */
   readonly kindRatio: number;
+  /** Service whose load signals ask for the ratio; undefined if it follows from the outcomes of requests. */
+  readonly signalingService: string | undefined;
 }
 
 /** Admits requests by the share of their kind that was recently served. */
@@ -116,7 +124,12 @@
       : kindRatio;
     if (ratio < 1 && random.nextFloat() >= ratio) {
       return err(
-        this.#refuse(request, { requestId, member, ratio, kindRatio }),
+        this.#refuse(request, {
+          ...{ requestId, member, ratio, kindRatio },
+          signalingService: mark && mark.ratio <= throttleRatio
+            ? mark.service
+            : undefined,
+        }),
       );
     }
     throttle.recordStart();
@@ -181,10 +194,11 @@
 
   /** Suggests a longer retry delay the lower the admit ratio is, with jitter. */
   #refuse(
-    { className, service }: CompiledRequest,
-    { requestId, member, ratio, kindRatio }: RefusalOptions,
+    { className, name, service: ownService }: CompiledRequest,
+    { requestId, member, ratio, kindRatio, signalingService }: RefusalOptions,
   ): Refusal {
     const { journal, metrics, random } = this.#options;
+    const service = signalingService ?? ownService;
     const meanMs = Math.min(
       MAX_RETRY_AFTER_MS,
       MIN_MEAN_RETRY_AFTER_MS / ratio,
@@ -196,6 +210,10 @@
     }
     journal.record(DECISIONS.entryRefusal, {
       service,
+      source: signalingService === undefined
+        ? RATIO_SOURCES.outcomes
+        : RATIO_SOURCES.loadSignal,
+      request: name,
       class: className,
       admitRatio: Number(ratio.toFixed(3)),
       ...member !== "" &&
--- a/src/admission/throttled_entry_admission_test.ts
+++ b/src/admission/throttled_entry_admission_test.ts
@@ -301,6 +301,36 @@
   assert.ok(refused.other > 1_000, `${refused.other}`);
 });
 
+// Operators took the service that requests go to for the one that is overloaded.
+test("the journal names the service that asks for a refusal, or that it follows from outcomes", () => {
+  const clock = new ManualClock();
+  const journal = new DecisionJournal(clock);
+  const admission = new ThrottledEntryAdmission({
+    ...{ clock, journal, metrics: new DaemonMetrics() },
+    ...{ random: new RandomSource(4), readLowestRank: () => 2 },
+    hasAccounts: () => true,
+  });
+  const refuse = (path: string[]) => {
+    const request = { ...createRequest("rounds", 2), service: "front", path };
+    for (let each = 0; each < 200; each += 1) {
+      const grant = admission.check({ request, member: "", requestId: "" });
+      if (grant.isOk()) {
+        const isServed = path.includes("deep");
+        admission.recordOutcome(request, { member: "", isServed });
+      }
+    }
+    return journal.list({ kind: "entry-refusal" }).at(-1)?.facts;
+  };
+  admission.observe([createSignal(1, [1_000, 1_000, 300])]);
+  const signaled = refuse(["front", "deep"]);
+  assert.is(signaled?.service, "deep");
+  assert.is(signaled?.source, "load-signal");
+  assert.is(signaled?.request, "rounds");
+  const learned = refuse(["front"]);
+  assert.is(learned?.service, "front");
+  assert.is(learned?.source, "outcomes");
+});
+
 function createSignal(instance: number, admitPermille: number[]) {
   return {
     ...{ service: "deep", inFlight: 20, queued: 9, limit: 20, instance },
--- a/src/cli/explain_command.ts
+++ b/src/cli/explain_command.ts
@@ -95,7 +95,8 @@
   #matchesSubject(entry: DaemonJournalEntry): boolean {
     switch (this.subject) {
       case SUBJECTS.refusals:
-        return entry.kind === DECISIONS.refusal;
+        return entry.kind === DECISIONS.refusal ||
+          entry.kind === DECISIONS.entryRefusal;
       case SUBJECTS.changes:
         return !REQUEST_DECISIONS.has(entry.kind);
       default:
@@ -128,12 +129,37 @@
 }
 
 function formatRefusals(entries: readonly DaemonJournalEntry[]): string {
+  const refusals = entries.filter(({ kind }) => kind === DECISIONS.refusal);
+  const atEntries = entries.filter(({ kind }) =>
+    kind === DECISIONS.entryRefusal
+  );
+  const tables = [
+    formatTable(
+      ["count", "reason", "class", "service"],
+      countByFacts(refusals, ["reason", "class", "service"]),
+    ),
+    ...atEntries.length > 0
+      ? [
+        formatTable(
+          ["refused at entries", "request", "class", "because of", "source"],
+          countByFacts(atEntries, ["request", "class", "service", "source"]),
+        ),
+      ]
+      : [],
+  ];
+  return tables.join("\n\n");
+}
+
+/** Counts the entries with the same facts; returns rows of the count and these facts, the highest count first. */
+function countByFacts(
+  entries: readonly DaemonJournalEntry[],
+  names: readonly string[],
+): string[][] {
   const counts = new Map<string, number>();
   for (const { facts } of entries) {
-    const key = [facts.reason, facts.class, facts.service].join("\t");
+    const key = names.map((name) => facts[name] ?? "").join("\t");
     counts.set(key, (counts.get(key) ?? 0) + 1);
   }
-  const rows = [...counts].sort(([, one], [, other]) => other - one)
+  return [...counts].sort(([, one], [, other]) => other - one)
     .map(([key, count]) => [String(count), ...key.split("\t")]);
-  return formatTable(["count", "reason", "class", "service"], rows);
 }
--- a/src/request/active_calls.ts
+++ b/src/request/active_calls.ts
@@ -25,8 +25,8 @@
   readonly allowance: RetryAllowance;
   /** Services that the call has already called. */
   readonly calledServices: Set<string>;
-  /** Whether a nested call has failed after its last attempt. */
-  hasNestedFailure: boolean;
+  /** Service of the first nested call that failed after its last attempt; undefined if none has. */
+  failedService: string | undefined;
   /** Results of the non-repeatable nested calls, by derived idempotency key. */
   readonly nestedCalls: Map<string, Promise<CallResult>>;
   /** Measures the time during which the call waits for nested calls. */
@@ -66,7 +66,7 @@
       signal,
       allowance: new RetryAllowance(context.retryAllowance),
       calledServices: new Set<string>(),
-      hasNestedFailure: false,
+      failedService: undefined,
       nestedCalls: new Map(),
       nestedCallTimer: new NestedCallTimer(this.#clock),
     };
--- a/src/request/run_call.ts
+++ b/src/request/run_call.ts
@@ -17,6 +17,7 @@
 import type { CallEnvironment } from "./call_environment.ts";
 import { collectLoads } from "./collect_loads.ts";
 import { findRefusalReason } from "./find_refusal_reason.ts";
+import { isErrorAnswer } from "./is_error_answer.ts";
 import { observeStatement } from "./observe_statement.ts";
 import { PEER_NOTES } from "./peer_notes.ts";
 import type { OutboundCall } from "./outbound_call.ts";
@@ -269,9 +270,19 @@
     controller.abort(reason);
   }
   const nestedMs = activeCall.nestedCallTimer.totalMs;
+  const { failedService } = activeCall;
+  if (
+    failedService !== undefined && (result.isErr() || isErrorAnswer(result))
+  ) {
+    environment.metrics.unfinishedRuns.inc({
+      class: context.className,
+      service: call.service,
+      failed_service: failedService,
+    });
+  }
   const unusedAllowance = activeCall.allowance.close();
   // A daemon that does not know of the crash yet would retry on another VM.
-  const isGivenUp = activeCall.hasNestedFailure ||
+  const isGivenUp = activeCall.failedService !== undefined ||
     (connectionBreak === "broken" && quarantine.deniesRetry(call));
   if (result.isErr()) {
     const failure = { ...result.error, unusedAllowance, isGivenUp };
--- a/src/request/serve_entry_call.ts
+++ b/src/request/serve_entry_call.ts
@@ -94,7 +94,9 @@
     ? err(downgradeRefusal(entry, call.error))
     : await sendCall(environment, call.value, { entry, joinKey });
   if (entry.parent) {
-    entry.parent.hasNestedFailure ||= result.isErr() || isErrorAnswer(result);
+    if (result.isErr() || isErrorAnswer(result)) {
+      entry.parent.failedService ??= entry.service;
+    }
   } else if (call.isOk() && result.isOk()) {
     const durationMs = environment.clock.monotonicMs() - startedAtMs;
     environment.stop.measure(call.value.context.requestName, durationMs);
--- a/src/request/serve_routed_call.ts
+++ b/src/request/serve_routed_call.ts
@@ -196,7 +196,9 @@
   parent.nestedCallTimer.stop();
   const { unusedAllowance } = result.isOk() ? result.value : result.error;
   parent.allowance.takeBack(call.context.retryAllowance, unusedAllowance);
-  parent.hasNestedFailure ||= result.isErr() || isErrorAnswer(result);
+  if (result.isErr() || isErrorAnswer(result)) {
+    parent.failedService ??= call.service;
+  }
   return result;
 }
 
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -206,6 +206,14 @@
     registers: [this.registry],
   });
 
+  /** Runs at this VM's backend server that failed because a call of theirs failed, by class, own service and the service that the call went to. */
+  readonly unfinishedRuns = new Counter({
+    name: "celeryhollow_unfinished_runs_total",
+    help: "Runs that served nobody because a call that they made failed",
+    labelNames: ["class", "service", "failed_service"] as const,
+    registers: [this.registry],
+  });
+
   /** Refusals of a client account because of its use of what the accounts of a class share, by class and stage (`entry` or `queue`). */
   readonly accountRefusals = new Counter({
     name: "celeryhollow_account_refusals_total",
@@ -294,7 +302,10 @@
 
   /** Bounds the services that counters name; called with those of each new configuration. */
   async retainServices(services: ReadonlySet<string>): Promise<void> {
-    await retainServices([this.attempts, this.entryRefusals], services);
+    await retainServices(
+      [this.attempts, this.entryRefusals, this.unfinishedRuns],
+      services,
+    );
   }
 
   /** Removes the values of an account that is no longer among the busiest. */
