admission: the demand of an instance is estimated above 1,280 calls a second

What callers saw: where an instance runs thousands of calls a second, entries admitted more than it carries, and trees of calls failed at their first call there.

Cause: demand was taken from the last 64 calls, over 50 ms at least, so that no more than 1,280 calls a second were ever seen. A saturated instance of 93 slots (2,160 calls a second) took 58 of its slots for needed and asked entries for everything; only the lateness of calls, bounded by 0.6, lowered its ratios.

Change: the window keeps calls until they are 50 ms old, however many they are.

--- a/src/admission/demand_window.ts
+++ b/src/admission/demand_window.ts
@@ -8,7 +8,7 @@
 
 import type { AdmissionMark } from "../generated/types.ts";
 
-/** Number of most recent arrivals in the window. */
+/** Number of most recent arrivals in the window; more while these span less than {@link MIN_SPAN_MS}. */
 const WINDOW_ARRIVALS = 64;
 
 /** Maximum age of an arrival in the window, in milliseconds. */
@@ -52,7 +52,10 @@
     const isLimitedHere = mark?.service === service;
     const arrivingCalls = isLimitedHere ? mark.otherRatio / mark.ratio : 1;
     this.#arrivals.push({ atMs, classRank, offeredCalls, arrivingCalls });
-    if (this.#arrivals.length > WINDOW_ARRIVALS) {
+    while (
+      this.#arrivals.length > WINDOW_ARRIVALS &&
+      atMs - (this.#arrivals[0]?.atMs ?? atMs) > MIN_SPAN_MS
+    ) {
       this.#arrivals.shift();
     }
   }
@@ -62,7 +65,7 @@
     this.#arrivals = this.#arrivals.filter(({ atMs }) =>
       nowMs - atMs < WINDOW_MS
     );
-    const isFull = this.#arrivals.length === WINDOW_ARRIVALS;
+    const isFull = this.#arrivals.length >= WINDOW_ARRIVALS;
     const spanMs = isFull
       ? Math.max(MIN_SPAN_MS, nowMs - (this.#arrivals[0]?.atMs ?? nowMs))
       : WINDOW_MS;
