admission: entries follow load signals with and without client accounts

What callers saw: on deployments without accounts, almost half of the runs above a scarce service failed because a call deep down was refused, and the least important kind was served far below its share of the capacity.

Cause: load signals at entries, the common order of trees at gates, and the lateness of nested calls were used only if the configuration has accounts. Entries without accounts learned from outcomes, and an entry sees too few of them.

Change: the three conditions are gone. What divides a class among accounts still starts with the first request of an account.

--- a/src/admission/admit_ratio_controller.ts
+++ b/src/admission/admit_ratio_controller.ts
@@ -56,8 +56,6 @@
   readonly reservedRatios: readonly number[];
   /** Share of the slots to allocate while calls get no slot in time; 1 otherwise. */
   readonly usableRatio?: number;
-  /** Whether a class of which no calls were seen lately is refused while more important ones take all slots; false by default. */
-  readonly refusesUnseen?: boolean;
 }
 
 /**
@@ -128,7 +126,6 @@
       slots: this.#computeEffectiveSlots(input, demands),
       holdTimesMs: input.holdTimesMs,
       reservedRatios: input.reservedRatios,
-      refusesUnseen: input.refusesUnseen,
     });
     return true;
   }
--- a/src/admission/admit_ratio_updater.ts
+++ b/src/admission/admit_ratio_updater.ts
@@ -56,7 +56,6 @@
       isIdle: () => this.idle.read(nowMs),
       reservedRatios,
       usableRatio: this.lateCalls.update(nowMs),
-      refusesUnseen: this.lateCalls.hasAccounts,
     });
     if (isUpdated) {
       refuseLate();
--- a/src/admission/compute_admit_ratios.ts
+++ b/src/admission/compute_admit_ratios.ts
@@ -15,8 +15,6 @@
   readonly holdTimesMs: readonly number[];
   /** Share of the slots reserved for each class, the most important first. */
   readonly reservedRatios: readonly number[];
-  /** Whether a class of which no calls were seen lately is refused while more important ones take all slots; false by default. */
-  readonly refusesUnseen?: boolean | undefined;
 }
 
 /** Shortfall below which a class counts as fully served despite rounding errors, in slots. */
@@ -40,7 +38,9 @@
 
 /**
  * Computes the admit ratio of each class. Every class first gets its reserved
- * slots; the remaining slots are allocated by importance.
+ * slots; the remaining slots are allocated by importance. A class of which no
+ * calls were seen lately is refused while more important ones take all slots,
+ * since it may be unseen because entries refuse it.
  *
  * @param demands - Demand of each class, the most important first
  * @param allocation - Slots, hold times and reservations
@@ -53,7 +53,7 @@
   demands: readonly ClassDemand[],
   allocation: SlotAllocation,
 ): number[] {
-  const { slots, holdTimesMs, reservedRatios, refusesUnseen } = allocation;
+  const { slots, holdTimesMs, reservedRatios } = allocation;
   const needed = demands.map(({ arrivingPerSecond }, rank) =>
     computeBusySlots(arrivingPerSecond, holdTimesMs[rank] ?? 1)
   );
@@ -66,7 +66,7 @@
     const rest = (needed[rank] ?? 0) - guaranteed;
     const isUnreserved = (reservedRatios[rank] ?? 0) === 0;
     const isUnseen = needed[rank] === 0 && isUnreserved;
-    if (refusesUnseen && isUnseen && free <= SLOT_EPSILON) {
+    if (isUnseen && free <= SLOT_EPSILON) {
       return MIN_ADMIT_RATIO;
     }
     const granted = Math.max(0, Math.min(rest, free));
--- a/src/admission/deep_chain_load_test.ts
+++ b/src/admission/deep_chain_load_test.ts
@@ -21,6 +21,7 @@
 function createRequest(name: string, classRank: number): CompiledRequest {
   return {
     ...{ name, classRank, className: name, service: "deep" },
+    path: [] as readonly string[],
   } as CompiledRequest;
 }
 
--- a/src/admission/late_call_meter.ts
+++ b/src/admission/late_call_meter.ts
@@ -3,9 +3,7 @@
  *
  * Calls that expire shorten the queue, so that its length alone shows no
  * overload, while trees of several calls fail after most of them have run. Only
- * nested calls count, since refusing the first call of a request wastes no work,
- * and only those of client accounts, since only with accounts do entries on the
- * users' platform follow the admit ratios.
+ * nested calls count, since refusing the first call of a request wastes no work.
  */
 
 import type { Waiter } from "./waiting_queue.ts";
@@ -36,22 +34,15 @@
   #late = 0;
   #factor = 1;
   #updatedAtMs = 0;
-  #hasAccounts = false;
-
-  /** Whether calls of accounts have waited here. */
-  get hasAccounts(): boolean {
-    return this.#hasAccounts;
-  }
 
   /** Records a call that starts to wait. */
-  recordArrival(waiter: Waiter): void {
-    this.#hasAccounts ||= waiter.member !== "";
-    this.#arrivals += Number(isCounted(waiter));
+  recordArrival({ isNested }: Waiter): void {
+    this.#arrivals += Number(isNested);
   }
 
   /** Records a waiting call that got no slot in time. */
-  recordLate(waiter: Waiter): void {
-    this.#late += Number(isCounted(waiter));
+  recordLate({ isNested }: Waiter): void {
+    this.#late += Number(isNested);
   }
 
   /** Computes the factor for the capacity that entries may use, at most 1. */
@@ -73,7 +64,3 @@
     return this.#factor;
   }
 }
-
-function isCounted({ isNested, member }: Waiter): boolean {
-  return isNested && member !== "";
-}
--- a/src/admission/throttled_entry_admission.ts
+++ b/src/admission/throttled_entry_admission.ts
@@ -1,5 +1,9 @@
 /**
- * Entry admission by adaptive throttling of each kind of request.
+ * Entry admission by adaptive throttling of each kind of request, and by the
+ * load signals of the services that it reaches.
+ *
+ * An entry that sees few requests learns little from their outcomes, and only
+ * after trees of calls have failed deep down; the signals tell it before.
  *
  * More important kinds get a larger headroom, so they are refused last and use
  * the capacity that the others leave.
@@ -64,14 +68,14 @@
   readonly metrics: DaemonMetrics;
   /** Rank of the least important class. */
   readonly readLowestRank: () => number;
-  /** Whether the configuration has client accounts; without them, load signals are neither used nor relayed. If not set, accounts are told apart without the signals. */
-  readonly hasAccounts?: (() => boolean) | undefined;
 }
 
 interface ThrottledKind {
   readonly throttle: AdaptiveThrottle;
-  /** Undefined if there are too many kinds to count accounts for each. */
-  readonly accounts: AccountDemand | undefined;
+  /** Whether its accounts may be counted; false if there are too many kinds. */
+  readonly isDivided: boolean;
+  /** Undefined until a request of an account arrives. */
+  accounts: AccountDemand | undefined;
 }
 
 interface RefusalOptions {
@@ -100,17 +104,20 @@
   override check(
     { request, requestId, member }: EntryRequest,
   ): Result<EntryGrant, Refusal> {
-    const { hasAccounts, random, readLowestRank } = this.#options;
-    const { throttle, accounts } = this.#findOrCreateKind(request);
+    const { random, readLowestRank } = this.#options;
+    const kind = this.#findOrCreateKind(request);
+    const { isDivided, throttle } = kind;
+    if (isDivided && member !== "") {
+      kind.accounts ??= new AccountDemand(this.#options.clock);
+    }
+    const { accounts } = kind;
     throttle.recordRequest();
     accounts?.recordRequest(member);
     const steps = Math.max(0, readLowestRank() - request.classRank);
     const headroom = MIN_HEADROOM * HEADROOM_FACTOR ** steps;
-    const mark = hasAccounts?.()
-      ? findPathMark(this.#signals, request, {
-        minOverloadedShare: MIN_OVERLOADED_SHARE,
-      })
-      : undefined;
+    const mark = findPathMark(this.#signals, request, {
+      minOverloadedShare: MIN_OVERLOADED_SHARE,
+    });
     const throttleRatio = accounts?.isShared
       ? throttle.computeArrivalAdmitRatio(headroom)
       : throttle.computeAdmitRatio(headroom);
@@ -158,22 +165,17 @@
   }
 
   override observe(loads: readonly LoadSignal[]): void {
-    if (this.#options.hasAccounts?.()) {
-      loads.forEach((signal) => this.#signals.observe(signal));
-    }
+    loads.forEach((signal) => this.#signals.observe(signal));
   }
 
   override listOverloadSignals(services: readonly string[]): LoadSignal[] {
-    return this.#options.hasAccounts?.()
-      ? this.#signals.listOverloadSignals(services, MAX_RELAYED_PER_SERVICE)
-        .slice(0, MAX_RELAYED)
-      : [];
+    return this.#signals.listOverloadSignals(services, MAX_RELAYED_PER_SERVICE)
+      .slice(0, MAX_RELAYED);
   }
 
   /** Finds the counts of a kind; accounts with a class of their own are counted apart, since they share with that class. */
   #findOrCreateKind({ name, className }: CompiledRequest): ThrottledKind {
-    const hasAccounts = this.#options.hasAccounts?.() ?? true;
-    const key = hasAccounts ? `${name} ${className}` : name;
+    const key = `${name} ${className}`;
     const known = this.#kinds.get(key);
     if (known) {
       return known;
@@ -181,12 +183,10 @@
     if (this.#kinds.size >= MAX_REQUEST_KINDS) {
       this.#kinds.clear();
     }
-    const { clock } = this.#options;
     const kind = {
-      throttle: new AdaptiveThrottle(clock),
-      accounts: hasAccounts && this.#kinds.size < MAX_DIVIDED_KINDS
-        ? new AccountDemand(clock)
-        : undefined,
+      throttle: new AdaptiveThrottle(this.#options.clock),
+      isDivided: this.#kinds.size < MAX_DIVIDED_KINDS,
+      accounts: undefined,
     };
     this.#kinds.set(key, kind);
     return kind;
--- a/src/admission/waiting_call.ts
+++ b/src/admission/waiting_call.ts
@@ -59,7 +59,7 @@
     isNested,
     isLastResort,
     elsewhereMs,
-    treeRank: isNested && member !== "" ? hashTree(requestId) : 0,
+    treeRank: isNested ? hashTree(requestId) : 0,
     arrivedAtMs: nowMs,
     expiresAtMs: nowMs + timeoutMs,
     settle: (result) => {
--- a/src/admission/waiting_queue.ts
+++ b/src/admission/waiting_queue.ts
@@ -15,7 +15,7 @@
   readonly isOverAllowance: boolean;
   /** Whether the call is nested, so that its chain has already done work elsewhere. */
   readonly isNested: boolean;
-  /** Rank of the request tree among the nested calls of an account; 0 without accounts. */
+  /** Rank of the request tree among the nested calls of an account, or of all callers without one. */
   readonly treeRank: number;
   /** Arrival time, in monotonic milliseconds. */
   readonly arrivedAtMs: number;
@@ -87,8 +87,7 @@
    * Finds the call that gets the next slot, among the classes that may run. The
    * most important class goes first. Within a class, nested calls go first, then
    * new chains. Within these, the account goes first that has used the least
-   * slot time, and of an account its nested calls by
-   * the rank of their tree, without accounts by expiry.
+   * slot time, and of an account its nested calls by the rank of their tree.
    *
    * @param options - Tie-breakers
    * @param mayRun - Whether a class may use a slot
--- a/src/daemon/create_daemon_components.ts
+++ b/src/daemon/create_daemon_components.ts
@@ -299,8 +299,6 @@
       entryAdmission: new ThrottledEntryAdmission({
         ...{ clock, random, journal, metrics },
         readLowestRank: () => (configuration.current?.classRanks.size ?? 1) - 1,
-        hasAccounts: () =>
-          configuration.current?.document.accounts !== undefined,
       }),
     },
     paths: new LearnedPaths(clock),
--- a/src/testing/create_tree_fleet.ts
+++ b/src/testing/create_tree_fleet.ts
@@ -25,8 +25,6 @@
   readonly clock: ManualClock;
   readonly seed: number;
   readonly entries: number;
-  /** Whether the configuration has client accounts; true by default. */
-  readonly hasAccounts?: boolean;
   readonly services: Readonly<Record<string, TreeService>>;
 }
 
@@ -43,7 +41,7 @@
  * const fleet = createTreeFleet({ clock, seed: 1, entries: 12, services: { front: { instances: 12, slots: 2 } } });
  */
 export function createTreeFleet(
-  { clock, seed, entries, services, hasAccounts = true }: TreeFleetOptions,
+  { clock, seed, entries, services }: TreeFleetOptions,
 ): TreeFleet {
   const metrics = new DaemonMetrics();
   const journal = new DecisionJournal(clock);
@@ -67,7 +65,6 @@
       (_, index) =>
         new ThrottledEntryAdmission({
           ...{ clock, journal, metrics, readLowestRank: () => CLASSES - 1 },
-          hasAccounts: () => hasAccounts,
           random: new RandomSource(seed * entries + index + 1),
         }),
     ),
