admission: an admit ratio rises no faster than it takes effect

What callers saw: in a lasting overload entries admitted everything for some hundred milliseconds, about once a second, and the trees of these requests failed.

Cause: while slots are idle, a service raises its admit ratios by 15 % every 50 ms. The requests that this admits reach a deep service only when the calls above have run, half a second later, when the ratio is four times too high.

Evidence: a trace of whole_trees_load_test.ts (trees alone, without accounts): ratio 0.37 to 0.85 and back within a second, growth up to 1.77, and the new test of admit_ratio_controller_test.ts, whose ratio went from 0.33 to 1 before a single request admitted at more than 0.33 had arrived.

Change: calls say at which ratio they were admitted, so the ratio waits while it is more than 1.2 times that of the calls that arrive.

--- a/src/admission/admit_ratio_controller.ts
+++ b/src/admission/admit_ratio_controller.ts
@@ -34,6 +34,9 @@
 /** Growth factor of the capacity per interval while slots are idle. */
 const IDLE_GROWTH = 1.15;
 
+/** Largest admit ratio relative to that of the arriving requests at which the capacity still grows; a higher one has not taken effect yet. */
+const MAX_PENDING_GROWTH = 1.2;
+
 /** Share of the accumulated growth that remains after an interval without idle slots. */
 const GROWTH_DECAY = 0.8;
 
@@ -159,6 +162,13 @@
     );
   }
 
+  /** Whether requests still arrive that entries admitted at lower ratios. Trees of calls take a while to get here, and growing meanwhile would admit far too many. */
+  get #hasPendingGrowth(): boolean {
+    return this.#demands.some(({ admittedRatio }, rank) =>
+      (this.#ratios[rank] ?? 1) > admittedRatio * MAX_PENDING_GROWTH
+    );
+  }
+
   #updateGrowth(
     input: AdmitRatioInput,
     { isIdle, intervals }: { isIdle: boolean; intervals: number },
@@ -167,6 +177,9 @@
       this.#growth = 1 + (this.#growth - 1) * GROWTH_DECAY ** intervals;
       return;
     }
+    if (this.#hasPendingGrowth) {
+      return;
+    }
     const neededSlots = this.#demands.reduce(
       (sum, { offeredPerSecond }, rank) =>
         sum + computeBusySlots(offeredPerSecond, input.holdTimesMs[rank] ?? 1),
--- a/src/admission/admit_ratio_controller_test.ts
+++ b/src/admission/admit_ratio_controller_test.ts
@@ -12,6 +12,7 @@
   return perSecond.map((each) => ({
     offeredPerSecond: each,
     arrivingPerSecond: each,
+    admittedRatio: 1,
   }));
 }
 
@@ -65,8 +66,8 @@
 
 test("does not limit a class again that another service already limits", () => {
   const demands = [
-    { offeredPerSecond: 400, arrivingPerSecond: 80 },
-    { offeredPerSecond: 20, arrivingPerSecond: 20 },
+    { offeredPerSecond: 400, arrivingPerSecond: 80, admittedRatio: 0.2 },
+    { offeredPerSecond: 20, arrivingPerSecond: 20, admittedRatio: 1 },
   ];
   const allocation = {
     slots: 2,
@@ -83,7 +84,9 @@
     window.record({ atMs, classRank: 0, service: "stock", mark });
   }
   const [demand] = window.estimate(2_560, 1);
-  assert.equal(demand, { offeredPerSecond: 100, arrivingPerSecond: 50 });
+  assert.equal(demand, {
+    ...{ offeredPerSecond: 100, arrivingPerSecond: 50, admittedRatio: 0.25 },
+  });
 });
 
 test("drops arrivals that are older than the window", () => {
@@ -126,4 +129,31 @@
   assert.is(shares.at(-1), 1);
 });
 
+// Trees of calls reach a deep service half a second after they were admitted; the ratio rose to 1 before that, and swung.
+test("raises the ratio only as far as requests that were admitted at it have arrived", () => {
+  const controller = new AdmitRatioController();
+  const update = (tick: number, admittedRatio: number) => {
+    controller.update(createInput({
+      demands: () =>
+        createDemands(300).map((each) => ({
+          ...each,
+          admittedRatio,
+        })),
+      ...{ nowMs: tick * 50, isIdle: () => tick > 0, queueDelayMs: 80 },
+    }));
+    return controller.lowestRatio;
+  };
+  const first = update(0, 1);
+  const waiting = Array.from(
+    { length: 20 },
+    (_, tick) => update(tick + 1, first),
+  );
+  assert.ok(Math.max(...waiting) < first * 1.4, waiting.join());
+  const applied = Array.from(
+    { length: 20 },
+    (_, tick) => update(tick + 21, controller.lowestRatio),
+  );
+  assert.is(applied.at(-1), 1);
+});
+
 test.run();
--- a/src/admission/demand_window.ts
+++ b/src/admission/demand_window.ts
@@ -25,6 +25,8 @@
   readonly offeredPerSecond: number;
   /** Requests per second that would arrive if only the other services of the path caused refusals. */
   readonly arrivingPerSecond: number;
+  /** Share of the offered requests that entries admitted, of those that arrived lately; 1 if none arrived. */
+  readonly admittedRatio: number;
 }
 
 interface Arrival {
@@ -76,9 +78,14 @@
       const sum = (read: (arrival: Arrival) => number) =>
         inClass.reduce((total, arrival) => total + read(arrival), 0) *
         MS_PER_SECOND / spanMs;
+      const offeredPerSecond = sum(({ offeredCalls }) => offeredCalls);
+      const admittedPerSecond = sum(() => 1);
       return {
-        offeredPerSecond: sum(({ offeredCalls }) => offeredCalls),
+        offeredPerSecond,
         arrivingPerSecond: sum(({ arrivingCalls }) => arrivingCalls),
+        admittedRatio: offeredPerSecond === 0
+          ? 1
+          : admittedPerSecond / offeredPerSecond,
       };
     });
   }
--- a/src/admission/late_call_meter_test.ts
+++ b/src/admission/late_call_meter_test.ts
@@ -53,8 +53,8 @@
 // A ratio of 1 for a class that was refused until none of it arrived admits a burst of it.
 test("a class without recent calls is refused while a more important one takes all slots", () => {
   const demands = [
-    { offeredPerSecond: 40, arrivingPerSecond: 40 },
-    { offeredPerSecond: 0, arrivingPerSecond: 0 },
+    { offeredPerSecond: 40, arrivingPerSecond: 40, admittedRatio: 1 },
+    { offeredPerSecond: 0, arrivingPerSecond: 0, admittedRatio: 1 },
   ];
   const computeUnseen = (slots: number, reservedRatio = 0) =>
     computeAdmitRatios(demands, {
--- a/src/admission/smooth_demands.ts
+++ b/src/admission/smooth_demands.ts
@@ -36,6 +36,7 @@
         previousDemand?.arrivingPerSecond,
         demand.arrivingPerSecond,
       ),
+      admittedRatio: demand.admittedRatio,
     };
   });
 }
