admission: services without overload signals cost an entry nothing

Entries now compute the admit ratio of each service of a path for each request, from up to 64 cached signals of each. While no signal below 1 was received within the retention time, the result is 1, so it is returned at once.

--- a/src/admission/load_signal_cache.ts
+++ b/src/admission/load_signal_cache.ts
@@ -89,6 +89,9 @@
     { minOverloadedShare = 0 }: AdmitRatioOptions = {},
   ): number {
     const nowMs = this.#clock.monotonicMs();
+    if (!this.#wasOverloaded(service, nowMs)) {
+      return 1;
+    }
     let demand = 0;
     let admitted = 0;
     let overloaded = 0;
@@ -120,16 +123,20 @@
   ): LoadSignal[] {
     const nowMs = this.#clock.monotonicMs();
     return services
-      .filter((service) => {
-        const cached = this.#services.get(service);
-        return cached && nowMs - cached.overloadedAtMs < RETENTION_MS;
-      })
+      .filter((service) => this.#wasOverloaded(service, nowMs))
       .flatMap((service) =>
         this.#listUnexpired(service).slice(-maxInstances)
           .map(({ signal }) => signal)
       );
   }
 
+  /** Whether an unexpired signal may ask for an admit ratio below 1. */
+  #wasOverloaded(service: string, nowMs: number): boolean {
+    const cached = this.#services.get(service);
+    return cached !== undefined &&
+      nowMs - cached.overloadedAtMs < RETENTION_MS;
+  }
+
   #findOrAddService(service: string): CachedService {
     const cached = this.#services.get(service) ??
       { instances: new Map(), overloadedAtMs: Number.NEGATIVE_INFINITY };
