admission: kinds of calls are told apart without accounts as well

What callers saw: without accounts, an instance that gets short nested calls and long direct ones ran fewer of them at a time than it has slots for.

Cause: the concurrency limit compares durations by class and kind of call, but all calls without an account counted as one kind, so that a mixture of short and long ones looked like a slowdown.

Change: the kind of a call does not depend on its account.

--- a/src/admission/fair_shares.ts
+++ b/src/admission/fair_shares.ts
@@ -14,7 +14,7 @@
 export interface OpenShare {
   readonly clock: FairClock;
   readonly share: AccountShare;
-  /** Number of the class and kind of call; 0 for all calls without accounts. */
+  /** Number of the class and kind of call. */
   readonly kind: number;
 }
 
@@ -28,6 +28,6 @@
     const index = 2 * rank + Number(context.depth > 0);
     const clock = this.#clocks[index] ??= new FairClock(nowMs);
     const share = clock.open(context.member, nowMs);
-    return { clock, share, kind: context.member === "" ? 0 : index };
+    return { clock, share, kind: index };
   }
 }
