--- a/src/admission/fair_shares_test.ts
+++ b/src/admission/fair_shares_test.ts
@@ -19,7 +19,11 @@
   const call = async (depth: number, durationMs: number) => {
     const permit = await gate.acquire({
       context: {
-        ...{ requestId: `${clock.monotonicMs()}.1`, requestName: "read", depth },
+        ...{
+          requestId: `${clock.monotonicMs()}.1`,
+          requestName: "read",
+          depth,
+        },
         ...{ className: "reads", member, tenant: "other", retryAllowance: 0 },
         ...{ remainingMs: 60_000, isRepeatable: true, isBulk: false },
       },
