admission: the demand of an instance is averaged over 300 ms

Cause: at a thousand calls a second, the last 64 calls span 50 ms. Requests come in bursts, so that the estimate swung between a third and twice the demand, and ratios between 0.03 and 1 every 100 ms. Since a ratio never exceeds 1, this noise lowers the mean ratio, and it reaches the trees of calls half a second later.

Change: the window spans at least 300 ms. So that a lasting overload of trees still wastes less than a tenth, ratios wait for their effect from 1.1 times, not 1.2.

--- a/src/admission/admit_ratio_controller.ts
+++ b/src/admission/admit_ratio_controller.ts
@@ -35,7 +35,7 @@
 const IDLE_GROWTH = 1.15;
 
 /** Largest admit ratio relative to that of the arriving requests at which the capacity still grows; a higher one has not taken effect yet. */
-const MAX_PENDING_GROWTH = 1.2;
+const MAX_PENDING_GROWTH = 1.1;
 
 /** Share of the accumulated growth that remains after an interval without idle slots. */
 const GROWTH_DECAY = 0.8;
--- a/src/admission/demand_window.ts
+++ b/src/admission/demand_window.ts
@@ -15,7 +15,7 @@
 const WINDOW_MS = 3_000;
 
 /** Shortest span for computing a rate, in milliseconds. */
-const MIN_SPAN_MS = 50;
+const MIN_SPAN_MS = 300;
 
 const MS_PER_SECOND = 1_000;
 
--- a/src/admission/demand_window_test.ts
+++ b/src/admission/demand_window_test.ts
@@ -40,6 +40,25 @@
   assert.ok(Math.abs((important?.arrivingPerSecond ?? 0) - 2) < 0.7);
 });
 
+// Callers come in bursts; entries refused up to nine of ten requests after each, though the queue was short.
+test("estimates the mean of demand that comes in bursts", () => {
+  const window = new DemandWindow();
+  const estimates: number[] = [];
+  for (let atMs = 0; atMs < 3_000; atMs += 1) {
+    // 1,333 calls a second, within the first 40 ms of each 120 ms.
+    for (let call = 0; atMs % 120 < 40 && call < 4; call += 1) {
+      window.record({
+        ...{ atMs, classRank: 0, service: "stock", mark: undefined },
+      });
+    }
+    if (atMs >= 1_000 && atMs % 50 === 0) {
+      estimates.push(window.estimate(atMs, 1)[0]?.offeredPerSecond ?? 0);
+    }
+  }
+  assert.ok(Math.max(...estimates) < 1_333 * 1.35, estimates.join());
+  assert.ok(Math.min(...estimates) > 1_333 * 0.65, estimates.join());
+});
+
 test("forgets the demand that has ended", () => {
   const window = new DemandWindow();
   for (let call = 0; call < 500; call += 1) {
