admission: nested calls go by tree only in a long queue

What callers saw: trees failed at a service that carried what it was asked.

Cause: nested calls were served by the rank of their tree in every queue. In a queue of 60 ms served by expiry all calls wait 60 ms and run. By tree, half of them do not wait, and those with the highest ranks wait until they expire.

Evidence: 'in a short queue, nested calls of an account go by expiry' (fair_admission_test.ts) fails with the order by tree in every queue.

Change: by tree if the queue delay is above half of the longest wait in a standing queue; the order decides ties otherwise.

--- a/src/admission/compute_queue_timeout_ms.ts
+++ b/src/admission/compute_queue_timeout_ms.ts
@@ -30,6 +30,19 @@
   readonly queuedForMs: number;
 }
 
+/**
+ * Computes the longest wait in a standing queue.
+ *
+ * @param holdMs - Expected slot hold time of a call, in milliseconds
+ * @returns The longest wait, in milliseconds
+ *
+ * @example
+ * computeStandingWaitMs(30); // 120
+ */
+export function computeStandingWaitMs(holdMs: number): number {
+  return Math.max(MIN_STANDING_WAIT_MS, holdMs * STANDING_WAIT_HOLDS);
+}
+
 /**
  * Computes how long a call may wait. A nested call may wait as long as it can
  * still finish before its deadline, the first call of a chain for a share of its
@@ -49,8 +62,7 @@
   const timeoutMs = isNested
     ? Math.max(0, remainingMs - holdMs)
     : Math.max(0, remainingMs) * NEW_CHAIN_WAIT_RATIO;
-  return queuedForMs <= STANDING_QUEUE_AFTER_MS ? timeoutMs : Math.min(
-    timeoutMs,
-    Math.max(MIN_STANDING_WAIT_MS, holdMs * STANDING_WAIT_HOLDS),
-  );
+  return queuedForMs <= STANDING_QUEUE_AFTER_MS
+    ? timeoutMs
+    : Math.min(timeoutMs, computeStandingWaitMs(holdMs));
 }
--- a/src/admission/fair_admission_test.ts
+++ b/src/admission/fair_admission_test.ts
@@ -161,4 +161,19 @@
   assert.equal(orders[0], orders[1]);
 });
 
+// Trees with high ranks expired in queues that all calls would have left in time.
+test("in a short queue, nested calls of an account go by expiry", async () => {
+  for (let tree = 0; tree < 20; tree += 1) {
+    const gate = createGate();
+    await gate.enter("a", { depth: 1 });
+    await gate.enter("a late", {
+      ...{ depth: 1, requestId: `${tree}.1`, timeLeftMs: 900 },
+    });
+    await gate.enter("a early", {
+      ...{ depth: 1, requestId: `${tree + 20}.1`, timeLeftMs: 600 },
+    });
+    assert.is(await gate.next(), "a early");
+  }
+});
+
 test.run();
--- a/src/admission/queue_estimator.ts
+++ b/src/admission/queue_estimator.ts
@@ -3,6 +3,7 @@
  * a slot in time.
  */
 
+import { computeStandingWaitMs } from "./compute_queue_timeout_ms.ts";
 import type { ConcurrencyLimit } from "./concurrency_limit.ts";
 import type { RequestPacer } from "./request_pacer.ts";
 import type { SlotTracker } from "./slot_tracker.ts";
@@ -18,6 +19,13 @@
 /** Queue delay above which the newest calls go first, in milliseconds. */
 const NEWEST_FIRST_DELAY_MS = 100;
 
+/**
+ * Queue delay from which nested calls go by tree, as a share of the longest wait in
+ * a standing queue. With less, serving them by expiry serves them all, while the
+ * trees with the highest ranks would wait until they expire.
+ */
+const BY_TREE_DELAY_RATIO = 0.5;
+
 /** What the waits are estimated from. */
 export interface QueueEstimatorOptions {
   readonly queue: WaitingQueue<WaitingCall>;
@@ -62,17 +70,20 @@
 
   /** Order in which waiting calls get slots now. */
   get order(): OrderOptions {
+    const { holdMs } = this.#options.slots;
     return {
-      holdMs: this.#options.slots.holdMs,
+      holdMs,
+      isByTree: this.delayMs >
+        BY_TREE_DELAY_RATIO * computeStandingWaitMs(holdMs),
       isNewestFirst: this.delayMs > NEWEST_FIRST_DELAY_MS,
     };
   }
 
   /** Whether a call that arrives now is likely to get a slot before it expires. */
   canRunInTime(waiter: WaitingCall, nowMs: number): boolean {
-    const { queue, slots } = this.#options;
+    const { queue } = this.#options;
     const remainingMs = waiter.expiresAtMs - nowMs;
-    const ahead = queue.countAhead(waiter, slots.holdMs);
+    const ahead = queue.countAhead(waiter, this.order);
     const delayMs = (ahead + 1) * this.msPerCall;
     return delayMs <= remainingMs * MAX_ENQUEUE_DELAY_RATIO;
   }
--- a/src/admission/waiting_queue.ts
+++ b/src/admission/waiting_queue.ts
@@ -29,6 +29,8 @@
   readonly holdMs: number;
   /** Whether new chains of a class are served in LIFO instead of FIFO order. */
   readonly isNewestFirst: boolean;
+  /** Whether nested calls are served by the rank of their tree instead of by expiry. */
+  readonly isByTree: boolean;
 }
 
 /** Waiting calls, ordered when one is chosen. */
@@ -54,7 +56,10 @@
    * Counts the waiting calls that get a slot before a call that arrives now. Of
    * another account, only those count that fair sharing puts before it.
    */
-  countAhead(waiter: Waiter, holdMs: number): number {
+  countAhead(
+    waiter: Waiter,
+    { holdMs, isByTree }: Pick<OrderOptions, "holdMs" | "isByTree">,
+  ): number {
     let ahead = 0;
     let others: Map<OpenShare["share"], number> | undefined;
     let own = 0;
@@ -63,7 +68,9 @@
       if (difference !== 0) {
         ahead += Number(difference < 0);
       } else if (other.open.share === waiter.open.share) {
-        own += Number(!other.isNested || compareNested(other, waiter) <= 0);
+        own += Number(
+          !other.isNested || compareNested(other, waiter, isByTree) <= 0,
+        );
       } else {
         const { share } = other.open;
         others ??= new Map();
@@ -87,7 +94,8 @@
    * Finds the call that gets the next slot, among the classes that may run. The
    * most important class goes first. Within a class, nested calls go first, then
    * new chains. Within these, the account goes first that has used the least
-   * slot time, and of an account its nested calls by the rank of their tree.
+   * slot time, and of an account its nested calls by expiry, or in a long queue
+   * by the rank of their tree.
    *
    * @param options - Tie-breakers
    * @param mayRun - Whether a class may use a slot
@@ -188,15 +196,21 @@
 function compareWithinAccount(
   one: Waiter,
   other: Waiter,
-  { isNewestFirst }: OrderOptions,
+  { isByTree, isNewestFirst }: OrderOptions,
 ): number {
   if (one.isNested) {
-    return compareNested(one, other);
+    return compareNested(one, other, isByTree);
   }
   const differenceMs = one.arrivedAtMs - other.arrivedAtMs;
   return isNewestFirst ? -differenceMs : differenceMs;
 }
 
-function compareNested(one: Waiter, other: Waiter): number {
-  return one.treeRank - other.treeRank || one.expiresAtMs - other.expiresAtMs;
+function compareNested(
+  one: Waiter,
+  other: Waiter,
+  isByTree: boolean,
+): number {
+  const ranks = one.treeRank - other.treeRank;
+  const expiryMs = one.expiresAtMs - other.expiresAtMs;
+  return isByTree ? ranks || expiryMs : expiryMs || ranks;
 }
--- a/src/admission/waiting_queue_test.ts
+++ b/src/admission/waiting_queue_test.ts
@@ -3,24 +3,36 @@
 import { RandomSource } from "../time/mod.ts";
 import { FairClock } from "./fair_clock.ts";
 import { WaitingQueue } from "./waiting_queue.ts";
-import type { Waiter } from "./waiting_queue.ts";
+import type { OrderOptions, Waiter } from "./waiting_queue.ts";
 
 const HOLD_MS = 20;
 
-/** Whether one of two nested calls of a class goes first: that of the tree with the lower rank, and of a tree the one that expires first. */
-function precedesAsNested(one: Waiter, other: Waiter): boolean {
-  return one.treeRank === other.treeRank
-    ? one.expiresAtMs < other.expiresAtMs
-    : one.treeRank < other.treeRank;
+/** Whether one of two nested calls of a class goes first: by the rank of their tree and then by expiry, or the other way round. */
+function precedesAsNested(
+  one: Waiter,
+  other: Waiter,
+  isByTree: boolean,
+): boolean {
+  const isEarlier = one.expiresAtMs < other.expiresAtMs;
+  const isLower = one.treeRank < other.treeRank;
+  if (isByTree) {
+    return one.treeRank === other.treeRank ? isEarlier : isLower;
+  }
+  return one.expiresAtMs === other.expiresAtMs ? isLower : isEarlier;
 }
 
 /** The order without accounts. */
-function precedes(one: Waiter, other: Waiter, isNewestFirst: boolean): boolean {
+function precedes(
+  one: Waiter,
+  other: Waiter,
+  { isByTree, isNewestFirst }: OrderOptions,
+): boolean {
   if (one.classRank !== other.classRank) {
     return one.classRank < other.classRank;
   }
   if (one.isNested || other.isNested) {
-    return one.isNested && (!other.isNested || precedesAsNested(one, other));
+    return one.isNested &&
+      (!other.isNested || precedesAsNested(one, other, isByTree));
   }
   return isNewestFirst
     ? one.arrivedAtMs > other.arrivedAtMs
@@ -28,14 +40,18 @@
 }
 
 /** The count without accounts: new chains of the same class all go first. */
-function precedesOnArrival(one: Waiter, other: Waiter): boolean {
+function precedesOnArrival(
+  one: Waiter,
+  other: Waiter,
+  isByTree: boolean,
+): boolean {
   if (one.classRank !== other.classRank) {
     return one.classRank < other.classRank;
   }
   if (one.isNested !== other.isNested) {
     return one.isNested;
   }
-  return !one.isNested || !precedesAsNested(other, one);
+  return !one.isNested || !precedesAsNested(other, one, isByTree);
 }
 
 function createWaiters(random: RandomSource, count: number): Waiter[] {
@@ -65,23 +81,26 @@
     const queue = new WaitingQueue<Waiter>();
     const waiters = createWaiters(random, 2 + random.nextInteger(30));
     const isNewestFirst = round % 2 === 0;
-    const options = { holdMs: HOLD_MS, isNewestFirst };
+    const isByTree = round % 4 > 1;
+    const options = { holdMs: HOLD_MS, isByTree, isNewestFirst };
     waiters.slice(1).forEach((waiter) => queue.add(waiter));
     const [arriving, ...others] = waiters;
     const expected = [...others].sort((one, other) =>
-      precedes(one, other, isNewestFirst) ? -1 : 1
+      precedes(one, other, options) ? -1 : 1
     );
     assert.equal(
       queue.listInOrder(options).map((waiter) => others.indexOf(waiter)),
       expected.map((waiter) => others.indexOf(waiter)),
     );
     const first = others.reduce((best, waiter) =>
-      precedes(waiter, best, isNewestFirst) ? waiter : best
+      precedes(waiter, best, options) ? waiter : best
     );
     assert.is(queue.findNext(options, () => true), first);
     if (arriving) {
-      const ahead = others.filter((each) => precedesOnArrival(each, arriving));
-      assert.is(queue.countAhead(arriving, HOLD_MS), ahead.length);
+      const ahead = others.filter((each) =>
+        precedesOnArrival(each, arriving, isByTree)
+      );
+      assert.is(queue.countAhead(arriving, options), ahead.length);
     }
   }
 });
