telemetry: a metric names only services of the configuration

celeryhollow_unfinished_runs_total took the service of a failed nested call from the address that the backend server called, which may name anything. Calls that were refused before their service was known count as 'none'.

--- a/src/request/serve_entry_call.ts
+++ b/src/request/serve_entry_call.ts
@@ -95,7 +95,8 @@
     : await sendCall(environment, call.value, { entry, joinKey });
   if (entry.parent) {
     if (result.isErr() || isErrorAnswer(result)) {
-      entry.parent.failedService ??= entry.service;
+      // The backend server may have named a service that does not exist.
+      entry.parent.failedService ??= call.isOk() ? call.value.service : "none";
     }
   } else if (call.isOk() && result.isOk()) {
     const durationMs = environment.clock.monotonicMs() - startedAtMs;
