--- a/src/admission/demand_window.ts
+++ b/src/admission/demand_window.ts
@@ -71,22 +71,22 @@
     const spanMs = isFull
       ? Math.max(MIN_SPAN_MS, nowMs - (this.#arrivals[0]?.atMs ?? nowMs))
       : WINDOW_MS;
-    return Array.from({ length: classCount }, (_, rank) => {
-      const inClass = this.#arrivals.filter(({ classRank }) =>
-        Math.min(classRank, classCount - 1) === rank
-      );
-      const sum = (read: (arrival: Arrival) => number) =>
-        inClass.reduce((total, arrival) => total + read(arrival), 0) *
-        MS_PER_SECOND / spanMs;
-      const offeredPerSecond = sum(({ offeredCalls }) => offeredCalls);
-      const admittedPerSecond = sum(() => 1);
-      return {
-        offeredPerSecond,
-        arrivingPerSecond: sum(({ arrivingCalls }) => arrivingCalls),
-        admittedRatio: offeredPerSecond === 0
-          ? 1
-          : admittedPerSecond / offeredPerSecond,
-      };
-    });
+    const sums = Array.from(
+      { length: classCount },
+      () => ({ offered: 0, arriving: 0, admitted: 0 }),
+    );
+    for (const { classRank, offeredCalls, arrivingCalls } of this.#arrivals) {
+      const sum = sums[Math.min(classRank, classCount - 1)];
+      if (sum) {
+        sum.offered += offeredCalls;
+        sum.arriving += arrivingCalls;
+        sum.admitted += 1;
+      }
+    }
+    return sums.map(({ offered, arriving, admitted }) => ({
+      offeredPerSecond: offered * MS_PER_SECOND / spanMs,
+      arrivingPerSecond: arriving * MS_PER_SECOND / spanMs,
+      admittedRatio: offered === 0 ? 1 : admitted / offered,
+    }));
   }
 }
