intake: one read of a connection begins eight requests at once

Cause: the connection between two daemons brings up to a hundred calls in one read. The daemon is not late yet when it reads them, so all were begun, half a second of work at a tenth of a processor, before the cancellations behind them were read. Of some 120 requests that reached the instance in five bursts, 8 were answered.

Change: of the requests of one read, eight begin at once. The others wait for their turn as those of a late event loop do: after one more poll, nested calls first, then by class, the newest first, and the cancelled ones are dropped.

The new unit test failed before (20 of 20 begun at once).

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -188,8 +188,8 @@
   #admitCall(call: CallMessage, arrived: ArrivedCall): void {
     const { configuration, intake, peerServices } = this.environment;
     if (
-      intake.isOpen() || call.purpose !== "run" ||
-      peerServices.find(call.service)
+      call.purpose !== "run" || peerServices.find(call.service) ||
+      intake.tryBegin()
     ) {
       arrived.begin();
       return;
--- a/src/intake/request_intake.ts
+++ b/src/intake/request_intake.ts
@@ -25,6 +25,9 @@
 /** Most requests that are begun before the loop reads again. */
 const MAX_REQUESTS_PER_TURN = 64;
 
+/** Most requests of one read of a connection that begin at once. A read with more brings a backlog, of which some may have been cancelled in the next one. */
+const MAX_REQUESTS_PER_READ = 8;
+
 /** Longest wait to be begun, in milliseconds, and the share of its time that a request may spend on it. */
 const MAX_WAIT_MS = 750;
 const WAIT_RATIO = 0.25;
@@ -83,6 +86,8 @@
   #turnStartedAtMs = 0;
   #turnEndedAtMs = 0;
   #begunInTurn = 0;
+  /** Requests of the current read that have begun at once. */
+  #begunInRead = 0;
   #averageBeginMs = 1;
 
   constructor(options: RequestIntakeOptions) {
@@ -96,9 +101,20 @@
     return this.#read.length + this.#unchecked.length + this.#waiting.count;
   }
 
-  /** Whether a request that is read now may begin at once. */
-  isOpen(unreadMs = this.#options.eventLoop.maxUnreadMs): boolean {
-    return unreadMs < LATE_READ_MS && this.waitingCount === 0;
+  /** Whether a request that is read now may begin at once; if so, it counts as begun. */
+  tryBegin(unreadMs = this.#options.eventLoop.maxUnreadMs): boolean {
+    if (
+      unreadMs >= LATE_READ_MS || this.waitingCount > 0 ||
+      this.#begunInRead >= MAX_REQUESTS_PER_READ
+    ) {
+      return false;
+    }
+    if (this.#begunInRead === 0) {
+      // Runs once all requests of the read have been handled.
+      queueMicrotask(() => this.#begunInRead = 0);
+    }
+    this.#begunInRead += 1;
+    return true;
   }
 
   /**
@@ -112,7 +128,7 @@
     request: IntakeRequest,
     unreadMs = this.#options.eventLoop.maxUnreadMs,
   ): void {
-    if (this.isOpen(unreadMs)) {
+    if (this.tryBegin(unreadMs)) {
       request.begin(0);
       return;
     }
--- a/src/intake/request_intake_test.ts
+++ b/src/intake/request_intake_test.ts
@@ -163,6 +163,24 @@
   assert.is(fixture.intake.waitingCount, 0);
 });
 
+// Guards against a read with many calls that are all begun before the cancellations behind them are read.
+test("of the requests of one read a few begin at once, and the others once the sockets have been polled again", async () => {
+  const fixture = new IntakeFixture();
+  const callers = Array.from(
+    { length: 20 },
+    (_, index) => fixture.submit(`request${index}`),
+  );
+  assert.is(fixture.events.length, 8);
+  callers[19]?.leave();
+  fixture.pollAll();
+  assert.is(fixture.events.length, 20);
+  assert.ok(fixture.events.includes("request19 dropped"));
+  // The next read may begin as many at once.
+  await Promise.resolve();
+  fixture.submit("next");
+  assert.is(fixture.events.at(-1), "next");
+});
+
 test("while connections wait to be accepted, they are accepted for a bounded time first", () => {
   const fixture = new IntakeFixture();
   fixture.eventLoop.maxUnreadMs = LATE_MS;
