telemetry: how busy the event loop is

Operators could not see that a daemon has more to do than one processor does: only delays of 0.2 s and more were counted, and admit-level-change told slots and queues alone.

Change: celeryhollow_event_loop_utilization, the share of the last 0.2 s or so in which the loop was not idle, and loopUtilization and loopDelayMs in admit-level-change.

--- a/src/admission/adaptive_admission.ts
+++ b/src/admission/adaptive_admission.ts
@@ -31,6 +31,9 @@
 import { WaiterFactory } from "./waiter_factory.ts";
 import { isDisplacedBy, WaitingQueue } from "./waiting_queue.ts";
 
+/** Load that is assumed where the process measures none. */
+const IDLE_PROCESSOR = { utilization: 0, delayMs: 0 } as const;
+
 /** Maximum queue length, whatever the remaining time of the calls. */
 const MAX_WAITING = 2_000;
 
@@ -60,6 +63,7 @@
     super();
     this.#options = options;
     const { clock, isAllowanceUsedUp, listReservedRatios } = options;
+    const { processor = IDLE_PROCESSOR } = options;
     const queue = this.#queue;
     const limit = this.#limit = new ConcurrencyLimit(clock);
     const slots = this.#slots = new SlotTracker(clock);
@@ -69,7 +73,7 @@
     const estimator = this.#estimator = new QueueEstimator(sources);
     this.#handBacks = new HandBackDecider({ estimator, queue, slots });
     this.#ratios = new AdmitRatioUpdater({
-      ...{ estimator, journal, limit, listReservedRatios, slots },
+      ...{ estimator, journal, limit, listReservedRatios, processor, slots },
     });
     this.#gate = new SlotGate({
       ...{ limit, listReservedRatios, pacer, slots },
--- a/src/admission/admission_journal.ts
+++ b/src/admission/admission_journal.ts
@@ -3,6 +3,7 @@
  * decision journal and the metrics.
  */
 
+import type { ProcessorLoad } from "../event_loop/mod.ts";
 import type { DaemonMetrics, DecisionJournal } from "../telemetry/mod.ts";
 import { DECISIONS } from "../telemetry/mod.ts";
 import type { WaitingCall } from "./waiting_call.ts";
@@ -29,6 +30,7 @@
   readonly capacityPerSecond: number;
   readonly queueDelayMs: number;
   readonly holdMs: number;
+  readonly processor: ProcessorLoad;
 }
 
 /** Records limit changes and significant changes of the admit ratios. */
@@ -102,6 +104,8 @@
       capacityPerSecond: Math.round(estimate.capacityPerSecond),
       queueDelayMs: Math.round(estimate.queueDelayMs),
       holdMs: Math.round(estimate.holdMs),
+      loopUtilization: Number(estimate.processor.utilization.toFixed(2)),
+      loopDelayMs: Math.round(estimate.processor.delayMs),
     });
   }
 }
--- a/src/admission/admit_ratio_updater.ts
+++ b/src/admission/admit_ratio_updater.ts
@@ -3,6 +3,7 @@
  * idle time and the calls that wait in vain.
  */
 
+import type { ProcessorLoad } from "../event_loop/mod.ts";
 import type { AdmissionJournal } from "./admission_journal.ts";
 import { AdmitRatioController } from "./admit_ratio_controller.ts";
 import type { ConcurrencyLimit } from "./concurrency_limit.ts";
@@ -20,6 +21,7 @@
   readonly slots: SlotTracker;
   readonly estimator: QueueEstimator;
   readonly journal: AdmissionJournal;
+  readonly processor: ProcessorLoad;
   /** Lists the share of the limit reserved for each class, the most important first. */
   readonly listReservedRatios: () => readonly number[];
 }
@@ -44,7 +46,7 @@
     if (!this.controller.isDue(nowMs)) {
       return;
     }
-    const { estimator, limit, slots } = this.#options;
+    const { estimator, limit, processor, slots } = this.#options;
     const reservedRatios = this.#options.listReservedRatios();
     const isUpdated = this.controller.update({
       nowMs,
@@ -64,6 +66,7 @@
         capacityPerSecond: MS_PER_SECOND / estimator.msPerCall,
         queueDelayMs: estimator.delayMs,
         holdMs: slots.holdMs,
+        processor,
       });
     }
   }
--- a/src/daemon/create_admission.ts
+++ b/src/daemon/create_admission.ts
@@ -12,6 +12,7 @@
 } from "../admission/mod.ts";
 import type { EntryAdmission, InboundAdmission } from "../admission/mod.ts";
 import type { ConfigurationHolder } from "../configuration/mod.ts";
+import type { ProcessorLoad } from "../event_loop/mod.ts";
 import type { DaemonMetrics, DecisionJournal } from "../telemetry/mod.ts";
 import type { Clock } from "../time/mod.ts";
 
@@ -22,6 +23,7 @@
   readonly metrics: DaemonMetrics;
   readonly configuration: ConfigurationHolder;
   readonly incarnation: string;
+  readonly processor: ProcessorLoad;
   readonly isAllowanceUsedUp: (account: string) => boolean;
 }
 
@@ -52,7 +54,7 @@
     };
   }
   const { clock, journal, metrics, configuration, incarnation } = dependencies;
-  const { isAllowanceUsedUp } = dependencies;
+  const { isAllowanceUsedUp, processor } = dependencies;
   const listReservedRatios = () =>
     configuration.current?.document.classes.map(({ reservedRatio }) =>
       reservedRatio
@@ -65,6 +67,7 @@
       metrics,
       instance: hashText(incarnation),
       listReservedRatios,
+      processor,
       isAllowanceUsedUp,
     }),
   };
--- a/src/daemon/create_daemon_components.ts
+++ b/src/daemon/create_daemon_components.ts
@@ -153,7 +153,10 @@
   };
   const metrics = new DaemonMetrics();
   const eventLoop = new EventLoopWatch({ clock });
-  metrics.process.observeDelay(() => eventLoop.takeMaxDelayMs());
+  metrics.process.observeEventLoop({
+    takeMaxDelayMs: () => eventLoop.takeMaxDelayMs(),
+    readUtilization: () => eventLoop.load.utilization,
+  });
   const { memoryLimitBytes = Number.POSITIVE_INFINITY } = overrides;
   const memory = new MemoryBudget({
     clock,
@@ -293,6 +296,7 @@
       metrics,
       configuration,
       incarnation,
+      processor: eventLoop.load,
       isAllowanceUsedUp: (account) => environment.allowances.isUsedUp(account),
     }),
     ...overrides.throttlesByOutcome && {
--- a/src/event_loop/event_loop_watch.ts
+++ b/src/event_loop/event_loop_watch.ts
@@ -11,6 +11,7 @@
 import type { Clock } from "../time/mod.ts";
 import { AcceptWatch } from "./accept_watch.ts";
 import { CollectionTimer } from "./collection_timer.ts";
+import { LoopLoad } from "./loop_load.ts";
 
 /** Interval of the ticks, in milliseconds. */
 export const TICK_MS = 50;
@@ -74,6 +75,8 @@
   };
   /** Queue of connections of callers. */
   readonly acceptQueue: AcceptWatch;
+  /** How busy the loop is. */
+  readonly load = new LoopLoad();
   readonly #clock: Clock;
   readonly #readProcessorMs: () => number;
   readonly #collections = new CollectionTimer();
@@ -135,6 +138,7 @@
   #tick(): void {
     const nowMs = this.#clock.monotonicMs();
     const lateMs = nowMs - this.#tickAtMs - TICK_MS;
+    this.load.record(lateMs);
     this.#previousTickAtMs = this.#tickAtMs;
     this.#tickAtMs = nowMs;
     this.#ticksSinceSample += 1;
--- a/src/telemetry/process_metrics.ts
+++ b/src/telemetry/process_metrics.ts
@@ -31,6 +31,7 @@
   readonly #registry: Registry;
   readonly #memoryLimit: Gauge;
   #takeMaxDelayMs: () => number = () => 0;
+  #readUtilization: () => number = () => 0;
   #peakResidentBytes = 0;
 
   constructor(registry: Registry) {
@@ -102,6 +103,16 @@
         this.set(takeMaxDelayS());
       },
     });
+    const readUtilization = () => this.#readUtilization();
+    new Gauge({
+      name: "celeryhollow_event_loop_utilization",
+      help:
+        "Share of the last 0.2 s or so in which the event loop was not idle, 0 to 1",
+      registers,
+      collect() {
+        this.set(readUtilization());
+      },
+    });
     new Gauge({
       name: "celeryhollow_memory_bytes",
       help: "Memory of the process, by part",
@@ -151,9 +162,15 @@
     this.#peakResidentBytes = Math.max(this.#peakResidentBytes, residentBytes);
   }
 
-  /** Exports the longest delay of the event loop since the last fetch, in milliseconds. */
-  observeDelay(takeMaxDelayMs: () => number): void {
+  /** Exports the longest delay of the event loop since the last fetch, in milliseconds, and the share of the time in which it is not idle. */
+  observeEventLoop(
+    { takeMaxDelayMs, readUtilization }: {
+      readonly takeMaxDelayMs: () => number;
+      readonly readUtilization: () => number;
+    },
+  ): void {
     this.#takeMaxDelayMs = takeMaxDelayMs;
+    this.#readUtilization = readUtilization;
   }
 }
 
