admission: the processor time of a daemon bounds what its service admits

Cause: admit ratios followed from slots alone. A daemon that passes on five nested calls for each of its own is out of processor time at a fraction of its slots. The class of fault is work that is admitted and comes to nothing.

Change: while the event loop is over 20 ms late, the slots to divide are bounded by the calls received times how many end for each one that began; without a backlog a bound that was set follows the share of the time in which the loop is busy. It rises by 5 % every 50 ms at most, and a fifth of the demand is always allocated. admit-level-change tells by limitedBy whether the processor or the slots were the limit.

--- a/src/admission/adaptive_admission.ts
+++ b/src/admission/adaptive_admission.ts
@@ -6,6 +6,7 @@
  */
 
 import { err, ok } from "neverthrow";
+import { IDLE_PROCESSOR } from "../event_loop/mod.ts";
 import type { LoadSignal } from "../generated/types.ts";
 import { createRefusal, REASONS } from "../outcome/mod.ts";
 import type { Reason } from "../outcome/mod.ts";
@@ -31,9 +32,6 @@
 import { WaiterFactory } from "./waiter_factory.ts";
 import { isDisplacedBy, WaitingQueue } from "./waiting_queue.ts";
 
-/** Load that is assumed where the process measures none. */
-const IDLE_PROCESSOR = { utilization: 0, delayMs: 0 } as const;
-
 /** Maximum queue length, whatever the remaining time of the calls. */
 const MAX_WAITING = 2_000;
 
@@ -92,8 +90,12 @@
     });
     this.#grants = new SlotGrants({
       ...{ clock, journal, limit, pacer, queue, slots, slowness },
-      onGranted: () => this.#updateIdleMeter(),
+      onGranted: () => {
+        this.#ratios.processorCapacity.recordBegin();
+        this.#updateIdleMeter();
+      },
       onReleased: () => {
+        this.#ratios.processorCapacity.recordEnd();
         this.#grantNext();
         this.#updateAdmitRatios();
       },
--- a/src/admission/admission_journal.ts
+++ b/src/admission/admission_journal.ts
@@ -31,6 +31,8 @@
   readonly queueDelayMs: number;
   readonly holdMs: number;
   readonly processor: ProcessorLoad;
+  /** Whether the ratios follow from the processor time of the daemon. */
+  readonly isProcessorScarce: boolean;
 }
 
 /** Records limit changes and significant changes of the admit ratios. */
@@ -104,6 +106,7 @@
       capacityPerSecond: Math.round(estimate.capacityPerSecond),
       queueDelayMs: Math.round(estimate.queueDelayMs),
       holdMs: Math.round(estimate.holdMs),
+      limitedBy: estimate.isProcessorScarce ? "processor" : "slots",
       loopUtilization: Number(estimate.processor.utilization.toFixed(2)),
       loopDelayMs: Math.round(estimate.processor.delayMs),
     });
--- a/src/admission/admit_ratio_controller.ts
+++ b/src/admission/admit_ratio_controller.ts
@@ -59,6 +59,8 @@
   readonly reservedRatios: readonly number[];
   /** Share of the slots to allocate while calls get no slot in time; 1 otherwise. */
   readonly usableRatio?: number;
+  /** Estimates the slots that calls can occupy with the daemon's processor time; infinite unless it is scarce. */
+  readonly estimateProcessorSlots?: (demands: readonly ClassDemand[]) => number;
 }
 
 /**
@@ -116,7 +118,10 @@
       (sum, { offeredPerSecond }) => sum + offeredPerSecond,
       0,
     );
-    const isIdle = input.isIdle();
+    const processorSlots = input.estimateProcessorSlots?.(demands) ??
+      Number.POSITIVE_INFINITY;
+    const isIdle = input.isIdle() &&
+      processorSlots === Number.POSITIVE_INFINITY;
     if (isIdle && this.lowestRatio === 1) {
       this.#ratios = demands.map(() => 1);
       return true;
@@ -126,7 +131,10 @@
       intervals: Math.min(MAX_MISSED_INTERVALS, intervals),
     });
     this.#ratios = computeAdmitRatios(demands, {
-      slots: this.#computeEffectiveSlots(input, demands),
+      slots: Math.min(
+        processorSlots,
+        this.#computeEffectiveSlots(input, demands),
+      ),
       holdTimesMs: input.holdTimesMs,
       reservedRatios: input.reservedRatios,
     });
--- a/src/admission/admit_ratio_updater.ts
+++ b/src/admission/admit_ratio_updater.ts
@@ -10,6 +10,7 @@
 import { DemandWindow } from "./demand_window.ts";
 import { IdleMeter } from "./idle_meter.ts";
 import { LateCallMeter } from "./late_call_meter.ts";
+import { ProcessorCapacity } from "./processor_capacity.ts";
 import type { QueueEstimator } from "./queue_estimator.ts";
 import type { SlotTracker } from "./slot_tracker.ts";
 
@@ -32,10 +33,12 @@
   readonly demand = new DemandWindow();
   readonly idle = new IdleMeter();
   readonly lateCalls = new LateCallMeter();
+  readonly processorCapacity: ProcessorCapacity;
   readonly #options: AdmitRatioUpdaterOptions;
 
   constructor(options: AdmitRatioUpdaterOptions) {
     this.#options = options;
+    this.processorCapacity = new ProcessorCapacity(options.processor);
   }
 
   /**
@@ -48,16 +51,23 @@
     }
     const { estimator, limit, processor, slots } = this.#options;
     const reservedRatios = this.#options.listReservedRatios();
+    const holdTimesMs = reservedRatios.map((_, rank) =>
+      slots.estimateHoldMs(rank)
+    );
     const isUpdated = this.controller.update({
       nowMs,
       demands: () => this.demand.estimate(nowMs, reservedRatios.length),
       slots: limit.value,
-      holdTimesMs: reservedRatios.map((_, rank) => slots.estimateHoldMs(rank)),
+      holdTimesMs,
       queueDelayMs: estimator.delayMs,
       msPerCall: estimator.msPerCall,
       isIdle: () => this.idle.read(nowMs),
       reservedRatios,
       usableRatio: this.lateCalls.update(nowMs),
+      estimateProcessorSlots: (demands) =>
+        this.processorCapacity.estimateSlots(demands, {
+          ...{ nowMs, holdTimesMs, holdMs: slots.holdMs },
+        }),
     });
     if (isUpdated) {
       refuseLate();
@@ -66,7 +76,7 @@
         capacityPerSecond: MS_PER_SECOND / estimator.msPerCall,
         queueDelayMs: estimator.delayMs,
         holdMs: slots.holdMs,
-        processor,
+        ...{ processor, isProcessorScarce: this.processorCapacity.isScarce },
       });
     }
   }
--- a/src/event_loop/loop_load.ts
+++ b/src/event_loop/loop_load.ts
@@ -30,6 +30,9 @@
   readonly delayMs: number;
 }
 
+/** Load of a process that does nothing. */
+export const IDLE_PROCESSOR: ProcessorLoad = { utilization: 0, delayMs: 0 };
+
 /** Measures the load of the event loop over the last few hundred milliseconds. */
 export class LoopLoad implements ProcessorLoad {
   readonly #readTimes: () => LoopTimes;
--- a/src/event_loop/mod.ts
+++ b/src/event_loop/mod.ts
@@ -11,5 +11,5 @@
 } from "./event_loop_watch.ts";
 export type { LoopDelay, LoopWork } from "./event_loop_watch.ts";
 export { reportLoopDelay } from "./report_loop_delay.ts";
-export { LoopLoad } from "./loop_load.ts";
+export { IDLE_PROCESSOR, LoopLoad } from "./loop_load.ts";
 export type { ProcessorLoad } from "./loop_load.ts";
