--- a/src/tools/run_tests.ts
+++ b/src/tools/run_tests.ts
@@ -109,21 +109,31 @@
   );
 }
 
+function listFailures({ file, failedNames }: FileReport): string[] {
+  const path = file.replace(/\.js$/, ".ts");
+  return failedNames.map((name) => `${path} > ${name}`);
+}
+
 async function main(): Promise<void> {
   const filters = process.argv.slice(2);
   const knownFailures = await readKnownFailures();
   const reports = await runAll(await findTestFiles(filters));
-  const failures = reports.flatMap(({ file, failedNames }) =>
-    failedNames.map((name) => `${file.replace(/\.js$/, ".ts")} > ${name}`)
-  );
+  const failures = reports.flatMap(listFailures);
   const unexpected = failures.filter((failure) => !knownFailures.has(failure));
   const listedButPassing = filters.length > 0
     ? []
     : [...knownFailures].filter((name) => !failures.includes(name));
-  for (const { failedNames, output, file } of reports) {
-    if (failedNames.length > 0) {
-      console.log(`\n--- ${file}\n${output}`);
-    }
+  const isKnown = (report: FileReport) =>
+    listFailures(report).every((failure) => knownFailures.has(failure));
+  const failing = reports.filter(({ failedNames }) => failedNames.length > 0);
+  // What was not expected comes last, where a log that is cut still has it.
+  for (
+    const { output, file } of [
+      ...failing.filter(isKnown),
+      ...failing.filter((report) => !isKnown(report)),
+    ]
+  ) {
+    console.log(`\n--- ${file}\n${output}`);
   }
   failures.filter((failure) => knownFailures.has(failure)).forEach((failure) =>
     console.log(`known red: ${failure}`)
