admission: signals to relay are not listed anew for each reply

Callers saw: nothing by itself.

Cause, in part: each reply of a daemon copied the signals of all instances of each overloaded service on the path, 43 in the largest, to take the last two.

Change: a list is used for 20 ms, unless the ratio of an instance changes before.

--- a/src/admission/load_signal_cache.ts
+++ b/src/admission/load_signal_cache.ts
@@ -26,6 +26,9 @@
 /** Maximum number of cached services. */
 const MAX_SERVICES = 256;
 
+/** Time for which a list of signals to relay is used again while no ratio changes, in milliseconds. */
+const LISTED_FOR_MS = 20;
+
 const PERMILLE = 1_000;
 
 interface CachedSignal {
@@ -38,6 +41,14 @@
   readonly instances: Map<number, CachedSignal>;
   /** When an instance last signaled an admit ratio below 1, in monotonic milliseconds. */
   overloadedAtMs: number;
+  /** Signals that were last listed to be relayed; undefined if a ratio has changed since. */
+  listed: ListedSignals | undefined;
+}
+
+interface ListedSignals {
+  readonly atMs: number;
+  readonly maxInstances: number;
+  readonly signals: readonly LoadSignal[];
 }
 
 /** How the admit ratio of a service follows from those of its instances. */
@@ -63,9 +74,13 @@
     }
     const cached = this.#findOrAddService(service);
     const { instances } = cached;
-    if (sequence <= (instances.get(instance)?.sequence ?? -1)) {
+    const previous = instances.get(instance);
+    if (sequence <= (previous?.sequence ?? -1)) {
       return;
     }
+    if (previous?.signal.admitLevel !== signal.admitLevel) {
+      cached.listed = undefined;
+    }
     const receivedAtMs = this.#clock.monotonicMs();
     instances.delete(instance);
     instances.set(instance, { signal, sequence, receivedAtMs });
@@ -124,10 +139,24 @@
     const nowMs = this.#clock.monotonicMs();
     return services
       .filter((service) => this.#wasOverloaded(service, nowMs))
-      .flatMap((service) =>
-        this.#listUnexpired(service).slice(-maxInstances)
-          .map(({ signal }) => signal)
-      );
+      .flatMap((service) => this.#listLatest(service, maxInstances));
+  }
+
+  /** Lists the latest signals of a service. Every reply asks for them, and a service may have many instances. */
+  #listLatest(service: string, maxInstances: number): readonly LoadSignal[] {
+    const cached = this.#findOrAddService(service);
+    const atMs = this.#clock.monotonicMs();
+    const { listed } = cached;
+    if (
+      listed?.maxInstances === maxInstances &&
+      atMs - listed.atMs < LISTED_FOR_MS
+    ) {
+      return listed.signals;
+    }
+    const signals = this.#listUnexpired(service).slice(-maxInstances)
+      .map(({ signal }) => signal);
+    cached.listed = { atMs, maxInstances, signals };
+    return signals;
   }
 
   /** Whether an unexpired signal may ask for an admit ratio below 1. */
@@ -139,7 +168,11 @@
 
   #findOrAddService(service: string): CachedService {
     const cached = this.#services.get(service) ??
-      { instances: new Map(), overloadedAtMs: Number.NEGATIVE_INFINITY };
+      {
+        instances: new Map(),
+        overloadedAtMs: Number.NEGATIVE_INFINITY,
+        listed: undefined,
+      };
     this.#services.set(service, cached);
     evictOldest(this.#services, MAX_SERVICES);
     return cached;
@@ -166,10 +199,13 @@
 }
 
 function evictOldest<K>(map: Map<K, unknown>, limit: number): void {
+  if (map.size <= limit) {
+    return;
+  }
   for (const key of map.keys()) {
+    map.delete(key);
     if (map.size <= limit) {
       return;
     }
-    map.delete(key);
   }
 }
