admission: a daemon without calls has no bound by processor time

Callers saw: a daemon that was paused while it got no calls asked entries to refuse nearly everything for 1.7 s after it, as the share of no demand is 0 slots. Found by reading; the unit test failed before.

--- a/src/admission/processor_capacity.ts
+++ b/src/admission/processor_capacity.ts
@@ -95,26 +95,26 @@
   ): number {
     this.#recordTotals(nowMs);
     const { utilization, delayMs } = this.#load;
-    if (utilization === 0) {
-      return Number.POSITIVE_INFINITY;
-    }
     const sumSlots = (read: (demand: ClassDemand) => number) =>
       demands.reduce(
         (slots, demand, rank) =>
           slots + computeBusySlots(read(demand), holdTimesMs[rank] ?? 1),
         0,
       );
+    const neededSlots = sumSlots(({ arrivingPerSecond }) => arrivingPerSecond);
+    if (utilization === 0 || neededSlots === 0) {
+      return Number.POSITIVE_INFINITY;
+    }
     const receivedSlots = sumSlots(({ offeredPerSecond, admittedRatio }) =>
       offeredPerSecond * admittedRatio
     );
-    const neededSlots = sumSlots(({ arrivingPerSecond }) => arrivingPerSecond);
     const isBehind = delayMs > MAX_DELAY_MS;
     const endedRatio = isBehind ? this.#computeEndedRatio(nowMs, holdMs) : 1;
     const backlogMs = Math.max(0, delayMs - MAX_DELAY_MS);
     const drainRatio = Math.max(MIN_DRAIN_RATIO, 1 - backlogMs / DRAIN_MS);
     const slots = receivedSlots * endedRatio * drainRatio * MAX_UTILIZATION /
       utilization;
-    const ratio = slots / Math.max(neededSlots, Number.MIN_VALUE);
+    const ratio = slots / neededSlots;
     // A busy loop without a backlog is no reason to begin refusing.
     const lowest = isBehind || this.#ratio < 1 ? MIN_DEMAND_RATIO : 1;
     this.#ratio = Math.max(lowest, Math.min(ratio, this.#ratio * MAX_RISE, 1));
--- a/src/admission/processor_capacity_test.ts
+++ b/src/admission/processor_capacity_test.ts
@@ -70,6 +70,18 @@
   assert.is(fixture.step({ offeredPerSecond: 3_000, endedPerSecond: 0 }), 1);
 });
 
+// A daemon that had been paused without calls asked entries to refuse nearly everything.
+test("a daemon that gets no calls refuses none after a delay", () => {
+  const fixture = new CapacityFixture();
+  fixture.load.delayMs = 2_000;
+  const slots = fixture.capacity.estimateSlots(
+    [{ offeredPerSecond: 0, arrivingPerSecond: 0, admittedRatio: 1 }],
+    { nowMs: 1_000, holdTimesMs: [HOLD_MS], holdMs: HOLD_MS },
+  );
+  assert.is(slots, Number.POSITIVE_INFINITY);
+  assert.not(fixture.capacity.isScarce);
+});
+
 // Ratios that rose at once brought the next backlog before the first requests that were admitted at them arrived.
 test("with time to spare again, the share rises step by step to 1", () => {
   const fixture = new CapacityFixture();
