admission: waits that end without a slot are counted with what bounded them

Logs and metrics told that nested calls were refused at the scarce service, but not whether they were out of time or only over the limit of a standing queue, which depends on the hold time of a slot. Both look like overloaded-instance, and ask for opposite remedies.

celeryhollow_unserved_waits_total{class,bound} counts them, with the bound deadline or standing-queue. The test fails without the counter.

--- a/src/admission/adaptive_admission.ts
+++ b/src/admission/adaptive_admission.ts
@@ -261,6 +261,7 @@
       reason === REASONS.overloadedInstance || reason === REASONS.queueExpired
     ) {
       this.#ratios.lateCalls.recordLate(waiter);
+      this.#journal.recordUnservedWait(waiter);
     }
     waiter.settle(this.#refuser.refuseWaiter(reason));
   }
--- a/src/admission/adaptive_admission_test.ts
+++ b/src/admission/adaptive_admission_test.ts
@@ -11,6 +11,7 @@
 interface Fixture {
   readonly clock: ManualClock;
   readonly admission: AdaptiveAdmission;
+  readonly metrics: DaemonMetrics;
   readonly states: Map<string, string>;
   readonly permits: Map<string, Permit>;
   enter(name: string, changes?: CallChanges): Promise<void>;
@@ -26,10 +27,11 @@
   { slots = 2, reservedRatios = [0, 0, 0] } = {},
 ): Fixture {
   const clock = new ManualClock();
+  const metrics = new DaemonMetrics();
   const admission = new AdaptiveAdmission({
     clock,
     journal: new DecisionJournal(clock),
-    metrics: new DaemonMetrics(),
+    metrics,
     instance: 1,
     listReservedRatios: () => reservedRatios,
   });
@@ -39,6 +41,7 @@
   return {
     clock,
     admission,
+    metrics,
     states,
     permits,
     async enter(name, changes = {}) {
@@ -383,4 +386,22 @@
   assert.is(states.get("waiting"), "leaving");
 });
 
+// Without the bound, operators cannot tell short time limits from the limit of a standing queue.
+test("a wait that ends without a slot is counted with what bounded it", async () => {
+  const { clock, enter, metrics, states } = createFixture({ slots: 1 });
+  const nested = { context: { depth: 1 } };
+  await enter("running", { timeLeftMs: 60_000 });
+  await enter("first", { ...nested, timeLeftMs: 60_000 });
+  clock.advance(600);
+  await enter("capped", { ...nested, timeLeftMs: 30_000 });
+  await enter("short of time", { ...nested, timeLeftMs: 50 });
+  clock.advance(10_000);
+  await settle();
+  assert.is(states.get("capped"), "queue-expired");
+  assert.is(states.get("short of time"), "overloaded-instance");
+  const { values } = await metrics.unservedWaits.get();
+  const bounds = values.map(({ labels, value }) => [labels.bound, value]);
+  assert.equal(bounds, [["deadline", 1], ["standing-queue", 1]]);
+});
+
 test.run();
--- a/src/admission/admission_journal.ts
+++ b/src/admission/admission_journal.ts
@@ -11,6 +11,12 @@
 /** Smallest change of the lowest admit ratio that is recorded. */
 const MIN_RECORDED_CHANGE = 0.1;
 
+/** What bounds the time that a call may wait for a slot. */
+const WAIT_BOUNDS = {
+  deadline: "deadline",
+  standingQueue: "standing-queue",
+} as const;
+
 /** Figures by which a call was handed back. */
 export interface HandBackEstimate {
   readonly slownessRatio: number;
@@ -72,6 +78,14 @@
     }, requestId);
   }
 
+  /** Counts a call that got no slot in the time that it was allowed to wait. */
+  recordUnservedWait({ className, isWaitCapped }: WaitingCall): void {
+    this.#telemetry.metrics.unservedWaits.inc({
+      class: className,
+      bound: isWaitCapped ? WAIT_BOUNDS.standingQueue : WAIT_BOUNDS.deadline,
+    });
+  }
+
   /** Records the momentary slowness of the VM. */
   recordSlowness(slownessRatio: number): void {
     this.#telemetry.metrics.slowness.set(slownessRatio);
--- a/src/admission/waiter_factory.ts
+++ b/src/admission/waiter_factory.ts
@@ -46,10 +46,13 @@
     const { clock, isAllowanceUsedUp, remove, shares, slots } = this.#options;
     const nowMs = clock.monotonicMs();
     const isNested = call.context.depth > 0;
-    const timeoutMs = computeQueueTimeoutMs(call.deadlineAtMs - nowMs, {
-      isNested,
-      holdMs: slots.holdMs,
-      queuedForMs,
+    const remainingMs = call.deadlineAtMs - nowMs;
+    const { holdMs } = slots;
+    const timeoutMs = computeQueueTimeoutMs(remainingMs, {
+      ...{ isNested, holdMs, queuedForMs },
+    });
+    const uncappedMs = computeQueueTimeoutMs(remainingMs, {
+      ...{ isNested, holdMs, queuedForMs: 0 },
     });
     const cancelExpiry = clock.schedule(
       timeoutMs,
@@ -61,6 +64,7 @@
       open: shares.open(call, nowMs),
       nowMs,
       timeoutMs,
+      isWaitCapped: timeoutMs < uncappedMs,
       isOverAllowance: isAllowanceUsedUp?.(call.context.member) ?? false,
       settle: (result) => {
         cancelExpiry();
--- a/src/admission/waiting_call.ts
+++ b/src/admission/waiting_call.ts
@@ -17,6 +17,8 @@
   readonly className: string;
   readonly requestId: string;
   readonly isLastResort: boolean;
+  /** Whether the call may wait less long than its deadline allows, since the queue is a standing one. */
+  readonly isWaitCapped: boolean;
   /** Expected time to completion at another instance, in milliseconds; undefined if the call must not be handed back. */
   readonly elsewhereMs: number | undefined;
   readonly settle: (result: AdmissionResult) => void;
@@ -28,6 +30,8 @@
   readonly nowMs: number;
   /** Longest wait, in milliseconds. */
   readonly timeoutMs: number;
+  /** Whether it is shorter than the deadline allows. */
+  readonly isWaitCapped: boolean;
   /** Whether the account has used up its allowance. */
   readonly isOverAllowance: boolean;
   readonly settle: (result: AdmissionResult) => void;
@@ -41,11 +45,12 @@
  * @returns The waiting call
  *
  * @example
- * const waiter = createWaitingCall(call, { open, nowMs, timeoutMs, isOverAllowance, settle });
+ * const waiter = createWaitingCall(call, { open, nowMs, timeoutMs, isWaitCapped, isOverAllowance, settle });
  */
 export function createWaitingCall(
   { classRank, context, elsewhereMs, isLastResort = false }: InboundCall,
-  { open, nowMs, timeoutMs, isOverAllowance, settle }: WaitOptions,
+  { open, nowMs, timeoutMs, isWaitCapped, isOverAllowance, settle }:
+    WaitOptions,
 ): WaitingCall {
   const { className, depth, member, requestId } = context;
   const isNested = depth > 0;
@@ -58,6 +63,7 @@
     isOverAllowance,
     isNested,
     isLastResort,
+    isWaitCapped,
     elsewhereMs,
     treeRank: isNested ? hashTree(requestId) : 0,
     arrivedAtMs: nowMs,
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -147,6 +147,14 @@
     registers: [this.registry],
   });
 
+  /** Calls that got no slot in the time that they were allowed to wait, by class and by what bounded it (`deadline` or `standing-queue`). */
+  readonly unservedWaits = new Counter({
+    name: "celeryhollow_unserved_waits_total",
+    help: "Calls that got no slot in the time that they were allowed to wait",
+    labelNames: ["class", "bound"] as const,
+    registers: [this.registry],
+  });
+
   /** Momentary slowness that the backend server states; 1 is the usual speed. */
   readonly slowness = new Gauge({
     name: "celeryhollow_slowness_ratio",
