--- a/src/testing/call_tree_load.ts
+++ b/src/testing/call_tree_load.ts
@@ -12,8 +12,12 @@
 import type { CompiledRequest } from "../configuration/mod.ts";
 import type { AdmissionMark, LoadSignal } from "../generated/types.ts";
 import { RandomSource } from "../time/mod.ts";
+import { chooseLessLoaded } from "./choose_less_loaded.ts";
 import type { ManualClock } from "./manual_clock.ts";
+import type { ModelInstance } from "./model_instance.ts";
 import type { ModelProcessor, ProcessorCosts } from "./model_processor.ts";
+import { REGION_DELAY_MS } from "./region_routing.ts";
+import type { RegionRouting } from "./region_routing.ts";
 
 /** A call with the nested calls that it makes in sequence. */
 export interface TreeCall {
@@ -33,6 +37,8 @@
   readonly targetLatencyMs: number;
   /** Requests per second in the whole fleet at a time since the start. */
   readonly computeRate: (atMs: number) => number;
+  /** Whether callers may repeat a request that has failed; false by default. */
+  readonly isRepeatable?: boolean;
 }
 
 /** Counts of the requests of one source that arrived in the counted period. */
@@ -50,12 +56,34 @@
 export interface TreeFleet {
   readonly entries: readonly EntryAdmission[];
   readonly gatesByService: ReadonlyMap<string, readonly InboundAdmission[]>;
-  /** Speed of the instance behind a gate; 1 if not set. */
-  readonly speeds?: ReadonlyMap<InboundAdmission, number>;
+  /** Instance behind a gate; calls take the stated time without one. */
+  readonly instances?: ReadonlyMap<InboundAdmission, ModelInstance>;
+  /** Routing by region; any instance may be chosen without it. */
+  readonly routing?: RegionRouting;
   /** Processor of the daemon of a gate; daemons without one need no time. */
   readonly processors?: ReadonlyMap<InboundAdmission, ModelProcessor>;
 }
 
+/** How a request ended for its caller, with the retries that the caller made. */
+export interface TreeOutcome {
+  readonly sourceIndex: number;
+  /** Arrival of the first attempt, in milliseconds since the start. */
+  readonly arrivedAtMs: number;
+  /** Time from the first attempt to the last response, in milliseconds. */
+  readonly durationMs: number;
+  readonly end: TreeEnd;
+}
+
+/** What a caller gets in the end. */
+export type TreeEnd = "served" | "refused" | "failed";
+
+/** Retries of callers. */
+export interface CallerRetries {
+  readonly maxRetries: number;
+  /** Time for which callers wait for a request with its retries, in milliseconds. */
+  readonly timeLimitMs: number;
+}
+
 /** Options of {@link CallTreeLoad}. */
 export interface CallTreeOptions {
   readonly clock: ManualClock;
@@ -70,12 +98,20 @@
   readonly processorCosts?: ProcessorCosts;
   /** Draws the one-way delay between two daemons, in milliseconds; none by default. */
   readonly drawDelayMs?: (random: RandomSource) => number;
+  /** Retries of callers after a refusal, or after the failure of a repeatable request; none by default. */
+  readonly callerRetries?: CallerRetries;
+  /** Called when a request and its retries have ended. */
+  readonly onOutcome?: (outcome: TreeOutcome) => void;
+  /** Instances that one call is offered to; fewer than the default where the budget of retries is used up. */
+  readonly maxAttempts?: number;
+  /** Draws the time of a call relative to the mean; uniform from 0.5 to 1.5 by default. */
+  readonly drawWork?: (random: RandomSource) => number;
 }
 
 /** Time between two steps, in milliseconds. */
 const STEP_MS = 1;
 
-/** Instances that one call is offered to before it fails. */
+/** Instances that one call is offered to before it fails, by default. */
 const MAX_ATTEMPTS = 3;
 
 /** Time after the last arrival for requests to end, in milliseconds. */
@@ -84,6 +120,11 @@
 /** Load signals of nested calls that a reply relays. */
 const MAX_RELAYED = 2;
 
+const NO_RETRIES: CallerRetries = { maxRetries: 0, timeLimitMs: 0 };
+
+/** Longest time that a caller waits before a retry, as a share of the time that it has left. */
+const MAX_RETRY_WAIT_RATIO = 1 / 3;
+
 const NO_COSTS: ProcessorCosts = { runMs: 0, nestedCallMs: 0 };
 
 interface RunningTree {
@@ -92,12 +133,19 @@
   readonly requestId: string;
 }
 
+interface AttemptResult {
+  readonly end: TreeEnd;
+  readonly retryAfterMs: number;
+}
+
 interface TreeReply {
   readonly isAnswered: boolean;
   readonly loads: readonly LoadSignal[];
 }
 
 interface TreeStep {
+  /** Region that the call comes from. */
+  readonly region: number;
   readonly tree: RunningTree;
   readonly call: TreeCall;
   readonly depth: number;
@@ -151,14 +199,41 @@
     }
   }
 
-  async #serve(source: TreeSource, index: number): Promise<void> {
+  /** Serves a request and the retries of its caller. */
+  async #serve(source: TreeSource, sourceIndex: number): Promise<void> {
+    const { callerRetries = NO_RETRIES, onOutcome } = this.#options;
+    const arrivedAtMs = this.#elapsedMs;
+    const endsAtMs = arrivedAtMs + callerRetries.timeLimitMs;
+    for (let retries = 0;; retries += 1) {
+      const { end, retryAfterMs } = await this.#attempt(source, sourceIndex);
+      const remainingMs = endsAtMs - this.#elapsedMs;
+      const mayRetry = end === "refused" ||
+        (end === "failed" && source.isRepeatable === true);
+      if (
+        !mayRetry || retries >= callerRetries.maxRetries || remainingMs <= 0
+      ) {
+        const durationMs = this.#elapsedMs - arrivedAtMs;
+        onOutcome?.({ sourceIndex, arrivedAtMs, durationMs, end });
+        return;
+      }
+      await this.#wait(
+        Math.min(retryAfterMs, remainingMs * MAX_RETRY_WAIT_RATIO),
+      );
+    }
+  }
+
+  async #attempt(source: TreeSource, index: number): Promise<AttemptResult> {
     const { countedFromMs, clock, findFleet } = this.#options;
     const arrivedAtMs = clock.monotonicMs();
     const isCounted = this.#elapsedMs >= countedFromMs;
     const count = this.#counts[index];
-    const entry = this.#random.choose(findFleet(this.#elapsedMs).entries);
+    const { entries, routing } = findFleet(this.#elapsedMs);
+    const region = routing?.drawRegion(this.#random) ?? 0;
+    const entry = this.#random.choose(
+      routing?.listEntries(entries, region) ?? entries,
+    );
     if (!count || !entry) {
-      return;
+      return { end: "refused", retryAfterMs: 0 };
     }
     this.#arrivals += 1;
     const { request, member, root } = source;
@@ -171,13 +246,14 @@
     if (grant.isErr()) {
       const { retryAfterMs = 0 } = grant.error;
       count.maxRetryAfterMs = Math.max(count.maxRetryAfterMs, retryAfterMs);
-      return;
+      return { end: "refused", retryAfterMs };
     }
     count.admitted += Number(isCounted);
     const { isAnswered: isServed, loads } = await this.#call({
       tree: { source, requestId, mark: grant.value.mark },
       call: root,
       depth: 0,
+      region,
       deadlineAtMs: arrivedAtMs + root.timeLimitMs,
     });
     entry.observe(loads);
@@ -187,32 +263,35 @@
       count.served += 1;
       count.servedInTime += Number(durationMs <= source.targetLatencyMs);
     }
+    return { end: isServed ? "served" : "failed", retryAfterMs: 0 };
   }
 
   async #call(step: TreeStep): Promise<TreeReply> {
     let loads: readonly LoadSignal[] = [];
-    const { clock, findFleet } = this.#options;
+    const { clock, findFleet, maxAttempts = MAX_ATTEMPTS } = this.#options;
     const tried = new Set<InboundAdmission>();
-    for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt += 1) {
-      const gates = findFleet(this.#elapsedMs).gatesByService.get(
-        step.call.service,
-      ) ?? [];
-      const gate = this.#chooseGate(gates, tried);
+    for (let attempt = 0; attempt < maxAttempts; attempt += 1) {
+      const fleet = findFleet(this.#elapsedMs);
+      const gate = this.#chooseGate(fleet, step, tried);
       if (!gate || clock.monotonicMs() >= step.deadlineAtMs) {
         return { isAnswered: false, loads };
       }
       tried.add(gate);
-      const delayMs = this.#options.drawDelayMs?.(this.#random) ?? 0;
+      const delayMs = this.#drawDelayMs(fleet, step.region, gate);
       const { runMs } = this.#options.processorCosts ?? NO_COSTS;
-      const fleet = findFleet(this.#elapsedMs);
       const processor = fleet.processors?.get(gate);
       await this.#wait(delayMs);
       await processor?.use(runMs / 2);
       const permit = await gate.acquire(this.#createCall(step));
       if (permit.isOk()) {
         const startedAtMs = clock.monotonicMs();
-        const speed = fleet.speeds?.get(gate) ?? 1;
-        const work = await this.#work(step, { speed, processor });
+        const instance = fleet.instances?.get(gate);
+        const slowdown = instance?.begin() ?? 1;
+        const region = fleet.routing?.getRegion(gate) ?? 0;
+        const work = await this.#work({ ...step, region }, {
+          ...{ slowdown, processor },
+        });
+        instance?.end();
         await processor?.use(runMs / 2);
         const { isAnswered, ownDurationMs } = work;
         loads = work.loads;
@@ -236,22 +315,22 @@
 
   /** Runs the work of a call, and its nested calls until one of them fails. */
   async #work(
-    { call, tree, depth, deadlineAtMs }: TreeStep,
-    { speed, processor }: {
-      readonly speed: number;
+    { call, tree, depth, deadlineAtMs, region }: TreeStep,
+    { slowdown, processor }: {
+      readonly slowdown: number;
       readonly processor: ModelProcessor | undefined;
     },
   ): Promise<TreeReply & { readonly ownDurationMs: number }> {
     const loads: LoadSignal[] = [];
     const { clock, processorCosts = NO_COSTS } = this.#options;
-    const ownDurationMs = call.workMs * (0.5 + this.#random.nextFloat()) /
-      speed;
+    const drawWork = this.#options.drawWork ?? drawUniformWork;
+    const ownDurationMs = call.workMs * slowdown * drawWork(this.#random);
     await this.#wait(ownDurationMs);
     for (const nested of call.calls ?? []) {
       const limitAtMs = clock.monotonicMs() + nested.timeLimitMs;
       await processor?.use(processorCosts.nestedCallMs / 2);
       const reply = await this.#call({
-        ...{ tree, call: nested, depth: depth + 1 },
+        ...{ tree, call: nested, depth: depth + 1, region },
         deadlineAtMs: Math.min(deadlineAtMs, limitAtMs),
       });
       await processor?.use(processorCosts.nestedCallMs / 2);
@@ -272,15 +351,24 @@
     }
   }
 
-  /** Chooses the less loaded of two random instances that were not tried yet. */
+  /** Chooses an instance that was not tried yet. */
   #chooseGate(
-    gates: readonly InboundAdmission[],
+    fleet: TreeFleet,
+    { call, region }: TreeStep,
     tried: ReadonlySet<InboundAdmission>,
   ): InboundAdmission | undefined {
-    const untried = gates.filter((gate) => !tried.has(gate));
-    const one = this.#random.choose(untried);
-    const other = this.#random.choose(untried);
-    return one && other && other.pendingCalls < one.pendingCalls ? other : one;
+    const gates = (fleet.gatesByService.get(call.service) ?? [])
+      .filter((gate) => !tried.has(gate));
+    return fleet.routing
+      ? fleet.routing.chooseGate({ region, gates }, this.#random)
+      : chooseLessLoaded(gates, this.#random);
+  }
+
+  /** Draws the one-way delay of a call to an instance. */
+  #drawDelayMs({ routing }: TreeFleet, region: number, gate: InboundAdmission) {
+    return routing && routing.getRegion(gate) !== region
+      ? REGION_DELAY_MS
+      : this.#options.drawDelayMs?.(this.#random) ?? 0;
   }
 
   #createCall({ tree, call, depth, deadlineAtMs }: TreeStep) {
@@ -307,6 +395,10 @@
   }
 }
 
+function drawUniformWork(random: RandomSource): number {
+  return 0.5 + random.nextFloat();
+}
+
 function listServices({ service, calls = [] }: TreeCall): string[] {
   return [...new Set([service, ...calls.flatMap(listServices)])];
 }
--- a/src/testing/create_tree_fleet.ts
+++ b/src/testing/create_tree_fleet.ts
@@ -11,7 +11,10 @@
 import { RandomSource } from "../time/mod.ts";
 import type { TreeFleet } from "./call_tree_load.ts";
 import type { ManualClock } from "./manual_clock.ts";
+import { ModelInstance } from "./model_instance.ts";
+import type { InstanceConditions } from "./model_instance.ts";
 import { ModelProcessor } from "./model_processor.ts";
+import { RegionRouting } from "./region_routing.ts";
 
 /** Instances of a service and their slots. */
 export interface TreeService {
@@ -19,6 +22,8 @@
   readonly slots: number;
   /** Speeds that the instances have in turn, relative to the stated work times; 1 by default. */
   readonly speeds?: readonly number[];
+  readonly slowPeriods?: InstanceConditions["slowPeriods"];
+  readonly saturation?: InstanceConditions["saturation"];
 }
 
 /** Options of {@link createTreeFleet}. */
@@ -29,11 +34,19 @@
   readonly services: Readonly<Record<string, TreeService>>;
   /** Whether the daemons of the services need processor time; not by default. */
   readonly hasProcessors?: boolean;
+  /** Share of the requests that enter in the first of two regions, in which entries and instances lie in turn; a single region by default. */
+  readonly firstRegionRatio?: number;
 }
 
 /** Number of classes. */
 const CLASSES = 3;
 
+/** Number of regions of a fleet that is not in one. */
+const REGIONS = 2;
+
+/** Distance between the seeds of the instances of two fleets. */
+const INSTANCE_SEEDS = 1_000;
+
 /**
  * Creates daemons without any counts.
  *
@@ -44,14 +57,17 @@
  * const fleet = createTreeFleet({ clock, seed: 1, entries: 12, services: { front: { instances: 12, slots: 2 } } });
  */
 export function createTreeFleet(
-  { clock, seed, entries, services, hasProcessors }: TreeFleetOptions,
+  options: TreeFleetOptions,
 ): TreeFleet {
+  const { clock, seed, entries, services, hasProcessors } = options;
+  const { firstRegionRatio } = options;
   const metrics = new DaemonMetrics();
   const journal = new DecisionJournal(clock);
-  const speeds = new Map<InboundAdmission, number>();
+  const instances = new Map<InboundAdmission, ModelInstance>();
+  const regions = new Map<InboundAdmission, number>();
   const processors = new Map<InboundAdmission, ModelProcessor>();
   const createGate = (
-    { slots, speeds: serviceSpeeds = [1] }: TreeService,
+    { slots, speeds = [1], ...conditions }: TreeService,
     instance: number,
   ) => {
     const processor = hasProcessors ? new ModelProcessor(clock) : undefined;
@@ -63,11 +79,23 @@
     if (processor) {
       processors.set(gate, processor);
     }
-    speeds.set(gate, serviceSpeeds[instance % serviceSpeeds.length] ?? 1);
+    const speed = speeds[instance % speeds.length] ?? 1;
+    const instanceSeed = seed * INSTANCE_SEEDS + instances.size;
+    instances.set(
+      gate,
+      new ModelInstance(
+        { ...conditions, slots, speed },
+        { clock, seed: instanceSeed },
+      ),
+    );
+    regions.set(gate, instance % REGIONS);
     return gate;
   };
   return {
-    ...{ speeds, processors },
+    ...{ instances, processors },
+    ...firstRegionRatio !== undefined && {
+      routing: new RegionRouting({ instances, regions, firstRegionRatio }),
+    },
     entries: Array.from(
       { length: entries },
       (_, index) =>
--- a/src/testing/tree_deployments.ts
+++ b/src/testing/tree_deployments.ts
@@ -18,6 +18,8 @@
   /** Worth of a response within the target latency, and of a later one. */
   readonly worth: number;
   readonly lateWorth: number;
+  /** Whether callers repeat a request that has failed; false by default. */
+  readonly isRepeatable?: boolean;
 }
 
 /** Services of a deployment, and what callers ask of them. */
@@ -41,7 +43,7 @@
 }
 
 /** Creates the nested calls of both deep kinds: a ledger calls a catalogue, which calls the scarce service several times in sequence. */
-function createNestedCalls(
+export function createNestedCalls(
   { lookups, lookupMs, timeLimitsMs }: DeepCallTimes,
 ): { readonly ledger: TreeCall; readonly catalogue: TreeCall } {
   const [ledgerLimitMs, catalogueLimitMs, lookupLimitMs] = timeLimitsMs;
@@ -200,12 +202,15 @@
   computeRate: (atMs: number) => number,
 ): TreeSource[] {
   return kinds.map(
-    ({ name, classRank, requestsPerSecond, root, targetLatencyMs }) => ({
+    (
+      { name, classRank, isRepeatable, requestsPerSecond, ...kind },
+    ) => ({
       request: {
         ...{ name, classRank, className: `class-${classRank}` },
-        service: root.service,
+        service: kind.root.service,
       } as CompiledRequest,
-      ...{ member: "", root, targetLatencyMs },
+      ...{ member: "", root: kind.root, targetLatencyMs: kind.targetLatencyMs },
+      isRepeatable: isRepeatable ?? false,
       computeRate: (atMs) => requestsPerSecond * computeRate(atMs),
     }),
   );
@@ -219,18 +224,19 @@
   readonly computeCostMs: (root: TreeCall) => number;
 }
 
-/** Slots of the scarce service. */
+/** Slots of the scarce service that can be in use without slowing it down. */
 export function createSlotResource(
   { scarceService, services }: TreeDeployment,
 ): ScarceResource {
-  const { instances = 0, slots = 0, speeds = [1] } = services[scarceService] ??
-    {};
+  const { instances = 0, saturation, slots = 0, speeds = [1] } =
+    services[scarceService] ?? {};
   const speedSum = Array.from(
     { length: instances },
     (_, index) => speeds[index % speeds.length] ?? 1,
   ).reduce((sum, speed) => sum + speed, 0);
+  const usableRatio = saturation?.ratio ?? 1;
   return {
-    capacityMs: speedSum * slots * 1_000,
+    capacityMs: speedSum * slots * usableRatio * 1_000,
     computeCostMs: (root) =>
       sumCalls(
         root,
