admission: a lower limit is tried in small steps

Cause: instances that slow down when over 0.95 of their slots are in use seem slow at full load, and the only lower limit that was tried took 15 % of the slots, twice in a row. The first trial is kept, since 0.85 of the slots without the slowdown carry more than all with it, but a tenth of the capacity is lost.

Change: the first step is 7 %, two calls at least, and doubles with each limit that is kept. The throughput may fall by a quarter of the step at a lower limit, and has to rise by half of it at a higher one.

--- a/src/admission/concurrency_limit.ts
+++ b/src/admission/concurrency_limit.ts
@@ -15,8 +15,18 @@
 
 /** Lowest limit from which a lower one is tried; below it, losing one slot would cost too much. */
 const MIN_TRIAL_LIMIT = 8;
-/** Factor from the limit to a lower one on trial; a higher one is tried by its inverse. */
-const TRIAL_FACTOR = 0.85;
+
+/**
+ * Step to the limit on trial, as a share of the limit: the first one, and the
+ * largest. It doubles with each limit that is kept. Backend servers that slow
+ * down when nearly full need only a few slots less; each further one is lost
+ * capacity.
+ */
+const MIN_TRIAL_STEP = 0.07;
+const MAX_TRIAL_STEP = 0.28;
+
+/** Least difference of a lower limit on trial, in calls; with less, small limits would show hardly any effect. */
+const MIN_TRIAL_CALLS = 2;
 
 /** Calls per slot that complete in one measurement period. */
 const CALLS_PER_SLOT = 4;
@@ -24,11 +34,11 @@
 /** Slowdown, relative to the fastest call, from which another limit is tried. */
 const SLOWDOWN_FACTOR = 2;
 
-/** Throughput, relative to that before the trial, that a lower limit must keep. */
-const LOWER_TRIAL_THROUGHPUT_RATIO = 0.95;
+/** Share of the step by which the throughput may fall at a lower limit. */
+const MAX_THROUGHPUT_LOSS = 0.25;
 
-/** Throughput, relative to that before the trial, that a higher limit must reach. */
-const HIGHER_TRIAL_THROUGHPUT_RATIO = 1.05;
+/** Share of the step by which the throughput must rise at a higher limit. */
+const MIN_THROUGHPUT_GAIN = 0.5;
 
 /** Bounds of the exponential backoff after failed trials, in milliseconds. */
 const INITIAL_BACKOFF_MS = 1_000;
@@ -75,6 +85,7 @@
   #minDurationsMs: number[] = [];
   #period: Period | undefined;
   #trial: Trial | undefined;
+  #trialStep = MIN_TRIAL_STEP;
   #backoffMs = INITIAL_BACKOFF_MS;
   #nextTrialAtMs = 0;
 
@@ -158,6 +169,7 @@
       throughputPerMs < trial.throughputPerMs * trial.minThroughputRatio
     ) {
       this.#learned = trial.limit;
+      this.#trialStep = MIN_TRIAL_STEP;
       this.#isNextTrialLower = !this.#isNextTrialLower;
       this.#nextTrialAtMs = nowMs + this.#backoffMs;
       this.#backoffMs = Math.min(MAX_BACKOFF_MS, this.#backoffMs * 2);
@@ -165,8 +177,10 @@
     }
     if (trial) {
       this.#backoffMs = INITIAL_BACKOFF_MS;
+      this.#trialStep = Math.min(MAX_TRIAL_STEP, 2 * this.#trialStep);
     }
     if (slowdown <= SLOWDOWN_FACTOR) {
+      this.#trialStep = MIN_TRIAL_STEP;
       this.#learned = Math.min(this.#ceiling, this.#learned + 1);
     } else if (nowMs >= this.#nextTrialAtMs) {
       this.#beginTrial(throughputPerMs);
@@ -176,20 +190,23 @@
   /** Slow calls alone do not show which way to adjust, so lower and higher limits are tried in alternation. */
   #beginTrial(throughputPerMs: number): void {
     const limit = this.value;
+    const step = this.#trialStep;
     if (this.#isNextTrialLower && limit >= MIN_TRIAL_LIMIT) {
       this.#trial = {
         limit,
         throughputPerMs,
-        minThroughputRatio: LOWER_TRIAL_THROUGHPUT_RATIO,
+        minThroughputRatio: 1 - step * MAX_THROUGHPUT_LOSS,
       };
-      this.#learned = Math.floor(limit * TRIAL_FACTOR);
+      this.#learned = Math.floor(
+        Math.min(limit - MIN_TRIAL_CALLS, limit * (1 - step)),
+      );
     } else if (limit < this.#ceiling) {
       this.#trial = {
         limit,
         throughputPerMs,
-        minThroughputRatio: HIGHER_TRIAL_THROUGHPUT_RATIO,
+        minThroughputRatio: 1 + step * MIN_THROUGHPUT_GAIN,
       };
-      this.#learned = Math.min(this.#ceiling, Math.ceil(limit / TRIAL_FACTOR));
+      this.#learned = Math.min(this.#ceiling, Math.ceil(limit / (1 - step)));
     } else {
       this.#isNextTrialLower = true;
     }
