admission: nested calls wait for a share of the time that they have

Cause: two bounds of a queue followed from the hold time of the instance and not from the time of callers. In a queue that has not been empty for half a second a nested call waited for four hold times, 120 ms on an instance that takes 30 ms, though it had 700; fast instances refused most. And the order by tree applied from half of that on, so that trees with high ranks expired in queues in which all would have been served by expiry.

Change: such a call waits for 0.35 of the time after which it can no longer finish, if that is longer. The order by tree applies above the same share of the time that nine in ten nested calls have left (TimeLeftEstimator).

With a share of 0.5, lasting overload without load signals serves nobody (deep_chain_load_test.ts); with 0.35 that test passes.

--- a/src/admission/adaptive_admission.ts
+++ b/src/admission/adaptive_admission.ts
@@ -28,6 +28,7 @@
 import { SlotGate } from "./slot_gate.ts";
 import { SlotGrants } from "./slot_grants.ts";
 import { SlotTracker } from "./slot_tracker.ts";
+import { TimeLeftEstimator } from "./time_left_estimator.ts";
 import type { AdmissionResult, WaitingCall } from "./waiting_call.ts";
 import { WaiterFactory } from "./waiter_factory.ts";
 import { isDisplacedBy, WaitingQueue } from "./waiting_queue.ts";
@@ -41,6 +42,7 @@
   readonly #limit: ConcurrencyLimit;
   readonly #queue = new WaitingQueue<WaitingCall>();
   readonly #slots: SlotTracker;
+  readonly #timeLeft = new TimeLeftEstimator();
   readonly #shares = new FairShares();
   readonly #load = new LoadAverage();
   readonly #journal: AdmissionJournal;
@@ -67,7 +69,8 @@
     const slots = this.#slots = new SlotTracker(clock);
     const journal = this.#journal = new AdmissionJournal(options);
     const pacer = this.#pacer = new RequestPacer(clock);
-    const sources = { limit, pacer, queue, slots };
+    const timeLeft = this.#timeLeft;
+    const sources = { limit, pacer, queue, slots, timeLeft };
     const estimator = this.#estimator = new QueueEstimator(sources);
     this.#handBacks = new HandBackDecider({ estimator, queue, slots });
     this.#ratios = new AdmitRatioUpdater({
@@ -179,6 +182,9 @@
       service: call.service,
       mark: call.context.admission,
     });
+    if (call.context.depth > 0) {
+      this.#timeLeft.record(call.deadlineAtMs - this.#nowMs);
+    }
     this.#updateAdmitRatios();
     if (call.signal.aborted) {
       return err(createRefusal(REASONS.cancelled));
--- a/src/admission/compute_queue_timeout_ms.ts
+++ b/src/admission/compute_queue_timeout_ms.ts
@@ -17,6 +17,9 @@
 /** Longest wait in a standing queue, as a multiple of the slot hold time. */
 const STANDING_WAIT_HOLDS = 4;
 
+/** The same for a nested call, as a share of the time after which it can no longer finish, if that is longer. Its callers would wait, whatever the hold time of this instance. */
+const STANDING_WAIT_RATIO = 0.35;
+
 /** Lower bound of the longest wait in a standing queue, for short calls, in milliseconds. */
 const MIN_STANDING_WAIT_MS = 80;
 
@@ -34,13 +37,21 @@
  * Computes the longest wait in a standing queue.
  *
  * @param holdMs - Expected slot hold time of a call, in milliseconds
+ * @param nestedRemainingMs - Time until the deadline of a nested call, in milliseconds; 0 for the first call of a chain
  * @returns The longest wait, in milliseconds
  *
  * @example
  * computeStandingWaitMs(30); // 120
  */
-export function computeStandingWaitMs(holdMs: number): number {
-  return Math.max(MIN_STANDING_WAIT_MS, holdMs * STANDING_WAIT_HOLDS);
+export function computeStandingWaitMs(
+  holdMs: number,
+  nestedRemainingMs = 0,
+): number {
+  return Math.max(
+    MIN_STANDING_WAIT_MS,
+    holdMs * STANDING_WAIT_HOLDS,
+    (nestedRemainingMs - holdMs) * STANDING_WAIT_RATIO,
+  );
 }
 
 /**
@@ -62,7 +73,8 @@
   const timeoutMs = isNested
     ? Math.max(0, remainingMs - holdMs)
     : Math.max(0, remainingMs) * NEW_CHAIN_WAIT_RATIO;
-  return queuedForMs <= STANDING_QUEUE_AFTER_MS
-    ? timeoutMs
-    : Math.min(timeoutMs, computeStandingWaitMs(holdMs));
+  return queuedForMs <= STANDING_QUEUE_AFTER_MS ? timeoutMs : Math.min(
+    timeoutMs,
+    computeStandingWaitMs(holdMs, isNested ? remainingMs : 0),
+  );
 }
--- a/src/admission/queue_estimator.ts
+++ b/src/admission/queue_estimator.ts
@@ -7,6 +7,7 @@
 import type { ConcurrencyLimit } from "./concurrency_limit.ts";
 import type { RequestPacer } from "./request_pacer.ts";
 import type { SlotTracker } from "./slot_tracker.ts";
+import type { TimeLeftEstimator } from "./time_left_estimator.ts";
 import type { WaitingCall } from "./waiting_call.ts";
 import type { OrderOptions, WaitingQueue } from "./waiting_queue.ts";
 
@@ -19,19 +20,13 @@
 /** Queue delay above which the newest calls go first, in milliseconds. */
 const NEWEST_FIRST_DELAY_MS = 100;
 
-/**
- * Queue delay from which nested calls go by tree, as a share of the longest wait in
- * a standing queue. With less, serving them by expiry serves them all, while the
- * trees with the highest ranks would wait until they expire.
- */
-const BY_TREE_DELAY_RATIO = 0.5;
-
 /** What the waits are estimated from. */
 export interface QueueEstimatorOptions {
   readonly queue: WaitingQueue<WaitingCall>;
   readonly limit: ConcurrencyLimit;
   readonly pacer: RequestPacer;
   readonly slots: SlotTracker;
+  readonly timeLeft: TimeLeftEstimator;
 }
 
 /** Estimates waits from the hold time of a slot, the limit and the pace. */
@@ -70,11 +65,12 @@
 
   /** Order in which waiting calls get slots now. */
   get order(): OrderOptions {
-    const { holdMs } = this.#options.slots;
+    const { slots: { holdMs }, timeLeft } = this.#options;
     return {
       holdMs,
-      isByTree: this.delayMs >
-        BY_TREE_DELAY_RATIO * computeStandingWaitMs(holdMs),
+      // Below, serving nested calls by expiry serves them all, while the trees
+      // with the highest ranks would wait until they expire.
+      isByTree: this.delayMs > computeStandingWaitMs(holdMs, timeLeft.lowMs),
       isNewestFirst: this.delayMs > NEWEST_FIRST_DELAY_MS,
     };
   }
