admission: the queue of a service may be as long as its calls have time for

Refused callers come back once, mostly too late.

Cause: the target delay of a queue was 40 ms for every service, chosen for trees with 800 ms in all. Calls of other trees have 700 ms each and would wait.

Change: the target is 0.35 of the time that nine in ten nested calls have beyond their hold time, and 40 ms where that is shorter. The later calls of a tree have less time left the longer the earlier ones waited, so that the target shrinks before trees fail. admit-level-change tells that time as spareMs.

--- a/src/admission/admission_journal.ts
+++ b/src/admission/admission_journal.ts
@@ -35,6 +35,8 @@
   readonly demandPerSecond: number;
   readonly capacityPerSecond: number;
   readonly queueDelayMs: number;
+  /** Time that most nested calls have beyond their hold time, from which the target delay follows. */
+  readonly spareMs: number;
   readonly holdMs: number;
   readonly processor: ProcessorLoad;
   /** Whether the ratios follow from the processor time of the daemon. */
@@ -119,6 +121,7 @@
       demandPerSecond: Math.round(estimate.demandPerSecond),
       capacityPerSecond: Math.round(estimate.capacityPerSecond),
       queueDelayMs: Math.round(estimate.queueDelayMs),
+      spareMs: Math.round(estimate.spareMs),
       holdMs: Math.round(estimate.holdMs),
       limitedBy: estimate.isProcessorScarce ? "processor" : "slots",
       loopUtilization: Number(estimate.processor.utilization.toFixed(2)),
--- a/src/admission/admit_ratio_controller.ts
+++ b/src/admission/admit_ratio_controller.ts
@@ -18,6 +18,9 @@
 /** Lower bound of the target queue delay, in milliseconds. The calls of a tree that follow one another wait for it one after the other. */
 const MIN_TARGET_DELAY_MS = 40;
 
+/** Target queue delay as a share of the time that most nested calls have left beyond their work, if that is longer. A burst that passes meanwhile is served later instead of refused. */
+const TARGET_DELAY_RATIO = 0.35;
+
 /** Lower bound of the target queue length, in calls; enough to keep all slots in use. */
 const MIN_TARGET_CALLS = 3;
 
@@ -54,6 +57,8 @@
   readonly queueDelayMs: number;
   /** Mean time between two slots becoming free, in milliseconds. */
   readonly msPerCall: number;
+  /** Time that most nested calls have beyond their hold time, in milliseconds; 0 by default. */
+  readonly spareMs?: number;
   /** Whether slots were idle for a significant part of the time since the last update. */
   readonly isIdle: () => boolean;
   readonly reservedRatios: readonly number[];
@@ -202,9 +207,13 @@
 }
 
 function computeCorrection(
-  { queueDelayMs, msPerCall }: AdmitRatioInput,
+  { queueDelayMs, msPerCall, spareMs = 0 }: AdmitRatioInput,
 ): number {
-  const targetMs = Math.max(MIN_TARGET_DELAY_MS, msPerCall * MIN_TARGET_CALLS);
+  const targetMs = Math.max(
+    MIN_TARGET_DELAY_MS,
+    msPerCall * MIN_TARGET_CALLS,
+    spareMs * TARGET_DELAY_RATIO,
+  );
   const excess = (queueDelayMs - targetMs) / (targetMs * CORRECTION_FACTOR);
   return Math.max(MIN_CORRECTION, Math.min(MAX_CORRECTION, 1 - excess));
 }
--- a/src/admission/admit_ratio_controller_test.ts
+++ b/src/admission/admit_ratio_controller_test.ts
@@ -156,4 +156,17 @@
   assert.is(applied.at(-1), 1);
 });
 
+// Entries refused requests in bursts that a queue would have carried within the time that their calls had.
+test("a queue that calls have time for is not corrected", () => {
+  const demands = () => createDemands(100);
+  const update = (changes: Partial<AdmitRatioInput>) => {
+    const controller = new AdmitRatioController();
+    controller.update(createInput({ demands, queueDelayMs: 150, ...changes }));
+    return controller.lowestRatio;
+  };
+  assert.ok(update({}) < 0.75);
+  assert.is(update({ spareMs: 600 }), 1);
+  assert.ok(update({ spareMs: 600, queueDelayMs: 600 }) < 0.85);
+});
+
 test.run();
--- a/src/admission/admit_ratio_updater.ts
+++ b/src/admission/admit_ratio_updater.ts
@@ -61,6 +61,7 @@
       holdTimesMs,
       queueDelayMs: estimator.delayMs,
       msPerCall: estimator.msPerCall,
+      spareMs: estimator.spareMs,
       isIdle: () => this.idle.read(nowMs),
       reservedRatios,
       usableRatio: this.lateCalls.update(nowMs),
@@ -75,6 +76,7 @@
         demandPerSecond: this.controller.demandPerSecond,
         capacityPerSecond: MS_PER_SECOND / estimator.msPerCall,
         queueDelayMs: estimator.delayMs,
+        spareMs: estimator.spareMs,
         holdMs: slots.holdMs,
         ...{ processor, isProcessorScarce: this.processorCapacity.isScarce },
       });
--- a/src/admission/queue_estimator.ts
+++ b/src/admission/queue_estimator.ts
@@ -63,6 +63,12 @@
     return (queue.length + 1) * slots.usualHoldMs / Math.max(1, limit.value);
   }
 
+  /** Time that most nested calls have beyond their hold time, in milliseconds. */
+  get spareMs(): number {
+    const { slots, timeLeft } = this.#options;
+    return Math.max(0, timeLeft.lowMs - slots.holdMs);
+  }
+
   /** Order in which waiting calls get slots now. */
   get order(): OrderOptions {
     const { slots: { holdMs }, timeLeft } = this.#options;
