backend: a status that HTTP does not know is no answer

An instance in trouble wrote answers with the status 600 or 999, and callers got them as answers. A status of 000, 099 or 20 was refused by the parser already, but passed between daemons: an older build in a mixed fleet may send it.

HTTP knows the statuses 100 to 599 (RFC 9110, section 15). A response with another one is malformed now, so that its call has an unknown outcome: repeatable calls are served elsewhere, others get 502.

Answers that are handed over with idempotency keys are not checked.

--- a/src/backend/http_backend_client.ts
+++ b/src/backend/http_backend_client.ts
@@ -13,6 +13,7 @@
 import {
   createRefusal,
   createUnknownOutcome,
+  isFinalStatus,
   REASONS,
   selectAbortReason,
 } from "../outcome/mod.ts";
@@ -85,6 +86,9 @@
         return err(createUnknownOutcome(REASONS.answerTooLarge));
       }
       const body = collected.value;
+      if (!isFinalStatus(response.statusCode)) {
+        return err(createUnknownOutcome(REASONS.backendFailed));
+      }
       if (!hasDelimitedBody(response)) {
         return err(createUnknownOutcome(REASONS.answerTruncated));
       }
--- a/src/backend/http_backend_client_test.ts
+++ b/src/backend/http_backend_client_test.ts
@@ -89,6 +89,16 @@
   assert.is(readFailure(result), "unknown backend-failed");
 });
 
+// Callers took statuses that HTTP does not know for answers.
+for (const status of ["000", "600", "999"]) {
+  test(`a response with the status ${status} is an unknown outcome`, async () => {
+    const result = await callServer((socket) =>
+      socket.end(`HTTP/1.1 ${status} Trouble\r\ncontent-length: 4\r\n\r\ndone`)
+    );
+    assert.is(readFailure(result), "unknown backend-failed");
+  });
+}
+
 test("a response delimited only by the end of the connection is an unknown outcome", async () => {
   const result = await callServer((socket) =>
     socket.end("HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nperhaps mor")
--- a/src/backend/response_parser.ts
+++ b/src/backend/response_parser.ts
@@ -11,8 +11,9 @@
 /** Maximum size of the head of a response, and of a chunk's size line or the trailer, in bytes. */
 const MAX_HEAD_BYTES = 16_384;
 
+/** With a status of a class that HTTP defines (RFC 9110, section 15). */
 const STATUS_LINE =
-  /^HTTP\/1\.([01]) ([1-9]\d\d)(?: [\t\x20-\x7e\x80-\xff]*)?$/;
+  /^HTTP\/1\.([01]) ([1-5]\d\d)(?: [\t\x20-\x7e\x80-\xff]*)?$/;
 const HEADER_LINE =
   /^([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[ \t]*((?:[\t\x20-\x7e\x80-\xff]*[\x21-\x7e\x80-\xff])?)[ \t]*$/;
 const LENGTH = /^\d{1,15}$/;
--- a/src/backend/response_parser_test.ts
+++ b/src/backend/response_parser_test.ts
@@ -103,6 +103,11 @@
   "a bare line feed in its status line":
     "HTTP/1.1 200 OK\nX-A: b\r\nContent-Length: 0\r\n\r\n",
   "a short status": "HTTP/1.1 20 OK\r\n\r\n",
+  // A backend server in trouble writes such statuses, and callers took them for answers.
+  "a status of 000": "HTTP/1.1 000 Trouble\r\nContent-Length: 0\r\n\r\n",
+  "a status of 099": "HTTP/1.1 099 Trouble\r\nContent-Length: 0\r\n\r\n",
+  "a status of 600": "HTTP/1.1 600 Trouble\r\nContent-Length: 0\r\n\r\n",
+  "a status of 999": "HTTP/1.1 999 Trouble\r\nContent-Length: 0\r\n\r\n",
   "a status line without a status": "HTTP/1.1\r\n\r\n",
   "an empty line before it": "\r\nHTTP/1.1 204 None\r\n\r\n",
   "another version": "HTTP/2.0 200 OK\r\nContent-Length: 0\r\n\r\n",
--- a/src/outcome/mod.ts
+++ b/src/outcome/mod.ts
@@ -6,6 +6,7 @@
 export type { RefusalOptions } from "./create_refusal.ts";
 export { createUnknownOutcome } from "./create_unknown_outcome.ts";
 export type { UnknownOutcomeOptions } from "./create_unknown_outcome.ts";
+export { isFinalStatus } from "./is_final_status.ts";
 export { REASONS } from "./outcome.ts";
 export type {
   Answer,
--- a/src/peer/convert_reply.ts
+++ b/src/peer/convert_reply.ts
@@ -4,7 +4,12 @@
 
 import { err, ok } from "neverthrow";
 import type { ReplyMessage } from "../generated/types.ts";
-import { createRefusal, createUnknownOutcome } from "../outcome/mod.ts";
+import {
+  createRefusal,
+  createUnknownOutcome,
+  isFinalStatus,
+  REASONS,
+} from "../outcome/mod.ts";
 import type { CallResult, Reason } from "../outcome/mod.ts";
 
 /** A reply message and the body sent with it. */
@@ -86,6 +91,14 @@
   const reason = reply.reason as Reason;
   switch (reply.outcome) {
     case "answered":
+      // An older build passes on what its backend server wrote.
+      if (!isFinalStatus(status)) {
+        return err(
+          createUnknownOutcome(REASONS.backendFailed, {
+            ...{ unusedAllowance, loads, isGivenUp },
+          }),
+        );
+      }
       return ok(
         headers
           ? {
