admission: a new chain has its turn among the nested calls of its class

Cause: both kinds have one class and meet at the scarce service, one as a direct request, the other with four nested calls. Nested calls of a class got slots before new chains without exception, and since a queue may be as long as nested calls have time for, it is not empty for seconds. The class of fault is a strict order without a bound on the wait of who comes last.

Change: after seven nested calls in a row that pass a waiting new chain of their class, the new chain gets the next slot. The count of calls ahead of an arriving call, and the order in which late calls are found, follow the same turns.

--- a/src/admission/adaptive_admission.ts
+++ b/src/admission/adaptive_admission.ts
@@ -280,7 +280,7 @@
       if (!next) {
         break;
       }
-      this.#queue.remove(next);
+      this.#queue.take(next);
       next.settle(ok(this.#grants.grant(next.classRank, next.open)));
     }
     this.#paceTimer.update();
--- a/src/admission/adaptive_admission_test.ts
+++ b/src/admission/adaptive_admission_test.ts
@@ -120,6 +120,20 @@
   assert.is(states.get("new"), "waiting");
 });
 
+// Direct requests to a service that trees of their class overload were never run.
+test("runs a new chain while nested calls of its class arrive faster than slots become free", async () => {
+  const { enter, release, states } = createFixture({ slots: 1 });
+  await enter("nested-0", NESTED);
+  await enter("nested-1", NESTED);
+  await enter("new", { timeLeftMs: 4_000 });
+  for (let calls = 0; states.get("new") === "waiting"; calls += 1) {
+    assert.ok(calls < 10, "ten nested calls in a row");
+    await enter(`nested-${calls + 2}`, NESTED);
+    await release(`nested-${calls}`);
+  }
+  assert.is(states.get("new"), "running");
+});
+
 test("runs the most important class first among new chains", async () => {
   const { enter, release, states } = createFixture({ slots: 1 });
   await enter("a");
--- a/src/admission/waiting_queue.ts
+++ b/src/admission/waiting_queue.ts
@@ -4,6 +4,9 @@
 
 import type { OpenShare } from "./fair_shares.ts";
 
+/** Most nested calls of a class in a row that get slots before a new chain of the class that waits. Nested calls may wait without end, and new chains would never run. */
+const MAX_NESTED_IN_A_ROW = 7;
+
 /** A waiting call. */
 export interface Waiter {
   readonly classRank: number;
@@ -36,6 +39,8 @@
 /** Waiting calls, ordered when one is chosen. */
 export class WaitingQueue<T extends Waiter> {
   readonly #waiters = new Set<T>();
+  /** Nested calls by class rank that got slots one after the other while new chains of the class waited. */
+  readonly #nestedInARow: number[] = [];
 
   /** Number of waiting calls. */
   get length(): number {
@@ -52,6 +57,16 @@
     return this.#waiters.delete(waiter);
   }
 
+  /** Removes a call that gets a slot, so that the turns of its class go on. */
+  take(waiter: T): void {
+    this.#waiters.delete(waiter);
+    const { classRank, isNested } = waiter;
+    const passesNewChain = isNested && this.#hasNewChain(classRank);
+    this.#nestedInARow[classRank] = passesNewChain
+      ? this.#getNestedInARow(classRank) + 1
+      : 0;
+  }
+
   /**
    * Counts the waiting calls that get a slot before a call that arrives now. Of
    * another account, only those count that fair sharing puts before it.
@@ -60,13 +75,20 @@
     waiter: Waiter,
     { holdMs, isByTree }: Pick<OrderOptions, "holdMs" | "isByTree">,
   ): number {
-    let ahead = 0;
+    let moreImportant = 0;
     let others: Map<OpenShare["share"], number> | undefined;
     let own = 0;
+    let ownKind = 0;
+    /** Nested calls of the class if this is a new chain, and the other way round. */
+    let otherKind = 0;
     for (const other of this.#waiters) {
       const difference = compareTier(other, waiter);
-      if (difference !== 0) {
-        ahead += Number(difference < 0);
+      if (other.classRank !== waiter.classRank) {
+        moreImportant += Number(difference < 0);
+      } else if (other.isNested !== waiter.isNested) {
+        otherKind += 1;
+      } else if (difference !== 0) {
+        ownKind += Number(difference < 0);
       } else if (other.open.share === waiter.open.share) {
         own += Number(
           !other.isNested || compareNested(other, waiter, isByTree) <= 0,
@@ -77,23 +99,48 @@
         others.set(share, (others.get(share) ?? 0) + 1);
       }
     }
-    if (!others) {
-      return ahead + own;
+    ownKind += own;
+    if (others) {
+      const startMs = readStartMs(waiter) + own * holdMs;
+      const { clock } = waiter.open;
+      for (const [share, waiting] of others) {
+        const leadMs = startMs - clock.computeStartMs(share);
+        const before = Math.floor(leadMs / holdMs) + 1;
+        ownKind += Math.max(0, Math.min(waiting, before));
+      }
     }
-    const startMs = readStartMs(waiter) + own * holdMs;
-    const { clock } = waiter.open;
-    for (const [share, waiting] of others) {
-      const leadMs = startMs - clock.computeStartMs(share);
-      const before = Math.floor(leadMs / holdMs) + 1;
-      ahead += Math.max(0, Math.min(waiting, before));
+    return moreImportant + ownKind +
+      Math.min(otherKind, this.#countTurnsBefore(waiter, ownKind));
+  }
+
+  /** Counts the turns of the other kind of calls of a class before a call that has others of its own kind ahead. */
+  #countTurnsBefore(
+    { classRank, isNested }: Waiter,
+    ahead: number,
+  ): number {
+    const inARow = this.#getNestedInARow(classRank);
+    return isNested
+      ? Math.floor((inARow + ahead) / MAX_NESTED_IN_A_ROW)
+      : Math.max(0, MAX_NESTED_IN_A_ROW * (ahead + 1) - inARow);
+  }
+
+  #getNestedInARow(classRank: number): number {
+    return this.#nestedInARow[classRank] ?? 0;
+  }
+
+  #hasNewChain(classRank: number): boolean {
+    for (const waiter of this.#waiters) {
+      if (!waiter.isNested && waiter.classRank === classRank) {
+        return true;
+      }
     }
-    return ahead + own;
+    return false;
   }
 
   /**
    * Finds the call that gets the next slot, among the classes that may run. The
    * most important class goes first. Within a class, nested calls go first, then
-   * new chains. Within these, the account goes first that has used the least
+   * new chains, one of which has a turn after several nested calls. Within these, the account goes first that has used the least
    * slot time, and of an account its nested calls by expiry, or in a long queue
    * by the rank of their tree.
    *
@@ -107,14 +154,23 @@
   ): T | undefined {
     const isAllowedByRank: (boolean | undefined)[] = [];
     let best: T | undefined;
+    let newChain: T | undefined;
     for (const waiter of this.#waiters) {
       const { classRank } = waiter;
       const isAllowed = isAllowedByRank[classRank] ??= mayRun(classRank);
       if (isAllowed && (!best || isBefore(waiter, best, options))) {
         best = waiter;
       }
+      if (
+        isAllowed && !waiter.isNested &&
+        (!newChain || isBefore(waiter, newChain, options))
+      ) {
+        newChain = waiter;
+      }
     }
-    return best;
+    const isNewChainDue = best?.classRank === newChain?.classRank &&
+      this.#getNestedInARow(best?.classRank ?? 0) >= MAX_NESTED_IN_A_ROW;
+    return isNewChainDue ? newChain : best;
   }
 
   /** Finds the newest call of the account that is last in turn, among the calls that go last. */
@@ -151,9 +207,33 @@
       nextStartsMs.set(share, startMs + options.holdMs);
       return { waiter, startMs };
     });
-    return starts.sort((one, other) =>
+    const inOrder = starts.sort((one, other) =>
       compareTier(one.waiter, other.waiter) || one.startMs - other.startMs
     ).map(({ waiter }) => waiter);
+    return this.#interleave(inOrder);
+  }
+
+  /** Moves new chains forward to their turns among the nested calls of their class. */
+  #interleave(waiters: readonly T[]): T[] {
+    const nested = waiters.filter(({ isNested }) => isNested);
+    const newChains = waiters.filter(({ isNested }) => !isNested);
+    const inOrder: T[] = [];
+    const inARow = [...this.#nestedInARow];
+    while (nested.length > 0 || newChains.length > 0) {
+      const [next, newChain] = [nested[0], newChains[0]];
+      const isNestedNext = next !== undefined &&
+        (!newChain || next.classRank < newChain.classRank ||
+          (next.classRank === newChain.classRank &&
+            (inARow[next.classRank] ?? 0) < MAX_NESTED_IN_A_ROW));
+      const chosen = isNestedNext ? nested.shift() : newChains.shift();
+      if (chosen) {
+        inOrder.push(chosen);
+        inARow[chosen.classRank] = isNestedNext
+          ? (inARow[chosen.classRank] ?? 0) + 1
+          : 0;
+      }
+    }
+    return inOrder;
   }
 }
 
