admission: with few slots, a lower limit has to hold its throughput twice

Cause: a period of four calls a slot has 72 calls with 18 slots. The noise of its throughput is as large as what a limit that is 11 % lower loses, so that a lower limit was kept by chance, and the next step was twice as large.

Change: a trial of a lower limit lasts two periods where one has fewer than 150 calls, and the limit is kept if neither shows a loss.

--- a/src/admission/concurrency_limit.ts
+++ b/src/admission/concurrency_limit.ts
@@ -31,6 +31,10 @@
 /** Calls per slot that complete in one measurement period. */
 const CALLS_PER_SLOT = 4;
 
+/** Calls in the periods of a trial of a lower limit, and most periods; with few calls, a loss of throughput may not show in one. */
+const MIN_TRIAL_SAMPLES = 150;
+const MAX_TRIAL_PERIODS = 2;
+
 /** Slowdown, relative to the fastest call, from which another limit is tried. */
 const SLOWDOWN_FACTOR = 2;
 
@@ -65,6 +69,8 @@
   readonly throughputPerMs: number;
   /** Lowest throughput at which the limit on trial is kept, relative to that before the trial. */
   readonly minThroughputRatio: number;
+  /** Periods in which the throughput still has to be that high. */
+  readonly periodsLeft: number;
 }
 
 interface Period {
@@ -175,6 +181,10 @@
       this.#backoffMs = Math.min(MAX_BACKOFF_MS, this.#backoffMs * 2);
       return;
     }
+    if (trial && trial.periodsLeft > 1) {
+      this.#trial = { ...trial, periodsLeft: trial.periodsLeft - 1 };
+      return;
+    }
     if (trial) {
       this.#backoffMs = INITIAL_BACKOFF_MS;
       this.#trialStep = Math.min(MAX_TRIAL_STEP, 2 * this.#trialStep);
@@ -196,6 +206,7 @@
         limit,
         throughputPerMs,
         minThroughputRatio: 1 - step * MAX_THROUGHPUT_LOSS,
+        periodsLeft: countTrialPeriods(limit),
       };
       this.#learned = Math.floor(
         Math.min(limit - MIN_TRIAL_CALLS, limit * (1 - step)),
@@ -205,6 +216,7 @@
         limit,
         throughputPerMs,
         minThroughputRatio: 1 + step * MIN_THROUGHPUT_GAIN,
+        periodsLeft: 1,
       };
       this.#learned = Math.min(this.#ceiling, Math.ceil(limit / (1 - step)));
     } else {
@@ -220,3 +232,9 @@
     }
   }
 }
+
+/** Counts the periods that a lower limit is tried for. */
+function countTrialPeriods(limit: number): number {
+  const periods = Math.ceil(MIN_TRIAL_SAMPLES / (limit * CALLS_PER_SLOT));
+  return Math.min(MAX_TRIAL_PERIODS, periods);
+}
