admission: a pause of the event loop is no reason to begin refusing

All refusals followed from admit-level-change with limitedBy "processor" at loopDelayMs 22 to 79 and an empty queue; the ratios of most classes fell to 0.01.

Cause: a delay of the event loop above 20 ms was taken for a lack of processor time, and what the process carries for what ended in the last 300 ms. Nothing ends during a pause, so that the calls of a garbage collection or of a process that was not run count as a capacity that is gone, and the bound returns by 5 % every 50 ms.

Evidence: the new tests of pauses of 300 and 1,000 ms failed before, with 0.76 and 0.50 of the demand allocated.

Change: the bound begins only while the loop has not been idle for four ticks of 50 ms. Once it is in force, it follows the delay as before. admit-level-change tells isLoopSaturated.

--- a/src/admission/admission_journal.ts
+++ b/src/admission/admission_journal.ts
@@ -126,6 +126,7 @@
       limitedBy: estimate.isProcessorScarce ? "processor" : "slots",
       loopUtilization: Number(estimate.processor.utilization.toFixed(2)),
       loopDelayMs: Math.round(estimate.processor.delayMs),
+      isLoopSaturated: estimate.processor.isSaturated,
     });
   }
 }
--- a/src/admission/processor_capacity.ts
+++ b/src/admission/processor_capacity.ts
@@ -94,7 +94,7 @@
     { nowMs, holdTimesMs, holdMs }: ProcessorEstimate,
   ): number {
     this.#recordTotals(nowMs);
-    const { utilization, delayMs } = this.#load;
+    const { utilization, delayMs, isSaturated } = this.#load;
     const sumSlots = (read: (demand: ClassDemand) => number) =>
       demands.reduce(
         (slots, demand, rank) =>
@@ -108,7 +108,8 @@
     const receivedSlots = sumSlots(({ offeredPerSecond, admittedRatio }) =>
       offeredPerSecond * admittedRatio
     );
-    const isBehind = delayMs > MAX_DELAY_MS;
+    // A pause alone is no reason to begin refusing; the loop makes up for it.
+    const isBehind = delayMs > MAX_DELAY_MS && (isSaturated || this.isScarce);
     const endedRatio = isBehind ? this.#computeEndedRatio(nowMs, holdMs) : 1;
     const backlogMs = Math.max(0, delayMs - MAX_DELAY_MS);
     const drainRatio = Math.max(MIN_DRAIN_RATIO, 1 - backlogMs / DRAIN_MS);
@@ -116,7 +117,7 @@
       utilization;
     const ratio = slots / neededSlots;
     // A busy loop without a backlog is no reason to begin refusing.
-    const lowest = isBehind || this.#ratio < 1 ? MIN_DEMAND_RATIO : 1;
+    const lowest = isBehind || this.isScarce ? MIN_DEMAND_RATIO : 1;
     this.#ratio = Math.max(lowest, Math.min(ratio, this.#ratio * MAX_RISE, 1));
     return this.isScarce ? neededSlots * this.#ratio : Number.POSITIVE_INFINITY;
   }
--- a/src/admission/processor_capacity_test.ts
+++ b/src/admission/processor_capacity_test.ts
@@ -1,5 +1,7 @@
 import { suite } from "uvu";
 import * as assert from "uvu/assert";
+import { LoopLoad } from "../event_loop/mod.ts";
+import type { ProcessorLoad } from "../event_loop/mod.ts";
 import { ProcessorCapacity } from "./processor_capacity.ts";
 
 const test = suite("processor time of a daemon");
@@ -9,10 +11,14 @@
 
 /** A daemon that is asked for calls of one class. */
 class CapacityFixture {
-  readonly load = { utilization: 1, delayMs: 0 };
-  readonly capacity = new ProcessorCapacity(this.load);
+  readonly load = { utilization: 1, delayMs: 0, isSaturated: true };
+  readonly capacity: ProcessorCapacity;
   #nowMs = 1_000;
 
+  constructor(load?: ProcessorLoad) {
+    this.capacity = new ProcessorCapacity(load ?? this.load);
+  }
+
   /** Has calls arrive and end for one interval; returns the share of the demand that is allocated at its end. */
   step(
     { offeredPerSecond, endedPerSecond, admittedRatio = 1 }: {
@@ -82,6 +88,32 @@
   assert.not(fixture.capacity.isScarce);
 });
 
+// A pause of a few ticks had entries refuse most requests for up to 2 s after it.
+for (const pauseMs of [100, 300, 1_000]) {
+  test(`a pause of ${pauseMs} ms refuses nothing once it is over`, () => {
+    const times = { idle: 0, active: 0 };
+    const loop = new LoopLoad(() => ({ ...times }));
+    const fixture = new CapacityFixture(loop);
+    const tick = (lateMs: number) => {
+      times.active += lateMs + 20;
+      times.idle += INTERVAL_MS - 20;
+      loop.record(lateMs);
+    };
+    const load = { offeredPerSecond: 1_000, endedPerSecond: 1_000 };
+    for (let count = 0; count < 20; count += 1) {
+      tick(0);
+      fixture.step(load);
+    }
+    tick(pauseMs);
+    const ratios = Array.from({ length: 20 }, () => {
+      const ratio = fixture.step({ ...load, endedPerSecond: 400 });
+      tick(0);
+      return ratio;
+    });
+    assert.is(Math.min(...ratios), 1, ratios.join(" "));
+  });
+}
+
 // Ratios that rose at once brought the next backlog before the first requests that were admitted at them arrived.
 test("with time to spare again, the share rises step by step to 1", () => {
   const fixture = new CapacityFixture();
--- a/src/event_loop/loop_load.ts
+++ b/src/event_loop/loop_load.ts
@@ -14,6 +14,10 @@
 /** Weight of the latest delay in the moving average. */
 const LATEST_WEIGHT = 0.5;
 
+/** Share of the time between two ticks from which the loop counts as never idle, and consecutive ticks of that kind that show a saturated loop. A pause makes a single tick busy. */
+const SATURATED_UTILIZATION = 0.97;
+const SATURATED_TICKS = 4;
+
 /** Times since the start of the event loop, in milliseconds. */
 export interface LoopTimes {
   /** Time in which the loop waited for events. */
@@ -28,10 +32,16 @@
   readonly utilization: number;
   /** Time by which the event loop is late, in milliseconds. */
   readonly delayMs: number;
+  /** Whether the loop has not been idle for several ticks, so that it has more to do than the processor does. */
+  readonly isSaturated: boolean;
 }
 
 /** Load of a process that does nothing. */
-export const IDLE_PROCESSOR: ProcessorLoad = { utilization: 0, delayMs: 0 };
+export const IDLE_PROCESSOR: ProcessorLoad = {
+  utilization: 0,
+  delayMs: 0,
+  isSaturated: false,
+};
 
 /** Measures the load of the event loop over the last few hundred milliseconds. */
 export class LoopLoad implements ProcessorLoad {
@@ -40,6 +50,8 @@
   #activeMs = 0;
   #totalMs = 0;
   #delayMs = 0;
+  /** Consecutive ticks without idle time up to the latest one. */
+  #busyTicks = 0;
 
   constructor(
     readTimes: () => LoopTimes = () => performance.eventLoopUtilization(),
@@ -56,6 +68,10 @@
     return this.#delayMs;
   }
 
+  get isSaturated(): boolean {
+    return this.#busyTicks >= SATURATED_TICKS;
+  }
+
   /** Adds the time since the last call, at whose end a timer was late by `lateMs` milliseconds. */
   record(lateMs: number): void {
     const { idle, active } = this.#readTimes();
@@ -66,5 +82,7 @@
     this.#activeMs = this.#activeMs * weight + activeMs;
     this.#totalMs = this.#totalMs * weight + passedMs;
     this.#delayMs += (Math.max(0, lateMs) - this.#delayMs) * LATEST_WEIGHT;
+    const isBusy = activeMs > 0 && activeMs >= passedMs * SATURATED_UTILIZATION;
+    this.#busyTicks = isBusy ? this.#busyTicks + 1 : 0;
   }
 }
--- a/src/event_loop/loop_load_test.ts
+++ b/src/event_loop/loop_load_test.ts
@@ -34,6 +34,27 @@
   assert.is(load.utilization, 0);
 });
 
+test("a loop is saturated once it has not been idle for several ticks, which a pause does not show", () => {
+  const times = { idle: 0, active: 0 };
+  const load = new LoopLoad(() => ({ ...times }));
+  const tick = (activeMs: number, idleMs: number) => {
+    times.active += activeMs;
+    times.idle += idleMs;
+    load.record(0);
+  };
+  tick(20, 30);
+  tick(2_000, 0);
+  tick(20, 30);
+  assert.not(load.isSaturated);
+  for (let count = 0; count < 4; count += 1) {
+    assert.not(load.isSaturated);
+    tick(70, 1);
+  }
+  assert.ok(load.isSaturated);
+  tick(40, 10);
+  assert.not(load.isSaturated);
+});
+
 test("the time in which this process is busy counts as used", async () => {
   const load = new LoopLoad();
   for (let turn = 0; turn < 10; turn += 1) {
--- a/src/testing/model_processor.ts
+++ b/src/testing/model_processor.ts
@@ -41,6 +41,10 @@
     return this.#load.delayMs;
   }
 
+  get isSaturated(): boolean {
+    return this.#load.isSaturated;
+  }
+
   /** Resolves when a task that arrives now is done. */
   use(durationMs: number): Promise<void> {
     const nowMs = this.#clock.monotonicMs();
