admission: hold times of nested calls and of new chains are averaged apart

Callers of kinds that share a class with direct requests were refused in bursts while the scarce service had room: on the model of the burst with 81 daemons, ratios of its instances went to 0.4 and back within 250 ms at a steady queue.

Cause: the hold time of a class, from which the slots that it needs follow, averaged the last nine calls of both kinds. Direct requests of 150 ms among nested calls of 57 ms moved it by a quarter each. They run since they have their turn. Ratios are clipped at 1, so that noise only refuses.

Change: each kind has an average of its own, and they are weighted by the share of the nested calls in some hundred calls. For a class with one kind nothing changes.

--- a/src/admission/adaptive_admission.ts
+++ b/src/admission/adaptive_admission.ts
@@ -197,12 +197,10 @@
       return this.#refuser.refuse(REASONS.slowInstance);
     }
     if (mayStart) {
-      return ok(
-        this.#grants.grant(
-          call.classRank,
-          this.#shares.open(call, this.#nowMs),
-        ),
-      );
+      const { classRank, context } = call;
+      const open = this.#shares.open(call, this.#nowMs);
+      const isNested = context.depth > 0;
+      return ok(this.#grants.grant({ classRank, isNested, open }));
     }
     const isTurnedAway = isLimited && !this.#pacer.isOpen && !call.isLastResort;
     return isTurnedAway
@@ -281,7 +279,7 @@
         break;
       }
       this.#queue.take(next);
-      next.settle(ok(this.#grants.grant(next.classRank, next.open)));
+      next.settle(ok(this.#grants.grant(next)));
     }
     this.#paceTimer.update();
     this.#updateIdleMeter();
--- a/src/admission/hold_time_estimator.ts
+++ b/src/admission/hold_time_estimator.ts
@@ -2,7 +2,10 @@
  * Estimates how long calls hold their slots, by exponential moving averages.
  */
 
-/** Weight of the latest call in the moving average. */
+import { ClassHoldTime } from "./class_hold_time.ts";
+import type { RunningCall } from "./running_calls.ts";
+
+/** Weight of the latest call in the moving average over all classes. */
 const LATEST_WEIGHT = 0.2;
 
 /** Estimate before any call has completed, in milliseconds. */
@@ -10,16 +13,19 @@
 
 /** Moving averages of slot hold times, per class and over all classes. */
 export class HoldTimeEstimator {
-  readonly #averagesMs: number[] = [];
+  readonly #classes: (ClassHoldTime | undefined)[] = [];
   #averageMs: number | undefined;
 
   /** Records the hold time of a completed call, in milliseconds. */
-  observe(durationMs: number, classRank: number): void {
-    this.#averageMs = average(this.#averageMs, durationMs);
-    this.#averagesMs[classRank] = average(
-      this.#averagesMs[classRank],
-      durationMs,
-    );
+  observe(
+    durationMs: number,
+    { classRank, isNested }: Pick<RunningCall, "classRank" | "isNested">,
+  ): void {
+    this.#averageMs = this.#averageMs === undefined
+      ? durationMs
+      : this.#averageMs + (durationMs - this.#averageMs) * LATEST_WEIGHT;
+    const holdTime = this.#classes[classRank] ??= new ClassHoldTime();
+    holdTime.observe(durationMs, isNested);
   }
 
   /**
@@ -35,15 +41,9 @@
 
   /** Estimates the hold time of one class, in milliseconds. */
   estimateClassMs(classRank: number, meanAgeMs: number): number {
-    const averageMs = this.#averagesMs[classRank];
+    const averageMs = this.#classes[classRank]?.averageMs;
     return averageMs === undefined
       ? this.estimateMs(meanAgeMs)
       : Math.max(1, averageMs, meanAgeMs);
   }
 }
-
-function average(averageMs: number | undefined, latestMs: number): number {
-  return averageMs === undefined
-    ? latestMs
-    : averageMs + (latestMs - averageMs) * LATEST_WEIGHT;
-}
--- a/src/admission/running_calls.ts
+++ b/src/admission/running_calls.ts
@@ -5,6 +5,8 @@
 /** A call that holds a slot. */
 export interface RunningCall {
   readonly classRank: number;
+  /** Whether the call is nested. */
+  readonly isNested: boolean;
   readonly startedAtMs: number;
 }
 
--- a/src/admission/slot_grants.ts
+++ b/src/admission/slot_grants.ts
@@ -7,12 +7,11 @@
 import type { Clock } from "../time/mod.ts";
 import type { AdmissionJournal } from "./admission_journal.ts";
 import type { ConcurrencyLimit } from "./concurrency_limit.ts";
-import type { OpenShare } from "./fair_shares.ts";
 import type { Permit } from "./inbound_admission.ts";
 import type { RequestPacer } from "./request_pacer.ts";
 import type { SlotTracker } from "./slot_tracker.ts";
 import type { WaitingCall } from "./waiting_call.ts";
-import type { WaitingQueue } from "./waiting_queue.ts";
+import type { Waiter, WaitingQueue } from "./waiting_queue.ts";
 
 /** Dependencies of the grants. */
 export interface SlotGrantsOptions {
@@ -37,11 +36,17 @@
     this.#options = options;
   }
 
-  /** Grants a slot to a call of a class, and charges it to its share. */
-  grant(classRank: number, { clock, share, kind }: OpenShare): Permit {
+  /** Grants a slot to a call, and charges it to its share. */
+  grant(
+    { classRank, isNested, open }: Pick<
+      Waiter,
+      "classRank" | "isNested" | "open"
+    >,
+  ): Permit {
+    const { clock, share, kind } = open;
     const { journal, limit, pacer, queue, slots, slowness } = this.#options;
     const holdMs = slots.estimateHoldMs(classRank);
-    const running = slots.begin(classRank);
+    const running = slots.begin({ classRank, isNested });
     pacer.take();
     const concurrency = slots.running.count;
     clock.charge(share, { nowMs: running.startedAtMs, holdMs });
--- a/src/admission/slot_tracker.ts
+++ b/src/admission/slot_tracker.ts
@@ -39,10 +39,10 @@
   }
 
   /** Occupies a slot for a call. */
-  begin(classRank: number): RunningCall {
-    const call = { classRank, startedAtMs: this.#clock.monotonicMs() };
-    this.running.add(call);
-    return call;
+  begin(call: Pick<RunningCall, "classRank" | "isNested">): RunningCall {
+    const running = { ...call, startedAtMs: this.#clock.monotonicMs() };
+    this.running.add(running);
+    return running;
   }
 
   /** Frees the slot of a call; unanswered calls do not count towards hold times. */
@@ -58,8 +58,8 @@
     this.running.remove(call);
     if (completion.isAnswered) {
       const { durationMs, slownessRatio } = completion;
-      this.#holdTime.observe(durationMs, call.classRank);
-      this.#usualHoldTime.observe(durationMs / slownessRatio, call.classRank);
+      this.#holdTime.observe(durationMs, call);
+      this.#usualHoldTime.observe(durationMs / slownessRatio, call);
     }
   }
 }
