review: uploads within the operator's limit are answered 413 (DENIED)

Cause: the largest body is the smaller one of the operator's limit and of what the memory budget gives to one body, and both refuse as too large. Change: a case with a script; the settings of a stand-in machine state its memory.

--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -28,7 +28,7 @@
 ];
 
 /** Writes the configuration, in place of the operator. */
-export function putConfiguration(fleet, routes) {
+export function putConfiguration(fleet, routes, limits = {}) {
   fleet.store.put("config", "main", {
     version: "r1",
     routes: {
@@ -47,6 +47,7 @@
       max_body_bytes: 1048576,
       header_timeout_ms: 3000,
       idle_timeout_ms: 15000,
+      ...limits,
     },
   });
 }
--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -95,8 +95,9 @@
 
 /** One machine: a daemon process, and the stand-in of the instance beside it. */
 export class Machine {
-  constructor(fleet, { host, zone, region, service, index }) {
+  constructor(fleet, { host, zone, region, service, index, memoryMb }) {
     Object.assign(this, { fleet, host, zone, region, service, index });
+    this.memoryMb = memoryMb;
     this.lifetimes = 0;
     this.ends = [];
     this.instance = undefined;
@@ -128,7 +129,7 @@
       "in_tolerance=false",
       "limits.cpu_share=0.54",
       "limits.cpu_cores=2",
-      "limits.memory_mb=350",
+      `limits.memory_mb=${this.memoryMb}`,
       "limits.max_fds=4100",
       "limits.link_mbps=1000.0",
       "limits.disk_mb=0",
@@ -247,10 +248,10 @@
     await this.store.listen();
   }
 
-  addMachine({ zone, service, ...instanceOptions }) {
+  addMachine({ zone, service, memoryMb = 350, ...instanceOptions }) {
     const index = this.machines.length;
     const machine = new Machine(this, {
-      ...{ zone, service, index, region: this.zones.get(zone) },
+      ...{ zone, service, index, memoryMb, region: this.zones.get(zone) },
       host: `${this.net}.${10 + index}`,
     });
     machine.instance = new Instance({
