--- a/review/lib-2/client.mjs
+++ b/review/lib-2/client.mjs
@@ -79,10 +79,10 @@
   }
 }
 
-/** Sends one request on a connection of its own. */
+/** Sends one request on a connection of its own; its client leaves at its time limit. */
 export async function sendOnce(target, request) {
   const connection = new Connection(target);
-  const timer = setTimeout(() => connection.close(), request.deadlineMs + 200);
+  const timer = setTimeout(() => connection.close(), request.deadlineMs);
   const answer = await connection.send(request);
   clearTimeout(timer);
   connection.close();
--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -191,7 +191,10 @@
         ...{ host: this.host, code, signal, isOwn },
       });
       if (this.isExpectedToRun && this.child === child) {
-        setTimeout(() => this.isExpectedToRun && this.#spawn(), 500);
+        setTimeout(
+          () => this.isExpectedToRun && this.#spawn(),
+          this.fleet.restartDelayMs,
+        );
       }
     });
   }
@@ -227,6 +230,8 @@
     this.folder = mkdtempSync(join(tmpdir(), "review-"));
     this.machines = [];
     this.lines = [];
+    /** Time after which the platform starts a process that has ended again. */
+    this.restartDelayMs = 500;
     process.once("exit", () => this.#killAll());
     for (const signal of ["SIGINT", "SIGTERM"]) {
       process.once(signal, () => process.exit(2));
